--- /dev/null
+++ b/eslint.config.mjs
@@ -0,0 +1,37 @@
+import tseslint from "typescript-eslint";
+
+export default tseslint.config(
+    { ignores: ["**/dist/**", "**/node_modules/**"] },
+    ...tseslint.configs.strict,
+    ...tseslint.configs.stylistic,
+    {
+        files: ["packages/*/src/**/*.ts", "features/**/*.ts"],
+        languageOptions: { parserOptions: { projectService: true, tsconfigRootDir: import.meta.dirname } },
+        rules: {
+            "@typescript-eslint/consistent-type-definitions": "off",
+            "@typescript-eslint/no-floating-promises": "error",
+            "@typescript-eslint/no-misused-promises": ["error", { checksVoidReturn: false }],
+            "@typescript-eslint/consistent-type-imports": "error",
+            "@typescript-eslint/naming-convention": [
+                "error",
+                { selector: "typeLike", format: ["PascalCase"] },
+                { selector: "enumMember", format: ["PascalCase"] },
+                { selector: "variable", format: ["camelCase", "PascalCase"], leadingUnderscore: "forbid" },
+                { selector: "function", format: ["camelCase"], leadingUnderscore: "forbid" },
+                { selector: "interface", format: ["PascalCase"], custom: { regex: "^I[A-Z]", match: false } },
+            ],
+            "@typescript-eslint/no-unused-vars": ["error", { argsIgnorePattern: "^$" }],
+            "@typescript-eslint/no-dynamic-delete": "off",
+            "@typescript-eslint/no-extraneous-class": "off",
+            "arrow-parens": "off",
+            "curly": ["error", "all"],
+            "eqeqeq": "error",
+            "max-lines": ["error", { max: 400, skipBlankLines: true, skipComments: true }],
+            "no-restricted-syntax": ["error", {
+                selector: "FunctionDeclaration[generator=false] > Identifier[name=/^_/]",
+                message: "No leading underscore.",
+            }],
+        },
+    },
+    { files: ["features/**/*.ts"], rules: { "@typescript-eslint/no-non-null-assertion": "off" } },
+);
--- /dev/null
+++ b/packages/client/src/index.ts
@@ -0,0 +1,2 @@
+/** The operators' command line. */
+export {};
--- /dev/null
+++ b/packages/configuration/src/index.ts
@@ -0,0 +1,2 @@
+/** Questionnaire answers and the configuration generated from them. */
+export * from "./configuration.js";
--- /dev/null
+++ b/packages/emulator/src/index.ts
@@ -0,0 +1,2 @@
+/** Engine model, traces, replay and experiments under a virtual clock. */
+export {};
--- /dev/null
+++ b/packages/kernel/src/clock.ts
@@ -0,0 +1,149 @@
+import { setTimeout as delay } from "node:timers/promises";
+
+/** Cancels a scheduled callback. */
+export type Cancel = () => void;
+
+/** The source of time; passed in so that policy and tests never read the system clock. */
+export interface Clock {
+    /** Wall-clock time. */
+    now(): Date;
+    /** Milliseconds that never go backwards; the origin is arbitrary. */
+    monotonicMs(): number;
+    /** Resolves after the given milliseconds; rejects with the signal's reason when it is aborted. */
+    sleep(ms: number, signal?: AbortSignal): Promise<void>;
+    /** Calls back once after the given milliseconds. */
+    after(ms: number, callback: () => void): Cancel;
+}
+
+/** Creates the clock of the running process. */
+export function createSystemClock(): Clock {
+    return {
+        now: () => new Date(),
+        monotonicMs: () => performance.now(),
+        sleep: (ms, signal) => delay(ms, undefined, signal === undefined ? {} : { signal }),
+        after: (ms, callback) => {
+            const timer = setTimeout(callback, ms);
+            return () => clearTimeout(timer);
+        },
+    };
+}
+
+interface Timer {
+    readonly dueMs: number;
+    readonly order: number;
+    readonly callback: () => void;
+}
+
+/** A clock that moves only when told to. */
+export interface VirtualClock extends Clock {
+    /** Runs every callback that falls due within the given milliseconds, in order of due time. */
+    advance(ms: number): void;
+    /** Runs the next callback, however far away; false when none is scheduled. */
+    step(): boolean;
+}
+
+/** Creates a virtual clock that starts at the given wall-clock time. */
+export function createVirtualClock(start: Date = new Date(0)): VirtualClock {
+    return new ManualClock(start);
+}
+
+class ManualClock implements VirtualClock {
+    #elapsedMs = 0;
+    #order = 0;
+    readonly #startMs: number;
+    readonly #heap: Timer[] = [];
+    readonly #cancelled = new Set<Timer>();
+
+    constructor(start: Date) {
+        this.#startMs = start.getTime();
+    }
+
+    now(): Date {
+        return new Date(this.#startMs + this.#elapsedMs);
+    }
+
+    monotonicMs(): number {
+        return this.#elapsedMs;
+    }
+
+    sleep(ms: number, signal?: AbortSignal): Promise<void> {
+        return new Promise((resolve, reject) => {
+            const cancel = this.after(ms, resolve);
+            signal?.addEventListener("abort", () => {
+                cancel();
+                reject(signal.reason instanceof Error ? signal.reason : new Error("The sleep was aborted."));
+            }, { once: true });
+        });
+    }
+
+    after(ms: number, callback: () => void): Cancel {
+        const timer = { dueMs: this.#elapsedMs + Math.max(0, ms), order: this.#order++, callback };
+        this.#push(timer);
+        return () => this.#cancelled.add(timer);
+    }
+
+    advance(ms: number): void {
+        const endMs = this.#elapsedMs + ms;
+        for (let next = this.#heap[0]; next !== undefined && next.dueMs <= endMs; next = this.#heap[0]) {
+            this.step();
+        }
+        this.#elapsedMs = Math.max(this.#elapsedMs, endMs);
+    }
+
+    step(): boolean {
+        for (let timer = this.#pop(); timer !== undefined; timer = this.#pop()) {
+            if (this.#cancelled.delete(timer)) {
+                continue;
+            }
+            this.#elapsedMs = Math.max(this.#elapsedMs, timer.dueMs);
+            timer.callback();
+            return true;
+        }
+        return false;
+    }
+
+    #push(timer: Timer): void {
+        const heap = this.#heap;
+        let index = heap.push(timer) - 1;
+        while (index > 0) {
+            const parentIndex = (index - 1) >> 1;
+            const parent = heap[parentIndex];
+            if (parent === undefined || isBefore(parent, timer)) {
+                break;
+            }
+            heap[index] = parent;
+            index = parentIndex;
+        }
+        heap[index] = timer;
+    }
+
+    #pop(): Timer | undefined {
+        const heap = this.#heap;
+        const first = heap[0];
+        const last = heap.pop();
+        if (first === undefined || last === undefined || heap.length === 0) {
+            return first;
+        }
+        let index = 0;
+        for (;;) {
+            const leftIndex = 2 * index + 1;
+            const left = heap[leftIndex];
+            const right = heap[leftIndex + 1];
+            if (left === undefined) {
+                break;
+            }
+            const [childIndex, child] = right !== undefined && isBefore(right, left) ? [leftIndex + 1, right] : [leftIndex, left];
+            if (isBefore(last, child)) {
+                break;
+            }
+            heap[index] = child;
+            index = childIndex;
+        }
+        heap[index] = last;
+        return first;
+    }
+}
+
+function isBefore(left: Timer, right: Timer): boolean {
+    return left.dueMs < right.dueMs || (left.dueMs === right.dueMs && left.order < right.order);
+}
--- /dev/null
+++ b/packages/kernel/src/index.ts
@@ -0,0 +1,9 @@
+/** Service registry, mailboxes, time, outcomes, ids and numbered log events. */
+export * from "./clock.js";
+export * from "./error.js";
+export * from "./event.js";
+export * from "./identifier.js";
+export * from "./kernel.js";
+export * from "./logger.js";
+export * from "./mailbox.js";
+export * from "./outcome.js";
--- /dev/null
+++ b/packages/kernel/src/logger.ts
@@ -0,0 +1,43 @@
+import { createConsola } from "consola";
+import type { ConsolaInstance } from "consola";
+import type { Clock } from "./clock.js";
+import type { EventDeclaration, EventFields, EventLevel, EventLog } from "./event.js";
+
+/** How log lines are written: JSON lines for machines, text for a terminal. */
+export type LogFormat = "json" | "text";
+
+const consolaLevels: Record<EventLevel, number> = { error: 0, warn: 1, info: 3, debug: 4 };
+
+/** Options of `createEventLog`. */
+export interface EventLogOptions {
+    readonly clock: Clock;
+    readonly format: LogFormat;
+    readonly level: EventLevel;
+    /** Fields that are added to every line, such as the host id. */
+    readonly context: EventFields;
+}
+
+/** Creates an event log that writes through consola to standard error. */
+export function createEventLog(options: EventLogOptions): EventLog {
+    const output = createConsola({
+        level: consolaLevels[options.level],
+        stdout: process.stderr,
+        stderr: process.stderr,
+        ...(options.format === "json" ? { reporters: [jsonReporter()] } : {}),
+    });
+    return { write: (event, fields = {}) => writeEvent(output, options, event, fields) };
+}
+
+function jsonReporter(): { log: (entry: { args: unknown[]; }) => void; } {
+    return { log: entry => void process.stderr.write(`${JSON.stringify(entry.args[0])}\n`) };
+}
+
+function writeEvent(output: ConsolaInstance, options: EventLogOptions, event: EventDeclaration, fields: EventFields): void {
+    if (options.format === "json") {
+        const line = { time: options.clock.now().toISOString(), level: event.level, event: event.number, text: event.text };
+        output[event.level]({ ...line, ...options.context, ...fields });
+        return;
+    }
+    const details = Object.entries({ ...options.context, ...fields }).map(([name, value]) => `${name}=${String(value)}`);
+    output[event.level](`[${event.number}] ${event.text} ${details.join(" ")}`);
+}
--- /dev/null
+++ b/packages/policy/src/index.ts
@@ -0,0 +1,2 @@
+/** All decisions as pure functions and state machines. */
+export {};
--- /dev/null
+++ b/packages/relay/src/index.ts
@@ -0,0 +1,2 @@
+/** The services of the daemon. */
+export * from "./contract.js";
--- /dev/null
+++ b/packages/standins/src/index.ts
@@ -0,0 +1,2 @@
+/** Stand-ins for the platform and the endpoints. */
+export {};
