--- /dev/null
+++ b/packages/policy/src/rendezvous.ts
@@ -0,0 +1,44 @@
+import xxhash from "xxhash-wasm";
+
+const hasher = await xxhash();
+
+/** Hashes text to 32 bits with xxHash32. */
+export function hashText(text: string, seed = 0): number {
+    return hasher.h32(text, seed);
+}
+
+/** Hashes text to 16 hexadecimal digits with xxHash64, chained to the hash of what precedes it. */
+export function chainHash(text: string, previous: string): string {
+    return hasher.h64ToString(text, previous === "" ? 0n : BigInt(`0x${previous}`));
+}
+
+/** The score of a node for a key: uniform in (0, 1), the same on every host. */
+export function rendezvousScore(key: string, nodeId: string): number {
+    const high = hasher.h32(key, hasher.h32(nodeId));
+    return (high + 0.5) / 4_294_967_296;
+}
+
+/** Options of `rankByRendezvous`. */
+export interface RendezvousOptions<T> {
+    /** Relative share of the keys that an item gets; 1 for every item by default. */
+    readonly weight?: (item: T) => number;
+}
+
+/**
+ * Orders items by weighted rendezvous hashing, best first. A removed item changes only the places of its own keys.
+ * Ties fall back to the order of ids, so that every host gets the same order.
+ */
+export function rankByRendezvous<T>(
+    key: string,
+    items: readonly T[],
+    identify: (item: T) => string,
+    options: RendezvousOptions<T> = {},
+): T[] {
+    const scored = items.map(item => {
+        const id = identify(item);
+        const weight = options.weight?.(item) ?? 1;
+        return { item, id, score: -weight / Math.log(rendezvousScore(key, id)) };
+    });
+    scored.sort((left, right) => right.score - left.score || (left.id < right.id ? -1 : 1));
+    return scored.map(entry => entry.item);
+}
--- /dev/null
+++ b/packages/policy/src/routing/load.ts
@@ -0,0 +1,173 @@
+import type { EndpointId } from "@filbertrelay/kernel";
+
+/** A load report of an engine as the table consumes it. */
+export interface LoadReport {
+    readonly reportedAt: Date;
+    readonly runningRequests: number;
+    readonly waitingRequests: number;
+    /** Prompt tokens of waiting and running requests that are not computed yet. */
+    readonly waitingPromptTokens: number;
+    /** Tokens that the engine computes per second in a full step. */
+    readonly tokensPerSecond: number;
+    readonly batchSlots: number;
+}
+
+/** The load of an endpoint as one host estimates it: the last report and what this host sent since. */
+export interface LoadEstimate {
+    readonly requests: number;
+    readonly waitingPromptTokens: number;
+    readonly tokensPerSecond: number;
+    readonly batchSlots: number;
+    /** Mean time a request occupies a batch slot, from this host's finished requests. */
+    readonly slotHoldMs: number;
+    /** Age of the report; infinite without one. */
+    readonly ageMs: number;
+}
+
+/** What one host knows of the endpoints' load. */
+export interface LoadTable {
+    /** Takes a report unless a newer one is known. */
+    recordReport(endpointId: EndpointId, report: LoadReport): void;
+    /** Notes a dispatch with the prompt tokens that the endpoint has to compute. */
+    recordDispatch(endpointId: EndpointId, requestId: string, tokens: number, now: Date): void;
+    /** Notes that the prompt of a dispatch was computed. */
+    recordFirstToken(endpointId: EndpointId, requestId: string, now: Date): void;
+    /** Notes the end of a dispatch, whether it succeeded or not. */
+    recordFinish(endpointId: EndpointId, requestId: string, now: Date): void;
+    estimate(endpointId: EndpointId, now: Date): LoadEstimate;
+    forget(endpointId: EndpointId): void;
+}
+
+/** Options of `createLoadTable`. */
+export interface LoadTableOptions {
+    /** Assumed until an endpoint reports: tokens per second. */
+    readonly defaultTokensPerSecond?: number;
+    /** Assumed until an endpoint reports: slots. */
+    readonly defaultBatchSlots?: number;
+    /** Assumed until a request finished: time in a slot. */
+    readonly defaultSlotHoldMs?: number;
+}
+
+/** Creates an empty load table. */
+export function createLoadTable(options: LoadTableOptions = {}): LoadTable {
+    return new ReportedLoadTable({
+        defaultTokensPerSecond: options.defaultTokensPerSecond ?? 5_000,
+        defaultBatchSlots: options.defaultBatchSlots ?? 16,
+        defaultSlotHoldMs: options.defaultSlotHoldMs ?? 5_000,
+    });
+}
+
+interface Dispatch {
+    readonly sentMs: number;
+    tokens: number;
+    firstTokenMs?: number;
+    finishedMs?: number;
+}
+
+interface EndpointLoad {
+    report?: LoadReport;
+    readonly dispatches: Map<string, Dispatch>;
+}
+
+/** Weight of a new observation in the mean time in a slot. */
+const holdSmoothing = 0.1;
+
+class ReportedLoadTable implements LoadTable {
+    readonly #defaults: Required<LoadTableOptions>;
+    readonly #endpoints = new Map<EndpointId, EndpointLoad>();
+    #slotHoldMs: number;
+
+    constructor(defaults: Required<LoadTableOptions>) {
+        this.#defaults = defaults;
+        this.#slotHoldMs = defaults.defaultSlotHoldMs;
+    }
+
+    recordReport(endpointId: EndpointId, report: LoadReport): void {
+        const endpoint = this.#endpoint(endpointId);
+        const knownMs = endpoint.report?.reportedAt.getTime() ?? -Infinity;
+        if (report.reportedAt.getTime() < knownMs) {
+            return;
+        }
+        endpoint.report = report;
+        dropReported(endpoint, report.reportedAt.getTime());
+    }
+
+    recordDispatch(endpointId: EndpointId, requestId: string, tokens: number, now: Date): void {
+        this.#endpoint(endpointId).dispatches.set(requestId, { sentMs: now.getTime(), tokens });
+    }
+
+    recordFirstToken(endpointId: EndpointId, requestId: string, now: Date): void {
+        const dispatch = this.#endpoints.get(endpointId)?.dispatches.get(requestId);
+        if (dispatch !== undefined) {
+            dispatch.firstTokenMs = now.getTime();
+        }
+    }
+
+    recordFinish(endpointId: EndpointId, requestId: string, now: Date): void {
+        const dispatch = this.#endpoints.get(endpointId)?.dispatches.get(requestId);
+        if (dispatch === undefined) {
+            return;
+        }
+        dispatch.finishedMs = now.getTime();
+        if (dispatch.firstTokenMs !== undefined) {
+            const heldMs = dispatch.finishedMs - dispatch.firstTokenMs;
+            this.#slotHoldMs += holdSmoothing * (heldMs - this.#slotHoldMs);
+        }
+    }
+
+    estimate(endpointId: EndpointId, now: Date): LoadEstimate {
+        const endpoint = this.#endpoints.get(endpointId);
+        const report = endpoint?.report;
+        let requests = (report?.runningRequests ?? 0) + (report?.waitingRequests ?? 0);
+        let waitingPromptTokens = report?.waitingPromptTokens ?? 0;
+        const reportedMs = report?.reportedAt.getTime() ?? -Infinity;
+        for (const dispatch of endpoint?.dispatches.values() ?? []) {
+            const change = changeSince(dispatch, reportedMs);
+            requests += change.requests;
+            waitingPromptTokens += change.tokens;
+        }
+        return {
+            requests: Math.max(0, requests),
+            waitingPromptTokens: Math.max(0, waitingPromptTokens),
+            tokensPerSecond: report?.tokensPerSecond ?? this.#defaults.defaultTokensPerSecond,
+            batchSlots: report?.batchSlots ?? this.#defaults.defaultBatchSlots,
+            slotHoldMs: this.#slotHoldMs,
+            ageMs: now.getTime() - reportedMs,
+        };
+    }
+
+    forget(endpointId: EndpointId): void {
+        this.#endpoints.delete(endpointId);
+    }
+
+    #endpoint(endpointId: EndpointId): EndpointLoad {
+        const known = this.#endpoints.get(endpointId);
+        if (known !== undefined) {
+            return known;
+        }
+        const created: EndpointLoad = { dispatches: new Map() };
+        this.#endpoints.set(endpointId, created);
+        return created;
+    }
+}
+
+/** What a dispatch adds to the load that was reported at a time, or takes from it. */
+function changeSince(dispatch: Dispatch, reportedMs: number): { readonly requests: number; readonly tokens: number; } {
+    const isReported = dispatch.sentMs <= reportedMs;
+    const isFinished = dispatch.finishedMs !== undefined;
+    const isComputed = isFinished || dispatch.firstTokenMs !== undefined;
+    const wasComputed = dispatch.firstTokenMs !== undefined && dispatch.firstTokenMs <= reportedMs;
+    if (!isReported) {
+        return { requests: isFinished ? 0 : 1, tokens: isComputed ? 0 : dispatch.tokens };
+    }
+    return { requests: isFinished ? -1 : 0, tokens: isComputed && !wasComputed ? -dispatch.tokens : 0 };
+}
+
+/** Forgets dispatches that had finished when the report was made. */
+function dropReported(endpoint: EndpointLoad, reportedMs: number): void {
+    for (const [requestId, dispatch] of endpoint.dispatches) {
+        if (dispatch.finishedMs !== undefined && dispatch.finishedMs <= reportedMs) {
+            endpoint.dispatches.delete(requestId);
+        }
+    }
+}
--- /dev/null
+++ b/packages/policy/src/suspects/tracker.ts
@@ -0,0 +1,243 @@
+import type { CustomerId, EndpointId, HostId } from "@filbertrelay/kernel";
+import { createHash } from "node:crypto";
+import type { PromptMessage } from "../routing/block.js";
+
+/** SHA-256 of a request's content and customer, in hexadecimal; resubmissions under new ids have the same one. */
+export function fingerprintRequest(customer: CustomerId, model: string, messages: readonly PromptMessage[]): string {
+    const content = JSON.stringify([customer, model, messages.map(({ role, content: text }) => [role, text])]);
+    return createHash("sha256").update(content).digest("hex");
+}
+
+/** What is known of a fingerprint; small, so that it travels with membership messages. */
+export interface SuspectEntry {
+    readonly fingerprint: string;
+    readonly state: "suspect" | "rejected";
+    /** Crashes that the fingerprint was part of, each named so that it counts once however often it is reported. */
+    readonly crashes: readonly string[];
+    /** Wall-clock time in milliseconds after which the entry is forgotten. */
+    readonly untilMs: number;
+    /** The host that runs it in isolation now, where, and until when others wait for it. */
+    readonly isolatedBy?: { readonly hostId: HostId; readonly endpointId: EndpointId; readonly untilMs: number; };
+    /** It completed without a crash at this time; later than its last crash. */
+    readonly clearedMs?: number;
+}
+
+/** How a request with some fingerprint may be run. */
+export type SuspectDecision =
+    | { readonly type: "run"; }
+    /** Run alone: no other suspect on the same endpoint at the same time. */
+    | { readonly type: "isolate"; }
+    /** Another host or request runs the fingerprint in isolation; ask again after this time. */
+    | { readonly type: "wait"; readonly retryAfterMs: number; }
+    | { readonly type: "reject"; readonly retryAfterMs: number; };
+
+/** Options of `createSuspectTracker`. */
+export interface SuspectTrackerOptions {
+    readonly hostId: HostId;
+    /** How long a rejected fingerprint is refused; 10 minutes by default. */
+    readonly rejectForMs?: number;
+    /** How long a suspect is remembered without a further crash; 10 minutes by default. */
+    readonly suspectForMs?: number;
+    /** How long others wait for a run in isolation; 60 s by default. */
+    readonly isolationMs?: number;
+    /** Upper limit of entries; the ones that end first are dropped. 10,000 by default. */
+    readonly maximumEntries?: number;
+}
+
+/** Tracks requests that crash endpoints. All times are wall-clock milliseconds, since entries are exchanged. */
+export interface SuspectTracker {
+    decide(fingerprint: string, nowMs: number): SuspectDecision;
+    /** Reserves the run in isolation of a suspect on an endpoint; false when the endpoint already runs a suspect. */
+    startIsolated(fingerprint: string, endpointId: EndpointId, nowMs: number): boolean;
+    /** Notes that a fingerprint's request ended without a crash, which clears a suspect. */
+    recordCompletion(fingerprint: string, nowMs: number): void;
+    /**
+     * Notes a crash of an endpoint with the fingerprints that this host had in progress on it. When some host is known to
+     * run a suspect there only that one is charged; else all of them become suspects. Returns the fingerprints now rejected.
+     */
+    recordCrash(endpointId: EndpointId, crashId: string, inProgress: readonly string[], nowMs: number): readonly string[];
+    /** Endpoints on which any host is known to run a suspect now. */
+    isolatedEndpoints(nowMs: number): ReadonlySet<EndpointId>;
+    /** Entries to publish. */
+    entries(nowMs: number): readonly SuspectEntry[];
+    /** Merges entries of other hosts; repeated and reordered merges give the same result. */
+    merge(entries: readonly SuspectEntry[], nowMs: number): void;
+}
+
+/** Creates an empty tracker. */
+export function createSuspectTracker(options: SuspectTrackerOptions): SuspectTracker {
+    return new FingerprintTracker({
+        hostId: options.hostId,
+        rejectForMs: options.rejectForMs ?? 600_000,
+        suspectForMs: options.suspectForMs ?? 600_000,
+        isolationMs: options.isolationMs ?? 60_000,
+        maximumEntries: options.maximumEntries ?? 10_000,
+    });
+}
+
+class FingerprintTracker implements SuspectTracker {
+    readonly #options: Required<SuspectTrackerOptions>;
+    readonly #entries = new Map<string, SuspectEntry>();
+    readonly #isolated = new Map<EndpointId, string>();
+
+    constructor(options: Required<SuspectTrackerOptions>) {
+        this.#options = options;
+    }
+
+    decide(fingerprint: string, nowMs: number): SuspectDecision {
+        const entry = this.#live(fingerprint, nowMs);
+        if (entry === undefined || isCleared(entry)) {
+            return { type: "run" };
+        }
+        if (entry.state === "rejected") {
+            return { type: "reject", retryAfterMs: entry.untilMs - nowMs };
+        }
+        const isolation = entry.isolatedBy;
+        if (isolation !== undefined && isolation.untilMs > nowMs) {
+            return { type: "wait", retryAfterMs: Math.min(250, isolation.untilMs - nowMs) };
+        }
+        return { type: "isolate" };
+    }
+
+    startIsolated(fingerprint: string, endpointId: EndpointId, nowMs: number): boolean {
+        const entry = this.#live(fingerprint, nowMs);
+        if (entry === undefined || this.#isolated.has(endpointId) || this.isolatedEndpoints(nowMs).has(endpointId)) {
+            return false;
+        }
+        this.#isolated.set(endpointId, fingerprint);
+        const isolatedBy = { hostId: this.#options.hostId, endpointId, untilMs: nowMs + this.#options.isolationMs };
+        this.#entries.set(fingerprint, { ...entry, isolatedBy });
+        return true;
+    }
+
+    recordCompletion(fingerprint: string, nowMs: number): void {
+        this.#release(fingerprint);
+        const entry = this.#live(fingerprint, nowMs);
+        if (entry?.state === "suspect") {
+            this.#entries.set(fingerprint, { ...withoutIsolation(entry), clearedMs: nowMs });
+        }
+    }
+
+    recordCrash(endpointId: EndpointId, crashId: string, inProgress: readonly string[], nowMs: number): readonly string[] {
+        const isolated = this.#isolatedOn(endpointId, nowMs);
+        this.#isolated.delete(endpointId);
+        // A suspect of another host is charged by that host.
+        const charged = isolated === undefined ? new Set(inProgress) : inProgress.filter(entry => entry === isolated);
+        const rejected: string[] = [];
+        for (const fingerprint of charged) {
+            if (this.#charge(fingerprint, crashId, nowMs).state === "rejected") {
+                rejected.push(fingerprint);
+            }
+        }
+        return rejected;
+    }
+
+    isolatedEndpoints(nowMs: number): ReadonlySet<EndpointId> {
+        const endpoints = new Set(this.#isolated.keys());
+        for (const { isolatedBy } of this.#entries.values()) {
+            if (isolatedBy !== undefined && isolatedBy.untilMs > nowMs) {
+                endpoints.add(isolatedBy.endpointId);
+            }
+        }
+        return endpoints;
+    }
+
+    entries(nowMs: number): readonly SuspectEntry[] {
+        for (const fingerprint of this.#entries.keys()) {
+            this.#live(fingerprint, nowMs);
+        }
+        return [...this.#entries.values()];
+    }
+
+    merge(entries: readonly SuspectEntry[], nowMs: number): void {
+        for (const entry of entries) {
+            if (entry.untilMs > nowMs) {
+                const known = this.#live(entry.fingerprint, nowMs);
+                this.#store(known === undefined ? entry : mergeEntries(known, entry));
+            }
+        }
+    }
+
+    #isolatedOn(endpointId: EndpointId, nowMs: number): string | undefined {
+        const isRunning = ({ isolatedBy }: SuspectEntry): boolean =>
+            isolatedBy?.endpointId === endpointId && isolatedBy.untilMs > nowMs;
+        return this.#isolated.get(endpointId) ?? [...this.#entries.values()].find(isRunning)?.fingerprint;
+    }
+
+    #live(fingerprint: string, nowMs: number): SuspectEntry | undefined {
+        const entry = this.#entries.get(fingerprint);
+        if (entry !== undefined && entry.untilMs <= nowMs) {
+            this.#entries.delete(fingerprint);
+            return undefined;
+        }
+        return entry;
+    }
+
+    #charge(fingerprint: string, crashId: string, nowMs: number): SuspectEntry {
+        const known = this.#live(fingerprint, nowMs);
+        const before = known === undefined || isCleared(known) ? [] : known.crashes;
+        const crashes = [...new Set([...before, crashId])].sort();
+        const isRejected = crashes.length >= 2 || known?.state === "rejected";
+        const untilMs = nowMs + (isRejected ? this.#options.rejectForMs : this.#options.suspectForMs);
+        const entry: SuspectEntry = { fingerprint, state: isRejected ? "rejected" : "suspect", crashes, untilMs };
+        this.#store(entry);
+        return entry;
+    }
+
+    #release(fingerprint: string): void {
+        for (const [endpointId, running] of this.#isolated) {
+            if (running === fingerprint) {
+                this.#isolated.delete(endpointId);
+            }
+        }
+    }
+
+    #store(entry: SuspectEntry): void {
+        this.#entries.set(entry.fingerprint, entry);
+        if (this.#entries.size > this.#options.maximumEntries) {
+            const first = [...this.#entries.values()].reduce((left, right) => right.untilMs < left.untilMs ? right : left);
+            this.#entries.delete(first.fingerprint);
+        }
+    }
+}
+
+function isCleared(entry: SuspectEntry): boolean {
+    return entry.state === "suspect" && entry.clearedMs !== undefined;
+}
+
+function withoutIsolation(entry: SuspectEntry): SuspectEntry {
+    const { fingerprint, state, crashes, untilMs } = entry;
+    return { fingerprint, state, crashes, untilMs };
+}
+
+/** Joins two views of a fingerprint: crashes of both, rejected if either or two different crashes say so. */
+function mergeEntries(left: SuspectEntry, right: SuspectEntry): SuspectEntry {
+    const crashes = [...new Set([...left.crashes, ...right.crashes])].sort();
+    const isRejected = left.state === "rejected" || right.state === "rejected" || crashes.length >= 2;
+    const clearedMs = mergeCleared(left, right);
+    const isolatedBy = mergeIsolation(left, right);
+    return {
+        fingerprint: left.fingerprint,
+        state: isRejected ? "rejected" : "suspect",
+        crashes,
+        untilMs: Math.max(left.untilMs, right.untilMs),
+        ...(isRejected || clearedMs === undefined ? {} : { clearedMs }),
+        ...(isRejected || clearedMs !== undefined || isolatedBy === undefined ? {} : { isolatedBy }),
+    };
+}
+
+/** A completion counts only when both views know the same crashes; it says nothing about a crash it did not follow. */
+function mergeCleared(left: SuspectEntry, right: SuspectEntry): number | undefined {
+    const isSame = left.crashes.join() === right.crashes.join();
+    const cleared = [left.clearedMs, right.clearedMs].filter(value => value !== undefined);
+    return isSame && cleared.length > 0 ? Math.max(...cleared) : undefined;
+}
+
+function mergeIsolation(left: SuspectEntry, right: SuspectEntry): SuspectEntry["isolatedBy"] {
+    if (left.isolatedBy === undefined || right.isolatedBy === undefined) {
+        return left.isolatedBy ?? right.isolatedBy;
+    }
+    const [first, second] = [left.isolatedBy, right.isolatedBy];
+    const isFirst = first.untilMs > second.untilMs || (first.untilMs === second.untilMs && first.hostId <= second.hostId);
+    return isFirst ? first : second;
+}
