--- a/packages/endpoints/src/engine.ts
+++ b/packages/endpoints/src/engine.ts
@@ -31,6 +31,8 @@
     readonly seed: number;
     /** Smaller is more urgent. */
     readonly priority: number;
+    /** Sampling members of the chat-completions form, passed on as they are (temperature, top_p, stop). */
+    readonly sampling?: Readonly<Record<string, number | string | readonly string[]>>;
     /** Tokens of the answer that are already known; generation goes on behind them. */
     readonly prefix?: readonly string[];
 }
--- a/packages/kernel/src/kernel.ts
+++ b/packages/kernel/src/kernel.ts
@@ -40,14 +40,14 @@
         this.log = options.log;
     }
 
-    /** Adds a service under a name that is not taken. */
-    register(name: string, service: Service): void {
+    /** Adds a service under a name that is not taken; `start` and `stop` are called where it has them. */
+    register(name: string, service: object): void {
         invariant(!this.#services.has(name), `The service name '${name}' is registered twice.`);
         this.#services.set(name, service);
     }
 
     /** Finds a service by name; a name that is not registered is a broken invariant. */
-    get<T extends Service>(name: string): T {
+    get<T extends object>(name: string): T {
         const service = this.#services.get(name);
         invariant(service !== undefined, `No service is registered as '${name}'.`);
         return service as T;
--- /dev/null
+++ b/packages/relay/src/caller/context.ts
@@ -0,0 +1,151 @@
+import type { Configuration } from "@filbertrelay/configuration";
+import type { Clock } from "@filbertrelay/kernel";
+import type { HttpBindings } from "@hono/node-server";
+import type { Context } from "hono";
+import type { ConfigurationService, MembershipService } from "../contract.js";
+import type { Settings } from "../settings.js";
+import type { Metrics } from "../telemetry/metrics.js";
+import type { Tracing } from "../telemetry/tracing.js";
+import { Authenticator } from "./authentication.js";
+import type { Customer } from "./authentication.js";
+import { rankEntryPoints } from "./entrypoint.js";
+import { issueResponse, notRun } from "./error.js";
+import type { CallerIssue, EntryPoint } from "./error.js";
+
+/** The context of a request in the callers' HTTP server. */
+export type CallerContext = Context<{ Bindings: HttpBindings; }>;
+
+/** What a host publishes about its load under `gossipLoadName`. */
+export interface PublishedLoad {
+    readonly openRequests: number;
+}
+
+/** The name under which hosts publish their load. */
+export const gossipLoadName = "load";
+
+/** Who calls and how long it waits. */
+export interface CallerTerms {
+    readonly customer: Customer;
+    readonly priority: number;
+    /** Wall-clock milliseconds. */
+    readonly deadlineAt: number;
+}
+
+const deadlineHeader = "x-request-deadline-ms";
+const maximumDeadlineMs = 24 * 3_600_000;
+
+/** What all handlers of callers' requests share: authentication, terms, entry points, refusal while leaving. */
+export class CallerGate {
+    readonly #clock: Clock;
+    readonly #configuration: ConfigurationService;
+    readonly #membership: MembershipService;
+    readonly #settings: Settings;
+    #authenticator: { readonly configuration: Configuration; readonly value: Authenticator; } | undefined;
+
+    constructor(
+        readonly services: {
+            readonly clock: Clock;
+            readonly configuration: ConfigurationService;
+            readonly membership: MembershipService;
+            readonly metrics: Metrics;
+            readonly tracing: Tracing;
+            readonly settings: Settings;
+        },
+    ) {
+        this.#clock = services.clock;
+        this.#configuration = services.configuration;
+        this.#membership = services.membership;
+        this.#settings = services.settings;
+    }
+
+    /** Entry hosts that a caller may use, best first. */
+    entryPoints(failureDomain?: string): readonly EntryPoint[] {
+        const loads = new Map(
+            this.#membership.published(gossipLoadName).map(item => [item.host, (item.value as PublishedLoad).openRequests]),
+        );
+        return rankEntryPoints(this.#membership.members(), {
+            failureDomain,
+            openRequests: member => loads.get(member.hostId) ?? 0,
+        });
+    }
+
+    /** Why this host takes no new request now; `undefined` when it takes them. */
+    refusal(): CallerIssue | undefined {
+        if (!this.#configuration.isReady()) {
+            return notRun(503, "relay.notReady", "This host has no configuration yet.", {
+                entryPoints: this.entryPoints(),
+                retryAfterMs: 500,
+            });
+        }
+        if (this.#membership.self().state === "leaving") {
+            return notRun(503, "relay.leaving", "This host is leaving. Use another entry point.", {
+                entryPoints: this.entryPoints(),
+            });
+        }
+        return undefined;
+    }
+
+    /** Authenticates a customer and works out priority and deadline. */
+    terms(
+        context: CallerContext,
+    ): { readonly ok: true; readonly value: CallerTerms; } | { readonly ok: false; readonly issue: CallerIssue; } {
+        if (!this.#configuration.isReady()) {
+            return {
+                ok: false,
+                issue: notRun(503, "relay.notReady", "This host has no configuration yet.", { retryAfterMs: 500 }),
+            };
+        }
+        const configuration = this.#configuration.current();
+        const customer = this.#authenticate(configuration).customer(context.req.header("authorization"));
+        if (customer === undefined) {
+            return {
+                ok: false,
+                issue: notRun(401, "caller.unauthenticated", "The 'authorization' header holds no valid customer key."),
+            };
+        }
+        const kind = configuration.callerKinds.find(candidate => candidate.name === customer.callerKind);
+        const wished = context.req.header(deadlineHeader);
+        if (wished !== undefined && !/^\d{1,8}$/.test(wished)) {
+            const message = `The header '${deadlineHeader}' must be a whole number of milliseconds.`;
+            return { ok: false, issue: notRun(400, "caller.invalid", message, { path: ["headers", deadlineHeader] }) };
+        }
+        const waitMs = Math.min(wished === undefined ? kind?.deadlineMs ?? maximumDeadlineMs : Number(wished), maximumDeadlineMs);
+        return { ok: true, value: { customer, priority: kind?.priority ?? 5, deadlineAt: this.#clock.now().getTime() + waitMs } };
+    }
+
+    /** The response to a caller that is not an operator; `undefined` for an operator. */
+    operatorRefusal(context: CallerContext): Response | undefined {
+        const isOperator = this.#configuration.isReady() &&
+            this.#authenticate(this.#configuration.current()).isOperator(context.req.header("authorization"));
+        return isOperator ?
+            undefined :
+            issueResponse(notRun(401, "caller.unauthenticated", "The 'authorization' header holds no valid operator key."));
+    }
+
+    /** Reads a body within the size limit. */
+    async readBody(
+        context: CallerContext,
+    ): Promise<{ readonly ok: true; readonly value: Uint8Array; } | { readonly ok: false; readonly issue: CallerIssue; }> {
+        const limit = this.#settings.limits.bodyBytes;
+        const chunks: Buffer[] = [];
+        let size = 0;
+        for await (const chunk of context.env.incoming as AsyncIterable<Buffer>) {
+            size += chunk.length;
+            if (size > limit) {
+                return {
+                    ok: false,
+                    issue: notRun(413, "caller.tooLarge", `The body is larger than ${limit} bytes.`, { path: ["body"] }),
+                };
+            }
+            chunks.push(chunk);
+        }
+        return { ok: true, value: Buffer.concat(chunks) };
+    }
+
+    #authenticate(configuration: Configuration): Authenticator {
+        if (this.#authenticator?.configuration !== configuration) {
+            this.#authenticator = { configuration, value: new Authenticator(configuration) };
+        }
+        return this.#authenticator.value;
+    }
+}
--- /dev/null
+++ b/packages/relay/src/caller/error.ts
@@ -0,0 +1,42 @@
+import type { Issue } from "@filbertrelay/kernel";
+
+/** Whether a request was run, as callers are told; `no` is said only with proof. */
+export type Executed = "no" | "yes" | "unknown";
+
+/** An entry host that a caller may use instead. */
+export interface EntryPoint {
+    readonly hostId: string;
+    readonly address: string;
+    readonly failureDomain: string;
+}
+
+/** A fault that a caller is told about. */
+export interface CallerIssue extends Issue {
+    readonly status: number;
+    readonly executed: Executed;
+    readonly retryAfterMs?: number;
+    readonly entryPoints?: readonly EntryPoint[];
+}
+
+/** Builds a caller issue for a request that was not run. */
+export function notRun(status: number, code: string, message: string, more: Partial<CallerIssue> = {}): CallerIssue {
+    return { status, code, message, executed: "no", ...more };
+}
+
+/** Renders an issue as the body of an error response. */
+export function renderIssue(issue: CallerIssue): string {
+    const { code, message, path, executed, retryAfterMs, entryPoints } = issue;
+    return JSON.stringify({ error: { code, message, path, executed, retryAfterMs, entryPoints } });
+}
+
+/** Turns an issue into an HTTP response. */
+export function issueResponse(issue: CallerIssue, requestId?: string): Response {
+    const headers = new Headers({ "content-type": "application/json" });
+    if (issue.retryAfterMs !== undefined) {
+        headers.set("retry-after", String(Math.ceil(issue.retryAfterMs / 1_000)));
+    }
+    if (requestId !== undefined) {
+        headers.set("x-request-id", requestId);
+    }
+    return new Response(renderIssue(issue), { status: issue.status, headers });
+}
--- /dev/null
+++ b/packages/relay/src/caller/operator.ts
@@ -0,0 +1,45 @@
+import type { HostId } from "@filbertrelay/kernel";
+import type { KeyValueClient } from "@filbertrelay/platform";
+import type { ConfigurationService, MembershipService, ShardService } from "../contract.js";
+import type { Metrics } from "../telemetry/metrics.js";
+
+/** The name under which hosts publish the configuration version in effect. */
+export const gossipVersionName = "configuration.version";
+
+/** What `GET /v1/status` needs. */
+export interface StatusSources {
+    readonly membership: MembershipService;
+    readonly configuration: ConfigurationService;
+    readonly shards: ShardService;
+    readonly keyValue: KeyValueClient;
+    readonly metrics: Metrics;
+    readonly openStreams: () => number;
+}
+
+/** The state of this host and what it knows of the fleet. */
+export function buildStatus(sources: StatusSources): Record<string, unknown> {
+    const self = sources.membership.self();
+    const head = sources.configuration.head();
+    return {
+        host: { id: self.hostId, incarnation: self.incarnation, failureDomain: self.failureDomain, state: self.state },
+        members: sources.membership.members().map(({ hostId, failureDomain, state, callerAddress }) => ({
+            hostId,
+            failureDomain,
+            state,
+            callerAddress,
+        })),
+        configuration: head === undefined ? undefined : { version: head.version, digest: head.digest },
+        versions: publishedVersions(sources),
+        shards: sources.shards.owned(),
+        entries: sources.shards.entries(),
+        openStreams: sources.openStreams(),
+        keyValue: "usage" in sources.keyValue && typeof sources.keyValue.usage === "function" ?
+            (sources.keyValue.usage as () => unknown)() :
+            {},
+        counters: sources.metrics.counters(),
+    };
+}
+
+function publishedVersions(sources: StatusSources): readonly { hostId: HostId; version: unknown; }[] {
+    return sources.membership.published(gossipVersionName).map(item => ({ hostId: item.host, version: item.value }));
+}
--- /dev/null
+++ b/packages/relay/src/lifecycle/lifecycle.ts
@@ -0,0 +1,84 @@
+import type { Kernel, Service } from "@filbertrelay/kernel";
+import { declareEvents } from "@filbertrelay/kernel";
+import type { MembershipService, ShardService } from "../contract.js";
+import type { Directory } from "../directory/directory.js";
+import type { StreamService } from "../streams/service.js";
+
+const events = declareEvents({
+    draining: { number: 1010, level: "info", text: "This host is leaving and drains.", action: "None." },
+    shardsReleased: { number: 1011, level: "info", text: "All shards of this host were handed over.", action: "None." },
+    shardsNotReleased: {
+        number: 1012,
+        level: "warn",
+        text: "Some shards were not handed over before the deadline.",
+        action: "None; other hosts take them over with the standbys' promises.",
+    },
+    streamsDrained: { number: 1013, level: "info", text: "All answers in progress ended or were handed over.", action: "None." },
+    drained: { number: 1014, level: "info", text: "This host has drained and stops.", action: "None." },
+});
+
+/** Why a host leaves. */
+export type DrainReason = "reclaim" | "signal" | "operator";
+
+/** Time between the end of the hand-over and the announced termination, so that the process stops by itself. */
+const terminationMarginMs = 300;
+/** A caller may use an address for the time it keeps an answer plus the time until all hosts know of the leave. */
+const refusalPeriodMs = 4_000;
+const serverCloseLimitMs = 1_000;
+
+/** Leaves the fleet in order: refuse new requests, hand shards over, finish or hand over answers, stop. Registered as `lifecycle`. */
+export class Lifecycle implements Service {
+    readonly #kernel: Kernel;
+    readonly #drainLimitMs: number;
+    readonly #onDrained: () => void;
+    #deadlineMs: number | undefined;
+
+    constructor(kernel: Kernel, options: { readonly drainLimitMs: number; readonly onDrained: () => void; }) {
+        this.#kernel = kernel;
+        this.#drainLimitMs = options.drainLimitMs;
+        this.#onDrained = options.onDrained;
+    }
+
+    start(): Promise<void> {
+        const own = this.#kernel.get<MembershipService>("membership").self().hostId;
+        this.#kernel.get<Directory>("directory").onReclaim((hostId, terminatesAt) => {
+            if (hostId === own) {
+                this.drain("reclaim", terminatesAt);
+            }
+        });
+        return Promise.resolve();
+    }
+
+    /** Starts to drain; a second call can only bring the deadline forward. */
+    drain(reason: DrainReason, terminatesAt?: Date): void {
+        const { clock, log } = this.#kernel;
+        const limitMs = terminatesAt === undefined ?
+            this.#drainLimitMs :
+            terminatesAt.getTime() - clock.now().getTime() - terminationMarginMs;
+        const deadlineMs = clock.monotonicMs() + Math.max(0, limitMs);
+        const isFirst = this.#deadlineMs === undefined;
+        this.#deadlineMs = Math.min(this.#deadlineMs ?? deadlineMs, deadlineMs);
+        if (isFirst) {
+            log.write(events.draining, { reason, limitMs: Math.round(limitMs) });
+            void this.#run(clock.monotonicMs());
+        }
+    }
+
+    async #run(startedMs: number): Promise<void> {
+        const { clock, log } = this.#kernel;
+        const deadline = (): number => this.#deadlineMs ?? 0;
+        const shards = this.#kernel.get<ShardService>("shards");
+        await this.#kernel.get<MembershipService>("membership").leave();
+        await shards.release(deadline());
+        log.write(shards.owned().length === 0 ? events.shardsReleased : events.shardsNotReleased, {
+            left: shards.owned().length,
+        });
+        await this.#kernel.get<StreamService>("streams").drain(deadline);
+        log.write(events.streamsDrained);
+        const refuseUntilMs = Math.min(startedMs + refusalPeriodMs, deadline());
+        await clock.sleep(Math.max(0, refuseUntilMs - clock.monotonicMs()));
+        log.write(events.drained);
+        await this.#kernel.stop(Math.max(deadline(), clock.monotonicMs() + serverCloseLimitMs));
+        this.#onDrained();
+    }
+}
--- /dev/null
+++ b/packages/relay/src/routing/watch.ts
@@ -0,0 +1,77 @@
+import type { EngineDriver } from "@filbertrelay/endpoints";
+import type { Clock, EndpointId } from "@filbertrelay/kernel";
+import type { LoadTable, PrefixIndex } from "@filbertrelay/policy";
+
+const minimumLoadPeriodMs = 1_000;
+/** Spreads load reads over time, so that the bytes spent on them don't grow with the number of engines. */
+const loadPeriodPerEngineMs = 60;
+const cacheEventWaitMs = 10_000;
+const minimumCacheEventPeriodMs = 500;
+const retryPeriodMs = 1_000;
+
+/** What a watch reads and where it writes to. */
+export interface EngineWatchOptions {
+    readonly clock: Clock;
+    readonly engines: EngineDriver;
+    readonly endpointId: EndpointId;
+    readonly address: string;
+    readonly index: PrefixIndex;
+    readonly loads: LoadTable;
+    readonly engineCount: () => number;
+}
+
+/** Keeps one engine's load and cache events up to date. */
+export class EngineWatch {
+    readonly #options: EngineWatchOptions;
+    readonly #stopping = new AbortController();
+
+    constructor(options: EngineWatchOptions) {
+        this.#options = options;
+    }
+
+    get address(): string {
+        return this.#options.address;
+    }
+
+    start(): void {
+        void this.#loadLoop();
+        void this.#cacheEventLoop();
+    }
+
+    stop(): void {
+        this.#stopping.abort(new Error("The engine's watch stopped."));
+    }
+
+    async #loadLoop(): Promise<void> {
+        const { engines, loads, endpointId, address, engineCount } = this.#options;
+        while (!this.#stopping.signal.aborted) {
+            const load = await engines.readLoad(address);
+            if (load.ok && !this.#stopping.signal.aborted) {
+                loads.recordReport(endpointId, load.value);
+            }
+            await this.#sleep(Math.max(minimumLoadPeriodMs, engineCount() * loadPeriodPerEngineMs));
+        }
+    }
+
+    async #cacheEventLoop(): Promise<void> {
+        const { engines, index, endpointId, address } = this.#options;
+        const { signal } = this.#stopping;
+        while (!signal.aborted) {
+            const events = await engines.readCacheEvents(address, index.lastSequence(endpointId), {
+                timeoutMs: cacheEventWaitMs,
+                signal,
+            });
+            if (signal.aborted) {
+                return;
+            }
+            if (events.ok) {
+                index.applyCacheEvents(endpointId, events.value);
+            }
+            await this.#sleep(events.ok ? minimumCacheEventPeriodMs : retryPeriodMs);
+        }
+    }
+
+    async #sleep(ms: number): Promise<void> {
+        await this.#options.clock.sleep(ms, this.#stopping.signal).catch(() => undefined);
+    }
+}
--- /dev/null
+++ b/packages/relay/src/streams/answer.ts
@@ -0,0 +1,107 @@
+import type { EngineFinish } from "@filbertrelay/endpoints";
+import type { Cancel, CustomerId, RequestId } from "@filbertrelay/kernel";
+import type { CallerIssue } from "../caller/error.js";
+
+/** How far an answer has come. */
+export type AnswerState =
+    | { readonly type: "running"; }
+    | { readonly type: "finished"; readonly finish: EngineFinish; }
+    | { readonly type: "failed"; readonly issue: CallerIssue; }
+    /** The answer goes on at another entry host. */
+    | { readonly type: "moved"; };
+
+/** Whose answer it is and which model gives it. */
+export interface AnswerIdentity {
+    readonly requestId: RequestId;
+    readonly customer: CustomerId;
+    readonly model: string;
+}
+
+/** The answer of one model request: the tokens so far, numbered from 1, and its state. */
+export class Answer {
+    readonly requestId: RequestId;
+    readonly customer: CustomerId;
+    readonly model: string;
+    readonly #tokens: string[];
+    readonly #listeners = new Set<() => void>();
+    #state: AnswerState = { type: "running" };
+
+    constructor(identity: AnswerIdentity, tokens: readonly string[] = []) {
+        this.requestId = identity.requestId;
+        this.customer = identity.customer;
+        this.model = identity.model;
+        this.#tokens = [...tokens];
+    }
+
+    /** The number of tokens so far, which is also the offset of the last one. */
+    get length(): number {
+        return this.#tokens.length;
+    }
+
+    get state(): AnswerState {
+        return this.#state;
+    }
+
+    /** The token behind the given offset. */
+    at(offset: number): string | undefined {
+        return this.#tokens[offset];
+    }
+
+    /** The tokens behind the given offset. */
+    tokensFrom(offset: number): readonly string[] {
+        return this.#tokens.slice(offset);
+    }
+
+    /** Appends the next token; a token that is already there is ignored, one that leaves a gap is refused. */
+    append(offset: number, text: string): "appended" | "duplicate" | "gap" {
+        if (this.#state.type !== "running" || offset <= this.#tokens.length) {
+            return "duplicate";
+        }
+        if (offset > this.#tokens.length + 1) {
+            return "gap";
+        }
+        this.#tokens.push(text);
+        this.#notify();
+        return "appended";
+    }
+
+    /** Ends the answer; the first end counts. */
+    end(state: Exclude<AnswerState, { type: "running"; }>): void {
+        if (this.#state.type === "running") {
+            this.#state = state;
+            this.#notify();
+        }
+    }
+
+    /** Calls back after each token and at the end. */
+    onChange(callback: () => void): Cancel {
+        this.#listeners.add(callback);
+        return () => this.#listeners.delete(callback);
+    }
+
+    /** Resolves when the answer has ended. */
+    async ended(): Promise<Exclude<AnswerState, { type: "running"; }>> {
+        for (;;) {
+            if (this.#state.type !== "running") {
+                return this.#state;
+            }
+            await this.changed();
+        }
+    }
+
+    /** Resolves after the next change. */
+    changed(): Promise<void> {
+        return new Promise(resolve => {
+            const cancel = this.onChange(() => {
+                cancel();
+                resolve();
+            });
+        });
+    }
+
+    #notify(): void {
+        for (const listener of this.#listeners) {
+            listener();
+        }
+    }
+}
--- /dev/null
+++ b/packages/relay/src/streams/reader.ts
@@ -0,0 +1,160 @@
+import type { Clock, CustomerId, HostId, RequestId } from "@filbertrelay/kernel";
+import { brandAs } from "@filbertrelay/kernel";
+import { rankByRendezvous } from "@filbertrelay/policy";
+import type { PeerNetwork } from "@filbertrelay/wire";
+import { match } from "ts-pattern";
+import type { z } from "zod";
+import type { MembershipService } from "../contract.js";
+import { Answer } from "./answer.js";
+import { holdersOf } from "./request.js";
+import { readTopic } from "./topic.js";
+
+type ReadChunk = z.input<typeof readTopic.reply>;
+
+const firstChunkTimeoutMs = 2_000;
+/** Hosts asked besides the two that the request id names, for an answer whose holders were both lost. */
+const furtherHosts = 4;
+const maximumRounds = 20;
+const roundPeriodMs = 250;
+
+/** Reads answers that other hosts hold, and serves those that this host holds. */
+export class AnswerReader {
+    readonly #peers: PeerNetwork;
+    readonly #membership: MembershipService;
+    readonly #clock: Clock;
+
+    constructor(options: { readonly peers: PeerNetwork; readonly membership: MembershipService; readonly clock: Clock; }) {
+        this.#peers = options.peers;
+        this.#membership = options.membership;
+        this.#clock = options.clock;
+    }
+
+    /** Yields an answer's chunks behind an offset until it has ended. */
+    async *serve(answer: Answer | undefined, customer: CustomerId, offset: number): AsyncIterable<ReadChunk> {
+        if (answer === undefined || answer.customer !== customer || answer.state.type === "moved") {
+            yield { type: "notFound" };
+            return;
+        }
+        yield { type: "found", model: answer.model };
+        let next = offset;
+        for (;;) {
+            const tokens = [...answer.tokensFrom(next)];
+            const state = answer.state;
+            if (tokens.length > 0) {
+                yield { type: "tokens", fromOffset: next, tokens };
+                next += tokens.length;
+            }
+            if (answer.length > next) {
+                continue;
+            }
+            if (state.type !== "running") {
+                yield { type: "end", end: state };
+                return;
+            }
+            if (answer.state.type === "running") {
+                await answer.changed();
+            }
+        }
+    }
+
+    /**
+     * Mirrors an answer from the host that holds it; `undefined` when no host knows it for this customer.
+     * The accepting host is asked first; others are asked to adopt the answer only when it can't be reached.
+     */
+    async read(requestId: RequestId, customer: CustomerId, adoptLocally: () => Answer | undefined): Promise<Answer | undefined> {
+        let mirror: Answer | undefined;
+        const found = new Promise<Answer | undefined>(resolve => {
+            void this.#mirror(requestId, customer, adoptLocally, answer => {
+                mirror = answer;
+                resolve(answer);
+            }).then(() => resolve(mirror));
+        });
+        return found;
+    }
+
+    async #mirror(
+        requestId: RequestId,
+        customer: CustomerId,
+        adoptLocally: () => Answer | undefined,
+        onFound: (answer: Answer) => void,
+    ): Promise<void> {
+        let mirror: Answer | undefined;
+        for (let round = 0; round < maximumRounds; round++) {
+            for (const host of this.#hostsToAsk(requestId)) {
+                const isSelf = host === this.#membership.self().hostId;
+                const source = isSelf ? adoptLocally() : undefined;
+                const chunks = isSelf ?
+                    this.#ownChunks(source, customer, mirror?.length ?? 0) :
+                    this.#peerChunks(host, requestId, customer, mirror?.length ?? 0);
+                for await (const chunk of chunks) {
+                    mirror = this.#apply(chunk, { requestId, customer }, mirror, onFound);
+                }
+                if (mirror !== undefined && mirror.state.type !== "running") {
+                    return;
+                }
+            }
+            if (mirror === undefined) {
+                return;
+            }
+            await this.#clock.sleep(roundPeriodMs);
+        }
+        mirror?.end({ type: "moved" });
+    }
+
+    #apply(
+        chunk: ReadChunk,
+        identity: { readonly requestId: RequestId; readonly customer: CustomerId; },
+        mirror: Answer | undefined,
+        onFound: (answer: Answer) => void,
+    ): Answer | undefined {
+        return match(chunk)
+            .with({ type: "notFound" }, () => mirror)
+            .with({ type: "found" }, ({ model }) => {
+                const answer = mirror ?? new Answer({ ...identity, model });
+                if (mirror === undefined) {
+                    onFound(answer);
+                }
+                return answer;
+            })
+            .with({ type: "tokens" }, ({ fromOffset, tokens }) => {
+                tokens.forEach((text, index) => mirror?.append(fromOffset + index + 1, text));
+                return mirror;
+            })
+            .with({ type: "end" }, ({ end }) => {
+                // A moved answer goes on at another host, which the next round finds.
+                if (end.type !== "moved") {
+                    mirror?.end(end);
+                }
+                return mirror;
+            })
+            .exhaustive();
+    }
+
+    #ownChunks(source: Answer | undefined, customer: CustomerId, offset: number): AsyncIterable<ReadChunk> {
+        return this.serve(source, customer, offset);
+    }
+
+    async *#peerChunks(host: HostId, requestId: RequestId, customer: CustomerId, offset: number): AsyncIterable<ReadChunk> {
+        const adopt = holdersOf(requestId)?.[0] !== host;
+        const replies = this.#peers.stream(host, readTopic, { requestId, customer, offset, adopt }, {
+            timeoutMs: firstChunkTimeoutMs,
+        });
+        for await (const reply of replies) {
+            if (!reply.ok) {
+                return;
+            }
+            yield reply.value;
+        }
+    }
+
+    #hostsToAsk(requestId: RequestId): readonly HostId[] {
+        const named = holdersOf(requestId);
+        if (named === undefined) {
+            return [];
+        }
+        const members = this.#membership.members().filter(member => member.state !== "dead").map(member => member.hostId);
+        const others = rankByRendezvous<HostId>(requestId, members.filter(host => !named.includes(host)), host => host);
+        const known = new Set(members);
+        return [...named.filter(host => known.has(host)), ...others.slice(0, furtherHosts)].map(host => brandAs<HostId>(host));
+    }
+}
--- /dev/null
+++ b/packages/relay/src/streams/task.ts
@@ -0,0 +1,417 @@
+import type { EndpointIssue, EngineDriver, EngineItem } from "@filbertrelay/endpoints";
+import type { EndpointId, Kernel } from "@filbertrelay/kernel";
+import { declareEvents } from "@filbertrelay/kernel";
+import { fingerprintRequest, hashPrefixBlocks, planRecovery } from "@filbertrelay/policy";
+import type { InterruptionCause, PromptBlocks } from "@filbertrelay/policy";
+import type { Span } from "@opentelemetry/api";
+import { match, P } from "ts-pattern";
+import { notRun } from "../caller/error.js";
+import type { CallerIssue } from "../caller/error.js";
+import type { RetryBudgets } from "../calls/retry.js";
+import type { DirectoryEntry } from "../contract.js";
+import type { EngineChoice, EngineRouter } from "../routing/router.js";
+import type { Suspects } from "../suspects/suspects.js";
+import type { Explanations } from "../telemetry/explanation.js";
+import type { Metrics } from "../telemetry/metrics.js";
+import type { Tracing } from "../telemetry/tracing.js";
+import type { BackedUpAnswer } from "./backup.js";
+
+const events = declareEvents({
+    interrupted: { number: 4001, level: "info", text: "A stream from an engine was interrupted and goes on.", action: "None." },
+    failed: {
+        number: 4002,
+        level: "warn",
+        text: "A model request failed for good.",
+        action: "Look at 'explain' for the request; check the engines of the model.",
+    },
+});
+
+/** How long a request waits for an engine to appear or for its turn in isolation before it asks again. */
+const waitPeriodMs = 200;
+/** Before its first token a request may wait in the engine's queue, so the engine may be silent for longer. */
+const firstTokenStallFactor = 5;
+/** An answer whose first token is out goes on for at most this time without an engine. */
+const recoveryLimitMs = 120_000;
+/** An engine may still be computing the prompt when it refuses to resume; it is asked again after this time. */
+const resumeRetryMs = 100;
+/** An engine that refuses connections is left out for this time. */
+const unreachableAvoidMs = 2_000;
+
+/** Where to continue an answer that another host has started. */
+export interface ResumePoint {
+    readonly engineAddress: string;
+}
+
+/** What one attempt at an engine came to. */
+type AttemptEnd =
+    | { readonly type: "finished"; readonly item: Extract<EngineItem, { type: "finish"; }>; }
+    | { readonly type: "interrupted"; readonly cause: InterruptionCause; readonly issue?: EndpointIssue; }
+    | { readonly type: "stopped"; };
+
+/** Services and settings that all stream tasks share. */
+export interface StreamTaskContext {
+    readonly kernel: Kernel;
+    readonly engines: EngineDriver;
+    readonly router: EngineRouter;
+    readonly suspects: Suspects;
+    readonly retries: RetryBudgets;
+    readonly metrics: Metrics;
+    readonly tracing: Tracing;
+    readonly explanations: Explanations;
+    readonly stallTimeoutMs: number;
+}
+
+/** Generates one answer: chooses engines and goes on elsewhere after an interruption until the answer is whole. */
+export class StreamTask {
+    readonly source: BackedUpAnswer;
+    readonly #context: StreamTaskContext;
+    readonly #span: Span;
+    readonly #prompt: PromptBlocks;
+    readonly #fingerprint: string;
+    readonly #excluded = new Set<EndpointId>();
+    #engine: { readonly entry: DirectoryEntry; readonly endpointId: EndpointId; } | undefined;
+    #attempt = new AbortController();
+    #relocation: InterruptionCause | undefined;
+    #isStopped = false;
+    #reconnects = 0;
+    #attemptsElsewhere = 0;
+    #wasSent = false;
+    #avoided: DirectoryEntry | undefined;
+    #preferred: EndpointId | undefined;
+
+    constructor(source: BackedUpAnswer, span: Span, context: StreamTaskContext) {
+        this.source = source;
+        this.#span = span;
+        this.#context = context;
+        this.#prompt = hashPrefixBlocks(source.request.messages);
+        this.#fingerprint = fingerprintRequest(source.answer.customer, source.request.model, source.request.messages);
+    }
+
+    /** The engine that generates now. */
+    get engine(): DirectoryEntry | undefined {
+        return this.#engine?.entry;
+    }
+
+    get prompt(): PromptBlocks {
+        return this.#prompt;
+    }
+
+    /** Runs until the answer has ended or the task is stopped. */
+    async run(resume?: ResumePoint): Promise<void> {
+        let end = resume === undefined ? await this.#dispatch(true) : await this.#resumeAt(resume);
+        while (end.type === "interrupted") {
+            if (this.#planReconnect(end.cause)) {
+                end = await this.#reconnect();
+            }
+            else if (this.#mayGoElsewhere(end.cause, end.issue)) {
+                end = await this.#dispatch(false);
+            }
+            else {
+                return;
+            }
+        }
+        if (end.type === "finished") {
+            this.#finish(end.item);
+        }
+    }
+
+    /** Leaves the present engine: the answer goes on elsewhere, at the preferred engine if it can take it. */
+    relocate(cause: InterruptionCause, preferred?: EndpointId): void {
+        this.#relocation = cause;
+        this.#preferred = preferred;
+        this.#attempt.abort(new Error("The stream leaves the engine."));
+    }
+
+    /** Stops without an end of the answer, because another host continues it. */
+    stop(): void {
+        this.#isStopped = true;
+        this.#attempt.abort(new Error("The stream is continued by another host."));
+    }
+
+    async #dispatch(isFirst: boolean): Promise<AttemptEnd> {
+        const choice = await this.#waitForEngine();
+        if (choice === undefined) {
+            return { type: "stopped" };
+        }
+        const { answer, request } = this.source;
+        const { router, explanations, engines } = this.#context;
+        const prefix = answer.tokensFrom(0);
+        explanations.add(answer.requestId, isFirst ? "engine chosen" : "answer continued on another engine", {
+            endpoint: choice.endpointId,
+            failureDomain: choice.engine.failureDomain,
+            offset: answer.length,
+            scores: choice.routing.explanation.slice(0, 4),
+        });
+        router.recordDispatch(choice, answer.requestId, this.#prompt);
+        const end = await this.#read(
+            choice.engine,
+            choice.endpointId,
+            (silenceMs, signal) =>
+                engines.generate(choice.engine.address, {
+                    requestId: answer.requestId,
+                    model: request.model,
+                    messages: request.messages,
+                    maxTokens: request.maxTokens,
+                    seed: request.seed,
+                    priority: request.priority,
+                    sampling: request.sampling,
+                    ...(prefix.length > 0 ? { prefix } : {}),
+                }, { silenceMs, signal }),
+        );
+        const issue = end.type === "interrupted" ? end.issue : undefined;
+        this.#wasSent ||= issue?.executed !== "no";
+        if (issue?.code === "endpoint.unreachable") {
+            router.recordCrash(choice.endpointId, unreachableAvoidMs);
+        }
+        return end;
+    }
+
+    async #reconnect(): Promise<AttemptEnd> {
+        const engine = this.#engine;
+        if (engine === undefined) {
+            return { type: "interrupted", cause: "refused" };
+        }
+        this.#reconnects += 1;
+        const { answer } = this.source;
+        this.#context.metrics.increment("streams.reconnects");
+        this.#context.explanations.add(answer.requestId, "new connection to the same engine", {
+            endpoint: engine.endpointId,
+            offset: answer.length,
+        });
+        const end = await this.#read(
+            engine.entry,
+            engine.endpointId,
+            (silenceMs, signal) =>
+                this.#context.engines.resume(engine.entry.address, answer.requestId, answer.length, { silenceMs, signal }),
+        );
+        const isGone = end.type === "interrupted" &&
+            (end.issue?.code === "endpoint.unreachable" || end.issue?.code === "endpoint.notFound");
+        // An engine that no longer knows the request has restarted since it took it.
+        return isGone ? { ...end, cause: "crashed" } : end;
+    }
+
+    async #resumeAt(resume: ResumePoint): Promise<AttemptEnd> {
+        const { answer } = this.source;
+        const { engines, explanations, stallTimeoutMs, kernel } = this.#context;
+        explanations.add(answer.requestId, "answer continued by its backup host", { offset: answer.length });
+        await kernel.clock.sleep(resumeRetryMs);
+        const items = engines.resume(resume.engineAddress, answer.requestId, answer.length, {
+            silenceMs: stallTimeoutMs,
+            signal: this.#attempt.signal,
+        });
+        return this.#consume(items, () => undefined);
+    }
+
+    async #read(
+        entry: DirectoryEntry,
+        endpointId: EndpointId,
+        open: (silenceMs: number, signal: AbortSignal) => AsyncIterable<EngineItem>,
+    ): Promise<AttemptEnd> {
+        const { answer } = this.source;
+        const { engines, router, suspects, tracing, stallTimeoutMs } = this.#context;
+        const span = tracing.startSpan("endpoint attempt", this.#span, { endpoint: endpointId, offset: answer.length });
+        this.#engine = { entry, endpointId };
+        this.source.engineAddress = entry.address;
+        this.#attempt = new AbortController();
+        this.#relocation = undefined;
+        suspects.begin(this.#fingerprint, endpointId);
+        const silenceMs = answer.length === 0 ? stallTimeoutMs * firstTokenStallFactor : stallTimeoutMs;
+        const end = await this.#consume(
+            open(silenceMs, this.#attempt.signal),
+            () => router.recordFirstToken(endpointId, answer.requestId),
+        );
+        suspects.end(this.#fingerprint, endpointId, end.type === "finished");
+        if (this.#relocation !== undefined) {
+            // The engine keeps generating after a lost connection, so its slot is freed explicitly.
+            void engines.cancel(entry.address, answer.requestId);
+        }
+        router.recordFinish(endpointId, answer.requestId);
+        match(end)
+            .with({ type: "interrupted" }, ({ cause }) => tracing.fail(span, cause))
+            .otherwise(() => span.end());
+        return end;
+    }
+
+    async #consume(items: AsyncIterable<EngineItem>, onFirstToken: () => void): Promise<AttemptEnd> {
+        const { answer } = this.source;
+        let isFirstToken = true;
+        for await (const item of items) {
+            if (item.type === "token") {
+                if (isFirstToken) {
+                    isFirstToken = false;
+                    onFirstToken();
+                }
+                if (answer.append(item.token.offset, item.token.text) === "gap") {
+                    return { type: "interrupted", cause: "connectionLost" };
+                }
+                this.#reconnects = 0;
+                continue;
+            }
+            if (item.type === "finish") {
+                return { type: "finished", item };
+            }
+            return this.#toEnd(item.issue);
+        }
+        return this.#toEnd(undefined);
+    }
+
+    #toEnd(issue: EndpointIssue | undefined): AttemptEnd {
+        if (this.#isStopped) {
+            return { type: "stopped" };
+        }
+        if (this.#relocation !== undefined) {
+            return { type: "interrupted", cause: this.#relocation };
+        }
+        const cause = match<string | undefined, InterruptionCause>(issue?.code)
+            .with("endpoint.silent", () => "stalled")
+            .with(P.union("endpoint.unreachable", "endpoint.refused", "endpoint.overloaded", "endpoint.invalid"), () => "refused")
+            .with("endpoint.crashed", () => "crashed")
+            .otherwise(() => "connectionLost");
+        return issue === undefined ? { type: "interrupted", cause } : { type: "interrupted", cause, issue };
+    }
+
+    #planReconnect(cause: InterruptionCause): boolean {
+        return this.#engine !== undefined && this.#plan(cause).action === "reconnect";
+    }
+
+    #plan(cause: InterruptionCause): ReturnType<typeof planRecovery> {
+        const { answer, request } = this.source;
+        const nowMs = this.#context.kernel.clock.now().getTime();
+        return planRecovery({
+            cause,
+            endpointId: this.#engine?.endpointId ?? ("" as EndpointId),
+            promptTokens: this.#prompt.promptTokens,
+            forwardedTokens: answer.length,
+            reconnects: this.#reconnects,
+            attemptsElsewhere: this.#attemptsElsewhere,
+            remainingMs: answer.length > 0 ? recoveryLimitMs : request.deadlineAt - nowMs,
+            retryAllowed: true,
+        });
+    }
+
+    // False when the answer failed for good. A crash is charged to the requests in progress before the next engine is chosen.
+    #mayGoElsewhere(cause: InterruptionCause, issue: EndpointIssue | undefined): boolean {
+        const { answer, request } = this.source;
+        const { suspects, retries, metrics, kernel, explanations } = this.#context;
+        const engine = this.#engine;
+        if (engine !== undefined) {
+            if (cause === "crashed") {
+                suspects.recordCrash(engine.endpointId, this.#fingerprint);
+            }
+            this.#excluded.clear();
+            this.#excluded.add(engine.endpointId);
+            this.#avoided = cause === "reclaimed" || cause === "crashed" ? engine.entry : undefined;
+        }
+        const plan = this.#plan(cause);
+        const needsBudget = cause !== "reclaimed" && answer.length === 0;
+        if (plan.action === "fail" || (needsBudget && !retries.tryRetry(answer.customer, request.model))) {
+            this.#fail({
+                status: 502,
+                code: "stream.interrupted",
+                message: issue?.message ?? "The engine's stream was interrupted and no other engine could continue it.",
+                executed: this.#wasSent ? "unknown" : "no",
+            });
+            return false;
+        }
+        this.#attemptsElsewhere += 1;
+        metrics.increment(`streams.interrupted.${cause}`);
+        explanations.add(answer.requestId, "interrupted", { cause, issue: issue?.code, offset: answer.length });
+        kernel.log.write(events.interrupted, {
+            requestId: answer.requestId,
+            cause,
+            endpoint: engine?.endpointId,
+            offset: answer.length,
+        });
+        return true;
+    }
+
+    async #waitForEngine(): Promise<EngineChoice | undefined> {
+        const { kernel, suspects } = this.#context;
+        const { answer, request } = this.source;
+        const startedMs = kernel.clock.now().getTime();
+        while (!this.#isStopped) {
+            const decision = suspects.decide(this.#fingerprint);
+            if (decision.type === "reject") {
+                this.#fail({
+                    status: 422,
+                    code: "stream.crashesEndpoints",
+                    message: "This request was in progress at two crashes of engines and is refused for a while.",
+                    executed: this.#wasSent ? "unknown" : "no",
+                    retryAfterMs: decision.retryAfterMs,
+                });
+                return undefined;
+            }
+            const choice = decision.type === "wait" ? undefined : this.#choose(decision.type === "isolate");
+            if (choice !== undefined) {
+                return choice;
+            }
+            const limitMs = answer.length > 0 ? startedMs + recoveryLimitMs : request.deadlineAt;
+            if (kernel.clock.now().getTime() >= limitMs) {
+                this.#fail(
+                    notRun(503, "stream.noEngine", `The model '${request.model}' has no engine that can take the request.`, {
+                        executed: this.#wasSent ? "unknown" : "no",
+                        retryAfterMs: 1_000,
+                    }),
+                );
+                return undefined;
+            }
+            await kernel.clock.sleep(waitPeriodMs);
+        }
+        return undefined;
+    }
+
+    #choose(isIsolated: boolean): EngineChoice | undefined {
+        const { router, suspects } = this.#context;
+        const isolated = suspects.isolatedEndpoints();
+        const avoidedFailureDomains = new Set(this.#avoided === undefined ? [] : [this.#avoided.failureDomain]);
+        const preferred = this.#preferred;
+        this.#preferred = undefined;
+        const chosen = [new Set([...this.#excluded, ...isolated]), isolated]
+            .map(excluded =>
+                router.choose(this.source.request.model, this.#prompt, { excluded, avoidedFailureDomains, preferred })
+            )
+            .find(choice => choice.ok);
+        if (chosen?.ok !== true) {
+            return undefined;
+        }
+        return isIsolated && !suspects.startIsolated(this.#fingerprint, chosen.value.endpointId) ? undefined : chosen.value;
+    }
+
+    #finish(item: Extract<EngineItem, { type: "finish"; }>): void {
+        const { metrics } = this.#context;
+        const { answer } = this.source;
+        const computed = item.finish.promptTokens - item.finish.cachedTokens;
+        metrics.increment("tokens.prompt", item.finish.promptTokens);
+        metrics.increment("tokens.computed", computed);
+        metrics.increment("tokens.generated", answer.length);
+        if (this.#attemptsElsewhere > 0) {
+            metrics.increment("tokens.recomputed.interruption", computed);
+        }
+        metrics.increment("streams.finished");
+        answer.end({ type: "finished", finish: item.finish });
+    }
+
+    #fail(issue: CallerIssue): void {
+        const { kernel, metrics, explanations } = this.#context;
+        const { answer } = this.source;
+        metrics.increment("streams.failed");
+        explanations.add(answer.requestId, "failed", { code: issue.code });
+        kernel.log.write(events.failed, { requestId: answer.requestId, code: issue.code });
+        answer.end({ type: "failed", issue });
+    }
+}
+
+/** The drivers and services that stream tasks need, found by name. */
+export function findTaskContext(kernel: Kernel, stallTimeoutMs: number): StreamTaskContext {
+    return {
+        kernel,
+        engines: kernel.get<EngineDriver>("engines"),
+        router: kernel.get<EngineRouter>("routing"),
+        suspects: kernel.get<Suspects>("suspects"),
+        retries: kernel.get<RetryBudgets>("retries"),
+        metrics: kernel.get<Metrics>("metrics"),
+        tracing: kernel.get<Tracing>("tracing"),
+        explanations: kernel.get<Explanations>("explanations"),
+        stallTimeoutMs,
+    };
+}
