Add platform clients, endpoint drivers and stand-in processes

Cause: no process could be started without the platform's and the endpoints' counterparts. Change: clients of key-value service, cloud API, host list and weight store over undici with zod-checked replies; drivers of model engines and plain services that report 'executed: no' only when no byte was sent or the endpoint declared it; seven stand-in kinds behind one main with faults under /control. Conclusion: a streamed model request and a booking can be run against stand-ins.

--- a/packages/endpoints/src/index.ts
+++ b/packages/endpoints/src/index.ts
@@ -1,3 +1,5 @@
 /** Drivers of model engines and plain services. */
 export * from "./engine.js";
+export * from "./enginedriver.js";
 export * from "./service.js";
+export * from "./servicedriver.js";
--- /dev/null
+++ b/packages/platform/src/http.ts
@@ -0,0 +1,132 @@
+import { failure, success } from "@filbertrelay/kernel";
+import type { Clock, Issue, Outcome } from "@filbertrelay/kernel";
+import { Agent, request } from "undici";
+import type { Dispatcher } from "undici";
+import type { z } from "zod";
+
+/** Options that all platform clients share. */
+export interface ClientOptions {
+    /** Root of the service, such as `http://127.0.0.1:7801`. */
+    readonly url: string;
+    readonly clock: Clock;
+    /** How long one call may take; long polls wait for their own time in addition. */
+    readonly timeoutMs?: number;
+}
+
+/** One HTTP call with a JSON body and a JSON answer. */
+export interface JsonCall {
+    readonly method: Dispatcher.HttpMethod;
+    readonly path: string;
+    readonly body?: unknown;
+    /** Time a long poll may wait before the ordinary timeout starts. */
+    readonly waitMs?: number;
+    readonly signal?: AbortSignal | undefined;
+}
+
+/** A definite answer of the service; `body` is undefined when it was empty. */
+export interface JsonReply {
+    readonly status: number;
+    readonly body: unknown;
+}
+
+/** The service gave no definite answer: the call may or may not have taken effect. */
+export interface NoAnswer extends Issue {
+    readonly code: "http.noAnswer";
+}
+
+const defaultTimeoutMs = 2_000;
+// Larger than any legal answer: a list of the 64 shard values of 1 MB each.
+const replyLimitBytes = 80_000_000;
+
+/** Sends JSON calls over pooled connections; never repeats a call. */
+export class JsonCaller {
+    readonly #origin: string;
+    readonly #clock: Clock;
+    readonly #timeoutMs: number;
+    readonly #agent = new Agent({ pipelining: 1, headersTimeout: 0, bodyTimeout: 0 });
+
+    constructor(options: ClientOptions) {
+        this.#origin = options.url.replace(/\/+$/, "");
+        this.#clock = options.clock;
+        this.#timeoutMs = options.timeoutMs ?? defaultTimeoutMs;
+    }
+
+    async call(call: JsonCall): Promise<Outcome<JsonReply, NoAnswer>> {
+        const controller = new AbortController();
+        const limitMs = this.#timeoutMs + (call.waitMs ?? 0);
+        const cancel = this.#clock.after(limitMs, () => controller.abort(new Error(`No answer came within ${limitMs} ms.`)));
+        const abort = (): void => controller.abort(call.signal?.reason);
+        call.signal?.addEventListener("abort", abort, { once: true });
+        if (call.signal?.aborted === true) {
+            abort();
+        }
+        try {
+            return success(await this.#send(call, controller.signal));
+        }
+        catch (error) {
+            const reason = error instanceof Error ? error.message : String(error);
+            return failure({
+                code: "http.noAnswer",
+                message: `'${call.method} ${this.#origin}${call.path}' got no answer: ${reason}`,
+            });
+        }
+        finally {
+            cancel();
+            call.signal?.removeEventListener("abort", abort);
+        }
+    }
+
+    /** Closes the pooled connections; calls in progress end without an answer. */
+    async close(): Promise<void> {
+        await this.#agent.destroy();
+    }
+
+    async #send(call: JsonCall, signal: AbortSignal): Promise<JsonReply> {
+        const response = await request(`${this.#origin}${call.path}`, {
+            method: call.method,
+            dispatcher: this.#agent,
+            signal,
+            ...(call.body === undefined ?
+                {} :
+                { body: JSON.stringify(call.body), headers: { "content-type": "application/json" } }),
+        });
+        const text = await readText(response.body);
+        return { status: response.statusCode, body: parseJson(text) };
+    }
+}
+
+async function readText(body: AsyncIterable<Buffer>): Promise<string> {
+    const chunks: Buffer[] = [];
+    let bytes = 0;
+    for await (const chunk of body) {
+        bytes += chunk.length;
+        if (bytes > replyLimitBytes) {
+            throw new Error(`The answer is longer than ${replyLimitBytes} bytes.`);
+        }
+        chunks.push(chunk);
+    }
+    return Buffer.concat(chunks).toString("utf8");
+}
+
+function parseJson(text: string): unknown {
+    if (text === "") {
+        return undefined;
+    }
+    try {
+        return JSON.parse(text);
+    }
+    catch {
+        throw new Error("The answer is not JSON.");
+    }
+}
+
+/** Checks a reply's body against a schema; a body of another shape is no definite answer. */
+export function checkReply<T>(schema: z.ZodType<T>, reply: JsonReply): Outcome<T, NoAnswer> {
+    const checked = schema.safeParse(reply.body);
+    if (checked.success) {
+        return success(checked.data);
+    }
+    const first = checked.error.issues[0];
+    const where = first === undefined ? "" : ` at '${first.path.join(".")}': ${first.message}`;
+    return failure({ code: "http.noAnswer", message: `The answer with status ${reply.status} has an unexpected shape${where}.` });
+}
--- a/packages/platform/src/index.ts
+++ b/packages/platform/src/index.ts
@@ -1,4 +1,11 @@
 /** Clients of the platform: key-value service, cloud API, host list and weight store. */
+export * from "./budget.js";
 export * from "./cloud.js";
+export * from "./cloudclient.js";
 export * from "./hostlist.js";
+export * from "./hostlistclient.js";
+export type { ClientOptions } from "./http.js";
 export * from "./keyvalue.js";
+export * from "./keyvalueclient.js";
+export * from "./weightstore.js";
+export * from "./weightstoreclient.js";
--- /dev/null
+++ b/packages/platform/src/weightstoreclient.ts
@@ -0,0 +1,58 @@
+import { failure } from "@filbertrelay/kernel";
+import type { Outcome } from "@filbertrelay/kernel";
+import { z } from "zod";
+import { checkReply, JsonCaller } from "./http.js";
+import type { ClientOptions, JsonReply } from "./http.js";
+import type { WeightStoreClient, WeightStoreIssue } from "./weightstore.js";
+
+/** A weight store client whose connections can be closed. */
+export interface ClosableWeightStoreClient extends WeightStoreClient {
+    stop(): Promise<void>;
+}
+
+/** Creates a client of the weight store as described in docs/protocols/weight-store.md. */
+export function createWeightStoreClient(options: ClientOptions): ClosableWeightStoreClient {
+    const caller = new JsonCaller(options);
+    return {
+        describe: async (model, version) => {
+            const path = `/v1/models/${encodeURIComponent(model)}/${encodeURIComponent(version)}`;
+            const description = await call(caller, path, descriptionSchema);
+            if (description.ok && (description.value.model !== model || description.value.version !== version)) {
+                return failure({ code: "weightStore.invalid", message: "The answer is about another model version." });
+            }
+            return description;
+        },
+        readRate: () => call(caller, "/v1/rate", rateSchema),
+        stop: () => caller.close(),
+    };
+}
+
+const descriptionSchema = z.object({ model: z.string(), version: z.string(), bytes: z.int().min(0) });
+const rateSchema = z.object({ bytesPerSecond: z.number().positive(), concurrentDownloads: z.int().positive() });
+const throttledSchema = z.object({ error: z.object({ retryAfterMs: z.number().min(0).optional() }) });
+const notFoundSchema = z.object({ error: z.object({ code: z.literal("notFound") }) });
+
+async function call<T>(caller: JsonCaller, path: string, schema: z.ZodType<T>): Promise<Outcome<T, WeightStoreIssue>> {
+    const reply = await caller.call({ method: "GET", path });
+    if (!reply.ok) {
+        return failure({ code: "weightStore.unavailable", message: reply.issue.message });
+    }
+    if (reply.value.status !== 200) {
+        return failure(issueOf(reply.value));
+    }
+    const checked = checkReply(schema, reply.value);
+    return checked.ok ? checked : failure({ code: "weightStore.invalid", message: checked.issue.message });
+}
+
+function issueOf(reply: JsonReply): WeightStoreIssue {
+    if (reply.status === 404 && notFoundSchema.safeParse(reply.body).success) {
+        return { code: "weightStore.notFound", message: "The weight store does not have this model version." };
+    }
+    const throttled = throttledSchema.safeParse(reply.body);
+    if (reply.status === 429) {
+        const retryAfterMs = throttled.success ? throttled.data.error.retryAfterMs : undefined;
+        const issue = { code: "weightStore.throttled", message: "The weight store's rate limit is reached." } as const;
+        return retryAfterMs === undefined ? issue : { ...issue, retryAfterMs };
+    }
+    return { code: "weightStore.unavailable", message: `The weight store answered with status ${reply.status}.` };
+}
--- a/packages/standins/src/index.ts
+++ b/packages/standins/src/index.ts
@@ -1,2 +1,3 @@
 /** Stand-ins for the platform and the endpoints. */
-export {};
+export { answerText, answerToken, hashBlocks, renderPrompt } from "./answer.js";
+export type { PromptMessage } from "./answer.js";
