--- /dev/null
+++ b/packages/configuration/src/reference.ts
@@ -0,0 +1,105 @@
+import type { Issue } from "@filbertrelay/kernel";
+import { z } from "zod";
+
+const named = z.object({ name: z.string() }).catch({ name: "" });
+const looseSchema = z.object({
+    failureDomains: z.array(z.string().catch("")).catch([]),
+    callers: z.array(named).catch([]),
+    customers: z.array(
+        z.object({
+            name: z.string().catch(""),
+            caller: z.string().catch(""),
+            keyHashes: z.array(z.string().catch("")).catch([]),
+        }).catch({ name: "", caller: "", keyHashes: [] }),
+    ).catch([]),
+    operatorKeyHashes: z.array(z.string().catch("")).catch([]),
+    models: z.array(named).catch([]),
+    services: z.array(
+        z.object({
+            name: z.string().catch(""),
+            operations: z.array(
+                z.object({ name: z.string().catch(""), method: z.string().catch(""), path: z.string().catch("") })
+                    .catch({ name: "", method: "", path: "" }),
+            ).catch([]),
+        }).catch({ name: "", operations: [] }),
+    ).catch([]),
+    hostClasses: z.array(
+        z.object({ name: z.string().catch(""), prices: z.record(z.string(), z.unknown()).catch({}) })
+            .catch({ name: "", prices: {} }),
+    ).catch([]),
+});
+
+type Loose = z.infer<typeof looseSchema>;
+type Path = readonly (string | number)[];
+
+/**
+ * Finds duplicate names and references to names that do not exist. Malformed parts are skipped, so that these faults
+ * are listed together with the faults of the schema instead of after a second attempt.
+ */
+export function findReferenceIssues(document: unknown): readonly Issue[] {
+    const loose = looseSchema.safeParse(document);
+    return loose.success ? [...findDuplicates(loose.data), ...findUnknownNames(loose.data)] : [];
+}
+
+function findDuplicates(answers: Loose): Issue[] {
+    const names = (list: readonly { name: string; }[]) => list.map(item => item.name);
+    const hashes = answers.customers.flatMap((customer, index) =>
+        customer.keyHashes.map((hash, position) => ({ hash, path: ["customers", index, "keyHashes", position] }))
+    ).concat(answers.operatorKeyHashes.map((hash, position) => ({ hash, path: ["operatorKeyHashes", position] })));
+    return [
+        ...repeated(answers.failureDomains, index => ["failureDomains", index]),
+        ...repeated(names(answers.callers), index => ["callers", index, "name"]),
+        ...repeated(names(answers.customers), index => ["customers", index, "name"]),
+        ...repeated(names(answers.models), index => ["models", index, "name"]),
+        ...repeated([...names(answers.services), ...names(answers.models)], index => servedPath(answers, index)),
+        ...repeated(names(answers.hostClasses), index => ["hostClasses", index, "name"]),
+        ...repeated(hashes.map(entry => entry.hash), index => hashes[index]?.path ?? []),
+        ...answers.services.flatMap((service, index) => findOperationDuplicates(service, index)),
+    ];
+}
+
+// Models and plain services share one name space because the host list names what an endpoint serves.
+function servedPath(answers: Loose, index: number): Path {
+    const modelIndex = index - answers.services.length;
+    return modelIndex < 0 ? ["services", index, "name"] : ["models", modelIndex, "name"];
+}
+
+function findOperationDuplicates(service: Loose["services"][number], index: number): Issue[] {
+    const routes = service.operations.map(operation =>
+        operation.path === "" || operation.method === "" ? "" : `${operation.method} ${operation.path}`
+    );
+    return [
+        ...repeated(service.operations.map(operation => operation.name), at => ["services", index, "operations", at, "name"]),
+        ...repeated(routes, at => ["services", index, "operations", at, "path"]),
+    ];
+}
+
+function repeated(values: readonly string[], pathOf: (index: number) => Path): Issue[] {
+    return values.flatMap((value, index) =>
+        value !== "" && values.indexOf(value) < index ?
+            [{ code: "answers.duplicate", message: `'${value}' is given more than once.`, path: pathOf(index) }] :
+            []
+    );
+}
+
+function findUnknownNames(answers: Loose): Issue[] {
+    const callers = new Set(answers.callers.map(caller => caller.name));
+    const domains = new Set(answers.failureDomains);
+    const unknownCallers = answers.customers.flatMap((customer, index): Issue[] =>
+        customer.caller === "" || callers.has(customer.caller) ?
+            [] :
+            [{
+                code: "answers.unknownName",
+                message: `No kind of caller is named '${customer.caller}'.`,
+                path: ["customers", index, "caller"],
+            }]
+    );
+    const unknownDomains = answers.hostClasses.flatMap((hostClass, index) =>
+        Object.keys(hostClass.prices).filter(domain => !domains.has(domain)).map((domain): Issue => ({
+            code: "answers.unknownName",
+            message: `No failure domain is named '${domain}'.`,
+            path: ["hostClasses", index, "prices", domain],
+        }))
+    );
+    return [...unknownCallers, ...unknownDomains];
+}
