Add the operators' commands, the caller library and the fleet launcher

Cause: operators need check, apply, status, explain, requests, drain and init; tests and the demo need fleets on loopback. Change: compare-and-swap submissions that recognise their own write, rollout by failure domain, exit codes 0 to 4, callers that reconnect and resend, launchFleet for stand-ins and daemons, an HTML report with inline SVG.

--- /dev/null
+++ b/packages/client/src/command/explain.ts
@@ -0,0 +1,56 @@
+import type { Argv, CommandModule } from "yargs";
+import { z } from "zod";
+import { ExitCode, failed } from "../exit.js";
+import type { CommandResult } from "../exit.js";
+import type { OperatorClient, OperatorIssue } from "../operator.js";
+import { askAny, daemonFailed, run, withDaemonOptions, withOperatorClient } from "./common.js";
+import type { DaemonArguments } from "./common.js";
+
+interface ExplainArguments extends DaemonArguments {
+    readonly id: string;
+}
+
+const explanationSchema = z.object({
+    requestId: z.string(),
+    decisions: z.array(z.object({ at: z.string(), what: z.string(), details: z.record(z.string(), z.unknown()) })),
+});
+
+type Decision = z.infer<typeof explanationSchema>["decisions"][number] & { readonly hostId: string; };
+
+/** `explain ID`: shows the decisions about one request from all hosts that remember it. */
+export const explainCommand: CommandModule<object, ExplainArguments> = {
+    command: "explain <id>",
+    describe: "Show why a request went where it went",
+    builder: yargs =>
+        withDaemonOptions(yargs).positional("id", { type: "string", demandOption: true }) as unknown as Argv<ExplainArguments>,
+    handler: commandArguments =>
+        run(commandArguments, () => withOperatorClient(commandArguments, client => explain(client, commandArguments))),
+};
+
+async function explain(client: OperatorClient, commandArguments: ExplainArguments): Promise<CommandResult> {
+    const status = await askAny(client, commandArguments.entry);
+    if (!status.ok) {
+        return daemonFailed(status.issue);
+    }
+    const decisions: Decision[] = [];
+    const unreachable: OperatorIssue[] = [];
+    for (const member of status.value.members.filter(candidate => candidate.state !== "dead")) {
+        const reply = await client.explain(member.callerAddress, commandArguments.id);
+        if (!reply.ok && reply.issue.code !== "daemon.notFound") {
+            unreachable.push(reply.issue);
+        }
+        const explanation = reply.ok ? explanationSchema.safeParse(reply.value).data : undefined;
+        decisions.push(...(explanation?.decisions ?? []).map(decision => ({ ...decision, hostId: member.hostId })));
+    }
+    decisions.sort((left, right) => left.at.localeCompare(right.at));
+    if (decisions.length === 0) {
+        return unreachable.length > 0 ?
+            failed(ExitCode.Unreachable, "No host that answered remembers the request; some did not answer.", unreachable) :
+            failed(ExitCode.BadInput, `No host remembers the request '${commandArguments.id}'.`);
+    }
+    const lines = decisions.map(decision =>
+        `${decision.at}  ${decision.hostId}  ${decision.what}  ${JSON.stringify(decision.details)}`
+    );
+    const value = { requestId: commandArguments.id, decisions, unreachable };
+    return { exitCode: ExitCode.Success, value, lines: [...lines, ...unreachable.map(issue => `Not asked: ${issue.message}`)] };
+}
--- a/packages/client/src/index.ts
+++ b/packages/client/src/index.ts
@@ -1,2 +1,22 @@
-/** The operators' command line. */
-export {};
+/** The operators' command line, the caller library and the fleet launcher. */
+export * from "./caller/entrypoints.js";
+export * from "./caller/error.js";
+export * from "./caller/model.js";
+export * from "./caller/service.js";
+export * from "./demo/check.js";
+export * from "./demo/record.js";
+export * from "./demo/summary.js";
+export * from "./exit.js";
+export * from "./fleet/binary.js";
+export * from "./fleet/cloud.js";
+export * from "./fleet/control.js";
+export * from "./fleet/fleet.js";
+export * from "./fleet/host.js";
+export * from "./fleet/plan.js";
+export * from "./fleet/platform.js";
+export * from "./fleet/port.js";
+export * from "./fleet/process.js";
+export * from "./operator.js";
+export * from "./output.js";
+export * from "./rollout.js";
+export * from "./submission.js";
--- a/packages/configuration/src/answers.ts
+++ b/packages/configuration/src/answers.ts
@@ -5,13 +5,14 @@
 import { findReferenceIssues } from "./reference.js";
 
 const nameSchema = z.string().regex(/^[a-z0-9][a-z0-9-]{0,39}$/, "Expected 1 to 40 lower-case letters, digits or hyphens.");
+const operationNameSchema = z.string().regex(/^[A-Za-z0-9][A-Za-z0-9-]{0,39}$/, "Expected 1 to 40 letters, digits or hyphens.");
 const keyHashSchema = z.string().regex(/^[0-9a-f]{64}$/, "Expected a SHA-256 hash in lower-case hexadecimal.");
 const keyHashesSchema = z.array(keyHashSchema).min(1).max(2);
 const centsSchema = z.number().min(0.001).max(1_000_000);
 const methodSchema = z.enum(["GET", "HEAD", "POST", "PUT", "PATCH", "DELETE"]);
 
 const operationAnswerSchema = z.strictObject({
-    name: nameSchema,
+    name: operationNameSchema,
     method: methodSchema,
     path: z.string().regex(/^\/[\w\-./~]*$/, "Expected a path that starts with a slash, without query."),
     /** True when running the operation twice has the same effect as running it once. */
@@ -124,9 +125,3 @@
         path: issue.path.map(part => typeof part === "symbol" ? String(part) : part),
     }));
 }
-
-/** Writes an issue as one line: path in dotted form, then the message. */
-export function formatIssue(issue: Issue): string {
-    const path = (issue.path ?? []).map(part => typeof part === "number" ? `[${part}]` : `.${part}`).join("").replace(/^\./, "");
-    return path === "" ? issue.message : `${path}: ${issue.message}`;
-}
--- a/packages/configuration/src/generation.ts
+++ b/packages/configuration/src/generation.ts
@@ -8,7 +8,7 @@
 const shardWriteRatio = 0.8;
 
 /** Default limits of model requests in progress and shares, by size of the customer. */
-const sizes = { small: { weight: 1, concurrencyLimit: 32 }, large: { weight: 4, concurrencyLimit: 128 } } as const;
+const sizes = { small: { weight: 1, concurrencyLimit: 32 }, large: { weight: 3, concurrencyLimit: 128 } } as const;
 
 const favours = {
     latency: { latency: 3, cost: 1 },
