Add the peer network over TCP

Cause: entry hosts need authenticated request, reply and stream messages that survive black-holed connections and report whether any byte of a call left.

Conclusion: the 8 scenarios of features/wire.feature pass, including frame fuzzing, a replayed handshake and a black-holed connection.

--- /dev/null
+++ b/features/wire.feature
@@ -0,0 +1,51 @@
+Feature: Peer network
+
+  Scenario: A call gets the reply of its own request although replies come out of order
+    Given two connected peers "alder" and "birch"
+    When "alder" sends 20 calls whose replies come in reverse order
+    Then each call got its own reply
+
+  Scenario: A cancelled stream stops its handler
+    Given two connected peers "alder" and "birch"
+    When "alder" reads 3 chunks of an endless stream and stops
+    Then the handler of the stream was cancelled
+
+  Scenario: A call is reported as unsent only when no byte of it left
+    Given two connected peers "alder" and "birch"
+    Then a call to a peer without address fails with "peer.unreachable" and is unsent
+    And a call whose request fails its schema fails with "peer.invalid" and is unsent
+    And a call larger than a frame fails with "peer.invalid" and is unsent
+    And a call without a handler fails with "peer.refused" and is sent
+    And a call whose handler throws fails with "peer.refused" and is sent
+    And a call whose reply fails its schema fails with "peer.invalid" and is sent
+    And a call whose reply is late fails with "peer.timeout" and is sent
+    And a call whose peer stops fails with "peer.closed" and is sent
+    And a call to the stopped peer fails with "peer.unreachable" and is unsent
+
+  Scenario: Cluster keys can be rotated, and a host without an accepted key is refused
+    Given a peer "alder" that accepts the keys "old-old-old-old-old,new-new-new-new-new"
+    Then a host with the key "old-old-old-old-old" can call "alder"
+    And a host with the key "new-new-new-new-new" can call "alder"
+    And a host with the key "bad-bad-bad-bad-bad" can't call "alder"
+
+  Scenario: A recorded handshake can't be replayed
+    Given two connected peers "alder" and "birch"
+    When everything that "alder" sent to "birch" is sent again on a new connection
+    Then "birch" closes the connection and runs no call
+
+  Scenario: Malformed and oversized frames neither stop a peer nor reach a handler
+    Given two connected peers "alder" and "birch"
+    When 200 connections send random bytes to "birch"
+    And a connection announces a frame of 900000000 bytes
+    Then "birch" closes the connection and runs no call
+    And "alder" can still call "birch"
+
+  Scenario: The frame reader never throws and does not depend on how bytes are cut
+    Then frames that are cut at random positions are read completely
+    And random bytes give frames or issues and never throw
+
+  Scenario: A black-holed connection is replaced while the peer accepts new ones
+    Given two peers "alder" and "birch" connected through a forwarder
+    When the forwarder black-holes the open connection
+    Then calls succeed again on a new connection without a restart
+    And the call that was in progress fails as closed and sent
--- /dev/null
+++ b/packages/wire/src/call.ts
@@ -0,0 +1,137 @@
+import type { Clock, Outcome } from "@filbertrelay/kernel";
+import { failure, success } from "@filbertrelay/kernel";
+import { z } from "zod";
+import type { PeerConnection } from "./connection.js";
+import type { PeerIssue, Topic } from "./network.js";
+
+/** The limits of one call. */
+export interface CallOptions {
+    /** The longest wait for the reply, or for the next chunk of a stream, in milliseconds. */
+    readonly timeoutMs: number;
+    readonly signal?: AbortSignal;
+}
+
+/** One call in progress, from the search for a connection to the end of the reply. */
+export class Call<Reply extends z.ZodType> {
+    readonly #clock: Clock;
+    readonly #topic: Topic<z.ZodType, Reply>;
+    readonly #options: CallOptions;
+    readonly #queue: Outcome<z.output<Reply>, PeerIssue>[] = [];
+    #isEnded = false;
+    #isSent = false;
+    #wake: (() => void) | undefined;
+    #cancelTimer: (() => void) | undefined;
+    #connection: PeerConnection | undefined;
+    #id: number | undefined;
+    readonly #onAbort = () => this.#fail("peer.closed", "The caller cancelled the call.");
+
+    constructor(clock: Clock, topic: Topic<z.ZodType, Reply>, options: CallOptions) {
+        this.#clock = clock;
+        this.#topic = topic;
+        this.#options = options;
+    }
+
+    /** Sends the request on the connection that `connect` finds; a connection that closed before the request was sent is tried once more. */
+    async start(body: unknown, connect: () => Promise<Outcome<PeerConnection, PeerIssue>>): Promise<void> {
+        if (this.#options.signal?.aborted === true) {
+            this.#onAbort();
+            return;
+        }
+        this.#options.signal?.addEventListener("abort", this.#onAbort, { once: true });
+        this.#restartTimer();
+        for (let attempt = 1; !this.#isEnded; attempt++) {
+            const connection = await connect();
+            if (this.#isEnded) {
+                return;
+            }
+            const issue = connection.ok ? this.#send(connection.value, body) : connection.issue;
+            if (issue === undefined) {
+                return;
+            }
+            if (!connection.ok || issue.code !== "peer.closed" || attempt === 2) {
+                this.#end(failure(issue));
+            }
+        }
+    }
+
+    /** Yields what the peer answered, in order; a failure is the last item. */
+    async *items(): AsyncGenerator<Outcome<z.output<Reply>, PeerIssue>, void, undefined> {
+        try {
+            for (;;) {
+                const item = this.#queue.shift();
+                if (item !== undefined) {
+                    yield item;
+                }
+                else if (this.#isEnded) {
+                    return;
+                }
+                else {
+                    await new Promise<void>(resolve => this.#wake = resolve);
+                }
+            }
+        }
+        finally {
+            this.#abandon();
+        }
+    }
+
+    #send(connection: PeerConnection, body: unknown): PeerIssue | undefined {
+        const id = connection.request(body, {
+            topic: this.#topic.name,
+            onBody: received => this.#receive(received),
+            onEnd: issue => this.#end(issue === undefined ? undefined : failure(issue)),
+        });
+        if (typeof id !== "number") {
+            return id;
+        }
+        this.#isSent = true;
+        this.#connection = connection;
+        this.#id = id;
+        return undefined;
+    }
+
+    #receive(body: unknown): void {
+        const checked = this.#topic.reply.safeParse(body);
+        if (!checked.success) {
+            this.#fail("peer.invalid", z.prettifyError(checked.error));
+            return;
+        }
+        this.#restartTimer();
+        this.#queue.push(success(checked.data));
+        this.#wake?.();
+    }
+
+    #restartTimer(): void {
+        this.#cancelTimer?.();
+        const { timeoutMs } = this.#options;
+        this.#cancelTimer = this.#clock.after(timeoutMs, () => {
+            this.#fail("peer.timeout", `The peer did not answer within ${timeoutMs} ms.`);
+        });
+    }
+
+    #fail(code: PeerIssue["code"], message: string): void {
+        this.#abandon();
+        this.#end(failure({ code, message, sent: this.#isSent }));
+    }
+
+    #abandon(): void {
+        if (!this.#isEnded && this.#id !== undefined) {
+            this.#connection?.cancel(this.#id);
+        }
+        this.#finish();
+    }
+
+    #end(last: Outcome<z.output<Reply>, PeerIssue> | undefined): void {
+        if (last !== undefined && !this.#queue.some(item => !item.ok)) {
+            this.#queue.push(last);
+        }
+        this.#finish();
+    }
+
+    #finish(): void {
+        this.#isEnded = true;
+        this.#cancelTimer?.();
+        this.#options.signal?.removeEventListener("abort", this.#onAbort);
+        this.#wake?.();
+    }
+}
--- /dev/null
+++ b/packages/wire/src/frame.ts
@@ -0,0 +1,119 @@
+import { failure, success } from "@filbertrelay/kernel";
+import type { Issue, Outcome } from "@filbertrelay/kernel";
+import { Encoder, setSizeLimits } from "cbor-x";
+import { z } from "zod";
+
+/** The bytes of the big-endian length in front of each frame's body. */
+export const lengthBytes = 4;
+
+// A short frame can claim a huge array or map, which the decoder would allocate before it finds the data missing.
+setSizeLimits({ maxArraySize: 1_000_000, maxMapSize: 1_000_000, maxObjectSize: 1_000_000 });
+
+const codec = new Encoder({ useRecords: false, mapsAsObjects: true, variableMapSize: true, tagUint8Array: false });
+
+const frameSchema = z.strictObject({
+    kind: z.enum(["request", "reply", "event", "chunk", "end"]),
+    /** Empty in frames that answer a request; the request's id names the call. */
+    topic: z.string().max(100),
+    id: z.int().min(0).max(0xffff_ffff),
+    body: z.unknown(),
+    /** Present in a `reply` or `end` that reports a failure. */
+    issue: z.strictObject({ code: z.enum(["refused", "invalid"]), message: z.string().max(1_000) }).optional(),
+});
+
+/** One message on a connection. */
+export type Frame = z.infer<typeof frameSchema>;
+
+/** Why bytes are not a frame; the connection they came on must be closed. */
+export interface FrameIssue extends Issue {
+    readonly code: "frame.tooLarge" | "frame.malformed";
+}
+
+/** Encodes a frame with its length; fails when the body exceeds the limit in bytes. */
+export function encodeFrame(frame: Frame, limitBytes: number): Outcome<Buffer, FrameIssue> {
+    const body = codec.encode(frame);
+    if (body.length > limitBytes) {
+        return failure({
+            code: "frame.tooLarge",
+            message: `A frame of ${body.length} bytes exceeds the limit of ${limitBytes}.`,
+        });
+    }
+    const bytes = Buffer.allocUnsafe(lengthBytes + body.length);
+    bytes.writeUInt32BE(body.length, 0);
+    body.copy(bytes, lengthBytes);
+    return success(bytes);
+}
+
+/** Decodes and checks the body of a frame. */
+export function decodeFrame(body: Uint8Array): Outcome<Frame, FrameIssue> {
+    try {
+        const checked = frameSchema.safeParse(codec.decode(body));
+        return checked.success ? success(checked.data) : malformed(z.prettifyError(checked.error));
+    }
+    catch (error) {
+        return malformed(String(error));
+    }
+}
+
+function malformed(message: string): { readonly ok: false; readonly issue: FrameIssue; } {
+    return failure({ code: "frame.malformed", message });
+}
+
+/** Cuts a byte stream into frames. */
+export class FrameReader {
+    /** The largest body accepted, in bytes. */
+    limitBytes: number;
+    #chunks: Buffer[] = [];
+    #size = 0;
+
+    constructor(limitBytes: number) {
+        this.limitBytes = limitBytes;
+    }
+
+    /** Adds received bytes. */
+    push(chunk: Buffer): void {
+        this.#chunks.push(chunk);
+        this.#size += chunk.length;
+    }
+
+    /** Takes the next complete frame with its size in bytes; `undefined` while bytes are missing. */
+    next(): Outcome<{ readonly frame: Frame; readonly bytes: number; }, FrameIssue> | undefined {
+        if (this.#size < lengthBytes) {
+            return undefined;
+        }
+        const bodyBytes = this.#peekLength();
+        if (bodyBytes > this.limitBytes) {
+            const message = `A frame of ${bodyBytes} bytes exceeds the limit of ${this.limitBytes}.`;
+            return failure({ code: "frame.tooLarge", message });
+        }
+        const bytes = lengthBytes + bodyBytes;
+        if (this.#size < bytes) {
+            return undefined;
+        }
+        const decoded = decodeFrame(this.#take(bytes).subarray(lengthBytes));
+        return decoded.ok ? success({ frame: decoded.value, bytes }) : decoded;
+    }
+
+    #peekLength(): number {
+        const first = this.#chunks[0];
+        if (first !== undefined && first.length >= lengthBytes) {
+            return first.readUInt32BE(0);
+        }
+        return this.#join().readUInt32BE(0);
+    }
+
+    #take(bytes: number): Buffer {
+        const first = this.#chunks[0];
+        const joined = first !== undefined && first.length >= bytes ? first : this.#join();
+        const rest = joined.subarray(bytes);
+        this.#chunks.splice(0, 1, ...(rest.length > 0 ? [rest] : []));
+        this.#size -= bytes;
+        return joined.subarray(0, bytes);
+    }
+
+    #join(): Buffer {
+        const joined = Buffer.concat(this.#chunks);
+        this.#chunks = [joined];
+        return joined;
+    }
+}
--- /dev/null
+++ b/packages/wire/src/framesocket.ts
@@ -0,0 +1,112 @@
+import type { Outcome } from "@filbertrelay/kernel";
+import type { Socket } from "node:net";
+import { encodeFrame, FrameReader } from "./frame.js";
+import type { Frame, FrameIssue } from "./frame.js";
+
+type FrameHandler = (frame: Frame, bytes: number) => void;
+
+/** A TCP socket that sends and receives frames. */
+export class FrameSocket {
+    readonly #socket: Socket;
+    readonly #reader: FrameReader;
+    readonly #closeCallbacks: ((reason: string) => void)[] = [];
+    #handler: FrameHandler | undefined;
+    #reason: string | undefined;
+
+    constructor(socket: Socket, limitBytes: number) {
+        this.#socket = socket;
+        this.#reader = new FrameReader(limitBytes);
+        socket.setNoDelay(true);
+        socket.on("data", (chunk: Buffer) => this.#receive(chunk));
+        socket.on("error", error => this.close(error.message));
+        socket.on("close", () => this.close("The peer closed the connection."));
+    }
+
+    /** Whether frames can still be sent. */
+    get isOpen(): boolean {
+        return this.#reason === undefined && this.#socket.writable;
+    }
+
+    /** Sets the largest body accepted and sent, in bytes. */
+    set limitBytes(limitBytes: number) {
+        this.#reader.limitBytes = limitBytes;
+    }
+
+    /** Hands all further frames to the handler. */
+    receive(handler: FrameHandler): void {
+        this.#handler = handler;
+        this.#pump();
+    }
+
+    /** Waits for one frame; rejects when the socket closes first. */
+    nextFrame(): Promise<{ readonly frame: Frame; readonly bytes: number; }> {
+        return new Promise((resolve, reject) => {
+            this.onClose(reason => reject(new Error(reason)));
+            this.receive((frame, bytes) => {
+                this.#handler = undefined;
+                resolve({ frame, bytes });
+            });
+        });
+    }
+
+    /** Sends a frame; gives its size in bytes, or fails before any byte was sent. */
+    send(frame: Frame): Outcome<number, FrameIssue> {
+        const encoded = encodeFrame(frame, this.#reader.limitBytes);
+        if (!encoded.ok) {
+            return encoded;
+        }
+        this.#socket.write(encoded.value);
+        return { ok: true, value: encoded.value.length };
+    }
+
+    /** Resolves when the socket's write buffer has room again or the socket closed. */
+    drained(): Promise<void> {
+        if (!this.isOpen || !this.#socket.writableNeedDrain) {
+            return Promise.resolve();
+        }
+        return new Promise(resolve => {
+            this.#socket.once("drain", resolve);
+            this.#socket.once("close", () => resolve());
+        });
+    }
+
+    /** Calls back once when the socket closes, at once when it is closed already. */
+    onClose(callback: (reason: string) => void): void {
+        if (this.#reason === undefined) {
+            this.#closeCallbacks.push(callback);
+            return;
+        }
+        callback(this.#reason);
+    }
+
+    /** Closes the socket and drops what is buffered. */
+    close(reason: string): void {
+        if (this.#reason !== undefined) {
+            return;
+        }
+        this.#reason = reason;
+        this.#handler = undefined;
+        this.#socket.destroy();
+        this.#closeCallbacks.splice(0).forEach(callback => callback(reason));
+    }
+
+    #receive(chunk: Buffer): void {
+        this.#reader.push(chunk);
+        this.#pump();
+    }
+
+    // Frames stay in the reader while no handler is set, so that the limit of the next phase applies to them.
+    #pump(): void {
+        while (this.#handler !== undefined) {
+            const next = this.#reader.next();
+            if (next === undefined) {
+                return;
+            }
+            if (!next.ok) {
+                this.close(next.issue.message);
+                return;
+            }
+            this.#handler(next.value.frame, next.value.bytes);
+        }
+    }
+}
--- /dev/null
+++ b/packages/wire/src/tcpnetwork.ts
@@ -0,0 +1,346 @@
+import type { Clock, EventLog, HostId, Outcome, Service } from "@filbertrelay/kernel";
+import { declareEvents, failure, success } from "@filbertrelay/kernel";
+import { createServer, Socket } from "node:net";
+import type { AddressInfo, Server } from "node:net";
+import { z } from "zod";
+import { Call } from "./call.js";
+import type { CallOptions } from "./call.js";
+import { PeerConnection } from "./connection.js";
+import type { ConnectionTiming } from "./connection.js";
+import { FrameSocket } from "./framesocket.js";
+import { HandlerTable } from "./handler.js";
+import { authenticateClient, authenticateServer, handshakeFrameBytes } from "./handshake.js";
+import type { PeerContext, PeerIssue, PeerNetwork, Topic } from "./network.js";
+import { Traffic } from "./traffic.js";
+import type { TopicTraffic } from "./traffic.js";
+
+const events = declareEvents({
+    handshakeRefused: {
+        number: 2001,
+        level: "warn",
+        text: "A peer connection failed its handshake.",
+        action: "Check the cluster keys and addresses of both hosts when it repeats.",
+    },
+    connectionClosed: {
+        number: 2002,
+        level: "debug",
+        text: "A peer connection closed.",
+        action: "None; the next call opens a new connection.",
+    },
+});
+
+// Sockets that have not proved a key yet are bounded, so that a flood of them can't take all file descriptors.
+const unauthenticatedLimit = 256;
+const handshakeTopic = "connection.handshake";
+
+/** Options of `createPeerNetwork`; times in milliseconds. */
+export interface PeerNetworkOptions extends Partial<ConnectionTiming> {
+    readonly clock: Clock;
+    readonly log: EventLog;
+    readonly hostId: HostId;
+    /** IPv4 address and port; port 0 takes a free one, see `address`. */
+    readonly listenAddress: string;
+    /** Cluster keys; the first proves this host when it connects, all are accepted. */
+    readonly keys: readonly string[];
+    /** The largest frame body accepted and sent, in bytes. */
+    readonly frameBytes: number;
+    /** The longest time for connecting and proving the key. */
+    readonly handshakeTimeoutMs?: number;
+}
+
+interface Peer {
+    address: string | undefined;
+    current: PeerConnection | undefined;
+    dialing: Promise<Outcome<PeerConnection, PeerIssue>> | undefined;
+}
+
+/** A peer network over TCP that runs as a kernel service. */
+export interface TcpPeerNetwork extends PeerNetwork, Service {
+    start(): Promise<void>;
+    stop(deadlineMs: number): Promise<void>;
+    /** The address that the network listens on; known after `start`. */
+    readonly address: string;
+    /** Connects to an address and gives the host id that the peer proved. */
+    identify(address: string): Promise<Outcome<HostId, PeerIssue>>;
+    /** Forgets a dead peer's address; calls in progress go on as long as its connection does. */
+    forget(peer: HostId): void;
+    /** Frames and bytes by topic. */
+    traffic(): readonly TopicTraffic[];
+}
+
+/** Creates the peer network; register it in the kernel as `peers`. */
+export function createPeerNetwork(options: PeerNetworkOptions): TcpPeerNetwork {
+    return new SocketNetwork(options);
+}
+
+class SocketNetwork implements TcpPeerNetwork {
+    readonly #options: PeerNetworkOptions;
+    readonly #timing: ConnectionTiming;
+    readonly #server: Server;
+    readonly #traffic = new Traffic();
+    readonly #handlers = new HandlerTable();
+    readonly #peers = new Map<HostId, Peer>();
+    readonly #connections = new Set<PeerConnection>();
+    readonly #handshakes = new Set<FrameSocket>();
+    #acceptedHandshakes = 0;
+    #cancelSweep: (() => void) | undefined;
+    #isStopping = false;
+
+    constructor(options: PeerNetworkOptions) {
+        this.#options = options;
+        this.#timing = {
+            heartbeatMs: options.heartbeatMs ?? 300,
+            idleHeartbeatMs: options.idleHeartbeatMs ?? 30_000,
+            doubtMs: options.doubtMs ?? 700,
+            silenceMs: options.silenceMs ?? 3_000,
+        };
+        this.#server = createServer(socket => void this.#accept(socket));
+    }
+
+    get address(): string {
+        const { address, port } = this.#server.address() as AddressInfo;
+        return `${address}:${port}`;
+    }
+
+    async start(): Promise<void> {
+        const { host, port } = splitAddress(this.#options.listenAddress);
+        await new Promise<void>((resolve, reject) => {
+            this.#server.once("error", reject);
+            this.#server.listen(port, host, resolve);
+        });
+        this.#scheduleSweep();
+    }
+
+    async stop(deadlineMs: number): Promise<void> {
+        this.#isStopping = true;
+        const closed = new Promise(resolve => this.#server.close(resolve));
+        this.#handshakes.forEach(frames => frames.close("The network stops."));
+        this.#connections.forEach(connection => connection.drain());
+        while (
+            this.#options.clock.monotonicMs() < deadlineMs && [...this.#connections].some(connection => !connection.isDrained)
+        ) {
+            await this.#options.clock.sleep(20);
+        }
+        this.#cancelSweep?.();
+        this.#connections.forEach(connection => connection.close("The network stops."));
+        await closed;
+    }
+
+    async call<Request extends z.ZodType, Reply extends z.ZodType>(
+        peer: HostId,
+        topic: Topic<Request, Reply>,
+        body: z.input<Request>,
+        options: CallOptions,
+    ): Promise<Outcome<z.output<Reply>, PeerIssue>> {
+        for await (const item of this.stream(peer, topic, body, options)) {
+            return item;
+        }
+        return failure({ code: "peer.invalid", message: "The peer ended the call without a reply.", sent: true });
+    }
+
+    async *stream<Request extends z.ZodType, Reply extends z.ZodType>(
+        peer: HostId,
+        topic: Topic<Request, Reply>,
+        body: z.input<Request>,
+        options: CallOptions,
+    ): AsyncGenerator<Outcome<z.output<Reply>, PeerIssue>, void, undefined> {
+        const checked = topic.request.safeParse(body);
+        if (!checked.success) {
+            yield failure({ code: "peer.invalid", message: z.prettifyError(checked.error), sent: false });
+            return;
+        }
+        const call = new Call<Reply>(this.#options.clock, topic, options);
+        void call.start(body, () => this.#connect(peer));
+        yield* call.items();
+    }
+
+    handle<Request extends z.ZodType, Reply extends z.ZodType>(
+        topic: Topic<Request, Reply>,
+        handler: (body: z.output<Request>, context: PeerContext) => Promise<z.input<Reply>>,
+    ): void {
+        this.#handlers.add(topic, handler);
+    }
+
+    handleStream<Request extends z.ZodType, Reply extends z.ZodType>(
+        topic: Topic<Request, Reply>,
+        handler: (body: z.output<Request>, context: PeerContext) => AsyncIterable<z.input<Reply>>,
+    ): void {
+        this.#handlers.addStream(topic, handler);
+    }
+
+    setAddress(peer: HostId, address: string): void {
+        const entry = this.#peer(peer);
+        if (entry.address !== undefined && entry.address !== address) {
+            entry.current = undefined;
+        }
+        entry.address = address;
+    }
+
+    async identify(address: string): Promise<Outcome<HostId, PeerIssue>> {
+        const dialed = await this.#dial(address, undefined);
+        if (!dialed.ok) {
+            return dialed;
+        }
+        const entry = this.#peer(dialed.value.peer);
+        entry.address ??= address;
+        return success(dialed.value.peer);
+    }
+
+    forget(peer: HostId): void {
+        const entry = this.#peers.get(peer);
+        if (entry !== undefined) {
+            entry.address = undefined;
+            this.#dropUnused(peer, entry);
+        }
+    }
+
+    traffic(): readonly TopicTraffic[] {
+        return this.#traffic.list();
+    }
+
+    #peer(peer: HostId): Peer {
+        const known = this.#peers.get(peer);
+        if (known !== undefined) {
+            return known;
+        }
+        const entry = { address: undefined, current: undefined, dialing: undefined };
+        this.#peers.set(peer, entry);
+        return entry;
+    }
+
+    async #connect(peer: HostId): Promise<Outcome<PeerConnection, PeerIssue>> {
+        const entry = this.#peers.get(peer);
+        const current = entry?.current;
+        if (current !== undefined && current.isUsable && !current.isDoubtful()) {
+            return success(current);
+        }
+        if (entry?.address === undefined || peer === this.#options.hostId) {
+            return failure({ code: "peer.unreachable", message: `No address of host '${peer}' is known.`, sent: false });
+        }
+        entry.dialing ??= this.#dial(entry.address, peer).finally(() => entry.dialing = undefined);
+        return entry.dialing;
+    }
+
+    async #dial(address: string, expected: HostId | undefined): Promise<Outcome<PeerConnection, PeerIssue>> {
+        if (this.#isStopping) {
+            return failure({ code: "peer.closed", message: "The network stops.", sent: false });
+        }
+        const socket = new Socket();
+        const frames = new FrameSocket(socket, handshakeFrameBytes);
+        try {
+            const connection = await this.#authenticate(frames, async () => {
+                await connectSocket(socket, frames, address);
+                return authenticateClient(frames, this.#options, { expected, count: this.#countHandshake });
+            });
+            return success(connection);
+        }
+        catch (error) {
+            const message = error instanceof Error ? error.message : String(error);
+            return failure({ code: "peer.unreachable", message, sent: false });
+        }
+    }
+
+    async #accept(socket: Socket): Promise<void> {
+        const frames = new FrameSocket(socket, handshakeFrameBytes);
+        if (this.#isStopping || this.#acceptedHandshakes >= unauthenticatedLimit) {
+            frames.close("Too many connections are in their handshake.");
+            return;
+        }
+        this.#acceptedHandshakes += 1;
+        try {
+            await this.#authenticate(frames, () => authenticateServer(frames, this.#options, this.#countHandshake));
+        }
+        catch (error) {
+            const remoteAddress = socket.remoteAddress ?? "unknown";
+            this.#options.log.write(events.handshakeRefused, { remoteAddress, reason: String(error) });
+        }
+        finally {
+            this.#acceptedHandshakes -= 1;
+        }
+    }
+
+    async #authenticate(frames: FrameSocket, prove: () => Promise<HostId>): Promise<PeerConnection> {
+        this.#handshakes.add(frames);
+        const timeoutMs = this.#options.handshakeTimeoutMs ?? 2_000;
+        const cancelTimeout = this.#options.clock.after(timeoutMs, () => {
+            frames.close(`The handshake took longer than ${timeoutMs} ms.`);
+        });
+        try {
+            const peer = await prove();
+            frames.limitBytes = this.#options.frameBytes;
+            return this.#adopt(frames, peer);
+        }
+        catch (error) {
+            frames.close("The handshake failed.");
+            throw error;
+        }
+        finally {
+            cancelTimeout();
+            this.#handshakes.delete(frames);
+        }
+    }
+
+    #adopt(frames: FrameSocket, peer: HostId): PeerConnection {
+        const { clock } = this.#options;
+        const connection = new PeerConnection(frames, {
+            peer,
+            clock,
+            traffic: this.#traffic,
+            handlers: this.#handlers,
+            timing: this.#timing,
+        });
+        this.#connections.add(connection);
+        const entry = this.#peer(peer);
+        if (entry.current?.isUsable !== true || entry.current.isDoubtful()) {
+            entry.current = connection;
+        }
+        connection.onClose(reason => this.#release(connection, reason));
+        return connection;
+    }
+
+    #release(connection: PeerConnection, reason: string): void {
+        this.#connections.delete(connection);
+        const entry = this.#peers.get(connection.peer);
+        if (entry?.current === connection) {
+            entry.current = [...this.#connections].find(other => other.peer === connection.peer && other.isUsable);
+        }
+        if (entry !== undefined) {
+            this.#dropUnused(connection.peer, entry);
+        }
+        this.#options.log.write(events.connectionClosed, { peer: connection.peer, reason });
+    }
+
+    #dropUnused(peer: HostId, entry: Peer): void {
+        if (entry.address === undefined && entry.current === undefined) {
+            this.#peers.delete(peer);
+        }
+    }
+
+    #scheduleSweep(): void {
+        const { clock } = this.#options;
+        const intervalMs = this.#timing.heartbeatMs / 4;
+        const dueMs = clock.monotonicMs() + intervalMs;
+        this.#cancelSweep = clock.after(intervalMs, () => {
+            const wasPaused = clock.monotonicMs() - dueMs > this.#timing.heartbeatMs;
+            this.#connections.forEach(connection => wasPaused ? connection.forgive() : connection.sweep());
+            this.#scheduleSweep();
+        });
+    }
+
+    readonly #countHandshake = (direction: "sent" | "received", bytes: number): void => {
+        this.#traffic[direction](handshakeTopic, bytes);
+    };
+}
+
+function connectSocket(socket: Socket, frames: FrameSocket, address: string): Promise<void> {
+    const { host, port } = splitAddress(address);
+    return new Promise((resolve, reject) => {
+        frames.onClose(reason => reject(new Error(reason)));
+        socket.connect(port, host, resolve);
+    });
+}
+
+function splitAddress(address: string): { readonly host: string; readonly port: number; } {
+    const separator = address.lastIndexOf(":");
+    return { host: address.slice(0, separator), port: Number(address.slice(separator + 1)) };
+}
