Read engine streams through the HTTP library's callbacks

Cause: the library's body stream and two nested async generators took most of the driver's processor time per token, and the block hashes of the stand-in engine differed from those of the routing policy.

--- a/packages/endpoints/src/connection.ts
+++ b/packages/endpoints/src/connection.ts
@@ -48,6 +48,19 @@
         }
     }
 
+    /** Sends a request whose answer is given to callbacks as it arrives; the handler sees the start by itself. */
+    dispatch(
+        address: string,
+        call: Pick<EndpointCall, "method" | "path" | "headers"> & { readonly body: string | null; },
+        handler: Dispatcher.DispatchHandler,
+    ): void {
+        const { method, path, headers, body } = call;
+        this.#agent.dispatch(
+            { origin: `http://${address}`, method: method as Dispatcher.HttpMethod, path, headers, body },
+            handler,
+        );
+    }
+
     async close(): Promise<void> {
         await this.#agent.destroy();
     }
@@ -94,6 +107,8 @@
 
 /** Aborts an attempt when nothing happened for a while; one timer serves any number of chunks. */
 export class SilenceTimer {
+    /** While set, silence is not counted because the reader itself stopped reading. */
+    isHeld = false;
     readonly #clock: Clock;
     readonly #limitMs: number;
     readonly #expire: () => void;
@@ -118,6 +133,9 @@
     }
 
     #check(): void {
+        if (this.isHeld) {
+            this.touch();
+        }
         const remainingMs = this.#lastMs + this.#limitMs - this.#clock.monotonicMs();
         if (remainingMs <= 0) {
             this.#expire();
--- a/packages/endpoints/src/enginedriver.ts
+++ b/packages/endpoints/src/enginedriver.ts
@@ -2,10 +2,10 @@
 import type { Clock, Outcome, RequestId } from "@filbertrelay/kernel";
 import { connect } from "node:net";
 import { z } from "zod";
-import { EndpointConnections, failedAttempt, isDeclaredNotRun, readBody, SilenceTimer } from "./connection.js";
+import { EndpointConnections, failedAttempt, isDeclaredNotRun, readBody } from "./connection.js";
 import type { Attempt, EndpointResponse } from "./connection.js";
 import type { CacheEvent, EndpointIssue, EngineDriver, EngineItem, EngineLoad, EngineOrder, EngineRequest } from "./engine.js";
-import { EngineStreamReader } from "./enginestream.js";
+import { EngineItemStream } from "./itemstream.js";
 
 /** Options of `createEngineDriver`. */
 export interface EngineDriverOptions {
@@ -127,41 +127,26 @@
         return this.#connections.close();
     }
 
-    async *#stream(
+    #stream(
         address: string,
         call: { readonly method: string; readonly path: string; readonly body?: string; },
         start: { readonly requestId: RequestId; readonly offset: number; },
         options: StreamOptions,
-    ): AsyncGenerator<EngineItem, void> {
-        const attempt: Attempt = { isStarted: false, isTimedOut: false };
-        const controller = new AbortController();
-        const timer = new SilenceTimer(this.#clock, options.silenceMs, () => {
-            attempt.isTimedOut = true;
-            controller.abort(new Error(`nothing arrived for ${options.silenceMs} ms.`));
+    ): AsyncIterable<EngineItem> {
+        const headers = { ...jsonHeaders, "x-request-id": start.requestId };
+        return new EngineItemStream({ address, ...call, headers, ...start, ...options }, {
+            clock: this.#clock,
+            connections: this.#connections,
+            explain: issue => this.#explain(address, issue),
+            refusal: (status, answered, text) => refusal(address, status, answered, text),
         });
-        const signal = options.signal === undefined ? controller.signal : AbortSignal.any([controller.signal, options.signal]);
-        try {
-            const headers = { ...jsonHeaders, "x-request-id": start.requestId };
-            const response = await this.#connections.send(address, { ...call, headers, signal, attempt });
-            timer.touch();
-            yield* response.statusCode === 200 ? readItems(response, start, timer) : readRefusal(address, response);
-        }
-        catch (error) {
-            yield { type: "issue", issue: await this.#explain(address, attempt, error, options.signal) };
-        }
-        finally {
-            timer.stop();
-            controller.abort();
-        }
     }
 
     /** Tells a crash from a lost connection: a crashed engine refuses new connections. */
-    async #explain(address: string, attempt: Attempt, error: unknown, signal: AbortSignal | undefined): Promise<EndpointIssue> {
-        const issue = failedAttempt(address, attempt, error);
-        if (issue.code !== "endpoint.closed" || signal?.aborted === true || !await refusesConnections(address, this.#clock)) {
-            return issue;
-        }
-        return { ...issue, code: "endpoint.crashed", message: `The engine '${address}' crashed: it refuses new connections.` };
+    async #explain(address: string, issue: EndpointIssue): Promise<EndpointIssue> {
+        return await refusesConnections(address, this.#clock) ?
+            { ...issue, code: "endpoint.crashed", message: `The engine '${address}' crashed: it refuses new connections.` } :
+            issue;
     }
 
     async #call<T>(address: string, exchange: Exchange, schema: z.ZodType<T>): Promise<Outcome<T, EndpointIssue>> {
@@ -177,7 +162,9 @@
             const call = { method, path, headers: jsonHeaders, signal, attempt, ...(body === undefined ? {} : { body }) };
             const response = await this.#connections.send(address, call);
             const text = (await readBody(response.body, replyLimitBytes)).toString("utf8");
-            return isSuccess(response) ? checkBody(text, schema) : failure(refusal(address, response, text));
+            return isSuccess(response) ?
+                checkBody(text, schema) :
+                failure(refusal(address, response.statusCode, response.headers, text));
         }
         catch (error) {
             return failure(failedAttempt(address, attempt, error));
@@ -203,28 +190,6 @@
     return response.statusCode >= 200 && response.statusCode <= 299;
 }
 
-async function* readItems(
-    response: EndpointResponse,
-    start: { readonly requestId: RequestId; readonly offset: number; },
-    timer: SilenceTimer,
-): AsyncGenerator<EngineItem, void> {
-    const reader = new EngineStreamReader(start.requestId, start.offset);
-    const decoder = new TextDecoder();
-    for await (const bytes of response.body as AsyncIterable<Buffer>) {
-        timer.touch();
-        yield* reader.feed(decoder.decode(bytes, { stream: true }));
-        if (reader.isFinished) {
-            return;
-        }
-    }
-    throw new Error("the stream ended before the answer was finished.");
-}
-
-async function* readRefusal(address: string, response: EndpointResponse): AsyncGenerator<EngineItem, void> {
-    const text = (await readBody(response.body, replyLimitBytes)).toString("utf8");
-    yield { type: "issue", issue: refusal(address, response, text) };
-}
-
 const errorSchema = z.object({ error: z.object({ code: z.string(), message: z.string() }) });
 
 const refusalCodes: ReadonlyMap<number, EndpointIssue["code"]> = new Map([
@@ -235,13 +200,13 @@
     [503, "endpoint.refused"],
 ]);
 
-function refusal(address: string, response: EndpointResponse, text: string): EndpointIssue {
+function refusal(address: string, status: number, headers: EndpointResponse["headers"], text: string): EndpointIssue {
     const checked = errorSchema.safeParse(parseJson(text));
     const reason = checked.success ? `: ${checked.data.error.message}` : ".";
     return {
-        code: refusalCodes.get(response.statusCode) ?? "endpoint.invalid",
-        executed: isDeclaredNotRun(response.headers) ? "no" : "unknown",
-        message: `The engine '${address}' answered with status ${response.statusCode}${reason}`,
+        code: refusalCodes.get(status) ?? "endpoint.invalid",
+        executed: isDeclaredNotRun(headers) ? "no" : "unknown",
+        message: `The engine '${address}' answered with status ${status}${reason}`,
     };
 }
 
--- a/packages/endpoints/src/enginestream.ts
+++ b/packages/endpoints/src/enginestream.ts
@@ -27,6 +27,7 @@
     #offset: number;
     #items: EngineItem[] = [];
     #isFinished = false;
+    #hasFailed = false;
 
     constructor(requestId: RequestId, offset: number) {
         this.#requestId = requestId;
@@ -43,6 +44,11 @@
         return this.#isFinished;
     }
 
+    /** True after an invalid event; nothing more is read. */
+    get hasFailed(): boolean {
+        return this.#hasFailed;
+    }
+
     /** Reads a piece of the stream and gives the items that became complete. */
     feed(text: string): readonly EngineItem[] {
         try {
@@ -94,6 +100,7 @@
     #fail(reason: string): void {
         if (!this.#isFinished) {
             this.#isFinished = true;
+            this.#hasFailed = true;
             this.#items.push({ type: "issue", issue: invalidStream(reason) });
         }
     }
@@ -113,6 +120,31 @@
     catch {
         return undefined;
     }
+    return readPlainToken(value) ?? checkChunk(value);
+}
+
+interface PlainToken {
+    readonly id?: unknown;
+    readonly usage?: unknown;
+    readonly choices?: readonly { readonly delta?: { readonly content?: unknown; }; readonly finish_reason?: unknown; }[];
+}
+
+/** Reads the event of one token without the schema, which took most of the driver's time; other events give undefined. */
+function readPlainToken(value: unknown): Chunk | undefined {
+    if (typeof value !== "object" || value === null) {
+        return undefined;
+    }
+    const { id, usage, choices } = value as PlainToken;
+    const choice = Array.isArray(choices) && choices.length === 1 ?
+        (choices[0] as NonNullable<PlainToken["choices"]>[number] | null) :
+        undefined;
+    const content = choice?.delta?.content;
+    const isPlain = typeof id === "string" && typeof content === "string" && choice?.finish_reason === null &&
+        usage === undefined;
+    return isPlain ? { id, content, finish: undefined } : undefined;
+}
+
+function checkChunk(value: unknown): Chunk | undefined {
     const checked = chunkSchema.safeParse(value);
     const choice = checked.data?.choices[0];
     if (!checked.success || choice === undefined) {
--- a/packages/standins/src/answer.ts
+++ b/packages/standins/src/answer.ts
@@ -16,7 +16,7 @@
 
 /** The text that an engine prefills; an answer and the next turn of the same chat continue it. */
 export function renderPrompt(messages: readonly PromptMessage[]): string {
-    return `${messages.map(message => `<|${message.role}|>${message.content}\n`).join("")}<|assistant|>`;
+    return `${messages.map(message => `${message.role}\u0000${message.content}\u0001`).join("")}assistant\u0000`;
 }
 
 /** Counts the tokens of a text. */
@@ -24,12 +24,13 @@
     return Math.ceil(text.length / charactersPerToken);
 }
 
-/** Chained hashes of a text's whole blocks; equal hashes mean equal text from the start. */
+/** Hashes of a text's whole blocks by xxHash64, each seeded with the one before; equal hashes mean equal text from the start. */
 export function hashBlocks(text: string): readonly string[] {
     const blocks: string[] = [];
     let previous = "";
     for (let end = charactersPerBlock; end <= text.length; end += charactersPerBlock) {
-        previous = hasher.h64ToString(previous + text.slice(end - charactersPerBlock, end));
+        const seed = previous === "" ? 0n : BigInt(`0x${previous}`);
+        previous = hasher.h64ToString(text.slice(end - charactersPerBlock, end), seed);
         blocks.push(previous);
     }
     return blocks;
