--- /dev/null
+++ b/features/steps/shards.fleet.ts
@@ -0,0 +1,236 @@
+import type { Configuration } from "@filbertrelay/configuration";
+import type { ServiceDriver, ServiceRequest } from "@filbertrelay/endpoints";
+import { brandAs, createKernel, createSystemClock, failure, silentEventLog, success } from "@filbertrelay/kernel";
+import type { CustomerId, FailureDomainId, HostId, IdempotencyKey, Incarnation, Kernel, ServiceName } from "@filbertrelay/kernel";
+import type { CloudClient, KeyValueClient, StoredValue } from "@filbertrelay/platform";
+import { createShardService } from "@filbertrelay/relay";
+import type { Member, ShardService, Submission } from "@filbertrelay/relay";
+import type { PeerContext, PeerNetwork } from "@filbertrelay/wire";
+
+/** An in-memory key-value service with outages and lost replies. */
+export class MemoryKeyValue {
+    readonly values = new Map<string, StoredValue>();
+    isDown = false;
+    lostReplies = 0;
+    reads = 0;
+    writes = 0;
+    latencyMs = 0;
+    #revision = 0;
+
+    client(): KeyValueClient {
+        const unavailable = failure({ code: "keyValue.unavailable" as const, message: "The key-value service is down." });
+        const unused = () => Promise.resolve(unavailable);
+        return {
+            get: async key => {
+                await this.#delay();
+                this.reads += 1;
+                return this.isDown ? unavailable : success(this.values.get(key));
+            },
+            list: async prefix => {
+                await this.#delay();
+                this.reads += 1;
+                const values = [...this.values.values()].filter(value => value.key.startsWith(prefix));
+                return this.isDown ? unavailable : success(values);
+            },
+            compareAndSwap: async (key, value, { expectedVersion }) => {
+                await this.#delay();
+                this.writes += 1;
+                if (this.isDown) {
+                    return unavailable;
+                }
+                if ((this.values.get(key)?.version ?? 0) !== expectedVersion) {
+                    return failure({ code: "keyValue.conflict" as const, message: "The version is another." });
+                }
+                const version = ++this.#revision;
+                this.values.set(key, { key, value, version });
+                this.lostReplies -= 1;
+                return this.lostReplies >= 0 ? unavailable : success(version);
+            },
+            watch: unused,
+            grantLease: unused,
+            renewLease: unused,
+        };
+    }
+
+    #delay(): Promise<void> {
+        return this.latencyMs > 0 ? new Promise(resolve => setTimeout(resolve, this.latencyMs)) : Promise.resolve();
+    }
+}
+
+type Handler = (body: unknown, context: PeerContext) => Promise<unknown>;
+
+/** One entry host with its shard service over in-memory partners. */
+export interface EntryHost {
+    readonly member: Member;
+    readonly shards: ShardService;
+    readonly handlers: Map<string, Handler>;
+    readonly kernel: Kernel;
+    isDead: boolean;
+    isCutOff: boolean;
+}
+
+/** Several entry hosts in one process, with one plain service behind them. */
+export class EntryFleet {
+    readonly keyValue = new MemoryKeyValue();
+    readonly hosts: EntryHost[] = [];
+    readonly runs = new Map<string, number>();
+    readonly terminated = new Set<string>();
+    readonly #listeners = new Set<(member: Member) => void>();
+    readonly #configuration: Configuration;
+    isAnswering = true;
+
+    constructor(size: number, shardCount = 1, batchIntervalMs = 20) {
+        this.#configuration = createConfiguration(shardCount, batchIntervalMs);
+        for (let index = 0; index < size; index++) {
+            this.hosts.push(this.#createHost(index));
+        }
+    }
+
+    async start(): Promise<void> {
+        for (const host of this.hosts) {
+            await host.shards.start?.();
+        }
+    }
+
+    /** The host that owns a shard; there must be exactly one with the highest epoch. */
+    owner(shard = 0): EntryHost | undefined {
+        return this.hosts.filter(host => !host.isDead && host.shards.owned().some(owned => owned.shard === shard))[0];
+    }
+
+    survivor(): EntryHost {
+        const survivor = this.hosts.find(host => !host.isDead && host.member.state === "alive" && host !== this.owner());
+        return survivor ?? this.hosts[0]!;
+    }
+
+    kill(host: EntryHost): void {
+        host.isDead = true;
+        this.terminated.add(host.member.hostId);
+        this.setState(host, "dead");
+    }
+
+    setState(host: EntryHost, state: Member["state"]): void {
+        Object.assign(host.member, { state });
+        this.#listeners.forEach(listener => listener(host.member));
+    }
+
+    submission(key: string, options: { customer?: string; body?: string; remainingMs?: number; } = {}): Submission {
+        return {
+            customer: brandAs<CustomerId>(options.customer ?? "c1"),
+            service: brandAs<ServiceName>("orders"),
+            operation: "create",
+            idempotencyKey: brandAs<IdempotencyKey>(key),
+            method: "POST",
+            path: "/orders",
+            headers: {},
+            body: new TextEncoder().encode(options.body ?? "order"),
+            remainingMs: options.remainingMs ?? 2_000,
+        };
+    }
+
+    #createHost(index: number): EntryHost {
+        const member: Member = {
+            hostId: brandAs<HostId>(`host-${index}`),
+            incarnation: brandAs<Incarnation>(`${1_000 + index}-a`),
+            failureDomain: brandAs<FailureDomainId>(`domain-${index}`),
+            peerAddress: `127.0.0.1:${9_000 + index}`,
+            callerAddress: `127.0.0.1:${8_000 + index}`,
+            state: "alive",
+        };
+        const kernel = createKernel({ clock: createSystemClock(), log: silentEventLog });
+        const handlers = new Map<string, Handler>();
+        const shards = createShardService(kernel, { retryMs: 30 });
+        const host: EntryHost = { member, shards, handlers, kernel, isDead: false, isCutOff: false };
+        this.#register(kernel, host);
+        return host;
+    }
+
+    #register(kernel: Kernel, host: EntryHost): void {
+        const parts = {
+            membership: {
+                self: () => host.member,
+                members: () => this.hosts.map(other => other.member),
+                onChange: (listener: (member: Member) => void) => {
+                    this.#listeners.add(listener);
+                    return () => this.#listeners.delete(listener);
+                },
+            },
+            configuration: { current: () => this.#configuration },
+            directory: {
+                endpoints:
+                    () => [{ endpointId: "orders-1", hostId: "e1", address: "orders-1", failureDomain: "d", leaving: false }],
+            },
+            peers: this.#network(host),
+            keyValue: this.keyValue.client(),
+            services: this.#driver(host),
+            cloud: this.#cloud(),
+            shards: host.shards,
+        };
+        Object.entries(parts).forEach(([name, part]) => kernel.register(name, part));
+    }
+
+    #network(host: EntryHost): PeerNetwork {
+        const call: PeerNetwork["call"] = async (peer, topic, body) => {
+            const target = this.hosts.find(other => other.member.hostId === peer);
+            const isLost = target === undefined || target.isDead || host.isDead || target.isCutOff || host.isCutOff;
+            const handler = target?.handlers.get(topic.name);
+            if (isLost || handler === undefined) {
+                return failure({ code: "peer.unreachable" as const, message: "The peer can't be reached.", sent: false });
+            }
+            const context = { from: host.member.hostId, signal: new AbortController().signal };
+            const reply = await handler(topic.request.parse(body), context);
+            return success(topic.reply.parse(reply) as never);
+        };
+        const handle = ((topic: { name: string; }, handler: Handler) => void host.handlers.set(topic.name, handler)) as never;
+        return { call, handle, setAddress: () => undefined } as unknown as PeerNetwork;
+    }
+
+    #driver(host: EntryHost): ServiceDriver {
+        return {
+            send: (_address: string, request: ServiceRequest) => this.#run(host, request),
+            queryKey: () =>
+                Promise.resolve(failure({ code: "endpoint.notFound" as const, message: "No.", executed: "unknown" as const })),
+        };
+    }
+
+    async #run(host: EntryHost, request: ServiceRequest): ReturnType<ServiceDriver["send"]> {
+        if (host.isDead) {
+            return new Promise(() => undefined);
+        }
+        const key = String(request.idempotencyKey);
+        const count = (this.runs.get(key) ?? 0) + 1;
+        this.runs.set(key, count);
+        if (!this.isAnswering) {
+            return new Promise(() => undefined);
+        }
+        await Promise.resolve();
+        return success({ status: 201, headers: {}, body: new TextEncoder().encode(`${key} run ${count}`) });
+    }
+
+    #cloud(): CloudClient {
+        const describe = (host: EntryHost) => ({
+            hostId: host.member.hostId,
+            role: "entry" as const,
+            failureDomain: host.member.failureDomain,
+            hostClass: "small",
+            reclaimable: true,
+            state: this.terminated.has(host.member.hostId) ? "terminated" as const : "running" as const,
+            pricePerHour: 1,
+        });
+        return {
+            listHosts: () => Promise.resolve(success(this.hosts.map(describe))),
+            getHost: (hostId: HostId) =>
+                Promise.resolve(success(describe(this.hosts.find(host => host.member.hostId === hostId)!))),
+        } as unknown as CloudClient;
+    }
+}
+
+function createConfiguration(shardCount: number, batchIntervalMs: number): Configuration {
+    const shards = {
+        generation: 1,
+        count: shardCount,
+        batchIntervalMs,
+        resultRetentionMs: 3_600_000,
+        keyRetentionMs: 86_400_000,
+    };
+    return { shards, services: [{ name: "orders", deduplicates: false, answersStatus: false }] } as unknown as Configuration;
+}
--- a/packages/policy/src/index.ts
+++ b/packages/policy/src/index.ts
@@ -1,2 +1,2 @@
 /** All decisions as pure functions and state machines. */
-export {};
+export * from "./shards/index.js";
--- /dev/null
+++ b/packages/policy/src/shards/commit.ts
@@ -0,0 +1,271 @@
+import { answerWaiters, refuse, settleLater, startAttempts } from "./entry.js";
+import { chooseStandbys } from "./placement.js";
+import { actingSet, nextToken, wake } from "./state.js";
+import type { OwnerState, PendingWrite, ShardState, Step } from "./state.js";
+import { holderKey, holderSetOf, isNewerIncarnation, isSameHolder } from "./value.js";
+import type { Holder, HolderSet, ShardEntry, ShardValue, VersionedValue } from "./value.js";
+
+/** Writes what changed: at once while there are tokens and a caller waits, else by batch interval. */
+export function flushStore(step: Step, owner: OwnerState): void {
+    const { state } = step;
+    if (owner.mode !== "store" || owner.write !== undefined || owner.readIssued !== undefined) {
+        return;
+    }
+    refill(state, owner);
+    const successor = owner.successor ?? (state.isLeaving ? chooseSuccessor(state, owner) : undefined);
+    const isUrgent = hasUncommitted(owner) || successor !== undefined;
+    const dueMs = (owner.dirtySinceMs ?? state.nowMs) + state.options.batchIntervalMs;
+    if (!isUrgent && owner.dirtySinceMs === undefined && !needsStandbys(state, owner)) {
+        return;
+    }
+    if (owner.tokens < 1) {
+        wake(step, owner.refilledAtMs + state.options.batchIntervalMs);
+    }
+    else if (!isUrgent && owner.dirtySinceMs !== undefined && dueMs > state.nowMs) {
+        wake(step, dueMs);
+    }
+    else {
+        issueWrite(step, owner, successor);
+    }
+}
+
+function refill(state: ShardState, owner: OwnerState): void {
+    const { batchIntervalMs, writeBurst } = state.options;
+    const gained = Math.floor((state.nowMs - owner.refilledAtMs) / batchIntervalMs);
+    if (gained > 0) {
+        owner.tokens = Math.min(writeBurst, owner.tokens + gained);
+        owner.refilledAtMs += gained * batchIntervalMs;
+    }
+}
+
+function hasUncommitted(owner: OwnerState): boolean {
+    return [...owner.entries.values()].some(entry => entry.state === "accepted" && entry.revision > owner.storedSequence);
+}
+
+/** Tells whether a standby is lost or leaving, or one can be added. */
+export function needsStandbys(state: ShardState, owner: OwnerState): boolean {
+    const wanted = chooseStandbys(state.options.self, state.members).length;
+    return owner.standbys.some(standby => !isUsable(state, standby)) || owner.standbys.length < wanted;
+}
+
+/** Tells whether a standby is worth keeping: not leaving, dead or restarted as far as the membership knows. */
+export function isUsable(state: ShardState, standby: Holder): boolean {
+    const member = state.members.find(candidate => candidate.host === standby.host);
+    return member !== undefined && (member.state === "alive" || member.state === "suspect") &&
+        !isNewerIncarnation(member.incarnation, standby.incarnation) && !state.gone.has(holderKey(standby));
+}
+
+/** Chooses standbys for an owner, keeping the present ones that are usable. */
+export function refreshStandbys(state: ShardState, owner: Holder, present: readonly Holder[]): Holder[] {
+    const wanted = chooseStandbys(owner, state.members);
+    const kept = present.filter(standby => isUsable(state, standby) && standby.host !== owner.host);
+    const added = wanted.filter(standby => !kept.some(other => other.host === standby.host));
+    return [...kept, ...added].slice(0, Math.max(wanted.length, kept.length));
+}
+
+/** The host that takes over when this one leaves: a live standby if there is one, else the first live candidate. */
+export function chooseSuccessor(state: ShardState, owner: OwnerState): Holder | undefined {
+    const live = state.members.filter(member => member.state === "alive" && member.host !== state.options.self.host);
+    const standby = live.find(member => owner.standbys.some(other => isSameHolder(other, member)));
+    const chosen = standby ?? live[0];
+    return chosen === undefined ? undefined : { host: chosen.host, incarnation: chosen.incarnation };
+}
+
+function issueWrite(step: Step, owner: OwnerState, successor: Holder | undefined): void {
+    const { state } = step;
+    const set = nextSet(state, owner, successor);
+    const value = buildValue(state, owner, set);
+    owner.highestChange = Math.max(owner.highestChange, set.change);
+    owner.tokens -= 1;
+    owner.dirtySinceMs = undefined;
+    owner.successor = successor;
+    owner.write = { token: value.writer, issued: state.counter, value, isUncertain: false };
+    step.effects.push({ type: "write", token: value.writer, expectedVersion: owner.version, value });
+}
+
+function nextSet(state: ShardState, owner: OwnerState, successor: Holder | undefined): HolderSet {
+    const acting = actingSet(state, owner);
+    const change = owner.highestChange + 1;
+    if (successor !== undefined) {
+        return { ...acting, change, owner: successor, standbys: refreshStandbys(state, successor, owner.standbys) };
+    }
+    // Some holders may remember a higher change that was never completed; they accept only a change above it.
+    return needsStandbys(state, owner) || owner.highestChange > owner.change ?
+        { ...acting, change, standbys: refreshStandbys(state, state.options.self, owner.standbys) } :
+        acting;
+}
+
+/** Builds the value to write; an accepted entry is written as the intent that it becomes with the write. */
+export function buildValue(state: ShardState, owner: OwnerState, set: HolderSet): ShardValue {
+    return {
+        ...holderSetOf(set),
+        writer: nextToken(state),
+        sequence: owner.sequence,
+        entries: storedEntries(owner.entries.values()),
+        unknownUntilMs: owner.unknownUntilMs,
+    };
+}
+
+/** The entries as they are stored: closed intents are left out, accepted ones become intents. */
+export function storedEntries(entries: Iterable<ShardEntry>): ShardEntry[] {
+    return [...entries].filter(entry => entry.state !== "notRun").map(asIntent);
+}
+
+/** The form of an entry that leaves the process. */
+export function asIntent(entry: ShardEntry): ShardEntry {
+    return entry.state === "accepted" ? { ...entry, state: "intent" } : entry;
+}
+
+/** Handles the outcome of a compare-and-swap of the acting owner. */
+export function handleWritten(step: Step, owner: OwnerState, token: string, result: number | "conflict" | "unavailable"): void {
+    const write = owner.write;
+    if (write?.token !== token || write.isUncertain) {
+        return;
+    }
+    if (typeof result === "number") {
+        confirmWrite(step, owner, write, result);
+        return;
+    }
+    owner.write = { ...write, isUncertain: true };
+    readBack(step, owner);
+}
+
+/** Reads the value back before anything else is decided. */
+export function readBack(step: Step, owner: OwnerState): void {
+    if (owner.readIssued === undefined) {
+        owner.readIssued = step.state.counter;
+        step.effects.push({ type: "read" });
+    }
+}
+
+function confirmWrite(step: Step, owner: OwnerState, write: PendingWrite, version: number): void {
+    const { state } = step;
+    owner.write = undefined;
+    dropChange(owner);
+    owner.uncertainStandbys = write.value.change >= owner.highestChange ? [] : owner.uncertainStandbys;
+    owner.version = version;
+    owner.mode = "store";
+    state.confirmed = Math.max(state.confirmed, write.issued);
+    owner.storedSequence = Math.max(owner.storedSequence, write.value.sequence);
+    startAttempts(step, owner, write.value.sequence);
+    forgetClosed(owner);
+    if (isSameHolder(write.value.owner, state.options.self)) {
+        adoptSet(step, owner, write.value);
+        dropCopies(step, owner);
+        return;
+    }
+    step.effects.push({ type: "call", to: write.value.owner, request: { type: "activate", set: holderSetOf(write.value) } });
+    loseOwnership(step, holderSetOf(write.value));
+}
+
+function adoptSet(step: Step, owner: OwnerState, set: HolderSet): void {
+    if (set.change < owner.change) {
+        owner.dirtySinceMs ??= step.state.nowMs - step.state.options.batchIntervalMs;
+        return;
+    }
+    owner.change = set.change;
+    owner.standbys = set.standbys;
+    step.state.known = holderSetOf(set);
+}
+
+/** Tells standbys that the key-value service contains their copies. */
+function dropCopies(step: Step, owner: OwnerState): void {
+    const set = actingSet(step.state, owner);
+    const { storedSequence } = owner;
+    const request = { type: "copy" as const, set, sequence: storedSequence, storedSequence, entries: [] };
+    for (const standby of owner.standbys) {
+        if (owner.acknowledgements.has(holderKey(standby))) {
+            step.effects.push({ type: "call", to: standby, request });
+        }
+    }
+    owner.acknowledgements.clear();
+}
+
+function forgetClosed(owner: OwnerState): void {
+    for (const entry of owner.entries.values()) {
+        if (entry.state === "notRun" && entry.revision <= owner.storedSequence) {
+            owner.entries.delete(entry.key);
+        }
+    }
+}
+
+/** Compares the value read with what this owner wrote last. */
+export function handleRead(step: Step, owner: OwnerState, result: VersionedValue | "missing" | "unavailable"): void {
+    const issued = owner.readIssued ?? 0;
+    owner.readIssued = undefined;
+    if (result === "unavailable" || result === "missing") {
+        owner.mode = "witness";
+        owner.nextReadAtMs = step.state.nowMs + step.state.options.retryMs;
+        wake(step, owner.nextReadAtMs);
+        return;
+    }
+    const write = owner.write;
+    if (write?.token === result.value.writer) {
+        confirmWrite(step, owner, write, result.version);
+    }
+    else if (isForeign(owner, result.value)) {
+        loseOwnership(step, holderSetOf(result.value));
+    }
+    else {
+        rebase(step, owner, result, issued);
+    }
+}
+
+/**
+ * Stops proposing a change. Its holders may remember it, and a successor that learns of it from them asks
+ * only for their promises, so they count as required until a later change is in force.
+ */
+export function dropChange(owner: OwnerState): void {
+    if (owner.holderChange !== undefined) {
+        owner.uncertainStandbys = [...owner.uncertainStandbys, ...owner.holderChange.set.standbys];
+        owner.holderChange = undefined;
+    }
+}
+
+function isForeign(owner: OwnerState, value: ShardValue): boolean {
+    return value.epoch !== owner.epoch || value.change > owner.highestChange || isSameHolder(value.owner, owner.successor);
+}
+
+/** The value is still of this owner's line: the last write did not take effect, or an earlier one did late. */
+function rebase(step: Step, owner: OwnerState, read: VersionedValue, issued: number): void {
+    if (owner.write !== undefined) {
+        owner.uncertainStandbys = [...owner.uncertainStandbys, ...owner.write.value.standbys];
+        owner.write = undefined;
+    }
+    dropChange(owner);
+    step.state.confirmed = Math.max(step.state.confirmed, issued);
+    owner.version = read.version;
+    owner.mode = "store";
+    owner.dirtySinceMs ??= step.state.nowMs - step.state.options.batchIntervalMs;
+}
+
+/** Gives up ownership: entries that were never sent are closed, sends in progress report to the new owner. */
+export function loseOwnership(step: Step, successor: HolderSet): void {
+    const { state } = step;
+    const { owner } = state;
+    if (owner === undefined) {
+        return;
+    }
+    state.owner = undefined;
+    state.known = successor;
+    for (const entry of owner.entries.values()) {
+        if (entry.state === "accepted") {
+            closeUnsent(step, entry);
+        }
+    }
+}
+
+function closeUnsent(step: Step, entry: ShardEntry): void {
+    const { state } = step;
+    state.attempts.delete(entry.intent ?? "");
+    if (entry.isRepeat !== true) {
+        settleLater(state, { ...entry, state: "notRun" });
+    }
+    const waiters = state.waiting.get(entry.key) ?? [];
+    state.waiting.delete(entry.key);
+    if (entry.isRepeat === true) {
+        answerWaiters(step, entry.key, { ok: false, code: "shard.unknown", executed: "unknown" });
+        return;
+    }
+    waiters.forEach(waiter => refuse(step, waiter, "shard.notOwned"));
+}
--- /dev/null
+++ b/packages/policy/src/shards/index.ts
@@ -0,0 +1,7 @@
+/** The shard state machine of non-idempotent requests. */
+export { answerOf } from "./entry.js";
+export * from "./machine.js";
+export * from "./message.js";
+export * from "./placement.js";
+export * from "./state.js";
+export * from "./value.js";
--- /dev/null
+++ b/packages/policy/src/shards/standby.ts
@@ -0,0 +1,167 @@
+import { loseOwnership } from "./commit.js";
+import { answerOf, answerWaiters, changeEntry, drainQueue, settles } from "./entry.js";
+import type { PeerReply, PeerRequest } from "./message.js";
+import { actingSet, isInForce, wake } from "./state.js";
+import type { ShardState, Step } from "./state.js";
+import { createOwner, startTakeover } from "./takeover.js";
+import { isNewerSet, isSameHolder, newerEntry } from "./value.js";
+import type { Holder, HolderSet, ShardEntry } from "./value.js";
+
+type RequestOf<T extends PeerRequest["type"]> = Extract<PeerRequest, { type: T; }>;
+
+/** Answers a request of a peer's machine at once; one that is meant for an earlier process on this host changes nothing. */
+export function handleRequest(step: Step, to: Holder, request: PeerRequest): void {
+    const isAddressed = request.type === "query" || isSameHolder(to, step.state.options.self);
+    const answer = isAddressed ? replyTo(step, request) : reply(step.state, false);
+    step.effects.push({ type: "reply", reply: answer });
+}
+
+function replyTo(step: Step, request: PeerRequest): PeerReply {
+    switch (request.type) {
+        case "copy":
+            return acceptCopy(step.state, request);
+        case "promise":
+            return promise(step.state, request);
+        case "release":
+            return release(step, request);
+        case "holders":
+            return agree(step.state, request);
+        case "activate":
+            return activate(step, request);
+        case "query":
+            return promiseAndReport(step.state, request);
+        case "settle":
+            return settle(step, request);
+    }
+}
+
+function newestSet(state: ShardState): HolderSet | undefined {
+    return state.owner === undefined ? state.known : actingSet(state, state.owner);
+}
+
+function reply(state: ShardState, ok: boolean, copies?: readonly ShardEntry[]): PeerReply {
+    return { holder: state.options.self, ok, newest: newestSet(state), copies };
+}
+
+function remember(state: ShardState, set: HolderSet): void {
+    if (state.known === undefined || isNewerSet(set, state.known)) {
+        state.known = set;
+    }
+}
+
+function acceptCopy(state: ShardState, request: RequestOf<"copy">): PeerReply {
+    const newest = newestSet(state);
+    const isOutdated = newest !== undefined && isNewerSet(newest, request.set);
+    if (state.owner !== undefined || isOutdated || state.promisedEpoch >= request.set.epoch) {
+        return reply(state, false);
+    }
+    remember(state, request.set);
+    for (const copy of state.copies.values()) {
+        const isStored = copy.epoch < request.set.epoch ||
+            (copy.epoch === request.set.epoch && copy.revision <= request.storedSequence);
+        if (isStored) {
+            state.copies.delete(copy.key);
+        }
+    }
+    request.entries.forEach(entry => addCopy(state, entry));
+    return reply(state, true);
+}
+
+function addCopy(state: ShardState, entry: ShardEntry): void {
+    state.copies.set(entry.key, newerEntry(state.copies.get(entry.key), entry));
+}
+
+function promise(state: ShardState, request: RequestOf<"promise">): PeerReply {
+    if ((newestSet(state)?.epoch ?? 0) > request.epoch) {
+        return reply(state, false);
+    }
+    state.promisedEpoch = Math.max(state.promisedEpoch, request.epoch);
+    return reply(state, true, heldEntries(state));
+}
+
+function heldEntries(state: ShardState): ShardEntry[] {
+    return [...state.copies.values()];
+}
+
+/** Gives up ownership for a successor that found all standbys gone; once a delegation is under way it is too late. */
+function release(step: Step, request: RequestOf<"release">): PeerReply {
+    const { state } = step;
+    const { owner } = state;
+    if (
+        owner !== undefined && owner.epoch === request.epoch && owner.successor === undefined && owner.holderChange === undefined
+    ) {
+        const set = actingSet(state, owner);
+        const entries = [...owner.entries.values()].filter(entry => entry.state !== "accepted");
+        loseOwnership(step, set);
+        entries.forEach(entry => addCopy(state, entry));
+        state.releasedEpoch = request.epoch;
+    }
+    const isReleased = state.owner === undefined && state.releasedEpoch === request.epoch;
+    return reply(state, isReleased, isReleased ? heldEntries(state) : undefined);
+}
+
+function agree(state: ShardState, request: RequestOf<"holders">): PeerReply {
+    const newest = newestSet(state);
+    const { set } = request;
+    const isAgreed = newest !== undefined && newest.epoch === set.epoch && newest.change === set.change &&
+        isSameHolder(newest.owner, set.owner);
+    const isRefused = state.owner !== undefined || (newest !== undefined && !isNewerSet(set, newest)) ||
+        state.promisedEpoch >= set.epoch;
+    if (isRefused && !isAgreed) {
+        return reply(state, false);
+    }
+    remember(state, set);
+    if (state.owner === undefined) {
+        request.value.entries.forEach(entry => addCopy(state, entry));
+        state.handover = isSameHolder(set.owner, state.options.self) ? request : undefined;
+    }
+    return reply(state, true);
+}
+
+/** Starts to act as owner under a delegation to which all holders have agreed. */
+function activate(step: Step, request: RequestOf<"activate">): PeerReply {
+    const { state } = step;
+    const { handover, known } = state;
+    const isCurrent = known?.epoch === request.set.epoch && known.change === request.set.change &&
+        isSameHolder(known.owner, state.options.self) && state.owner === undefined;
+    if (!isCurrent || handover?.set.change !== request.set.change || handover.set.epoch !== request.set.epoch) {
+        // The former owner named this process in the key-value service; what it wrote is read from there.
+        startTakeover(step, false);
+        return reply(state, state.owner !== undefined);
+    }
+    const value = { ...handover.value, ...request.set };
+    const owner = createOwner(state, handover.version, value, handover.storedSequence);
+    owner.sealed = new Map(handover.sealed);
+    owner.hasSegments = true;
+    owner.mode = "witness";
+    owner.nextReadAtMs = state.nowMs;
+    state.owner = owner;
+    state.takeover = undefined;
+    state.handover = undefined;
+    drainQueue(step);
+    wake(step, state.nowMs);
+    return reply(state, true);
+}
+
+/** A host without newer knowledge promises as well, so that it can't become a holder after it answered. */
+function promiseAndReport(state: ShardState, request: RequestOf<"query">): PeerReply {
+    state.promisedEpoch = Math.max(state.promisedEpoch, request.epoch);
+    return reply(state, true, heldEntries(state));
+}
+
+function settle(step: Step, request: RequestOf<"settle">): PeerReply {
+    const { owner } = step.state;
+    if (owner === undefined) {
+        return reply(step.state, false);
+    }
+    const entry = owner.entries.get(request.key);
+    if (settles(entry, request.entry) && !isOwnAttempt(step.state, entry)) {
+        const settled = changeEntry(step, owner, request.entry);
+        answerWaiters(step, request.key, answerOf(settled));
+    }
+    return reply(step.state, true);
+}
+
+function isOwnAttempt(state: ShardState, entry: ShardEntry | undefined): boolean {
+    return entry?.intent !== undefined && state.attempts.has(entry.intent) && isInForce(state, "neverRetryIntent");
+}
--- /dev/null
+++ b/packages/policy/src/shards/takeover.ts
@@ -0,0 +1,410 @@
+import { refreshStandbys } from "./commit.js";
+import { adoptEntries } from "./entry.js";
+import type { Candidate, PeerReply, PeerRequest } from "./message.js";
+import { isInForce, nextToken, wake } from "./state.js";
+import type { OwnerState, ShardState, Step, Takeover } from "./state.js";
+import { holderKey, holderSetOf, isNewerSet, isSameHolder, mergeCopies, newerEntry } from "./value.js";
+import type { Holder, HolderSet, ShardEntry, ShardValue, VersionedValue } from "./value.js";
+import { noteAbsence } from "./witness.js";
+
+/** Starts to look for the owner and to take over where there is none. */
+export function startTakeover(step: Step, isForced: boolean): void {
+    const { state } = step;
+    if (state.owner !== undefined) {
+        return;
+    }
+    if (state.takeover !== undefined) {
+        state.takeover.isForced ||= isForced;
+        return;
+    }
+    state.takeover = {
+        stage: "reading",
+        base: undefined,
+        target: undefined,
+        required: [],
+        asked: [],
+        promised: new Set(),
+        isReleased: false,
+        copies: new Map(),
+        answers: new Map(),
+        previousAnswers: undefined,
+        hosts: [],
+        isLastResort: false,
+        write: undefined,
+        isForced,
+        retryAtMs: 0,
+    };
+    step.effects.push({ type: "read" });
+}
+
+/** Handles the value read for a takeover. */
+export function handleTakeoverRead(step: Step, takeover: Takeover, result: VersionedValue | "missing" | "unavailable"): void {
+    const { state } = step;
+    if (takeover.stage !== "reading") {
+        return;
+    }
+    if (result === "unavailable") {
+        pause(step, takeover);
+    }
+    else if (result === "missing") {
+        claim(step, takeover, undefined);
+    }
+    else if (takeover.write !== undefined && takeover.write.token === result.value.writer) {
+        becomeOwner(step, result.version, takeover.write.value);
+    }
+    else if (canResume(state, result.value)) {
+        becomeOwner(step, result.version, result.value);
+    }
+    else if (isOwnerPresent(state, takeover, result.value)) {
+        yieldTo(step, holderSetOf(result.value));
+    }
+    else {
+        collect(step, takeover, result);
+    }
+}
+
+/** A value that names this process gives it the shard, unless it has passed the shard on since. */
+function canResume(state: ShardState, value: ShardValue): boolean {
+    const hasPassedOn = state.releasedEpoch >= value.epoch ||
+        (state.known !== undefined && isNewerSet(state.known, value));
+    return isSameHolder(value.owner, state.options.self) && !hasPassedOn;
+}
+
+function isOwnerPresent(state: ShardState, takeover: Takeover, value: ShardValue): boolean {
+    const newest = state.known !== undefined && state.known.epoch === value.epoch && isNewerSet(state.known, value) ?
+        state.known :
+        value;
+    const owner = state.members.find(member => isSameHolder(member, newest.owner));
+    return !takeover.isForced && owner !== undefined && owner.state !== "dead" && !isSameHolder(newest.owner, state.options.self);
+}
+
+function yieldTo(step: Step, set: HolderSet): void {
+    const { state } = step;
+    if (state.known === undefined || isNewerSet(set, state.known)) {
+        state.known = set;
+    }
+    state.takeover = undefined;
+    const { queued } = state;
+    state.queued = [];
+    queued.forEach(item =>
+        step.effects.push({
+            type: "answer",
+            call: item.input.call,
+            answer: { ok: false, code: "shard.notOwned", executed: "unknown" },
+        })
+    );
+}
+
+function pause(step: Step, takeover: Takeover): void {
+    takeover.retryAtMs = step.state.nowMs + step.state.options.retryMs;
+    wake(step, takeover.retryAtMs);
+}
+
+/** Goes on with a takeover that waits for answers. */
+export function continueTakeover(step: Step, takeover: Takeover): void {
+    if (takeover.retryAtMs === 0 || takeover.retryAtMs > step.state.nowMs) {
+        return;
+    }
+    takeover.retryAtMs = 0;
+    takeover.stage = "reading";
+    step.effects.push({ type: "read" });
+}
+
+function collect(step: Step, takeover: Takeover, base: VersionedValue): void {
+    const { state } = step;
+    if (takeover.base !== undefined && takeover.base.value.epoch !== base.value.epoch) {
+        yieldTo(step, holderSetOf(base.value));
+        return;
+    }
+    takeover.base = base;
+    takeover.target ??= holderSetOf(base.value);
+    learnSet(takeover, holderSetOf(base.value));
+    if (state.known !== undefined) {
+        learnSet(takeover, state.known);
+    }
+    takeover.stage = "promising";
+    takeover.asked = [];
+    state.promisedEpoch = Math.max(state.promisedEpoch, base.value.epoch);
+    state.copies.forEach(copy => addCopy(takeover, copy));
+    askStandbys(step, takeover);
+    advance(step, takeover);
+    if (state.takeover === takeover && takeover.stage === "promising") {
+        pause(step, takeover);
+    }
+}
+
+/**
+ * Adds a holder set to those whose standbys must promise. A newer set does not replace the older one, because the
+ * holder that reported it may remember a change that the owner never completed.
+ */
+function learnSet(takeover: Takeover, set: HolderSet): boolean {
+    if (takeover.base === undefined || set.epoch !== takeover.base.value.epoch) {
+        return false;
+    }
+    if (takeover.target === undefined || isNewerSet(set, takeover.target)) {
+        takeover.target = set;
+    }
+    const fresh = set.standbys.filter(standby => !takeover.required.some(other => isSameHolder(other, standby)));
+    takeover.required = [...takeover.required, ...fresh];
+    return fresh.length > 0;
+}
+
+function addCopy(takeover: Takeover, copy: ShardEntry): void {
+    takeover.copies.set(copy.key, newerEntry(takeover.copies.get(copy.key), copy));
+}
+
+function askStandbys(step: Step, takeover: Takeover): void {
+    const { state } = step;
+    const epoch = takeover.base?.value.epoch ?? 0;
+    for (const standby of takeover.required) {
+        if (isSameHolder(standby, state.options.self)) {
+            takeover.promised.add(holderKey(standby));
+        }
+        else if (!takeover.promised.has(holderKey(standby)) && !state.gone.has(holderKey(standby))) {
+            step.effects.push({ type: "call", to: standby, request: { type: "promise", epoch } });
+        }
+    }
+}
+
+/** Handles an answer to `promise`, `release` or `query`. */
+export function handleTakeoverReply(
+    step: Step,
+    takeover: Takeover,
+    to: Holder,
+    request: Extract<PeerRequest, { type: "promise" | "release" | "query"; }>,
+    reply: PeerReply | undefined,
+): void {
+    if (takeover.base?.value.epoch !== request.epoch) {
+        return;
+    }
+    reply?.copies?.forEach(copy => addCopy(takeover, copy));
+    const isFresh = reply?.newest !== undefined && learnSet(takeover, reply.newest);
+    if (isFresh) {
+        takeover.previousAnswers = undefined;
+        takeover.stage = "promising";
+        askStandbys(step, takeover);
+    }
+    if (reply?.newest !== undefined && reply.newest.epoch > request.epoch) {
+        yieldTo(step, reply.newest);
+        return;
+    }
+    if (request.type === "query") {
+        noteQuery(takeover, to, reply);
+    }
+    else if (reply?.ok === true && isSameHolder(reply.holder, to)) {
+        takeover.isReleased ||= request.type === "release";
+        takeover.promised.add(holderKey(to));
+    }
+    else {
+        noteAbsence(step, to, reply);
+    }
+    advance(step, takeover);
+}
+
+function noteQuery(takeover: Takeover, to: Holder, reply: PeerReply | undefined): void {
+    if (reply?.ok === true) {
+        takeover.answers.set(to.host, reply.holder.incarnation);
+    }
+}
+
+/** Takes the next step of a takeover that the answers so far allow. */
+export function advance(step: Step, takeover: Takeover): void {
+    if (takeover.stage === "promising") {
+        advancePromises(step, takeover);
+    }
+    else if (takeover.stage === "querying") {
+        advanceQuery(step, takeover);
+    }
+}
+
+function advancePromises(step: Step, takeover: Takeover): void {
+    const { state } = step;
+    const { target } = takeover;
+    if (target === undefined || takeover.base === undefined) {
+        return;
+    }
+    if (!isInForce(state, "promises") || takeover.isReleased) {
+        claim(step, takeover, takeover.base);
+        return;
+    }
+    const open = takeover.required.filter(standby =>
+        !takeover.promised.has(holderKey(standby)) && !state.gone.has(holderKey(standby))
+    );
+    const promised = target.standbys.filter(standby => takeover.promised.has(holderKey(standby)));
+    if (open.length > 0) {
+        return;
+    }
+    if (promised.length > 0 || takeover.required.length === 0) {
+        claim(step, takeover, takeover.base);
+    }
+    else {
+        askOwner(step, takeover, target.owner);
+    }
+}
+
+function askOwner(step: Step, takeover: Takeover, owner: Holder): void {
+    const { state } = step;
+    const epoch = takeover.base?.value.epoch ?? 0;
+    if (isSameHolder(owner, state.options.self)) {
+        takeover.isReleased = state.releasedEpoch === epoch;
+        if (takeover.isReleased && takeover.base !== undefined) {
+            claim(step, takeover, takeover.base);
+        }
+    }
+    else if (!state.gone.has(holderKey(owner))) {
+        if (!takeover.asked.includes(holderKey(owner))) {
+            takeover.asked = [...takeover.asked, holderKey(owner)];
+            step.effects.push({ type: "call", to: owner, request: { type: "release", epoch } });
+        }
+    }
+    else if (isInForce(state, "queryAllHosts")) {
+        takeover.stage = "listing";
+        takeover.isLastResort = true;
+        pause(step, takeover);
+        step.effects.push({ type: "listHosts" });
+    }
+    else {
+        takeover.isLastResort = true;
+        claim(step, takeover, takeover.base);
+    }
+}
+
+/** Handles the list of hosts that the cloud API does not report as terminated. */
+export function handleHosts(step: Step, takeover: Takeover, hosts: readonly string[] | undefined): void {
+    const { state } = step;
+    if (takeover.stage !== "listing") {
+        return;
+    }
+    if (hosts === undefined) {
+        pause(step, takeover);
+        return;
+    }
+    takeover.stage = "querying";
+    pause(step, takeover);
+    takeover.hosts = hosts.filter(host => host !== state.options.self.host);
+    takeover.answers = new Map();
+    const epoch = takeover.base?.value.epoch ?? 0;
+    for (const host of takeover.hosts) {
+        const member: Candidate | undefined = state.members.find(candidate => candidate.host === host);
+        const to = { host, incarnation: member?.incarnation ?? "0" } as Holder;
+        step.effects.push({ type: "call", to, request: { type: "query", epoch } });
+    }
+    advance(step, takeover);
+}
+
+/**
+ * Ends the last-resort query after two rounds in which the same processes answered `no`. One round is not enough: a host
+ * may pass the shard to a new or restarted host after that one was asked, and then restart itself.
+ */
+function advanceQuery(step: Step, takeover: Takeover): void {
+    const isComplete = takeover.hosts.every(host => takeover.answers.has(host));
+    if (!isComplete) {
+        return;
+    }
+    const previous = takeover.previousAnswers;
+    const isStable = previous !== undefined &&
+        [...takeover.answers].every(([host, incarnation]) => previous.get(host) === incarnation);
+    if (isStable) {
+        claim(step, takeover, takeover.base);
+        return;
+    }
+    takeover.previousAnswers = takeover.answers;
+    takeover.stage = "listing";
+    pause(step, takeover);
+    step.effects.push({ type: "listHosts" });
+}
+
+function claim(step: Step, takeover: Takeover, base: VersionedValue | undefined): void {
+    const { state } = step;
+    const { self } = state.options;
+    const entries = base === undefined ? [] : mergeCopies(base.value, takeover.copies.values()).values();
+    const lostUntilMs = takeover.isLastResort ? state.nowMs + state.options.resultRetentionMs : 0;
+    const value: ShardValue = {
+        epoch: (base?.value.epoch ?? 0) + 1,
+        change: 0,
+        owner: self,
+        standbys: refreshStandbys(state, self, base?.value.standbys ?? []),
+        writer: nextToken(state),
+        sequence: Math.max(base?.value.sequence ?? 0, ...[...takeover.copies.values()].map(copy => copy.revision)),
+        entries: [...adoptEntries(state, entries).values()].filter(entry => entry.state !== "notRun"),
+        unknownUntilMs: Math.max(base?.value.unknownUntilMs ?? 0, lostUntilMs),
+    };
+    takeover.stage = "writing";
+    takeover.retryAtMs = 0;
+    takeover.write = { token: value.writer, issued: state.counter, value, isUncertain: false };
+    step.effects.push({ type: "write", token: value.writer, expectedVersion: base?.version ?? 0, value });
+}
+
+/** Handles the outcome of the takeover's compare-and-swap. */
+export function handleTakeoverWritten(
+    step: Step,
+    takeover: Takeover,
+    token: string,
+    result: number | "conflict" | "unavailable",
+): void {
+    const write = takeover.write;
+    if (write?.token !== token || takeover.stage !== "writing") {
+        return;
+    }
+    if (typeof result === "number") {
+        becomeOwner(step, result, write.value);
+        return;
+    }
+    takeover.stage = "reading";
+    step.effects.push({ type: "read" });
+}
+
+function becomeOwner(step: Step, version: number, value: ShardValue): void {
+    const { state } = step;
+    const { takeover } = state;
+    const owner = createOwner(state, version, value, value.sequence);
+    state.confirmed = Math.max(state.confirmed, takeover?.write?.issued ?? 0);
+    state.takeover = undefined;
+    state.owner = owner;
+    dropPromisedCopies(step, owner, takeover);
+}
+
+/** The state of an owner that starts from a value. */
+export function createOwner(state: ShardState, version: number, value: ShardValue, storedSequence: number): OwnerState {
+    state.known = holderSetOf(value);
+    state.copies = new Map();
+    return {
+        epoch: value.epoch,
+        change: value.change,
+        standbys: value.standbys,
+        highestChange: value.change,
+        mode: "store",
+        version,
+        sequence: value.sequence,
+        storedSequence,
+        entries: adoptEntries(state, value.entries),
+        sealed: new Map(),
+        hasSegments: false,
+        isReadingSegments: false,
+        isSealing: false,
+        unknownUntilMs: value.unknownUntilMs,
+        write: undefined,
+        uncertainStandbys: [],
+        acknowledgements: new Map(),
+        holderChange: undefined,
+        successor: undefined,
+        tokens: state.options.writeBurst,
+        refilledAtMs: state.nowMs,
+        dirtySinceMs: undefined,
+        readIssued: undefined,
+        nextReadAtMs: 0,
+    };
+}
+
+/** Tells the standbys that promised that the new value contains their copies. */
+function dropPromisedCopies(step: Step, owner: OwnerState, takeover: Takeover | undefined): void {
+    const { state } = step;
+    const set = { epoch: owner.epoch, change: owner.change, owner: state.options.self, standbys: owner.standbys };
+    const { sequence } = owner;
+    for (const standby of takeover?.required ?? []) {
+        if (takeover?.promised.has(holderKey(standby)) === true && !isSameHolder(standby, state.options.self)) {
+            const request: PeerRequest = { type: "copy", set, sequence, storedSequence: sequence, entries: [] };
+            step.effects.push({ type: "call", to: standby, request });
+        }
+    }
+}
--- a/packages/relay/src/index.ts
+++ b/packages/relay/src/index.ts
@@ -1,2 +1,3 @@
 /** The services of the daemon. */
 export * from "./contract.js";
+export * from "./shards/index.js";
--- /dev/null
+++ b/packages/relay/src/shards/context.ts
@@ -0,0 +1,25 @@
+import type { ServiceDriver } from "@filbertrelay/endpoints";
+import type { Clock, EventLog, HostId, ServiceName } from "@filbertrelay/kernel";
+import type { KeyValueClient } from "@filbertrelay/platform";
+import type { Repetition } from "@filbertrelay/policy";
+import type { PeerNetwork } from "@filbertrelay/wire";
+
+/** What a shard actor needs of the daemon. */
+export interface ShardContext {
+    readonly clock: Clock;
+    readonly log: EventLog;
+    readonly generation: number;
+    readonly keyValue: KeyValueClient;
+    readonly peers: PeerNetwork;
+    readonly services: ServiceDriver;
+    readonly keyRetentionMs: number;
+    /** Endpoint ids of a service in order of preference; leaving endpoints are left out. */
+    endpoints(service: string): readonly string[];
+    /** The address of an endpoint; `undefined` when it is not listed any more. */
+    address(service: ServiceName, endpointId: string): string | undefined;
+    repetition(service: string): Repetition;
+    /** True only when the cloud API says that the host is terminated. */
+    isTerminated(host: HostId): Promise<boolean>;
+    /** Entry hosts that the cloud API does not report as terminated; `undefined` when it can't be reached. */
+    listHosts(): Promise<readonly HostId[] | undefined>;
+}
--- /dev/null
+++ b/packages/relay/src/shards/service.ts
@@ -0,0 +1,416 @@
+import type { ServiceResponse } from "@filbertrelay/endpoints";
+import type { Cancel, CustomerId, HostId, Kernel, Outcome, RequestId, ServiceName } from "@filbertrelay/kernel";
+import { brandAs, failure, success } from "@filbertrelay/kernel";
+import type { CloudClient, KeyValueClient } from "@filbertrelay/platform";
+import { answerOf, digestKey, rankHosts, shardOf } from "@filbertrelay/policy";
+import type { Candidate, Holder, PeerRequest, ShardAnswer, ShardOptions } from "@filbertrelay/policy";
+import type { PeerNetwork } from "@filbertrelay/wire";
+import { createHash } from "node:crypto";
+import type { z } from "zod";
+import type {
+    ConfigurationService,
+    DirectoryService,
+    MembershipService,
+    ShardEntryView,
+    ShardService,
+    Submission,
+    SubmissionIssue,
+} from "../contract.js";
+import { ShardActor } from "./actor.js";
+import type { ShardContext } from "./context.js";
+import { machineTopics, readTopic, submitTopic } from "./topic.js";
+
+interface Submitted {
+    readonly requestId: RequestId;
+    readonly response: ServiceResponse;
+}
+interface Routed {
+    readonly answer: ShardAnswer;
+    readonly owner?: Holder | undefined;
+    /** The submission may have reached a host that did not answer. */
+    readonly isAdrift?: boolean;
+}
+
+/** Options of the shard service. */
+export interface ShardServiceOptions {
+    /** Writes that a shard may make at once after a quiet time. */
+    readonly writeBurst?: number;
+    /** Wait before a failed call to the key-value service or a peer is repeated, in milliseconds. */
+    readonly retryMs?: number;
+}
+
+/** Wait before a submission that met a host without the shard is routed again. */
+const rerouteDelayMs = 50;
+const openEntryLimit = 512;
+/** Base64 characters of recorded results per shard; the value stays under the 1 MB of the key-value service. */
+const resultBytesLimit = 524_288;
+
+const messages: Record<SubmissionIssue["code"], string> = {
+    "shard.notOwned": "No host owns the shard of this request at present.",
+    "shard.noWitness": "The key-value service and the standbys of the shard can't be reached.",
+    "shard.unavailable": "The owner of the shard of this request can't be reached in time.",
+    "shard.unknown": "It is not known whether the request was executed; it will not be sent again.",
+    "shard.keyReused": "The idempotency key was used for a different request.",
+    "shard.overloaded": "The shard has too many open requests.",
+    "shard.expired": "The request was executed; its result is no longer kept.",
+    "endpoint.refused": "No endpoint accepted the request.",
+};
+
+/** Creates the shard service; it finds its partners in the kernel when it starts. */
+export function createShardService(kernel: Kernel, options: ShardServiceOptions = {}): ShardService {
+    return new RoutedShardService(kernel, options);
+}
+
+class RoutedShardService implements ShardService {
+    readonly #kernel: Kernel;
+    readonly #options: ShardServiceOptions;
+    readonly #actors = new Map<number, ShardActor>();
+    readonly #hints = new Map<number, Holder>();
+    #cancelMembers: Cancel | undefined;
+    #isLeaving = false;
+
+    constructor(kernel: Kernel, options: ShardServiceOptions) {
+        this.#kernel = kernel;
+        this.#options = options;
+    }
+
+    start(): Promise<void> {
+        this.#cancelMembers = this.#membership.onChange(() => this.#refreshMembers());
+        this.#handleMachineTopics();
+        const peers = this.#peers;
+        peers.handle(submitTopic, async body => {
+            const { generation, shard, ...rest } = body;
+            if (generation !== this.#generation) {
+                return { answer: notOwned };
+            }
+            return this.#toReply(await this.#submitHere(shard, rest as unknown as Submission));
+        });
+        peers.handle(readTopic, body => Promise.resolve(this.#toReply(this.#readHere(body.shard, body.key, body.customer))));
+        return Promise.resolve();
+    }
+
+    async stop(deadlineMs: number): Promise<void> {
+        await this.release(deadlineMs);
+        this.#cancelMembers?.();
+        this.#actors.forEach(actor => actor.stop());
+    }
+
+    async submit(submission: Submission): Promise<Outcome<Submitted, SubmissionIssue>> {
+        const key = digestKey(submission.customer, submission.idempotencyKey);
+        const shard = shardOf(key, this.#shardCount);
+        const deadlineMs = this.#nowMs() + submission.remainingMs;
+        const answer = await this.#route(shard, deadlineMs, target => {
+            const remainingMs = Math.max(1, deadlineMs - this.#nowMs());
+            const forwarded = { ...submission, remainingMs };
+            return target === undefined ? this.#submitHere(shard, forwarded) : this.#forward(target, shard, forwarded);
+        });
+        return answer.ok ?
+            success({ requestId: brandAs<RequestId>(`n.${shard}.${key}`), response: decodeResponse(answer.response) }) :
+            toFailure(answer);
+    }
+
+    async read(requestId: RequestId, customer: CustomerId): Promise<Outcome<ServiceResponse, SubmissionIssue>> {
+        const [kind, shardText, key] = requestId.split(".");
+        const shard = Number(shardText);
+        if (kind !== "n" || key === undefined || !Number.isInteger(shard) || shard < 0 || shard >= this.#shardCount) {
+            return toFailure({ ok: false, code: "shard.unknown", executed: "unknown" });
+        }
+        const deadlineMs = this.#nowMs() + readTimeoutMs;
+        const answer = await this.#route(shard, deadlineMs, target =>
+            target === undefined ?
+                Promise.resolve(this.#readHere(shard, key, customer)) :
+                this.#readThere(target, shard, key, customer));
+        return answer.ok ? success(decodeResponse(answer.response)) : toFailure(answer);
+    }
+
+    entries(): readonly ShardEntryView[] {
+        return [...this.#actors.values()].flatMap(actor =>
+            [...actor.state.owner?.entries.values() ?? []].map(entry => ({
+                requestId: actor.requestId(entry.key),
+                customer: brandAs<CustomerId>(entry.customer),
+                service: brandAs<ServiceName>(entry.service),
+                operation: entry.operation,
+                state: entry.state,
+                since: new Date(entry.sinceMs),
+            }))
+        );
+    }
+
+    owned(): readonly { readonly shard: number; readonly epoch: number; readonly mode: "store" | "witness"; }[] {
+        return [...this.#actors.values()].flatMap(actor => {
+            const owner = actor.state.owner;
+            return owner === undefined ? [] : [{ shard: actor.shard, epoch: owner.epoch, mode: owner.mode }];
+        });
+    }
+
+    async release(deadlineMs: number): Promise<void> {
+        this.#isLeaving = true;
+        this.#refreshMembers();
+        this.#actors.forEach(actor => actor.feed({ type: "leave" }));
+        while (this.owned().length > 0 && this.#kernel.clock.monotonicMs() < deadlineMs) {
+            await this.#kernel.clock.sleep(20);
+        }
+    }
+
+    get #membership(): MembershipService {
+        return this.#kernel.get<MembershipService>("membership");
+    }
+
+    get #configuration(): ConfigurationService {
+        return this.#kernel.get<ConfigurationService>("configuration");
+    }
+
+    get #directory(): DirectoryService {
+        return this.#kernel.get<DirectoryService>("directory");
+    }
+
+    get #peers(): PeerNetwork {
+        return this.#kernel.get("peers") as unknown as PeerNetwork;
+    }
+
+    get #generation(): number {
+        return this.#configuration.current().shards.generation;
+    }
+
+    get #shardCount(): number {
+        return this.#configuration.current().shards.count;
+    }
+
+    #nowMs(): number {
+        return this.#kernel.clock.now().getTime();
+    }
+
+    #handleMachineTopics(): void {
+        for (const topic of Object.values(machineTopics)) {
+            this.#peers.handle(topic, body => {
+                const request = body.request as unknown as PeerRequest;
+                if (body.generation !== this.#generation) {
+                    return Promise.resolve({ holder: this.#self(), ok: false });
+                }
+                const reply = this.#actor(body.shard).request(body.to as Holder, request);
+                return Promise.resolve(reply as unknown as { holder: Holder; ok: boolean; });
+            });
+        }
+    }
+
+    #self(): Holder {
+        const { hostId, incarnation } = this.#membership.self();
+        return { host: hostId, incarnation };
+    }
+
+    #actor(shard: number): ShardActor {
+        const present = this.#actors.get(shard);
+        if (present !== undefined) {
+            return present;
+        }
+        const actor = new ShardActor(this.#createContext(), this.#machineOptions(shard));
+        this.#actors.set(shard, actor);
+        actor.feed({ type: "members", members: this.#candidates(shard) });
+        if (this.#isLeaving) {
+            actor.feed({ type: "leave" });
+        }
+        return actor;
+    }
+
+    #machineOptions(shard: number): ShardOptions {
+        const { batchIntervalMs, resultRetentionMs, keyRetentionMs } = this.#configuration.current().shards;
+        return {
+            self: this.#self(),
+            shard,
+            batchIntervalMs,
+            writeBurst: this.#options.writeBurst ?? 4,
+            retryMs: this.#options.retryMs ?? 500,
+            resultRetentionMs,
+            keyRetentionMs,
+            openEntryLimit,
+            resultBytesLimit,
+            disabledRules: new Set(),
+        };
+    }
+
+    #createContext(): ShardContext {
+        const cloud = this.#kernel.get("cloud") as unknown as CloudClient;
+        return {
+            clock: this.#kernel.clock,
+            log: this.#kernel.log,
+            generation: this.#generation,
+            keyValue: this.#kernel.get("keyValue") as unknown as KeyValueClient,
+            peers: this.#peers,
+            services: this.#kernel.get("services") as unknown as ShardContext["services"],
+            keyRetentionMs: this.#configuration.current().shards.keyRetentionMs,
+            endpoints: service =>
+                this.#directory.endpoints(service).filter(entry => !entry.leaving).map(entry => entry.endpointId),
+            address: (service, endpointId) =>
+                this.#directory.endpoints(service).find(entry => entry.endpointId === endpointId)?.address,
+            repetition: service => this.#repetition(service),
+            isTerminated: async host => {
+                const outcome = await cloud.getHost(host);
+                return outcome.ok && outcome.value.state === "terminated";
+            },
+            listHosts: async () => {
+                const outcome = await cloud.listHosts();
+                return outcome.ok ?
+                    outcome.value.filter(host => host.role === "entry" && host.state !== "terminated").map(host => host.hostId) :
+                    undefined;
+            },
+        };
+    }
+
+    #repetition(name: string): "none" | "deduplicates" | "status" {
+        const service = this.#configuration.current().services.find(candidate => candidate.name === name);
+        if (service?.deduplicates === true) {
+            return "deduplicates";
+        }
+        return service?.answersStatus === true ? "status" : "none";
+    }
+
+    #candidates(shard: number): Candidate[] {
+        const members = this.#membership.members().some(member => member.hostId === this.#membership.self().hostId) ?
+            this.#membership.members() :
+            [...this.#membership.members(), this.#membership.self()];
+        const candidates = members.map(({ hostId, incarnation, failureDomain, state }) => ({
+            host: hostId,
+            incarnation,
+            failureDomain,
+            state,
+        }));
+        return rankHosts(shard, this.#generation, candidates);
+    }
+
+    /** Tells the machines who is alive; the preferred live host looks after shards whose owner is gone. */
+    #refreshMembers(): void {
+        for (const actor of this.#actors.values()) {
+            const members = this.#candidates(actor.shard);
+            actor.feed({ type: "members", members });
+            const { owner, known } = actor.state;
+            const isOrphaned = known !== undefined && owner === undefined &&
+                !members.some(member => isOwner(member, known.owner) && member.state !== "dead");
+            const preferred = members.find(member => member.state === "alive");
+            if (isOrphaned && preferred?.host === this.#self().host && !this.#isLeaving) {
+                actor.feed({ type: "acquire", force: false });
+            }
+        }
+    }
+
+    /** Asks the owner, or the host that should become it, until there is an answer or the deadline passes. */
+    async #route(
+        shard: number,
+        deadlineMs: number,
+        ask: (target: HostId | undefined) => Promise<Routed>,
+    ): Promise<ShardAnswer> {
+        let last: ShardAnswer = notOwned;
+        let isHintTrusted = true;
+        let isAdrift = false;
+        while (this.#nowMs() < deadlineMs) {
+            const target = this.#target(shard, isHintTrusted);
+            const routed = await ask(target === this.#self().host ? undefined : target);
+            isAdrift ||= routed.isAdrift === true;
+            if (routed.answer.ok || !isRoutable(routed.answer)) {
+                return isAdrift ? withoutRefusal(routed.answer) : routed.answer;
+            }
+            last = routed.answer;
+            isHintTrusted = routed.owner !== undefined;
+            if (routed.owner !== undefined) {
+                this.#hints.set(shard, routed.owner);
+            }
+            await this.#kernel.clock.sleep(Math.min(rerouteDelayMs, Math.max(1, deadlineMs - this.#nowMs())));
+        }
+        return last.ok ? last : { ...last, code: "shard.unavailable", executed: "unknown" };
+    }
+
+    #target(shard: number, isHintTrusted: boolean): HostId {
+        const actor = this.#actors.get(shard);
+        const members = this.#candidates(shard);
+        const isLive = (holder: Holder | undefined): holder is Holder =>
+            holder !== undefined && members.some(member => isOwner(member, holder) && member.state !== "dead");
+        if (actor?.state.owner !== undefined) {
+            return this.#self().host;
+        }
+        const hint = this.#hints.get(shard) ?? actor?.state.known?.owner;
+        if (isHintTrusted && isLive(hint)) {
+            return hint.host;
+        }
+        return members.find(member => member.state === "alive")?.host ?? this.#self().host;
+    }
+
+    async #submitHere(shard: number, submission: Submission): Promise<Routed> {
+        const actor = this.#actor(shard);
+        const key = digestKey(submission.customer, submission.idempotencyKey);
+        const answer = await actor.submit(key, fingerprintOf(submission), submission);
+        return { answer, owner: actor.state.owner === undefined ? actor.state.known?.owner : this.#self() };
+    }
+
+    async #forward(target: HostId, shard: number, submission: Submission): Promise<Routed> {
+        const body = { ...submission, headers: { ...submission.headers }, generation: this.#generation, shard };
+        const reply = await this.#peers.call(target, submitTopic, body, { timeoutMs: submission.remainingMs + replyGraceMs });
+        if (reply.ok) {
+            return { answer: reply.value.answer as ShardAnswer, owner: reply.value.owner as Holder | undefined };
+        }
+        // A submission can be repeated at another host at any time: the key is run at most once.
+        return { answer: notOwned, isAdrift: reply.issue.sent };
+    }
+
+    #readHere(shard: number, key: string, customer: string): Routed {
+        const state = this.#actor(shard).state;
+        const entry = state.owner?.entries.get(key);
+        if (state.owner === undefined) {
+            return { answer: notOwned, owner: state.known?.owner };
+        }
+        const isKnown = entry !== undefined && entry.customer === customer && entry.state !== "notRun";
+        return {
+            answer: isKnown ? answerOf(entry) : { ok: false, code: "shard.unknown", executed: "unknown" },
+            owner: this.#self(),
+        };
+    }
+
+    async #readThere(target: HostId, shard: number, key: string, customer: string): Promise<Routed> {
+        const body = { generation: this.#generation, shard, key, customer };
+        const reply = await this.#peers.call(target, readTopic, body, { timeoutMs: readTimeoutMs });
+        return reply.ok ?
+            { answer: reply.value.answer as ShardAnswer, owner: reply.value.owner as Holder | undefined } :
+            { answer: notOwned };
+    }
+
+    #toReply(routed: Routed): { answer: ReplyAnswer; owner?: Holder; } {
+        const answer = routed.answer as ReplyAnswer;
+        return routed.owner === undefined ? { answer } : { answer, owner: routed.owner };
+    }
+}
+
+type ReplyAnswer = z.input<typeof submitTopic.reply>["answer"];
+
+const readTimeoutMs = 2_000;
+/** The owner answers at the caller's deadline; its reply needs this long at most. */
+const replyGraceMs = 500;
+const notOwned: Extract<ShardAnswer, { ok: false; }> = { ok: false, code: "shard.notOwned", executed: "unknown" };
+
+/** An earlier copy of the submission may still be run at a host that did not answer, so `no` would prove nothing. */
+function withoutRefusal(answer: ShardAnswer): ShardAnswer {
+    return !answer.ok && answer.executed === "no" && answer.code !== "shard.keyReused" ?
+        { ...answer, executed: "unknown" } :
+        answer;
+}
+
+function isRoutable(answer: Extract<ShardAnswer, { ok: false; }>): boolean {
+    return answer.code === "shard.notOwned";
+}
+
+function isOwner(member: Holder, owner: Holder): boolean {
+    return member.host === owner.host && member.incarnation === owner.incarnation;
+}
+
+function fingerprintOf(submission: Submission): string {
+    const { service, operation, method, path, body } = submission;
+    return createHash("sha256").update(JSON.stringify([service, operation, method, path])).update(body).digest("hex").slice(
+        0,
+        32,
+    );
+}
+
+function decodeResponse(stored: { status: number; headers: Readonly<Record<string, string>>; body: string; }): ServiceResponse {
+    return { status: stored.status, headers: stored.headers, body: new Uint8Array(Buffer.from(stored.body, "base64")) };
+}
+
+function toFailure(answer: Extract<ShardAnswer, { ok: false; }>): { readonly ok: false; readonly issue: SubmissionIssue; } {
+    return failure({ code: answer.code, executed: answer.executed, message: messages[answer.code] });
+}
