--- a/packages/relay/src/admission/admission.ts
+++ b/packages/relay/src/admission/admission.ts
@@ -13,8 +13,13 @@
 /** Keeps the bytes spent on shares flat: each host's value reaches every host, so hosts publish less often in a large fleet. */
 const publishPeriodPerMemberMs = 50;
 
-/** The name under which hosts publish what their customers use. */
-export const gossipUseName = "use";
+/** A published value holds at most 1 KB; customers with little use are left out of a longer one. */
+const publishedUseBytes = 900;
+
+/** The name under which hosts publish what their customers use of a model. */
+export function gossipUseName(model: string): string {
+    return `use.${model}`;
+}
 
 /** A model request that asks to start. */
 export interface AdmissionTerms {
@@ -37,7 +42,7 @@
     readonly #models = new Map<string, Admission>();
     readonly #waiting = new Map<string, (outcome: AdmissionOutcome) => void>();
     readonly #stopping = new AbortController();
-    #published = "";
+    readonly #published = new Map<string, string>();
 
     constructor(kernel: Kernel) {
         this.#kernel = kernel;
@@ -131,13 +136,13 @@
     }
 
     #publishUse(): void {
-        const use = Object.fromEntries(
-            [...this.#models].map(([model, admission]) => [model, admission.publishedUse().customers]),
-        );
-        const text = JSON.stringify(use);
-        if (text !== this.#published) {
-            this.#published = text;
-            this.#membership.publish(gossipUseName, use);
+        for (const [model, admission] of this.#models) {
+            const use = limitUse(admission.publishedUse().customers);
+            const text = JSON.stringify(use);
+            if (text !== (this.#published.get(model) ?? "{}")) {
+                this.#published.set(model, text);
+                this.#membership.publish(gossipUseName(model), use);
+            }
         }
     }
 
@@ -145,18 +150,27 @@
         const departed = new Set(
             this.#membership.members().filter(member => member.state === "dead").map(member => member.hostId),
         );
-        const published = this.#membership.published(gossipUseName);
         for (const [model, admission] of this.#models) {
+            const published = this.#membership.published(gossipUseName(model));
             admission.setCapacity(this.#kernel.get<EngineRouter>("routing").slots(model));
-            admission.updateShares(published.map(item => toPublishedUse(item.host, model, item.value)), departed);
+            admission.updateShares(published.map(item => toPublishedUse(item.host, item.value)), departed);
         }
         this.#poll();
     }
 }
 
-function toPublishedUse(hostId: HostId, model: string, value: unknown): PublishedUse {
-    const use = value as Readonly<Record<string, Readonly<Record<string, CustomerUse>>>>;
-    return { hostId, customers: use[model] ?? {} };
+function toPublishedUse(hostId: HostId, value: unknown): PublishedUse {
+    return { hostId, customers: value as Readonly<Record<string, CustomerUse>> };
+}
+
+function limitUse(customers: Readonly<Record<string, CustomerUse>>): Readonly<Record<string, CustomerUse>> {
+    const ordered = Object.entries(customers).sort(([, left], [, right]) =>
+        right.running + right.waiting - left.running - left.waiting
+    );
+    while (JSON.stringify(Object.fromEntries(ordered)).length > publishedUseBytes) {
+        ordered.pop();
+    }
+    return Object.fromEntries(ordered);
 }
 
 function toIssue(refusal: AdmissionRefusal): CallerIssue {
--- a/packages/relay/src/suspects/suspects.ts
+++ b/packages/relay/src/suspects/suspects.ts
@@ -23,9 +23,9 @@
 });
 
 const exchangePeriodMs = 500;
-/** A published value holds at most 1 KB; an entry takes about 200 bytes. */
-const entriesPerValue = 4;
-const maximumValues = 4;
+/** A published value holds at most 1 KB. */
+const publishedBytes = 950;
+const maximumValues = 8;
 const crashAvoidMs = 5_000;
 
 const entrySchema = z.object({
@@ -144,9 +144,11 @@
         const isOwn = (entry: SuspectEntry): boolean =>
             entry.isolatedBy?.hostId === own || entry.crashes.some(crash => crash.startsWith(`${own}/`));
         const rank = (entry: SuspectEntry): number => entry.state === "rejected" ? 0 : entry.isolatedBy === undefined ? 2 : 1;
-        const entries = this.#tracker.entries(this.#nowMs()).filter(isOwn).sort((left, right) => rank(left) - rank(right));
+        const chunks = chunkEntries(
+            this.#tracker.entries(this.#nowMs()).filter(isOwn).sort((left, right) => rank(left) - rank(right)),
+        );
         for (let index = 0; index < maximumValues; index++) {
-            const chunk = entries.slice(index * entriesPerValue, (index + 1) * entriesPerValue);
+            const chunk = chunks[index] ?? [];
             const text = JSON.stringify(chunk);
             if (text !== (this.#published[index] ?? "[]")) {
                 this.#published[index] = text;
@@ -159,3 +161,17 @@
         return this.#kernel.clock.now().getTime();
     }
 }
+
+function chunkEntries(entries: readonly SuspectEntry[]): readonly (readonly SuspectEntry[])[] {
+    const chunks: SuspectEntry[][] = [];
+    for (const entry of entries) {
+        const last = chunks.at(-1);
+        if (last !== undefined && JSON.stringify([...last, entry]).length <= publishedBytes) {
+            last.push(entry);
+        }
+        else if (JSON.stringify([entry]).length <= publishedBytes) {
+            chunks.push([entry]);
+        }
+    }
+    return chunks;
+}
