--- a/packages/client/src/caller/model.ts
+++ b/packages/client/src/caller/model.ts
@@ -70,6 +70,8 @@
     #requestId: string | undefined;
     #reconnects = 0;
     #attempts = 0;
+    /** Offset at the last attempt to continue. */
+    #continuedOffset: number | undefined;
     #error: RelayError | undefined;
 
     constructor(context: CallerContext, call: ModelCall) {
@@ -132,7 +134,11 @@
         if (end.type === "moved") {
             this.#context.entryPoints.learn(end.entryPoints);
         }
-        await this.#context.clock.sleep(retryIntervalMs);
+        // The first attempt after progress is made at once; without progress the hosts get time to settle.
+        if (this.#reader.tokens.length === this.#continuedOffset) {
+            await this.#context.clock.sleep(retryIntervalMs);
+        }
+        this.#continuedOffset = this.#reader.tokens.length;
         const address = await this.#context.entryPoints.choose();
         const path = `/v1/requests/${encodeURIComponent(this.#requestId ?? "")}?offset=${this.#reader.tokens.length}`;
         const connected = await this.#connect(address, { method: "GET", path, headers: {} });
--- a/packages/client/src/index.ts
+++ b/packages/client/src/index.ts
@@ -18,5 +18,8 @@
 export * from "./fleet/process.js";
 export * from "./operator.js";
 export * from "./output.js";
+export * from "./questionnaire/question.js";
+export * from "./questionnaire/questionnaire.js";
+export * from "./report/page.js";
 export * from "./rollout.js";
 export * from "./submission.js";
