--- a/packages/policy/src/index.ts
+++ b/packages/policy/src/index.ts
@@ -11,6 +11,7 @@
 export * from "./routing/load.js";
 export * from "./routing/prefix.js";
 export * from "./routing/subset.js";
+export * from "./shards/index.js";
 export * from "./streams/reclaim.js";
 export * from "./streams/recovery.js";
 export * from "./suspects/tracker.js";
--- a/packages/relay/src/caller/server.ts
+++ b/packages/relay/src/caller/server.ts
@@ -31,6 +31,10 @@
 });
 
 const loadPublishPeriodMs = 1_000;
+/** Each host's load reaches every host, so hosts publish less often in a large fleet. */
+const loadPublishPeriodPerMemberMs = 50;
+/** Changes below this part of the last published load are not worth a message. */
+const loadChangeRatio = 0.25;
 const keepAliveTimeoutMs = 60_000;
 const requestIdleTimeoutMs = 30_000;
 
@@ -45,6 +49,7 @@
     readonly #shards: ShardService;
     #server: ServerType | undefined;
     #openRequests = 0;
+    #publishedLoad = 0;
     #isStopping = false;
 
     constructor(kernel: Kernel, settings: Settings) {
@@ -164,8 +169,13 @@
 
     #publishLoad(): void {
         if (!this.#isStopping) {
-            this.#membership.publish(gossipLoadName, { openRequests: this.#openRequests });
-            this.#kernel.clock.after(loadPublishPeriodMs, () => this.#publishLoad());
+            const change = Math.abs(this.#openRequests - this.#publishedLoad);
+            if (change > loadChangeRatio * this.#publishedLoad) {
+                this.#publishedLoad = this.#openRequests;
+                this.#membership.publish(gossipLoadName, { openRequests: this.#openRequests });
+            }
+            const periodMs = Math.max(loadPublishPeriodMs, this.#membership.members().length * loadPublishPeriodPerMemberMs);
+            this.#kernel.clock.after(periodMs, () => this.#publishLoad());
         }
     }
 }
