--- a/features/steps/wire.ts
+++ b/features/steps/wire.ts
@@ -58,6 +58,7 @@
         keys,
         frameBytes,
         handshakeTimeoutMs: 5_000,
+        freshMs: 300,
     });
     network.handle(echo, async ({ value, delayMs }) => {
         world.callsRun += 1;
@@ -325,6 +326,15 @@
     assert.deepEqual({ code: outcome.issue.code, sent: outcome.issue.sent }, { code: "peer.closed", sent: true });
 });
 
+When("the connection is black-holed while no call is in progress and stays quiet", async function(this: WireWorld) {
+    this.forwarder.blackHole();
+    await delay(400);
+});
+
+Then("the next call succeeds", async function(this: WireWorld) {
+    assert.deepEqual(await callEcho(network(this, "alder"), "birch", 6), { ok: true, value: 6 });
+});
+
 async function waitUntil(condition: () => boolean | Promise<boolean>): Promise<void> {
     const endMs = clock.monotonicMs() + waitMs;
     while (!await condition()) {
--- a/features/wire.feature
+++ b/features/wire.feature
@@ -49,3 +49,8 @@
     When the forwarder black-holes the open connection
     Then calls succeed again on a new connection without a restart
     And the call that was in progress fails as closed and sent
+
+  Scenario: A call on a connection that was black-holed while idle goes out on a new connection
+    Given two peers "alder" and "birch" connected through a forwarder
+    When the connection is black-holed while no call is in progress and stays quiet
+    Then the next call succeeds
--- a/packages/policy/src/membership/sync.ts
+++ b/packages/policy/src/membership/sync.ts
@@ -6,9 +6,11 @@
 import { describeRecord } from "./record.js";
 import type { MembershipState } from "./state.js";
 
-// Records are compared in buckets, so that one exchange moves a few hundred bytes when nearly all records agree.
+// Records are compared in buckets, so that one exchange moves little when nearly all records agree. Values have buckets of their own,
+// since they change all the time and would otherwise carry the records along.
 const bucketCount = 16;
-const bucketsPerExchange = 2;
+const recordBucketsPerExchange = 2;
+const valueBucketsPerExchange = 1;
 
 /** Sends the hashes of all buckets to a host, which answers with the records of buckets that differ. */
 export function startSync(draft: Draft, host: HostId, isJoining: boolean): void {
@@ -33,22 +35,21 @@
     }
 }
 
-/** Hashes the records and value versions of each bucket; equal tables give equal hashes. */
+/** Hashes the records of each bucket, then the value versions of each bucket; equal tables give equal hashes. */
 export function hashBuckets(state: MembershipState): number[] {
-    const hashes = Array<number>(bucketCount).fill(0);
-    const add = (host: HostId, text: string) => {
-        const bucket = bucketOf(host);
+    const hashes = Array<number>(2 * bucketCount).fill(0);
+    const add = (bucket: number, text: string) => {
         // A sum does not depend on the order of the table.
         hashes[bucket] = ((hashes[bucket] ?? 0) + hashText(text)) >>> 0;
     };
     for (const { hostId, incarnation, refutations, isLeaving, health } of state.members.values()) {
         // Suspicions are short and dead members are forgotten at different times; both would make buckets differ all the time.
         if (health !== "dead") {
-            add(hostId, `${hostId} ${incarnation} ${refutations} ${isLeaving}`);
+            add(bucketOf(hostId), `${hostId} ${incarnation} ${refutations} ${isLeaving}`);
         }
     }
     for (const [key, value] of state.values) {
-        add(value.host, `${key} ${value.version}`);
+        add(bucketCount + bucketOf(value.host), `${key} ${value.version}`);
     }
     return hashes;
 }
@@ -58,18 +59,27 @@
 }
 
 function drawBuckets(draft: Draft, differing: readonly number[]): Set<number> {
-    const rest = [...differing];
-    const drawn = new Set<number>();
-    while (drawn.size < bucketsPerExchange && rest.length > 0) {
-        rest.splice(draft.draw(rest.length), 1).forEach(bucket => drawn.add(bucket));
+    return new Set([
+        ...drawSome(draft, differing.filter(bucket => bucket < bucketCount), recordBucketsPerExchange),
+        ...drawSome(draft, differing.filter(bucket => bucket >= bucketCount), valueBucketsPerExchange),
+    ]);
+}
+
+function drawSome(draft: Draft, items: readonly number[], count: number): number[] {
+    const rest = [...items];
+    const drawn: number[] = [];
+    while (drawn.length < count && rest.length > 0) {
+        drawn.push(...rest.splice(draft.draw(rest.length), 1));
     }
     return drawn;
 }
 
 function describeBuckets(draft: Draft, buckets: ReadonlySet<number>, to: HostId): Gossip {
     const { members, values } = draft.state;
-    const records = [...members.values()].filter(record => buckets.has(bucketOf(record.hostId)) || record.hostId === to);
-    const chosen = [...values.values()].filter(value => buckets.has(bucketOf(value.host)));
+    const records = [...members.values()].filter(record =>
+        buckets.has(bucketOf(record.hostId)) || (record.hostId === to && record.health !== "alive")
+    );
+    const chosen = [...values.values()].filter(value => buckets.has(bucketCount + bucketOf(value.host)));
     return draft.composeGossip(records.map(record => describeRecord(record, record.health !== "dead")), chosen);
 }
 
--- a/packages/relay/src/measure/membership.ts
+++ b/packages/relay/src/measure/membership.ts
@@ -1,3 +1,4 @@
+import { describeDelays, printTable } from "./report.js";
 import { Scenario } from "./scenario.js";
 import type { RunResult } from "./scenario.js";
 
@@ -46,19 +47,6 @@
     return scenario.finish();
 }
 
-function describeDelays(values: readonly number[] = []): string {
-    const sorted = [...values].sort((left, right) => left - right);
-    const at = (share: number) => ((sorted[Math.ceil(share * sorted.length) - 1] ?? Number.NaN) / 1_000).toFixed(2);
-    return `${at(0.5)} / ${at(0.99)} / ${at(1)} (${sorted.length})`;
-}
-
-function printTable(rows: readonly (readonly string[])[]): void {
-    const [head = [], ...body] = rows;
-    const lines = [head, head.map(() => "---"), ...body];
-    lines.forEach(cells => console.log(`| ${cells.join(" | ")} |`));
-    console.log("");
-}
-
 const steady = sizes.map(size => ({ size, result: runSteady(size) }));
 console.log(`Steady state: ${loss * 100}% loss, one-second pauses, 24,000 configurations a day; seed ${seed}.\n`);
 printTable([
--- a/packages/wire/src/connection.ts
+++ b/packages/wire/src/connection.ts
@@ -25,6 +25,8 @@
     readonly heartbeatMs: number;
     /** A heartbeat is sent after this much silence while no call is in progress. */
     readonly idleHeartbeatMs: number;
+    /** A connection that received nothing for this long is checked with a heartbeat before the next call. */
+    readonly freshMs: number;
     /** New calls prefer a new connection when a heartbeat or call has waited this long without any byte received. */
     readonly doubtMs: number;
     /** The connection is closed when a heartbeat or call has waited this long without any byte received. */
@@ -46,6 +48,7 @@
     readonly #frames: FrameSocket;
     readonly #options: ConnectionOptions;
     readonly #calls = new Map<number, CallSink>();
+    readonly #receiveCallbacks: ((isReceived: boolean) => void)[] = [];
     readonly #served = new Map<number, AbortController>();
     #nextId = 1;
     #isDraining = false;
@@ -99,6 +102,24 @@
         return id;
     }
 
+    /** Checks a connection that has been quiet for long, so that a call is not sent into a black hole; false when the peer is silent. */
+    async verify(): Promise<boolean> {
+        const { clock, timing } = this.#options;
+        if (clock.monotonicMs() - this.#lastReceivedMs < timing.freshMs) {
+            return true;
+        }
+        if (this.#waitingSinceMs === undefined) {
+            this.#sendHeartbeat();
+        }
+        return new Promise(resolve => {
+            const cancel = clock.after(timing.doubtMs / 2, () => resolve(false));
+            this.#receiveCallbacks.push(isReceived => {
+                cancel();
+                resolve(isReceived);
+            });
+        });
+    }
+
     /** Stops waiting for a call and tells the peer. */
     cancel(id: number): void {
         if (this.#calls.delete(id) && this.#frames.isOpen) {
@@ -121,9 +142,7 @@
         }
         const intervalMs = this.#isBusy || this.#waitingSinceMs !== undefined ? heartbeatMs : idleHeartbeatMs;
         if (nowMs - Math.max(this.#lastReceivedMs, this.#lastHeartbeatMs) >= intervalMs) {
-            this.#lastHeartbeatMs = nowMs;
-            this.#waitingSinceMs ??= nowMs;
-            this.#send({ kind: "event", topic: heartbeatTopic, id: 0, body: undefined }, heartbeatTopic);
+            this.#sendHeartbeat();
         }
     }
 
@@ -146,6 +165,13 @@
         this.#frames.onClose(callback);
     }
 
+    #sendHeartbeat(): void {
+        const nowMs = this.#options.clock.monotonicMs();
+        this.#lastHeartbeatMs = nowMs;
+        this.#waitingSinceMs ??= nowMs;
+        this.#send({ kind: "event", topic: heartbeatTopic, id: 0, body: undefined }, heartbeatTopic);
+    }
+
     #silenceMs(): number {
         return this.#waitingSinceMs === undefined ? 0 : this.#options.clock.monotonicMs() - this.#waitingSinceMs;
     }
@@ -162,6 +188,7 @@
     #receive(frame: Frame, bytes: number): void {
         this.#lastReceivedMs = this.#options.clock.monotonicMs();
         this.#waitingSinceMs = undefined;
+        this.#receiveCallbacks.splice(0).forEach(callback => callback(true));
         const topic = frame.kind === "request" || frame.kind === "event" ? frame.topic : this.#calls.get(frame.id)?.topic;
         this.#options.traffic.received(this.#countedTopic(topic), bytes);
         switch (frame.kind) {
@@ -247,6 +274,7 @@
     }
 
     #fail(reason: string): void {
+        this.#receiveCallbacks.splice(0).forEach(callback => callback(false));
         const sinks = [...this.#calls.values()];
         this.#calls.clear();
         sinks.forEach(sink => sink.onEnd({ code: "peer.closed", message: reason, sent: true }));
--- a/packages/wire/src/tcpnetwork.ts
+++ b/packages/wire/src/tcpnetwork.ts
@@ -90,7 +90,9 @@
         this.#options = options;
         this.#timing = {
             heartbeatMs: options.heartbeatMs ?? 300,
-            idleHeartbeatMs: options.idleHeartbeatMs ?? 30_000,
+            // A node has a connection to every other one; a shorter interval would make its cost grow with the fleet.
+            idleHeartbeatMs: options.idleHeartbeatMs ?? 600_000,
+            freshMs: options.freshMs ?? 5_000,
             doubtMs: options.doubtMs ?? 700,
             silenceMs: options.silenceMs ?? 3_000,
         };
@@ -211,7 +213,7 @@
     async #connect(peer: HostId): Promise<Outcome<PeerConnection, PeerIssue>> {
         const entry = this.#peers.get(peer);
         const current = entry?.current;
-        if (current !== undefined && current.isUsable && !current.isDoubtful()) {
+        if (current !== undefined && current.isUsable && !current.isDoubtful() && await current.verify()) {
             return success(current);
         }
         if (entry?.address === undefined || peer === this.#options.hostId) {
@@ -290,10 +292,8 @@
             timing: this.#timing,
         });
         this.#connections.add(connection);
-        const entry = this.#peer(peer);
-        if (entry.current?.isUsable !== true || entry.current.isDoubtful()) {
-            entry.current = connection;
-        }
+        // Whichever side opened it had a reason not to use an older one.
+        this.#peer(peer).current = connection;
         connection.onClose(reason => this.#release(connection, reason));
         return connection;
     }
