Add readiness, call budget shares and the speed measurement

Cause: the daemon's parts were written before the peer network and platform clients existed and are now tried together.

--- a/packages/endpoints/src/engine.ts
+++ b/packages/endpoints/src/engine.ts
@@ -63,6 +63,7 @@
     readonly runningRequests: number;
     readonly waitingRequests: number;
     readonly waitingPromptTokens: number;
+    /** Prompt tokens that the engine computes per second when it is busy; 0 when it does not know. */
     readonly tokensPerSecond: number;
     readonly batchSlots: number;
 }
--- a/packages/policy/src/routing/load.ts
+++ b/packages/policy/src/routing/load.ts
@@ -129,8 +129,9 @@
         return {
             requests: Math.max(0, requests),
             waitingPromptTokens: Math.max(0, waitingPromptTokens),
-            tokensPerSecond: report?.tokensPerSecond ?? this.#defaults.defaultTokensPerSecond,
-            batchSlots: report?.batchSlots ?? this.#defaults.defaultBatchSlots,
+            // An engine that does not know its rate or size reports 0, which would make every expected time infinite.
+            tokensPerSecond: positiveOr(report?.tokensPerSecond, this.#defaults.defaultTokensPerSecond),
+            batchSlots: positiveOr(report?.batchSlots, this.#defaults.defaultBatchSlots),
             slotHoldMs: this.#slotHoldMs,
             ageMs: now.getTime() - reportedMs,
         };
@@ -151,6 +152,10 @@
     }
 }
 
+function positiveOr(value: number | undefined, otherwise: number): number {
+    return value !== undefined && value > 0 ? value : otherwise;
+}
+
 /** What a dispatch adds to the load that was reported at a time, or takes from it. */
 function changeSince(dispatch: Dispatch, reportedMs: number): { readonly requests: number; readonly tokens: number; } {
     const isReported = dispatch.sentMs <= reportedMs;
--- a/packages/relay/src/admission/admission.ts
+++ b/packages/relay/src/admission/admission.ts
@@ -9,6 +9,7 @@
 import type { EngineRouter } from "../routing/router.js";
 
 const pollPeriodMs = 50;
+const capacityPeriodMs = 100;
 const minimumPublishPeriodMs = 1_000;
 /** Keeps the bytes spent on shares flat: each host's value reaches every host, so hosts publish less often in a large fleet. */
 const publishPeriodPerMemberMs = 50;
@@ -40,6 +41,7 @@
     readonly #configuration: ConfigurationService;
     readonly #membership: MembershipService;
     readonly #models = new Map<string, Admission>();
+    readonly #capacityReadMs = new Map<string, number>();
     readonly #waiting = new Map<string, (outcome: AdmissionOutcome) => void>();
     readonly #stopping = new AbortController();
     readonly #published = new Map<string, string>();
@@ -65,6 +67,7 @@
     /** Resolves when the request may start or is refused. */
     admit(terms: AdmissionTerms): Promise<AdmissionOutcome> {
         const nowMs = this.#kernel.clock.monotonicMs();
+        this.#refreshCapacity(terms.model, nowMs);
         const decision = this.#admissionOf(terms.model).request({
             ...terms,
             deadlineMs: nowMs + terms.deadlineAt - this.#kernel.clock.now().getTime(),
@@ -82,6 +85,13 @@
         this.#poll();
     }
 
+    #refreshCapacity(model: string, nowMs: number): void {
+        if (nowMs - (this.#capacityReadMs.get(model) ?? -Infinity) >= capacityPeriodMs) {
+            this.#capacityReadMs.set(model, nowMs);
+            this.#admissionOf(model).setCapacity(this.#kernel.get<EngineRouter>("routing").slots(model));
+        }
+    }
+
     #admissionOf(model: string): Admission {
         const known = this.#models.get(model);
         if (known !== undefined) {
@@ -152,7 +162,7 @@
         );
         for (const [model, admission] of this.#models) {
             const published = this.#membership.published(gossipUseName(model));
-            admission.setCapacity(this.#kernel.get<EngineRouter>("routing").slots(model));
+            this.#refreshCapacity(model, this.#kernel.clock.monotonicMs());
             admission.updateShares(published.map(item => toPublishedUse(item.host, item.value)), departed);
         }
         this.#poll();
--- a/packages/relay/src/caller/context.ts
+++ b/packages/relay/src/caller/context.ts
@@ -40,6 +40,7 @@
     readonly #configuration: ConfigurationService;
     readonly #membership: MembershipService;
     readonly #settings: Settings;
+    readonly #isRoutingReady: () => boolean;
     #authenticator: { readonly configuration: Configuration; readonly value: Authenticator; } | undefined;
 
     constructor(
@@ -50,8 +51,11 @@
             readonly metrics: Metrics;
             readonly tracing: Tracing;
             readonly settings: Settings;
+            /** Whether the engines' load is known. */
+            readonly isRoutingReady: () => boolean;
         },
     ) {
+        this.#isRoutingReady = services.isRoutingReady;
         this.#clock = services.clock;
         this.#configuration = services.configuration;
         this.#membership = services.membership;
@@ -77,6 +81,12 @@
                 retryAfterMs: 500,
             });
         }
+        if (!this.#isRoutingReady()) {
+            return notRun(503, "relay.notReady", "This host does not know the engines yet.", {
+                entryPoints: this.entryPoints(),
+                retryAfterMs: 500,
+            });
+        }
         if (this.#membership.self().state === "leaving") {
             return notRun(503, "relay.leaving", "This host is leaving. Use another entry point.", {
                 entryPoints: this.entryPoints(),
--- a/packages/relay/src/caller/operator.ts
+++ b/packages/relay/src/caller/operator.ts
@@ -1,6 +1,6 @@
 import type { HostId } from "@filbertrelay/kernel";
-import type { KeyValueClient } from "@filbertrelay/platform";
 import type { ConfigurationService, MembershipService, ShardService } from "../contract.js";
+import type { RelayedKeyValueClient } from "../keyvalue/relayed.js";
 import type { Metrics } from "../telemetry/metrics.js";
 
 /** The name under which hosts publish the configuration version in effect. */
@@ -11,7 +11,7 @@
     readonly membership: MembershipService;
     readonly configuration: ConfigurationService;
     readonly shards: ShardService;
-    readonly keyValue: KeyValueClient;
+    readonly keyValue: RelayedKeyValueClient;
     readonly metrics: Metrics;
     readonly openStreams: () => number;
 }
@@ -33,9 +33,7 @@
         shards: sources.shards.owned(),
         entries: sources.shards.entries(),
         openStreams: sources.openStreams(),
-        keyValue: "usage" in sources.keyValue && typeof sources.keyValue.usage === "function" ?
-            (sources.keyValue.usage as () => unknown)() :
-            {},
+        keyValue: sources.keyValue.usage(),
         counters: sources.metrics.counters(),
     };
 }
--- a/packages/relay/src/caller/server.ts
+++ b/packages/relay/src/caller/server.ts
@@ -1,13 +1,14 @@
 import type { Kernel, Service } from "@filbertrelay/kernel";
 import { declareEvents, invariant } from "@filbertrelay/kernel";
-import type { KeyValueClient } from "@filbertrelay/platform";
 import { serve } from "@hono/node-server";
 import type { HttpBindings, ServerType } from "@hono/node-server";
 import { Hono } from "hono";
 import type { Server } from "node:http";
 import type { PlainCalls } from "../calls/calls.js";
 import type { ConfigurationService, MembershipService, ShardService } from "../contract.js";
+import type { RelayedKeyValueClient } from "../keyvalue/relayed.js";
 import type { Lifecycle } from "../lifecycle/lifecycle.js";
+import type { EngineRouter } from "../routing/router.js";
 import type { Settings } from "../settings.js";
 import type { StreamService } from "../streams/service.js";
 import type { Explanations } from "../telemetry/explanation.js";
@@ -66,6 +67,7 @@
             metrics: kernel.get<Metrics>("metrics"),
             tracing: kernel.get<Tracing>("tracing"),
             settings,
+            isRoutingReady: () => kernel.get<EngineRouter>("routing").isReady(),
         });
     }
 
@@ -147,7 +149,7 @@
                 membership: this.#membership,
                 configuration: this.#configuration,
                 shards: this.#shards,
-                keyValue: this.#kernel.get<KeyValueClient>("keyValue"),
+                keyValue: this.#kernel.get<RelayedKeyValueClient>("keyValue"),
                 metrics: this.#kernel.get<Metrics>("metrics"),
                 openStreams: () => this.#streams.openCount(),
             })));
--- a/packages/relay/src/calls/retry.ts
+++ b/packages/relay/src/calls/retry.ts
@@ -17,15 +17,19 @@
     }
 
     start(): Promise<void> {
-        this.#configuration.onChange(head => {
-            if (head.configuration.retryBudgetRatio !== this.#ratio) {
-                this.#ratio = head.configuration.retryBudgetRatio;
-                this.#budget = createRetryBudget({ ratio: this.#ratio });
-            }
-        });
+        this.#configuration.onChange(() => this.#applyRatio());
+        this.#applyRatio();
         return Promise.resolve();
     }
 
+    #applyRatio(): void {
+        const ratio = this.#configuration.head()?.configuration.retryBudgetRatio;
+        if (ratio !== undefined && ratio !== this.#ratio) {
+            this.#ratio = ratio;
+            this.#budget = createRetryBudget({ ratio });
+        }
+    }
+
     /** Notes a first attempt. */
     countRequest(customer: string, service: string): void {
         this.#budget.recordAttempt(brandAs<CustomerId>(customer), service);
--- a/packages/relay/src/filbertrelayd.ts
+++ b/packages/relay/src/filbertrelayd.ts
@@ -30,7 +30,7 @@
 
 const commandLine = await yargs(hideBin(process.argv))
     .scriptName("filbertrelayd")
-    .usage("$0 --settings FILE", "Runs one entry host of filbertrelay.")
+    .usage("$0 --settings FILE\n\nRuns one entry host of filbertrelay.")
     .option("settings", { type: "string", demandOption: true, describe: "Settings file in TOML" })
     .option("check", { type: "boolean", default: false, describe: "Check the settings and exit" })
     .strict()
--- a/packages/relay/src/keyvalue/relayed.ts
+++ b/packages/relay/src/keyvalue/relayed.ts
@@ -1,7 +1,7 @@
 import type { Clock, HostId, Kernel, Service } from "@filbertrelay/kernel";
 import { failure } from "@filbertrelay/kernel";
 import type { Outcome } from "@filbertrelay/kernel";
-import type { KeyValueClient, KeyValueIssue } from "@filbertrelay/platform";
+import type { CallBudget, KeyValueClient, KeyValueIssue } from "@filbertrelay/platform";
 import { declareTopic } from "@filbertrelay/wire";
 import type { PeerNetwork } from "@filbertrelay/wire";
 import { match } from "ts-pattern";
@@ -67,8 +67,7 @@
 
     /** Calls by purpose and the share that went through peers, for the status page. */
     usage(): Record<string, unknown> {
-        const direct = this.#direct as KeyValueClient & { readonly usage?: () => Record<string, unknown>; };
-        return { ...direct.usage?.(), relayed: this.#relayed };
+        return { ...this.#kernel.get<CallBudget>("callBudget").report(), relayed: this.#relayed };
     }
 
     get: KeyValueClient["get"] = (key, purpose) => this.#call({ type: "get", key, purpose });
--- /dev/null
+++ b/packages/relay/src/keyvalue/share.ts
@@ -0,0 +1,38 @@
+import type { Kernel, Service } from "@filbertrelay/kernel";
+import type { CallBudget, CallRates } from "@filbertrelay/platform";
+import type { ConfigurationService, MembershipService } from "../contract.js";
+
+/** Shards are not spread evenly, so a host may use a multiple of its even share. */
+const unevennessFactor = 3;
+const minimumRates: CallRates = { readsPerSecond: 10, writesPerSecond: 5 };
+
+/** Gives each host its part of the deployment's budget of key-value calls; registered as `callBudgetShare`. */
+export class CallBudgetShare implements Service {
+    readonly #kernel: Kernel;
+
+    constructor(kernel: Kernel) {
+        this.#kernel = kernel;
+    }
+
+    start(): Promise<void> {
+        this.#kernel.get<ConfigurationService>("configuration").onChange(() => this.#apply());
+        this.#kernel.get<MembershipService>("membership").onChange(() => this.#apply());
+        this.#apply();
+        return Promise.resolve();
+    }
+
+    #apply(): void {
+        const budget = this.#kernel.get<ConfigurationService>("configuration").head()?.configuration.keyValueBudget;
+        if (budget === undefined) {
+            return;
+        }
+        const members = this.#kernel.get<MembershipService>("membership").members();
+        const hosts = Math.max(1, members.filter(member => member.state !== "dead").length);
+        const share = (total: number, minimum: number): number =>
+            Math.max(minimum, Math.min(total, unevennessFactor * total / hosts));
+        this.#kernel.get<CallBudget>("callBudget").setRates({
+            readsPerSecond: share(budget.readsPerSecond, minimumRates.readsPerSecond),
+            writesPerSecond: share(budget.writesPerSecond, minimumRates.writesPerSecond),
+        });
+    }
+}
--- a/packages/relay/src/routing/router.ts
+++ b/packages/relay/src/routing/router.ts
@@ -12,6 +12,9 @@
 /** Engines that one entry host sends to; more are only a longer list of late reports. */
 const subsetSize = 48;
 
+/** A host without a load report of each model's engines takes requests after this time all the same. */
+const reportWaitMs = 3_000;
+
 /** The engine chosen for a request. */
 export interface EngineChoice {
     readonly engine: DirectoryEntry;
@@ -36,6 +39,7 @@
     readonly #loads: LoadTable = createLoadTable();
     readonly #watches = new Map<EndpointId, EngineWatch>();
     readonly #crashedUntilMs = new Map<EndpointId, number>();
+    #startedMs = 0;
     #isStopped = false;
 
     constructor(kernel: Kernel) {
@@ -45,6 +49,7 @@
     }
 
     start(): Promise<void> {
+        this.#startedMs = this.#kernel.clock.monotonicMs();
         this.#directory.onChange(() => this.#updateWatches());
         this.#configuration.onChange(() => this.#updateWatches());
         this.#updateWatches();
@@ -57,6 +62,17 @@
         return Promise.resolve();
     }
 
+    /** Whether an engine of each model has reported its load, without which admission would refuse too much. */
+    isReady(): boolean {
+        const { clock } = this.#kernel;
+        const models = this.#configuration.head()?.configuration.models ?? [];
+        const now = clock.now();
+        const isReported = (engine: DirectoryEntry): boolean =>
+            Number.isFinite(this.#loads.estimate(brandAs<EndpointId>(engine.endpointId), now).ageMs);
+        return clock.monotonicMs() - this.#startedMs > reportWaitMs ||
+            models.every(model => this.#directory.endpoints(model.name).some(isReported));
+    }
+
     /** Chooses an engine of the model for a prompt. */
     choose(model: string, prompt: PromptBlocks, limits: ChoiceLimits): Outcome<EngineChoice, RoutingIssue> {
         const usable = this.#usableEngines(model);
--- a/packages/relay/src/streams/answer.ts
+++ b/packages/relay/src/streams/answer.ts
@@ -10,6 +10,9 @@
     /** The answer goes on at another entry host. */
     | { readonly type: "moved"; };
 
+/** The state of an answer to which nothing is added any more. */
+export type EndedState = Exclude<AnswerState, { type: "running"; }>;
+
 /** Whose answer it is and which model gives it. */
 export interface AnswerIdentity {
     readonly requestId: RequestId;
@@ -24,6 +27,8 @@
     readonly model: string;
     readonly #tokens: string[];
     readonly #listeners = new Set<() => void>();
+    readonly #ended: Promise<EndedState>;
+    #resolveEnded: (state: EndedState) => void = () => undefined;
     #state: AnswerState = { type: "running" };
 
     constructor(identity: AnswerIdentity, tokens: readonly string[] = []) {
@@ -31,6 +36,9 @@
         this.customer = identity.customer;
         this.model = identity.model;
         this.#tokens = [...tokens];
+        this.#ended = new Promise(resolve => {
+            this.#resolveEnded = resolve;
+        });
     }
 
     /** The number of tokens so far, which is also the offset of the last one. */
@@ -66,9 +74,10 @@
     }
 
     /** Ends the answer; the first end counts. */
-    end(state: Exclude<AnswerState, { type: "running"; }>): void {
+    end(state: EndedState): void {
         if (this.#state.type === "running") {
             this.#state = state;
+            this.#resolveEnded(state);
             this.#notify();
         }
     }
@@ -80,13 +89,8 @@
     }
 
     /** Resolves when the answer has ended. */
-    async ended(): Promise<Exclude<AnswerState, { type: "running"; }>> {
-        for (;;) {
-            if (this.#state.type !== "running") {
-                return this.#state;
-            }
-            await this.changed();
-        }
+    ended(): Promise<EndedState> {
+        return this.#ended;
     }
 
     /** Resolves after the next change. */
--- a/packages/relay/src/streams/eventstream.ts
+++ b/packages/relay/src/streams/eventstream.ts
@@ -19,8 +19,17 @@
     response.flushHeaders();
     let offset = options.offset;
     let isBlocked = false;
+    let isScheduled = false;
 
+    // One write for all tokens that arrived in one turn of the event loop; each write is a system call.
+    const schedule = (): void => {
+        if (!isScheduled) {
+            isScheduled = true;
+            setImmediate(pump);
+        }
+    };
     const pump = (): void => {
+        isScheduled = false;
         if (isBlocked || response.destroyed) {
             return;
         }
@@ -43,7 +52,7 @@
             });
         }
     };
-    const cancel = answer.onChange(pump);
+    const cancel = answer.onChange(schedule);
     response.once("close", cancel);
     pump();
 }
--- a/packages/standins/src/engine.ts
+++ b/packages/standins/src/engine.ts
@@ -83,7 +83,10 @@
             onFinish: generation => this.#onFinish(generation),
         });
         this.#orders = new EngineOrders(options, () => this.#cache.clear());
-        this.#reports = new LoadReports(this.#model, options.loadLagMs);
+        this.#reports = new LoadReports(this.#model, {
+            lagMs: options.loadLagMs,
+            tokensPerSecond: options.prefillTokensPerSecond,
+        });
         this.#sweepTimer = setInterval(() => this.#sweep(), 1_000);
         this.#addRequestRoutes();
         this.#addCacheRoutes();
--- a/packages/standins/src/loadreport.ts
+++ b/packages/standins/src/loadreport.ts
@@ -3,22 +3,24 @@
 /** A load report as an engine gives it. */
 export interface LoadReport extends ModelLoad {
     readonly reportedAt: string;
+    /** Prompt tokens per second of a busy engine. */
     readonly tokensPerSecond: number;
 }
 
 const reportIntervalMs = 100;
-const rateWindowReports = 10;
 
 /** Takes load reports at a fixed interval and shows them with a lag. */
 export class LoadReports {
     readonly #model: EngineModel;
     readonly #lagMs: number;
+    readonly #tokensPerSecond: number;
     readonly #timer: NodeJS.Timeout;
-    readonly #reports: { readonly takenMs: number; readonly producedTokens: number; readonly report: LoadReport; }[] = [];
+    readonly #reports: { readonly takenMs: number; readonly report: LoadReport; }[] = [];
 
-    constructor(model: EngineModel, lagMs: number) {
+    constructor(model: EngineModel, options: { readonly lagMs: number; readonly tokensPerSecond: number; }) {
         this.#model = model;
-        this.#lagMs = lagMs;
+        this.#lagMs = options.lagMs;
+        this.#tokensPerSecond = options.tokensPerSecond;
         this.#take();
         this.#timer = setInterval(() => this.#take(), reportIntervalMs);
     }
@@ -27,7 +29,7 @@
     current(): LoadReport {
         const limitMs = performance.now() - this.#lagMs;
         const entry = this.#reports.findLast(candidate => candidate.takenMs <= limitMs) ?? this.#reports[0];
-        return entry?.report ?? this.#build(0);
+        return entry?.report ?? this.#build();
     }
 
     close(): void {
@@ -36,18 +38,14 @@
 
     #take(): void {
         const takenMs = performance.now();
-        const { producedTokens } = this.#model.totals;
-        const former = this.#reports.at(-rateWindowReports) ?? this.#reports[0];
-        const seconds = former === undefined ? 0 : (takenMs - former.takenMs) / 1_000;
-        const rate = former === undefined || seconds === 0 ? 0 : (producedTokens - former.producedTokens) / seconds;
-        this.#reports.push({ takenMs, producedTokens, report: this.#build(rate) });
-        const kept = rateWindowReports + Math.ceil(this.#lagMs / reportIntervalMs) + 1;
+        this.#reports.push({ takenMs, report: this.#build() });
+        const kept = Math.ceil(this.#lagMs / reportIntervalMs) + 2;
         if (this.#reports.length > kept) {
             this.#reports.shift();
         }
     }
 
-    #build(tokensPerSecond: number): LoadReport {
-        return { reportedAt: new Date().toISOString(), tokensPerSecond, ...this.#model.load() };
+    #build(): LoadReport {
+        return { reportedAt: new Date().toISOString(), tokensPerSecond: this.#tokensPerSecond, ...this.#model.load() };
     }
 }
