Add the emulated model engine

Cause: policies and the stand-in engine need one deterministic model of an engine. Change: continuous batching with a token budget per step, prefix cache in blocks, late and incomplete cache events, late load reports, crash, stall, reclaim, KV cache export and import, under a passed-in clock. Conclusion: runs under the virtual clock; no experiment uses it yet.

--- a/packages/emulator/src/index.ts
+++ b/packages/emulator/src/index.ts
@@ -1,2 +1,4 @@
 /** Engine model, traces, replay and experiments under a virtual clock. */
-export {};
+export * from "./engine/answer.js";
+export * from "./engine/engine.js";
+export type { EngineCacheEvent, EngineLoadReport } from "./engine/history.js";
--- a/packages/policy/src/routing/prefix.ts
+++ b/packages/policy/src/routing/prefix.ts
@@ -80,7 +80,7 @@
             if (event.sequence <= endpoint.lastSequence) {
                 continue;
             }
-            if (event.sequence !== endpoint.lastSequence + 1) {
+            if (endpoint.lastSequence !== 0 && event.sequence !== endpoint.lastSequence + 1) {
                 gap = true;
                 endpoint.generation += 1;
             }
--- a/packages/policy/src/suspects/tracker.ts
+++ b/packages/policy/src/suspects/tracker.ts
@@ -49,6 +49,8 @@
     decide(fingerprint: string, nowMs: number): SuspectDecision;
     /** Reserves the run in isolation of a suspect on an endpoint; false when the endpoint already runs a suspect. */
     startIsolated(fingerprint: string, endpointId: EndpointId, nowMs: number): boolean;
+    /** Ends a run in isolation that neither completed nor crashed, for example a cancelled one. */
+    stopIsolated(fingerprint: string, nowMs: number): void;
     /** Notes that a fingerprint's request ended without a crash, which clears a suspect. */
     recordCompletion(fingerprint: string, nowMs: number): void;
     /**
@@ -110,6 +112,14 @@
         return true;
     }
 
+    stopIsolated(fingerprint: string, nowMs: number): void {
+        this.#release(fingerprint);
+        const entry = this.#live(fingerprint, nowMs);
+        if (entry !== undefined) {
+            this.#entries.set(fingerprint, withoutIsolation(entry));
+        }
+    }
+
     recordCompletion(fingerprint: string, nowMs: number): void {
         this.#release(fingerprint);
         const entry = this.#live(fingerprint, nowMs);
