--- a/packages/emulator/src/engine/engine.ts
+++ b/packages/emulator/src/engine/engine.ts
@@ -55,13 +55,13 @@
     readonly promptTokenMs?: number;
     /** Time per answer token; 0.25 ms by default. */
     readonly answerTokenMs?: number;
-    /** Size of the prefix cache, shared with running requests, in blocks of 64 tokens; 3000 by default. */
+    /** Size of the prefix cache, shared with running requests, in blocks of 64 tokens; 6000 by default. */
     readonly cacheBlocks?: number;
     /** Age at which load reports are given out; 0 by default. */
     readonly reportLagMs?: number;
     /** Age at which cache events are given out; 0 by default. */
     readonly eventLagMs?: number;
-    /** Part of the cache events that are lost; 0 by default. */
+    /** Part of the cache events that are lost, in batches of 64; 0 by default. */
     readonly eventLoss?: number;
     /** Requests that crash the engine when their prompt is computed; none by default. */
     readonly crashesOn?: (submission: EngineSubmission) => boolean;
@@ -88,6 +88,7 @@
     readonly #imported = new Map<string, number>();
     #waiting: Sequence[] = [];
     #running: Sequence[] = [];
+    #busyMs = 0;
     #stepping = false;
     #epoch = 0;
     #stalledUntilMs = -Infinity;
@@ -102,7 +103,7 @@
             stepBaseMs: 12,
             promptTokenMs: 0.1,
             answerTokenMs: 0.25,
-            cacheBlocks: 3000,
+            cacheBlocks: 6000,
             reportLagMs: 0,
             eventLagMs: 0,
             eventLoss: 0,
@@ -118,6 +119,11 @@
         return this.#state;
     }
 
+    /** Time spent in steps since the start. */
+    get busyMs(): number {
+        return this.#busyMs;
+    }
+
     /** Starts or queues a generation; one that can't be taken ends at once with the reason `refused`. */
     submit(submission: EngineSubmission, listener: EngineListener): void {
         const sequence = this.#createSequence(submission, listener);
@@ -242,6 +248,7 @@
         }
         this.#stepping = true;
         const work = this.#planStep();
+        this.#busyMs += work.durationMs;
         const epoch = this.#epoch;
         const stalledMs = Math.max(0, this.#stalledUntilMs - this.#clock.monotonicMs());
         this.#clock.after(stalledMs + work.durationMs, () => {
--- a/packages/policy/src/routing/load.ts
+++ b/packages/policy/src/routing/load.ts
@@ -119,17 +119,18 @@
         const endpoint = this.#endpoints.get(endpointId);
         const report = endpoint?.report;
         let requests = (report?.runningRequests ?? 0) + (report?.waitingRequests ?? 0);
-        let waitingPromptTokens = report?.waitingPromptTokens ?? 0;
         const reportedMs = report?.reportedAt.getTime() ?? -Infinity;
+        const tokensPerSecond = report?.tokensPerSecond ?? this.#defaults.defaultTokensPerSecond;
+        const backlog = new Backlog(report?.waitingPromptTokens ?? 0, reportedMs, tokensPerSecond);
         for (const dispatch of endpoint?.dispatches.values() ?? []) {
             const change = changeSince(dispatch, reportedMs);
             requests += change.requests;
-            waitingPromptTokens += change.tokens;
+            backlog.add(Math.max(dispatch.sentMs, reportedMs), change.tokens);
         }
         return {
             requests: Math.max(0, requests),
-            waitingPromptTokens: Math.max(0, waitingPromptTokens),
-            tokensPerSecond: report?.tokensPerSecond ?? this.#defaults.defaultTokensPerSecond,
+            waitingPromptTokens: backlog.at(now.getTime()),
+            tokensPerSecond,
             batchSlots: report?.batchSlots ?? this.#defaults.defaultBatchSlots,
             slotHoldMs: this.#slotHoldMs,
             ageMs: now.getTime() - reportedMs,
@@ -151,6 +152,33 @@
     }
 }
 
+/**
+ * Prompt tokens that wait at an endpoint, computed at its rate since the report. A backlog changes within fractions of a
+ * second; taking an old report as the present state sends requests away from caches for a queue that is long gone.
+ */
+class Backlog {
+    #tokens: number;
+    #atMs: number;
+    readonly #tokensPerSecond: number;
+
+    constructor(tokens: number, atMs: number, tokensPerSecond: number) {
+        this.#tokens = tokens;
+        this.#atMs = atMs;
+        this.#tokensPerSecond = tokensPerSecond;
+    }
+
+    add(atMs: number, tokens: number): void {
+        this.#tokens = Math.max(0, this.at(atMs) + tokens);
+        this.#atMs = atMs;
+    }
+
+    at(timeMs: number): number {
+        return Number.isFinite(this.#atMs) ?
+            Math.max(0, this.#tokens - this.#tokensPerSecond * (timeMs - this.#atMs) / 1000) :
+            this.#tokens;
+    }
+}
+
 /** What a dispatch adds to the load that was reported at a time, or takes from it. */
 function changeSince(dispatch: Dispatch, reportedMs: number): { readonly requests: number; readonly tokens: number; } {
     const isReported = dispatch.sentMs <= reportedMs;
