--- a/packages/policy/src/shards/commit.ts
+++ b/packages/policy/src/shards/commit.ts
@@ -1,4 +1,5 @@
-import { answerWaiters, refuse, settleLater, startAttempts } from "./entry.js";
+import { refuseWaiters, settleLater, startAttempts } from "./entry.js";
+import type { Candidate } from "./message.js";
 import { chooseStandbys } from "./placement.js";
 import { actingSet, nextToken, wake } from "./state.js";
 import type { OwnerState, PendingWrite, ShardState, Step } from "./state.js";
@@ -44,10 +45,15 @@
 
 /** Tells whether a standby is lost or leaving, or one can be added. */
 export function needsStandbys(state: ShardState, owner: OwnerState): boolean {
-    const wanted = chooseStandbys(state.options.self, state.members).length;
+    const wanted = chooseStandbys(state.options.self, presentMembers(state)).length;
     return owner.standbys.some(standby => !isUsable(state, standby)) || owner.standbys.length < wanted;
 }
 
+/** The membership may still list a process that is proven gone. */
+function presentMembers(state: ShardState): Candidate[] {
+    return state.members.filter(member => !state.gone.has(holderKey(member)));
+}
+
 /** Tells whether a standby is worth keeping: not leaving, dead or restarted as far as the membership knows. */
 export function isUsable(state: ShardState, standby: Holder): boolean {
     const member = state.members.find(candidate => candidate.host === standby.host);
@@ -57,7 +63,7 @@
 
 /** Chooses standbys for an owner, keeping the present ones that are usable. */
 export function refreshStandbys(state: ShardState, owner: Holder, present: readonly Holder[]): Holder[] {
-    const wanted = chooseStandbys(owner, state.members);
+    const wanted = chooseStandbys(owner, presentMembers(state));
     const kept = present.filter(standby => isUsable(state, standby) && standby.host !== owner.host);
     const added = wanted.filter(standby => !kept.some(other => other.host === standby.host));
     return [...kept, ...added].slice(0, Math.max(wanted.length, kept.length));
@@ -65,7 +71,7 @@
 
 /** The host that takes over when this one leaves: a live standby if there is one, else the first live candidate. */
 export function chooseSuccessor(state: ShardState, owner: OwnerState): Holder | undefined {
-    const live = state.members.filter(member => member.state === "alive" && member.host !== state.options.self.host);
+    const live = presentMembers(state).filter(member => member.state === "alive" && member.host !== state.options.self.host);
     const standby = live.find(member => owner.standbys.some(other => isSameHolder(other, member)));
     const chosen = standby ?? live[0];
     return chosen === undefined ? undefined : { host: chosen.host, incarnation: chosen.incarnation };
@@ -261,11 +267,5 @@
     if (entry.isRepeat !== true) {
         settleLater(state, { ...entry, state: "notRun" });
     }
-    const waiters = state.waiting.get(entry.key) ?? [];
-    state.waiting.delete(entry.key);
-    if (entry.isRepeat === true) {
-        answerWaiters(step, entry.key, { ok: false, code: "shard.unknown", executed: "unknown" });
-        return;
-    }
-    waiters.forEach(waiter => refuse(step, waiter, "shard.notOwned"));
+    refuseWaiters(step, entry, "shard.notOwned");
 }
--- a/packages/policy/src/shards/entry.ts
+++ b/packages/policy/src/shards/entry.ts
@@ -3,6 +3,8 @@
 import type { OwnerState, ShardState, Step, Waiter } from "./state.js";
 import type { ShardEntry, StoredResponse } from "./value.js";
 
+type RefusalCode = Extract<ShardAnswer, { ok: false; }>["code"];
+
 /** Results above this many Base64 characters are not recorded; a key that comes back is told that it was executed. */
 const singleResultLimit = 262_144;
 
@@ -26,10 +28,18 @@
         resolveUnknown(step, owner, entry, input, waiter);
     }
     else {
+        extendAttempt(step, entry, input.deadlineMs);
         addWaiter(step, input.key, waiter);
     }
 }
 
+function extendAttempt(step: Step, entry: ShardEntry, deadlineMs: number): void {
+    const attempt = step.state.attempts.get(entry.intent ?? "");
+    if (entry.intent !== undefined && attempt !== undefined && attempt.deadlineMs < deadlineMs) {
+        step.state.attempts.set(entry.intent, { ...attempt, deadlineMs });
+    }
+}
+
 function acceptKey(step: Step, owner: OwnerState, input: SubmitInput, waiter: Waiter): void {
     if (step.state.nowMs < owner.unknownUntilMs && isInForce(step.state, "unknownAfterLastResort")) {
         answer(step, input.call, { ok: false, code: "shard.unknown", executed: "unknown" });
@@ -115,11 +125,26 @@
         owner.entries.set(entry.key, intent);
         if (attempt !== undefined) {
             step.state.attempts.set(entry.intent, { ...attempt, entry: intent });
-            sendNext(step, entry.intent);
+            sendFirst(step, owner, intent);
         }
     }
 }
 
+/** Closes the intent instead when every caller's deadline passed while it was being written. */
+function sendFirst(step: Step, owner: OwnerState, entry: ShardEntry): void {
+    if (!sendNext(step, entry.intent ?? "")) {
+        abandon(step, owner, entry);
+        refuseWaiters(step, entry, "shard.unavailable");
+    }
+}
+
+/** Refuses everyone who waits for a key whose intent was given up before it was used. */
+export function refuseWaiters(step: Step, entry: ShardEntry, code: RefusalCode): void {
+    const waiters = step.state.waiting.get(entry.key) ?? [];
+    step.state.waiting.delete(entry.key);
+    waiters.forEach(waiter => entry.isRepeat === true ? answer(step, waiter.call, unknownAnswer) : refuse(step, waiter, code));
+}
+
 function sendNext(step: Step, intent: string): boolean {
     const attempt = step.state.attempts.get(intent);
     const endpoint = attempt?.entry.endpoints[attempt.endpointIndex + 1];
@@ -152,6 +177,11 @@
         ...(result === undefined ? {} : { result }),
     };
     recordOutcome(step, finished);
+    if (state === "notRun") {
+        // A successor may have repeated the key at an endpoint that deduplicates, so this refusal alone proves nothing.
+        refuseWaiters(step, finished, "endpoint.refused");
+        return;
+    }
     answerWaiters(step, finished.key, outcomeAnswer(finished, outcome));
 }
 
@@ -235,7 +265,7 @@
  * Refuses a caller. `no` needs a proof of ownership obtained after the submission arrived: a former owner
  * that does not know of its successor can't tell whether the successor ran the key.
  */
-export function refuse(step: Step, waiter: Waiter, code: Extract<ShardAnswer, { ok: false; }>["code"]): void {
+export function refuse(step: Step, waiter: Waiter, code: RefusalCode): void {
     const isConfirmed = step.state.confirmed >= waiter.arrival || !isInForce(step.state, "confirmedRefusal");
     answer(step, waiter.call, { ok: false, code, executed: isConfirmed ? "no" : "unknown" });
 }
--- a/packages/policy/src/shards/standby.ts
+++ b/packages/policy/src/shards/standby.ts
@@ -96,6 +96,11 @@
         entries.forEach(entry => addCopy(state, entry));
         state.releasedEpoch = request.epoch;
     }
+    else if (owner === undefined && state.known?.epoch === request.epoch && isSameHolder(state.known.owner, state.options.self)) {
+        // The delegation to this process is not in force yet; from now on it never will be.
+        state.releasedEpoch = request.epoch;
+        state.promisedEpoch = Math.max(state.promisedEpoch, request.epoch);
+    }
     const isReleased = state.owner === undefined && state.releasedEpoch === request.epoch;
     return reply(state, isReleased, isReleased ? heldEntries(state) : undefined);
 }
@@ -123,7 +128,7 @@
     const { state } = step;
     const { handover, known } = state;
     const isCurrent = known?.epoch === request.set.epoch && known.change === request.set.change &&
-        isSameHolder(known.owner, state.options.self) && state.owner === undefined;
+        isSameHolder(known.owner, state.options.self) && state.owner === undefined && state.releasedEpoch < known.epoch;
     if (!isCurrent || handover?.set.change !== request.set.change || handover.set.epoch !== request.set.epoch) {
         // The former owner named this process in the key-value service; what it wrote is read from there.
         startTakeover(step, false);
@@ -146,7 +151,8 @@
 /** A host without newer knowledge promises as well, so that it can't become a holder after it answered. */
 function promiseAndReport(state: ShardState, request: RequestOf<"query">): PeerReply {
     state.promisedEpoch = Math.max(state.promisedEpoch, request.epoch);
-    return reply(state, true, heldEntries(state));
+    const own = [...state.owner?.entries.values() ?? []].filter(entry => entry.state !== "accepted");
+    return reply(state, true, [...heldEntries(state), ...own]);
 }
 
 function settle(step: Step, request: RequestOf<"settle">): PeerReply {
--- a/packages/policy/src/shards/takeover.ts
+++ b/packages/policy/src/shards/takeover.ts
@@ -75,7 +75,8 @@
         state.known :
         value;
     const owner = state.members.find(member => isSameHolder(member, newest.owner));
-    return !takeover.isForced && owner !== undefined && owner.state !== "dead" && !isSameHolder(newest.owner, state.options.self);
+    const isServing = owner?.state === "alive" || owner?.state === "suspect";
+    return !takeover.isForced && isServing && !isSameHolder(newest.owner, state.options.self);
 }
 
 function yieldTo(step: Step, set: HolderSet): void {
@@ -246,10 +247,10 @@
     const { state } = step;
     const epoch = takeover.base?.value.epoch ?? 0;
     if (isSameHolder(owner, state.options.self)) {
-        takeover.isReleased = state.releasedEpoch === epoch;
-        if (takeover.isReleased && takeover.base !== undefined) {
-            claim(step, takeover, takeover.base);
-        }
+        // This process acts as owner no more, or never did; a delegation that arrives later has no effect.
+        state.releasedEpoch = epoch;
+        takeover.isReleased = true;
+        claim(step, takeover, takeover.base);
     }
     else if (!state.gone.has(holderKey(owner))) {
         if (!takeover.asked.includes(holderKey(owner))) {
--- a/packages/policy/src/shards/witness.ts
+++ b/packages/policy/src/shards/witness.ts
@@ -19,7 +19,9 @@
 
 /** All standbys that must acknowledge: those of the set in force and of sets whose write may still take effect. */
 export function requiredStandbys(owner: OwnerState): Holder[] {
-    const sets = [...owner.standbys, ...owner.uncertainStandbys, ...owner.write?.value.standbys ?? []];
+    // A completed change has the agreement of the holders of every write that was uncertain before it.
+    const written = owner.write !== undefined && owner.write.value.change >= owner.change ? owner.write.value.standbys : [];
+    const sets = [...owner.standbys, ...owner.uncertainStandbys, ...written];
     return [...new Map(sets.map(standby => [holderKey(standby), standby])).values()];
 }
 
--- a/packages/relay/src/shards/service.ts
+++ b/packages/relay/src/shards/service.ts
@@ -322,7 +322,7 @@
         const actor = this.#actors.get(shard);
         const members = this.#candidates(shard);
         const isLive = (holder: Holder | undefined): holder is Holder =>
-            holder !== undefined && members.some(member => isOwner(member, holder) && member.state !== "dead");
+            holder !== undefined && members.some(member => isOwner(member, holder) && isServing(member.state));
         if (actor?.state.owner !== undefined) {
             return this.#self().host;
         }
@@ -395,6 +395,10 @@
     return answer.code === "shard.notOwned";
 }
 
+function isServing(state: Candidate["state"]): boolean {
+    return state === "alive" || state === "suspect";
+}
+
 function isOwner(member: Holder, owner: Holder): boolean {
     return member.host === owner.host && member.incarnation === owner.incarnation;
 }
