--- a/packages/relay/src/caller/operator.ts
+++ b/packages/relay/src/caller/operator.ts
@@ -1,11 +1,9 @@
 import type { HostId } from "@filbertrelay/kernel";
+import { configurationValueName } from "../configuration/service.js";
 import type { ConfigurationService, MembershipService, ShardService } from "../contract.js";
 import type { RelayedKeyValueClient } from "../keyvalue/relayed.js";
 import type { Metrics } from "../telemetry/metrics.js";
 
-/** The name under which hosts publish the configuration version in effect. */
-export const gossipVersionName = "configuration.version";
-
 /** What `GET /v1/status` needs. */
 export interface StatusSources {
     readonly membership: MembershipService;
@@ -39,5 +37,5 @@
 }
 
 function publishedVersions(sources: StatusSources): readonly { hostId: HostId; version: unknown; }[] {
-    return sources.membership.published(gossipVersionName).map(item => ({ hostId: item.host, version: item.value }));
+    return sources.membership.published(configurationValueName).map(item => ({ hostId: item.host, version: item.value }));
 }
