--- a/packages/relay/src/caller/operator.ts
+++ b/packages/relay/src/caller/operator.ts
@@ -1,17 +1,15 @@
 import type { HostId } from "@filbertrelay/kernel";
-import type { KeyValueClient } from "@filbertrelay/platform";
+import { configurationValueName } from "../configuration/service.js";
 import type { ConfigurationService, MembershipService, ShardService } from "../contract.js";
+import type { RelayedKeyValueClient } from "../keyvalue/relayed.js";
 import type { Metrics } from "../telemetry/metrics.js";
 
-/** The name under which hosts publish the configuration version in effect. */
-export const gossipVersionName = "configuration.version";
-
 /** What `GET /v1/status` needs. */
 export interface StatusSources {
     readonly membership: MembershipService;
     readonly configuration: ConfigurationService;
     readonly shards: ShardService;
-    readonly keyValue: KeyValueClient;
+    readonly keyValue: RelayedKeyValueClient;
     readonly metrics: Metrics;
     readonly openStreams: () => number;
 }
@@ -33,13 +31,11 @@
         shards: sources.shards.owned(),
         entries: sources.shards.entries(),
         openStreams: sources.openStreams(),
-        keyValue: "usage" in sources.keyValue && typeof sources.keyValue.usage === "function" ?
-            (sources.keyValue.usage as () => unknown)() :
-            {},
+        keyValue: sources.keyValue.usage(),
         counters: sources.metrics.counters(),
     };
 }
 
 function publishedVersions(sources: StatusSources): readonly { hostId: HostId; version: unknown; }[] {
-    return sources.membership.published(gossipVersionName).map(item => ({ hostId: item.host, version: item.value }));
+    return sources.membership.published(configurationValueName).map(item => ({ hostId: item.host, version: item.value }));
 }
