Count own dispatches for those of other hosts; add the routing experiment

Change: an own dispatch since the report counts for half the hosts; the engine estimates waiting tokens once per request; 'experiment.js routing' prints the comparison.

--- a/packages/emulator/src/engine/engine.ts
+++ b/packages/emulator/src/engine/engine.ts
@@ -73,6 +73,8 @@
     readonly answerTokens: number;
     readonly contextTokens: number;
     readonly privateBlocks: number;
+    /** Tokens not cached when the request arrived; an estimate for load reports while it waits. */
+    readonly estimatedTokens: number;
     cachedTokens: number;
     computedTokens: number;
     pinnedBlocks: number;
@@ -227,6 +229,7 @@
             answerTokens: answerTokens - knownTokens,
             contextTokens,
             privateBlocks: Math.ceil(privateTokens / prefixBlockTokens),
+            estimatedTokens: contextTokens - this.#cache.match(submission.prompt.blocks) * prefixBlockTokens,
             cachedTokens: 0,
             computedTokens: 0,
             pinnedBlocks: 0,
@@ -353,7 +356,7 @@
         const answering = this.#running.filter(sequence => missingTokens(sequence) === 0).length;
         const promptTokens = Math.max(1, stepTokens - answering);
         const fullStepMs = stepBaseMs + promptTokens * promptTokenMs + answering * answerTokenMs;
-        const waiting = this.#waiting.reduce((sum, sequence) => sum + this.#uncachedTokens(sequence), 0);
+        const waiting = this.#waiting.reduce((sum, sequence) => sum + sequence.estimatedTokens, 0);
         this.#history.recordLoad({
             reportedAt: this.#clock.now(),
             runningRequests: this.#running.length,
@@ -363,10 +366,6 @@
             batchSlots,
         });
     }
-
-    #uncachedTokens(sequence: Sequence): number {
-        return sequence.contextTokens - this.#cache.match(sequence.submission.prompt.blocks) * prefixBlockTokens;
-    }
 }
 
 function missingTokens(sequence: Sequence): number {
--- a/packages/emulator/src/experiment/routing.ts
+++ b/packages/emulator/src/experiment/routing.ts
@@ -4,7 +4,7 @@
 import { prepareRequests, scheduleArrivals } from "../replay/request.js";
 import type { ReplayRequest } from "../replay/request.js";
 import { createLeastLoadRouter, createPolicyRouter, createRoundRobinRouter } from "../replay/router.js";
-import { percentile } from "../table.js";
+import { formatTable, percentile } from "../table.js";
 import { locateTrace, readTrace } from "../trace/trace.js";
 import type { TraceHeader } from "../trace/trace.js";
 
@@ -92,7 +92,7 @@
         case "leastWithOwn":
             return { ...base, router: createLeastLoadRouter({ countOwn: true }) };
         case "policy":
-            return { ...base, router: createPolicyRouter(options) };
+            return { ...base, router: createPolicyRouter({ ...options, dispatchWeight: (header.entryHosts + 1) / 2 }) };
         case "oracle":
             return { ...base, hosts: 1, engineOptions: exact, readAlways: true, router: createPolicyRouter(oracleOptions) };
     }
@@ -113,3 +113,74 @@
         engineSeconds: result.busyMs / result.records.length,
     };
 }
+
+/** Compares all strategies on the committed traces and renders one table per deployment. */
+export function runRouting(purpose: TraceHeader["purpose"], seed: number): string {
+    return ["chaulage", "salal"].map(deployment => renderDeployment(deployment, purpose, seed)).join("\n\n");
+}
+
+function renderDeployment(deployment: string, purpose: TraceHeader["purpose"], seed: number): string {
+    const prepared = prepareDeployment(deployment, purpose, seed);
+    const { header, requests, capacity } = prepared;
+    const title = `${deployment}: ${requests.length} requests, ${header.engines} engines, ${header.entryHosts} entry hosts, ` +
+        `capacity ${capacity.toFixed(1)} requests/s, weights latency ${header.weights.latency}, cost ${header.weights.cost}`;
+    const heading = [
+        "load",
+        "strategy",
+        "computed prompt tokens",
+        "ratio to oracle",
+        "recomputed tokens",
+        "ratio to oracle",
+        "first token p50 ms",
+        "p95 ms",
+        "p99 ms",
+        "engine s per 1,000",
+    ];
+    const rows = [0.7, 0.9].flatMap(load => {
+        const measured = routingStrategies.map(strategy => averageSeeds(prepared, load, strategy, seed));
+        const oracle = measured.at(-1);
+        return measured.map(entry => [
+            `${Math.round(load * 100)}%`,
+            entry.strategy,
+            entry.computedTokens,
+            entry.computedTokens / (oracle?.computedTokens ?? 1),
+            entry.recomputedTokens,
+            entry.recomputedTokens / (oracle?.recomputedTokens ?? 1),
+            entry.firstTokenMs.p50,
+            entry.firstTokenMs.p95,
+            entry.firstTokenMs.p99,
+            entry.engineSeconds,
+        ]);
+    });
+    return `${title}\n\n${formatTable([heading, ...rows])}`;
+}
+
+/** Arrival seeds per row; a few documents more or less change the recomputed tokens of one run by a tenth. */
+const arrivalSeeds = 3;
+
+/** Means over several arrival seeds on the same trace. */
+export function averageSeeds(
+    prepared: PreparedDeployment,
+    load: number,
+    strategy: RoutingStrategy,
+    seed: number,
+): RoutingMeasurement {
+    const runs = Array.from({ length: arrivalSeeds }).map((...[, index]) =>
+        measureRouting(prepared, load, strategy, seed + index)
+    );
+    const mean = (read: (run: RoutingMeasurement) => number): number =>
+        runs.reduce((sum, run) => sum + read(run), 0) / runs.length;
+    return {
+        deployment: prepared.header.deployment,
+        load,
+        strategy,
+        computedTokens: mean(run => run.computedTokens),
+        recomputedTokens: mean(run => run.recomputedTokens),
+        firstTokenMs: {
+            p50: mean(run => run.firstTokenMs.p50),
+            p95: mean(run => run.firstTokenMs.p95),
+            p99: mean(run => run.firstTokenMs.p99),
+        },
+        engineSeconds: mean(run => run.engineSeconds),
+    };
+}
--- a/packages/emulator/src/replay/router.ts
+++ b/packages/emulator/src/replay/router.ts
@@ -1,6 +1,6 @@
 import type { EndpointId, FailureDomainId } from "@filbertrelay/kernel";
 import { chooseEndpoint, createLoadTable, createPrefixIndex, describeCandidates } from "@filbertrelay/policy";
-import type { LoadTable, PrefixIndex, RoutingEndpoint, RoutingOptions } from "@filbertrelay/policy";
+import type { LoadTable, LoadTableOptions, PrefixIndex, RoutingEndpoint, RoutingOptions } from "@filbertrelay/policy";
 import type { Random } from "../random.js";
 import type { FleetObserver } from "./fleet.js";
 import type { ReplayRequest } from "./request.js";
@@ -26,7 +26,7 @@
 const noLimits: RouterLimits = { excluded: new Set(), avoidedFailureDomains: new Set() };
 
 /** Routes by the policy of this package: prefix index, load table and scores. */
-export function createPolicyRouter(options: RoutingOptions): RouterFactory {
+export function createPolicyRouter(options: RoutingOptions & { readonly dispatchWeight?: number; }): RouterFactory {
     return endpoints => new PolicyRouter(endpoints, options);
 }
 
@@ -34,9 +34,10 @@
     readonly #endpoints: readonly RoutingEndpoint[];
     readonly #options: RoutingOptions;
     readonly #index: PrefixIndex = createPrefixIndex();
-    readonly #loads: LoadTable = createLoadTable();
+    readonly #loads: LoadTable;
 
-    constructor(endpoints: readonly RoutingEndpoint[], options: RoutingOptions) {
+    constructor(endpoints: readonly RoutingEndpoint[], options: RoutingOptions & LoadTableOptions) {
+        this.#loads = createLoadTable(options);
         this.#endpoints = endpoints;
         this.#options = options;
     }
--- a/packages/policy/src/routing/choice.ts
+++ b/packages/policy/src/routing/choice.ts
@@ -34,6 +34,8 @@
     readonly nearBestComputeShare?: number;
     /** Widens the near-best range by this part of the uncertainty that late reports leave in the waiting time; 2.5 by default. */
     readonly nearBestNoiseShare?: number;
+    /** Limits of the congestion, see `measureCongestion`; 0 and 4 by default. */
+    readonly congestionRange?: readonly [number, number];
     /** Chance that a block of uncertain state is still cached. */
     readonly uncertainBlockChance?: number;
 }
@@ -87,7 +89,7 @@
 ): Outcome<RoutingChoice, RoutingIssue> {
     const usable = selectUsable(candidates, options);
     const commonBlocks = countCommonBlocks(usable);
-    const congestion = measureCongestion(usable);
+    const congestion = measureCongestion(usable, options.congestionRange ?? defaultCongestionRange);
     const scored = usable.map(candidate => ({ candidate, ...scoreCandidate(prompt, candidate, congestion, options) }));
     const ordered = [...scored].sort((left, right) => left.score - right.score);
     const best = ordered[0];
@@ -169,18 +171,18 @@
     return spread * Math.log1p(Math.exp(missing / spread));
 }
 
-/** Upper limit of the congestion, which would be infinite in a full fleet. */
-const maximumCongestion = 4;
+// Without an upper limit the congestion would be infinite in a full fleet.
+const defaultCongestionRange: readonly [number, number] = [0, 4];
 
 /**
  * How much a millisecond of computation delays other requests, from the part u of all batch slots that is taken: u / (1 - u).
  * Without it a loaded fleet computes prompts again to avoid queues, and the computation makes the queues longer.
  */
-function measureCongestion(candidates: readonly RoutingCandidate[]): number {
+function measureCongestion(candidates: readonly RoutingCandidate[], [least, most]: readonly [number, number]): number {
     const slots = candidates.reduce((sum, { load }) => sum + load.batchSlots, 0);
     const requests = candidates.reduce((sum, { load }) => sum + load.requests, 0);
     const free = Math.max(0, slots - requests);
-    return slots === 0 ? 0 : Math.min(maximumCongestion, requests / Math.max(1, free));
+    return slots === 0 ? least : Math.max(least, Math.min(most, requests / Math.max(1, free)));
 }
 
 /**
--- a/packages/policy/src/routing/load.ts
+++ b/packages/policy/src/routing/load.ts
@@ -46,6 +46,12 @@
     readonly defaultBatchSlots?: number;
     /** Assumed until a request finished: time in a slot. */
     readonly defaultSlotHoldMs?: number;
+    /**
+     * Requests that each own dispatch since the report counts for; 1 by default. Other hosts with the same late report send
+     * to the same endpoints at the same time, so an own dispatch stands for a part of theirs; half the number of hosts that
+     * share the endpoints is a good value.
+     */
+    readonly dispatchWeight?: number;
 }
 
 /** Creates an empty load table. */
@@ -54,6 +60,7 @@
         defaultTokensPerSecond: options.defaultTokensPerSecond ?? 5_000,
         defaultBatchSlots: options.defaultBatchSlots ?? 16,
         defaultSlotHoldMs: options.defaultSlotHoldMs ?? 5_000,
+        dispatchWeight: options.dispatchWeight ?? 1,
     });
 }
 
@@ -120,10 +127,11 @@
         const report = endpoint?.report;
         let requests = (report?.runningRequests ?? 0) + (report?.waitingRequests ?? 0);
         const reportedMs = report?.reportedAt.getTime() ?? -Infinity;
-        const tokensPerSecond = report?.tokensPerSecond ?? this.#defaults.defaultTokensPerSecond;
+        // An engine that does not know its rate or size reports 0, which would make every expected time infinite.
+        const tokensPerSecond = positiveOr(report?.tokensPerSecond, this.#defaults.defaultTokensPerSecond);
         const backlog = new Backlog(report?.waitingPromptTokens ?? 0, reportedMs, tokensPerSecond);
         for (const dispatch of endpoint?.dispatches.values() ?? []) {
-            const change = changeSince(dispatch, reportedMs);
+            const change = changeSince(dispatch, reportedMs, this.#defaults.dispatchWeight);
             requests += change.requests;
             backlog.add(Math.max(dispatch.sentMs, reportedMs), change.tokens);
         }
@@ -131,7 +139,7 @@
             requests: Math.max(0, requests),
             waitingPromptTokens: backlog.at(now.getTime()),
             tokensPerSecond,
-            batchSlots: report?.batchSlots ?? this.#defaults.defaultBatchSlots,
+            batchSlots: positiveOr(report?.batchSlots, this.#defaults.defaultBatchSlots),
             slotHoldMs: this.#slotHoldMs,
             ageMs: now.getTime() - reportedMs,
         };
@@ -152,6 +160,10 @@
     }
 }
 
+function positiveOr(value: number | undefined, otherwise: number): number {
+    return value !== undefined && value > 0 ? value : otherwise;
+}
+
 /**
  * Prompt tokens that wait at an endpoint, computed at its rate since the report. A backlog changes within fractions of a
  * second; taking an old report as the present state sends requests away from caches for a queue that is long gone.
@@ -180,13 +192,17 @@
 }
 
 /** What a dispatch adds to the load that was reported at a time, or takes from it. */
-function changeSince(dispatch: Dispatch, reportedMs: number): { readonly requests: number; readonly tokens: number; } {
+function changeSince(
+    dispatch: Dispatch,
+    reportedMs: number,
+    weight: number,
+): { readonly requests: number; readonly tokens: number; } {
     const isReported = dispatch.sentMs <= reportedMs;
     const isFinished = dispatch.finishedMs !== undefined;
     const isComputed = isFinished || dispatch.firstTokenMs !== undefined;
     const wasComputed = dispatch.firstTokenMs !== undefined && dispatch.firstTokenMs <= reportedMs;
     if (!isReported) {
-        return { requests: isFinished ? 0 : 1, tokens: isComputed ? 0 : dispatch.tokens };
+        return { requests: isFinished ? weight - 1 : weight, tokens: isComputed ? 0 : dispatch.tokens };
     }
     return { requests: isFinished ? -1 : 0, tokens: isComputed && !wasComputed ? -dispatch.tokens : 0 };
 }
