--- a/features/steps/membership.service.ts
+++ b/features/steps/membership.service.ts
@@ -20,13 +20,13 @@
 }
 
 interface ServiceWorld {
-    hosts: Map<string, RunningHost>;
+    memberHosts: Map<string, RunningHost>;
     seeds: string[];
     formerIncarnation: Incarnation;
 }
 
 After(async function(this: ServiceWorld) {
-    await Promise.all([...this.hosts?.values() ?? []].map(({ kernel }) => kernel.stop(clock.monotonicMs() + 1_000)));
+    await Promise.all([...this.memberHosts?.values() ?? []].map(({ kernel }) => kernel.stop(clock.monotonicMs() + 1_000)));
 });
 
 async function startHost(world: ServiceWorld, name: string): Promise<void> {
@@ -50,7 +50,7 @@
     kernel.register("membership", membership);
     await kernel.start();
     world.seeds = world.seeds.length === 0 ? [network.address] : world.seeds;
-    world.hosts.set(name, { kernel, network, membership });
+    world.memberHosts.set(name, { kernel, network, membership });
 }
 
 function memberAt(host: RunningHost, name: string): Member | undefined {
@@ -66,11 +66,11 @@
 }
 
 function othersOf(world: ServiceWorld, name: string): RunningHost[] {
-    return [...world.hosts].filter(([other]) => other !== name).map(([, host]) => host);
+    return [...world.memberHosts].filter(([other]) => other !== name).map(([, host]) => host);
 }
 
 Given("membership services on {int} hosts that know one seed", async function(this: ServiceWorld, count: number) {
-    this.hosts = new Map();
+    this.memberHosts = new Map();
     this.seeds = [];
     for (let number = 1; number <= count; number++) {
         await startHost(this, `host-${number}`);
@@ -80,17 +80,17 @@
 Then("all {int} hosts are alive for each other", async function(this: ServiceWorld, count: number) {
     const isWhole = ({ membership }: RunningHost) =>
         membership.members().filter(({ state }) => state === "alive").length === count;
-    await waitUntil(() => [...this.hosts.values()].every(isWhole));
+    await waitUntil(() => [...this.memberHosts.values()].every(isWhole));
 });
 
 When("the host {string} leaves and stops", async function(this: ServiceWorld, name: string) {
-    const host = this.hosts.get(name);
+    const host = this.memberHosts.get(name);
     assert.ok(host);
     this.formerIncarnation = host.membership.self().incarnation;
     await host.membership.leave();
     assert.equal(host.membership.self().state, "leaving");
     await host.kernel.stop(clock.monotonicMs() + 2_000);
-    this.hosts.delete(name);
+    this.memberHosts.delete(name);
 });
 
 Then("the other hosts see {string} as dead", async function(this: ServiceWorld, name: string) {
@@ -102,7 +102,7 @@
 });
 
 Then("the other hosts see {string} as alive under a newer incarnation", async function(this: ServiceWorld, name: string) {
-    const own = this.hosts.get(name)?.membership.self();
+    const own = this.memberHosts.get(name)?.membership.self();
     assert.notEqual(own?.incarnation, this.formerIncarnation);
     await waitUntil(() =>
         othersOf(this, name).every(host => {
@@ -113,7 +113,7 @@
 });
 
 Then("a value that {string} publishes is read by the other hosts", async function(this: ServiceWorld, name: string) {
-    this.hosts.get(name)?.membership.publish("note", { text: "new" });
+    this.memberHosts.get(name)?.membership.publish("note", { text: "new" });
     const isRead = ({ membership }: RunningHost) =>
         membership.published("note").some(({ host, value }) => host === name && (value as { text: string; }).text === "new");
     await waitUntil(() => othersOf(this, name).every(isRead));
