--- a/packages/endpoints/src/connection.ts
+++ b/packages/endpoints/src/connection.ts
@@ -99,9 +99,10 @@
         this.#next = handler;
     }
 
+    /** A request that was cancelled before is aborted in this callback, and the library writes nothing of it. */
     onRequestStart(controller: Dispatcher.DispatchController, context: unknown): void {
-        this.#attempt.isStarted = true;
         this.#next.onRequestStart?.(controller, context);
+        this.#attempt.isStarted ||= !controller.aborted;
     }
 }
 
