Use no pooled connection again after a silent call

Cause: when all pooled connections are black-holed, each one cost a call its timeout before a new one was opened. Change: after a call without an answer the pool of that address is retired; reads of a running generation always open a new connection, as the interface says. Conclusion: one silent call per address is enough to get a working connection.

--- a/features/endpoints.feature
+++ b/features/endpoints.feature
@@ -41,6 +41,15 @@
     Then it ends with "endpoint.silent" and the rest can be read on a new connection
     And the whole answer has each token once and in order
 
+  # Guards against pooled connections that fail one after the other once all of them are black-holed.
+  Scenario: After one silent call the next one uses a new connection
+    Given a stand-in "store" of kind "key-value" with options ""
+    And a stand-in "engine" of kind "model-engine" with options ""
+    And a stand-in "proxy" of kind "fault-proxy" with options ""
+    And 8 connections to "store" and 8 to "engine" are pooled through "proxy" and black-holed
+    Then the first call to each ends without an answer
+    And the second call to each is answered
+
   # Guards against an answer that is buffered without limit for a slow reader.
   Scenario: A slow reader slows the engine down
     Given a stand-in "engine" of kind "model-engine" with options "--token-interval-ms 0"
--- a/features/steps/endpoints.ts
+++ b/features/steps/endpoints.ts
@@ -1,8 +1,10 @@
 import { After, Given, Then, When } from "@cucumber/cucumber";
-import { createServiceDriver } from "@filbertrelay/endpoints";
-import type { EngineItem, ServiceRequest } from "@filbertrelay/endpoints";
+import { createEngineDriver, createServiceDriver } from "@filbertrelay/endpoints";
+import type { ClosableEngineDriver, EngineItem, ServiceRequest } from "@filbertrelay/endpoints";
 import { brandAs } from "@filbertrelay/kernel";
 import type { IdempotencyKey, Outcome, RequestId } from "@filbertrelay/kernel";
+import { createKeyValueClient } from "@filbertrelay/platform";
+import type { ClosableKeyValueClient } from "@filbertrelay/platform";
 import { answerText } from "@filbertrelay/standins";
 import assert from "node:assert/strict";
 import { createServer } from "node:http";
@@ -19,7 +21,8 @@
     endpointKind: string;
     iterator: AsyncIterator<EngineItem>;
     items: EngineItem[];
-    pauses: { release: () => void; }[];
+    keyValue: ClosableKeyValueClient;
+    impatientEngines: ClosableEngineDriver;
 }
 
 const services = createServiceDriver({ clock });
@@ -225,6 +228,38 @@
     assert.equal(this.items.at(-1)?.type, "finish");
 });
 
+Given(
+    "{int} connections to {string} and {int} to {string} are pooled through {string} and black-holed",
+    async function(this: EndpointWorld, count: number, store: string, unusedCount: number, engine: string, proxy: string) {
+        assert.equal(count, unusedCount);
+        const [storeRoute, engineRoute] = await Promise.all(
+            [store, engine].map(name => standIn(this, proxy).control("/routes", { target: standIn(this, name).address })),
+        );
+        this.routeAddress = engineRoute!["listen"] as string;
+        this.keyValue = createKeyValueClient({ url: `http://${storeRoute!["listen"] as string}`, clock, timeoutMs: 1_000 });
+        this.impatientEngines = createEngineDriver({ clock, callTimeoutMs: 1_000 });
+        const calls = [...Array(count).keys()].flatMap(
+            () => [this.keyValue.get("k", "shards"), this.impatientEngines.readLoad(this.routeAddress)],
+        );
+        assert.ok((await Promise.all(calls)).every(outcome => outcome.ok));
+        await standIn(this, proxy).control("/route-faults", { blackHole: true });
+    },
+);
+
+async function callEach(world: EndpointWorld): Promise<string[]> {
+    const outcomes = await Promise.all([world.keyValue.get("k", "shards"), world.impatientEngines.readLoad(world.routeAddress)]);
+    return outcomes.map(outcome => outcome.ok ? "ok" : outcome.issue.code);
+}
+
+Then("the first call to each ends without an answer", async function(this: EndpointWorld) {
+    assert.deepEqual(await callEach(this), ["keyValue.unavailable", "endpoint.silent"]);
+});
+
+Then("the second call to each is answered", async function(this: EndpointWorld) {
+    assert.deepEqual(await callEach(this), ["ok", "ok"]);
+    await Promise.all([this.keyValue.stop(), this.impatientEngines.stop()]);
+});
+
 When(
     "a reader takes {int} tokens of an answer of {int} tokens and pauses",
     async function(this: EndpointWorld, count: number, maxTokens: number) {
--- a/packages/endpoints/src/connection.ts
+++ b/packages/endpoints/src/connection.ts
@@ -1,5 +1,5 @@
 import type { Clock } from "@filbertrelay/kernel";
-import { Agent, Client, DecoratorHandler, request } from "undici";
+import { Client, DecoratorHandler, Pool, request } from "undici";
 import type { Dispatcher } from "undici";
 import type { EndpointIssue } from "./engine.js";
 
@@ -26,43 +26,69 @@
 /** An answer whose body has not been read yet. */
 export type EndpointResponse = Dispatcher.ResponseData<unknown>;
 
-/** Pooled connections to endpoints; a stream never waits for another one's connection. */
+/** Pooled connections by endpoint; a stream never waits for another one's connection. */
 export class EndpointConnections {
-    readonly #agent = new Agent({ ...clientOptions, connections: null, keepAliveTimeout: 4_000 });
-    readonly #pooled = this.#agent.compose(observeStart);
+    readonly #pools = new Map<string, Pool>();
+    readonly #retired = new Set<Dispatcher>();
 
     /** Sends a request once. The library repeats nothing that was written. */
     async send(address: string, call: EndpointCall): Promise<EndpointResponse> {
-        if (call.isFresh !== true) {
-            return request(`http://${address}${call.path}`, requestOptions(call, this.#pooled));
-        }
-        const client = new Client(`http://${address}`, { ...clientOptions, pipelining: 1 });
-        try {
-            const response = await request(`http://${address}${call.path}`, requestOptions(call, client.compose(observeStart)));
-            response.body.once("close", () => void client.destroy().catch(() => undefined));
-            return response;
-        }
-        catch (error) {
-            await client.destroy();
-            throw error;
+        const dispatcher = call.isFresh === true ? this.#single(address) : this.#pool(address);
+        const response = request(`http://${address}${call.path}`, requestOptions(call, dispatcher.compose(observeStart)));
+        if (call.isFresh === true) {
+            this.#retire(dispatcher);
         }
+        return response;
     }
 
     /** Sends a request whose answer is given to callbacks as it arrives; the handler sees the start by itself. */
     dispatch(
         address: string,
-        call: Pick<EndpointCall, "method" | "path" | "headers"> & { readonly body: string | null; },
+        call: Pick<EndpointCall, "method" | "path" | "headers" | "isFresh"> & { readonly body: string | null; },
         handler: Dispatcher.DispatchHandler,
     ): void {
-        const { method, path, headers, body } = call;
-        this.#agent.dispatch(
-            { origin: `http://${address}`, method: method as Dispatcher.HttpMethod, path, headers, body },
-            handler,
-        );
+        const { method, path, headers, body, isFresh } = call;
+        const dispatcher = isFresh === true ? this.#single(address) : this.#pool(address);
+        dispatcher.dispatch({ method: method as Dispatcher.HttpMethod, path, headers, body }, handler);
+        if (isFresh === true) {
+            this.#retire(dispatcher);
+        }
+    }
+
+    /** Uses no connection again that is open now, as after a silence: others may be black-holed as well. */
+    renew(address: string): void {
+        const pool = this.#pools.get(address);
+        if (pool !== undefined) {
+            this.#pools.delete(address);
+            this.#retire(pool);
+        }
     }
 
     async close(): Promise<void> {
-        await this.#agent.destroy();
+        const all = [...this.#pools.values(), ...this.#retired];
+        this.#pools.clear();
+        await Promise.all(all.map(dispatcher => dispatcher.destroy()));
+    }
+
+    #pool(address: string): Pool {
+        const existing = this.#pools.get(address);
+        if (existing !== undefined) {
+            return existing;
+        }
+        const pool = new Pool(`http://${address}`, { ...clientOptions, connections: null, keepAliveTimeout: 4_000 });
+        this.#pools.set(address, pool);
+        return pool;
+    }
+
+    #single(address: string): Client {
+        return new Client(`http://${address}`, { ...clientOptions, pipelining: 1 });
+    }
+
+    /** Closes the connections as soon as the requests on them have ended. */
+    #retire(dispatcher: Dispatcher): void {
+        this.#retired.add(dispatcher);
+        const forget = (): void => void this.#retired.delete(dispatcher);
+        dispatcher.close().then(forget, forget);
     }
 }
 
--- a/packages/endpoints/src/enginedriver.ts
+++ b/packages/endpoints/src/enginedriver.ts
@@ -76,7 +76,7 @@
 
     resume(address: string, requestId: RequestId, offset: number, options: StreamOptions): AsyncIterable<EngineItem> {
         const path = `${generationPath(requestId)}?offset=${offset}`;
-        return this.#stream(address, { method: "GET", path }, { requestId, offset }, options);
+        return this.#stream(address, { method: "GET", path, isFresh: true }, { requestId, offset }, options);
     }
 
     async cancel(address: string, requestId: RequestId): Promise<Outcome<undefined, EndpointIssue>> {
@@ -129,7 +129,7 @@
 
     #stream(
         address: string,
-        call: { readonly method: string; readonly path: string; readonly body?: string; },
+        call: { readonly method: string; readonly path: string; readonly body?: string; readonly isFresh?: boolean; },
         start: { readonly requestId: RequestId; readonly offset: number; },
         options: StreamOptions,
     ): AsyncIterable<EngineItem> {
@@ -154,6 +154,7 @@
         const controller = new AbortController();
         const cancel = this.#clock.after(exchange.timeoutMs, () => {
             attempt.isTimedOut = true;
+            this.#connections.renew(address);
             controller.abort(new Error(`no answer came within ${exchange.timeoutMs} ms.`));
         });
         const signal = exchange.signal === undefined ? controller.signal : AbortSignal.any([controller.signal, exchange.signal]);
--- a/packages/endpoints/src/itemstream.ts
+++ b/packages/endpoints/src/itemstream.ts
@@ -12,6 +12,8 @@
     readonly path: string;
     readonly headers: Readonly<Record<string, string>>;
     readonly body?: string;
+    /** Uses a connection of its own. */
+    readonly isFresh?: boolean;
     readonly requestId: RequestId;
     /** Tokens of the answer that are already known. */
     readonly offset: number;
@@ -96,7 +98,7 @@
             return;
         }
         const { clock, connections } = this.#context;
-        const { address, method, path, headers, body, silenceMs, signal } = this.#call;
+        const { address, method, path, headers, body, isFresh, silenceMs, signal } = this.#call;
         this.#timer = new SilenceTimer(clock, silenceMs, () => this.#onSilence());
         if (signal?.aborted === true) {
             this.#abortListener();
@@ -104,7 +106,11 @@
         }
         signal?.addEventListener("abort", this.#abortListener, { once: true });
         try {
-            connections.dispatch(address, { method, path, headers, body: body ?? null }, this.#handler());
+            connections.dispatch(
+                address,
+                { method, path, headers, body: body ?? null, isFresh: isFresh === true },
+                this.#handler(),
+            );
         }
         catch (error) {
             this.#fail(error instanceof Error ? error : new Error(String(error)));
@@ -177,6 +183,7 @@
 
     #onSilence(): void {
         this.#attempt.isTimedOut = true;
+        this.#context.connections.renew(this.#call.address);
         this.#abort(new Error(`nothing arrived for ${this.#call.silenceMs} ms.`));
     }
 
--- a/packages/endpoints/src/servicedriver.ts
+++ b/packages/endpoints/src/servicedriver.ts
@@ -104,6 +104,7 @@
         const controller = new AbortController();
         const cancel = this.#clock.after(options.timeoutMs, () => {
             attempt.isTimedOut = true;
+            this.#connections.renew(address);
             controller.abort(new Error(`no complete answer came within ${options.timeoutMs} ms.`));
         });
         const signal = options.signal === undefined ? controller.signal : AbortSignal.any([controller.signal, options.signal]);
--- a/packages/platform/src/http.ts
+++ b/packages/platform/src/http.ts
@@ -43,7 +43,8 @@
     readonly #origin: string;
     readonly #clock: Clock;
     readonly #timeoutMs: number;
-    readonly #agent = new Agent({ pipelining: 1, headersTimeout: 0, bodyTimeout: 0 });
+    readonly #retired = new Set<Agent>();
+    #agent = createAgent();
 
     constructor(options: ClientOptions) {
         this.#origin = options.url.replace(/\/+$/, "");
@@ -54,14 +55,18 @@
     async call(call: JsonCall): Promise<Outcome<JsonReply, NoAnswer>> {
         const controller = new AbortController();
         const limitMs = this.#timeoutMs + (call.waitMs ?? 0);
-        const cancel = this.#clock.after(limitMs, () => controller.abort(new Error(`No answer came within ${limitMs} ms.`)));
+        const agent = this.#agent;
+        const cancel = this.#clock.after(limitMs, () => {
+            this.#retire(agent);
+            controller.abort(new Error(`No answer came within ${limitMs} ms.`));
+        });
         const abort = (): void => controller.abort(call.signal?.reason);
         call.signal?.addEventListener("abort", abort, { once: true });
         if (call.signal?.aborted === true) {
             abort();
         }
         try {
-            return success(await this.#send(call, controller.signal));
+            return success(await this.#send(call, agent, controller.signal));
         }
         catch (error) {
             const reason = error instanceof Error ? error.message : String(error);
@@ -78,13 +83,24 @@
 
     /** Closes the pooled connections; calls in progress end without an answer. */
     async close(): Promise<void> {
-        await this.#agent.destroy();
+        await Promise.all([this.#agent, ...this.#retired].map(agent => agent.destroy()));
+    }
+
+    /** After a silence no open connection is used again, because others may be black-holed as well. */
+    #retire(agent: Agent): void {
+        if (agent !== this.#agent) {
+            return;
+        }
+        this.#agent = createAgent();
+        this.#retired.add(agent);
+        const forget = (): void => void this.#retired.delete(agent);
+        agent.close().then(forget, forget);
     }
 
-    async #send(call: JsonCall, signal: AbortSignal): Promise<JsonReply> {
+    async #send(call: JsonCall, agent: Agent, signal: AbortSignal): Promise<JsonReply> {
         const response = await request(`${this.#origin}${call.path}`, {
             method: call.method,
-            dispatcher: this.#agent,
+            dispatcher: agent,
             signal,
             ...(call.body === undefined ?
                 {} :
@@ -95,6 +111,10 @@
     }
 }
 
+function createAgent(): Agent {
+    return new Agent({ pipelining: 1, headersTimeout: 0, bodyTimeout: 0, connect: { timeout: 2_000 } });
+}
+
 async function readText(body: AsyncIterable<Buffer>): Promise<string> {
     const chunks: Buffer[] = [];
     let bytes = 0;
