Answer submissions that wait at a stopping shard service

Cause: a submission that was forwarded to a host whose shard service had stopped was never answered. The host's peer network waited for it until the drain's deadline, and the forwarding host waited for as long. Change: the actor of a shard answers open and later submissions with 'not owned' when it stops, so that they are routed again. Conclusion: the scenario's drain limit is now longer than its wait, so that a stop which only ends at its deadline fails.

--- /dev/null
+++ b/features/promises.ownership.feature
@@ -0,0 +1,37 @@
+@promises
+Feature: Answers reach their own customers only (P2)
+
+  Scenario: Two customers with many interleaved streams
+    Guards against answers that are mixed up between requests or customers.
+    Given a fleet with 3 engines and seed 1201
+    When 2 customers ask 20 questions each with answers of 80 tokens
+    Then every caller gets the whole answer to its own question
+    And no answer was interrupted
+
+  Scenario: Callers' connections are cut and black-holed
+    Guards against lost, repeated or foreign tokens after a caller reconnects.
+    Given a fleet with 3 engines and seed 1202
+    And a fault proxy in front of the callers' addresses
+    When 2 customers ask 10 questions each with answers of 250 tokens
+    And the connections of "callers" are reset
+    And the connections of "callers" go silent
+    Then every caller gets the whole answer to its own question
+    And every caller had to reconnect
+
+  Scenario: Connections to an engine are black-holed
+    Guards against a stream that waits for a silent connection for good.
+    Given a fleet with 1 engines and seed 1203
+    And a fault proxy in front of the engine "assistant-1"
+    When 2 customers ask 10 questions each with answers of 250 tokens
+    And the connections of "engine" go silent
+    Then every caller gets the whole answer to its own question
+    And no answer was interrupted
+
+  Scenario: Requests and keys of another customer
+    Guards against reading, resuming or colliding with another customer's request.
+    Given a fleet with 3 engines and seed 1204
+    When 1 customers ask 2 questions each with answers of 150 tokens
+    And two customers send a booking with the same idempotency key
+    Then no host lets the other customer read or resume these requests
+    And both customers have a booking of their own
+    And every caller gets the whole answer to its own question
--- a/features/steps/promises.fleet.ts
+++ b/features/steps/promises.fleet.ts
@@ -20,8 +20,12 @@
 
 /** Limits only keep a failing scenario from hanging; no scenario depends on them. */
 export const limitMs = 60_000;
+/** Longer than any scenario waits, so that a stop which only ends at its deadline fails. */
+const drainLimitMs = 2 * limitMs;
 const clock = createSystemClock();
 const deployment = "chaulage";
+/** Set this variable to keep the daemons' logs after a scenario. */
+const keepsLogs = process.env["FILBERTRELAY_KEEP_LOGS"] !== undefined;
 
 interface Keys {
     readonly operator: string;
@@ -111,8 +115,11 @@
             entryHosts: 6,
             enginesPerModel: engines,
             instancesPerService: 1,
+            keepsDirectory: keepsLogs,
+            daemonSettings: { timing: { drainLimitMs }, ...(keepsLogs ? { log: { level: "debug" } } : {}) },
             ...options,
         });
+        console.log(`Logs of seed ${seed}: ${fleet.directory}.`);
         return new PromiseFleet(fleet, seed);
     }
 
@@ -312,6 +319,12 @@
         await callControl((await this.faultProxy()).url, "/route-faults", { match, ...faults });
     }
 
+    /** Ids of the model requests, once they are known. */
+    async requestIds(): Promise<string[]> {
+        const answers = await Promise.all(this.asked.map(asked => asked.ended));
+        return answers.map(answer => String(answer.requestId));
+    }
+
     async stop(): Promise<void> {
         this.#isSending = false;
         await this.fleet.stop();
--- /dev/null
+++ b/features/steps/promises.ownership.ts
@@ -0,0 +1,93 @@
+import { Given, Then, When } from "@cucumber/cucumber";
+import { callControl, waitFor } from "@filbertrelay/client";
+import assert from "node:assert/strict";
+import { customerKey, customers, limitMs } from "./promises.fleet.js";
+import { stepTimeout } from "./promises.js";
+import type { PromiseWorld } from "./promises.js";
+
+interface Routes {
+    readonly routes: readonly { readonly labels: readonly string[]; readonly accepted: number; }[];
+}
+
+Given("a fault proxy in front of the callers' addresses", stepTimeout, async function(this: PromiseWorld) {
+    const { promises } = this;
+    for (const address of promises.fleet.callerAddresses()) {
+        promises.proxied.set(address, await promises.route(address, "callers"));
+    }
+});
+
+Given("a fault proxy in front of the engine {string}", stepTimeout, async function(this: PromiseWorld, engine: string) {
+    const { promises } = this;
+    const host = promises.fleet.host(engine);
+    const address = await promises.route(host.address, "engine");
+    await promises.fleet.platform.cloud.control.attach(engine, { pid: host.process.pid, address });
+    // Each daemon polls the engine's load, so that as many new connections show that all use the proxy.
+    await waitFor("all daemons to use the proxy", async () => {
+        const { routes } = await callControl((await promises.faultProxy()).url, "/routes") as Routes;
+        const accepted = routes.find(route => route.labels.includes("engine"))?.accepted ?? 0;
+        return accepted >= promises.fleet.entryHosts().length ? true : undefined;
+    }, { limitMs });
+});
+
+When("the connections of {string} are reset", async function(this: PromiseWorld, label: string) {
+    await waitForTokens(this, 20);
+    await this.promises.routeFaults(label, { disconnect: true });
+});
+
+When("the connections of {string} go silent", async function(this: PromiseWorld, label: string) {
+    await waitForTokens(this, 20);
+    await this.promises.routeFaults(label, { blackHole: true });
+});
+
+/** Waits until the engines have generated some more tokens, so that the fault meets answers in progress. */
+async function waitForTokens({ promises }: PromiseWorld, more: number): Promise<void> {
+    const count = async () => {
+        const engines = [...promises.fleet.hosts.values()].filter(host => host.role === "engine");
+        const counts = await Promise.all(engines.map(engine => callControl(promises.fleet.urlOf(engine.hostId), "/counts")));
+        return counts.reduce<number>((sum, value) => sum + (value as { producedTokens: number; }).producedTokens, 0);
+    };
+    const before = await count();
+    await waitFor("further tokens", async () => await count() >= before + more * promises.asked.length ? true : undefined, {
+        limitMs,
+    });
+}
+
+Then("every caller had to reconnect", async function(this: PromiseWorld) {
+    const reconnects = await Promise.all(this.promises.asked.map(async asked => (await asked.ended).reconnects));
+    assert.ok(reconnects.every(count => count >= 1), reconnects.join(", "));
+});
+
+When("two customers send a booking with the same idempotency key", stepTimeout, async function(this: PromiseWorld) {
+    const answers = await Promise.all(customers.slice(0, 2).map(customer => this.promises.book("same-key", { customer })));
+    assert.deepEqual(answers.map(answer => answer.outcome), ["done", "done"]);
+});
+
+Then("both customers have a booking of their own", async function(this: PromiseWorld) {
+    const bodies = [...this.promises.sent.values()].map(({ answers }) =>
+        JSON.parse(answers[0]!.body) as { body: string; execution: number; }
+    );
+    assert.deepEqual(
+        bodies.map(body => (JSON.parse(body.body) as { customer: string; }).customer).sort(),
+        customers.slice(0, 2).sort(),
+    );
+    assert.equal(new Set(bodies.map(body => body.execution)).size, 2);
+    assert.equal((await this.promises.fleet.executions()).get("same-key"), 2);
+});
+
+Then("no host lets the other customer read or resume these requests", stepTimeout, async function(this: PromiseWorld) {
+    const { promises } = this;
+    const bookingIds = [...promises.sent.values()].filter(sent => sent.customer === customers[0]).map(sent =>
+        sent.answers[0]!.requestId!
+    );
+    const ids = [...bookingIds, ...await this.promises.requestIds()];
+    assert.equal(ids.length, 3);
+    for (const { hostId } of promises.fleet.entryHosts()) {
+        for (const id of ids) {
+            const foreign = await promises.get(hostId, `/v1/requests/${id}?offset=1`, customerKey(customers[1]!));
+            assert.ok([404, 502].includes(foreign.statusCode), `${hostId} ${id}: ${foreign.statusCode}`);
+            assert.ok(!foreign.body.includes("choices") && !foreign.body.includes("execution\":"), foreign.body);
+            const nobody = await promises.get(hostId, `/v1/requests/${id}?offset=1`, "no-key");
+            assert.equal(nobody.statusCode, 401);
+        }
+    }
+});
--- a/packages/relay/src/shards/actor.ts
+++ b/packages/relay/src/shards/actor.ts
@@ -24,6 +24,8 @@
 const attemptGraceMs = 30_000;
 /** The longest wait for a peer's answer; peers answer from memory. */
 const peerTimeoutMs = 1_000;
+/** Without an answer the forwarding host would wait until this process has closed its connections. */
+const stopped: ShardAnswer = { ok: false, code: "shard.notOwned", executed: "unknown" };
 
 /** Runs the state machine of one shard and carries out its effects; it decides nothing itself. */
 export class ShardActor {
@@ -50,14 +52,18 @@
         return this.#state;
     }
 
-    /** Stops timers; answers that arrive later are dropped. */
+    /** Stops timers; results that arrive later are dropped, and callers that still wait are sent elsewhere. */
     stop(): void {
         this.#isStopped = true;
         this.#timer?.cancel();
+        [...this.#calls.keys()].forEach(call => this.#answer(call, stopped));
     }
 
     /** Submits a request to the machine and waits for its answer. */
     submit(key: string, fingerprint: string, submission: Submission): Promise<ShardAnswer> {
+        if (this.#isStopped) {
+            return Promise.resolve(stopped);
+        }
         const call = this.#nextCall++;
         this.#contents.set(key, submission);
         return new Promise(resolve => {
