--- a/features/steps/promises.fleet.ts
+++ b/features/steps/promises.fleet.ts
@@ -337,7 +337,7 @@
 export interface StatusPart {
     readonly host: { readonly id: string; readonly state: string; };
     readonly members: readonly { readonly hostId: string; readonly state: string; }[];
-    readonly configuration?: { readonly version: number; };
+    readonly configuration?: { readonly version: number; readonly digest: string; };
     readonly shards: readonly { readonly shard: number; readonly epoch: number; readonly mode: string; }[];
     readonly counters: Readonly<Record<string, number>>;
 }
