--- a/packages/client/src/submission.ts
+++ b/packages/client/src/submission.ts
@@ -83,6 +83,7 @@
     });
     const endMs = options.clock.monotonicMs() + options.limitMs;
     let message = "The submission was not written.";
+    let isUncertain = false;
     do {
         const written = await options.keyValue.compareAndSwap(configurationHeadKey, JSON.stringify(head), {
             expectedVersion: options.base.storeVersion,
@@ -102,10 +103,14 @@
             return settled;
         }
         message = settled.ok ? written.issue.message : settled.issue.message;
+        isUncertain ||= written.issue.code === "keyValue.unavailable";
         await options.clock.sleep(retryIntervalMs);
     }
     while (options.clock.monotonicMs() < endMs);
-    return failure({ code: "submission.unreachable", message });
+    return failure({
+        code: "submission.unreachable",
+        message: isUncertain ? `${message} The write may still take effect.` : message,
+    });
 }
 
 function isPermanent(issue: KeyValueIssue): boolean {
--- a/packages/endpoints/src/enginedriver.ts
+++ b/packages/endpoints/src/enginedriver.ts
@@ -196,7 +196,17 @@
 
 function completionBody(request: EngineRequest): unknown {
     const { requestId, model, messages, maxTokens, seed, priority, sampling, prefix } = request;
-    return { ...sampling, request_id: requestId, model, messages, max_tokens: maxTokens, seed, priority, stream: true, prefix: prefix ?? [] };
+    return {
+        ...sampling,
+        request_id: requestId,
+        model,
+        messages,
+        max_tokens: maxTokens,
+        seed,
+        priority,
+        stream: true,
+        prefix: prefix ?? [],
+    };
 }
 
 function isSuccess(response: EndpointResponse): boolean {
