--- a/packages/relay/src/admission/admission.ts
+++ b/packages/relay/src/admission/admission.ts
@@ -9,12 +9,18 @@
 import type { EngineRouter } from "../routing/router.js";
 
 const pollPeriodMs = 50;
+const capacityPeriodMs = 100;
 const minimumPublishPeriodMs = 1_000;
 /** Keeps the bytes spent on shares flat: each host's value reaches every host, so hosts publish less often in a large fleet. */
 const publishPeriodPerMemberMs = 50;
 
-/** The name under which hosts publish what their customers use. */
-export const gossipUseName = "use";
+/** A published value holds at most 1 KB; customers with little use are left out of a longer one. */
+const publishedUseBytes = 900;
+
+/** The name under which hosts publish what their customers use of a model. */
+export function gossipUseName(model: string): string {
+    return `use.${model}`;
+}
 
 /** A model request that asks to start. */
 export interface AdmissionTerms {
@@ -35,9 +41,10 @@
     readonly #configuration: ConfigurationService;
     readonly #membership: MembershipService;
     readonly #models = new Map<string, Admission>();
+    readonly #capacityReadMs = new Map<string, number>();
     readonly #waiting = new Map<string, (outcome: AdmissionOutcome) => void>();
     readonly #stopping = new AbortController();
-    #published = "";
+    readonly #published = new Map<string, string>();
 
     constructor(kernel: Kernel) {
         this.#kernel = kernel;
@@ -60,6 +67,7 @@
     /** Resolves when the request may start or is refused. */
     admit(terms: AdmissionTerms): Promise<AdmissionOutcome> {
         const nowMs = this.#kernel.clock.monotonicMs();
+        this.#refreshCapacity(terms.model, nowMs);
         const decision = this.#admissionOf(terms.model).request({
             ...terms,
             deadlineMs: nowMs + terms.deadlineAt - this.#kernel.clock.now().getTime(),
@@ -77,6 +85,13 @@
         this.#poll();
     }
 
+    #refreshCapacity(model: string, nowMs: number): void {
+        if (nowMs - (this.#capacityReadMs.get(model) ?? -Infinity) >= capacityPeriodMs) {
+            this.#capacityReadMs.set(model, nowMs);
+            this.#admissionOf(model).setCapacity(this.#kernel.get<EngineRouter>("routing").slots(model));
+        }
+    }
+
     #admissionOf(model: string): Admission {
         const known = this.#models.get(model);
         if (known !== undefined) {
@@ -131,13 +146,13 @@
     }
 
     #publishUse(): void {
-        const use = Object.fromEntries(
-            [...this.#models].map(([model, admission]) => [model, admission.publishedUse().customers]),
-        );
-        const text = JSON.stringify(use);
-        if (text !== this.#published) {
-            this.#published = text;
-            this.#membership.publish(gossipUseName, use);
+        for (const [model, admission] of this.#models) {
+            const use = limitUse(admission.publishedUse().customers);
+            const text = JSON.stringify(use);
+            if (text !== (this.#published.get(model) ?? "{}")) {
+                this.#published.set(model, text);
+                this.#membership.publish(gossipUseName(model), use);
+            }
         }
     }
 
@@ -145,18 +160,27 @@
         const departed = new Set(
             this.#membership.members().filter(member => member.state === "dead").map(member => member.hostId),
         );
-        const published = this.#membership.published(gossipUseName);
         for (const [model, admission] of this.#models) {
-            admission.setCapacity(this.#kernel.get<EngineRouter>("routing").slots(model));
-            admission.updateShares(published.map(item => toPublishedUse(item.host, model, item.value)), departed);
+            const published = this.#membership.published(gossipUseName(model));
+            this.#refreshCapacity(model, this.#kernel.clock.monotonicMs());
+            admission.updateShares(published.map(item => toPublishedUse(item.host, item.value)), departed);
         }
         this.#poll();
     }
 }
 
-function toPublishedUse(hostId: HostId, model: string, value: unknown): PublishedUse {
-    const use = value as Readonly<Record<string, Readonly<Record<string, CustomerUse>>>>;
-    return { hostId, customers: use[model] ?? {} };
+function toPublishedUse(hostId: HostId, value: unknown): PublishedUse {
+    return { hostId, customers: value as Readonly<Record<string, CustomerUse>> };
+}
+
+function limitUse(customers: Readonly<Record<string, CustomerUse>>): Readonly<Record<string, CustomerUse>> {
+    const ordered = Object.entries(customers).sort(([, left], [, right]) =>
+        right.running + right.waiting - left.running - left.waiting
+    );
+    while (JSON.stringify(Object.fromEntries(ordered)).length > publishedUseBytes) {
+        ordered.pop();
+    }
+    return Object.fromEntries(ordered);
 }
 
 function toIssue(refusal: AdmissionRefusal): CallerIssue {
--- a/packages/relay/src/caller/server.ts
+++ b/packages/relay/src/caller/server.ts
@@ -1,13 +1,14 @@
 import type { Kernel, Service } from "@filbertrelay/kernel";
 import { declareEvents, invariant } from "@filbertrelay/kernel";
-import type { KeyValueClient } from "@filbertrelay/platform";
 import { serve } from "@hono/node-server";
 import type { HttpBindings, ServerType } from "@hono/node-server";
 import { Hono } from "hono";
 import type { Server } from "node:http";
 import type { PlainCalls } from "../calls/calls.js";
 import type { ConfigurationService, MembershipService, ShardService } from "../contract.js";
+import type { RelayedKeyValueClient } from "../keyvalue/relayed.js";
 import type { Lifecycle } from "../lifecycle/lifecycle.js";
+import type { EngineRouter } from "../routing/router.js";
 import type { Settings } from "../settings.js";
 import type { StreamService } from "../streams/service.js";
 import type { Explanations } from "../telemetry/explanation.js";
@@ -31,6 +32,10 @@
 });
 
 const loadPublishPeriodMs = 1_000;
+/** Each host's load reaches every host, so hosts publish less often in a large fleet. */
+const loadPublishPeriodPerMemberMs = 50;
+/** Changes below this part of the last published load are not worth a message. */
+const loadChangeRatio = 0.25;
 const keepAliveTimeoutMs = 60_000;
 const requestIdleTimeoutMs = 30_000;
 
@@ -45,6 +50,7 @@
     readonly #shards: ShardService;
     #server: ServerType | undefined;
     #openRequests = 0;
+    #publishedLoad = 0;
     #isStopping = false;
 
     constructor(kernel: Kernel, settings: Settings) {
@@ -61,6 +67,7 @@
             metrics: kernel.get<Metrics>("metrics"),
             tracing: kernel.get<Tracing>("tracing"),
             settings,
+            isRoutingReady: () => kernel.get<EngineRouter>("routing").isReady(),
         });
     }
 
@@ -142,7 +149,7 @@
                 membership: this.#membership,
                 configuration: this.#configuration,
                 shards: this.#shards,
-                keyValue: this.#kernel.get<KeyValueClient>("keyValue"),
+                keyValue: this.#kernel.get<RelayedKeyValueClient>("keyValue"),
                 metrics: this.#kernel.get<Metrics>("metrics"),
                 openStreams: () => this.#streams.openCount(),
             })));
@@ -164,8 +171,13 @@
 
     #publishLoad(): void {
         if (!this.#isStopping) {
-            this.#membership.publish(gossipLoadName, { openRequests: this.#openRequests });
-            this.#kernel.clock.after(loadPublishPeriodMs, () => this.#publishLoad());
+            const change = Math.abs(this.#openRequests - this.#publishedLoad);
+            if (change > loadChangeRatio * this.#publishedLoad) {
+                this.#publishedLoad = this.#openRequests;
+                this.#membership.publish(gossipLoadName, { openRequests: this.#openRequests });
+            }
+            const periodMs = Math.max(loadPublishPeriodMs, this.#membership.members().length * loadPublishPeriodPerMemberMs);
+            this.#kernel.clock.after(periodMs, () => this.#publishLoad());
         }
     }
 }
