Add demo and replay

Cause: operators and testers need one command that shows the guarantees on loopback, and one that checks a running deployment.

--- a/features/client.feature
+++ b/features/client.feature
@@ -14,6 +14,7 @@
       | apply examples/salal.toml --key-value http://127.0.0.1:1 --wait-seconds 0 --json | 3 | error      |
       | status --entry 127.0.0.1:1 --json                                        | 3    | error         |
       | status --json                                                            | 2    | error         |
+      | drain --entry 127.0.0.1:1 some-host --json                               | 3    | error         |
       | report examples/keys.toml --json                                         | 2    | error         |
 
   Scenario: Wrong usage is exit code 2
--- a/packages/client/src/caller/model.ts
+++ b/packages/client/src/caller/model.ts
@@ -11,7 +11,7 @@
 export interface ModelCall {
     readonly customerKey: string;
     readonly model: string;
-    readonly messages: readonly { readonly role: "system" | "user" | "assistant"; readonly content: string; }[];
+    readonly messages: readonly { readonly role: string; readonly content: string; }[];
     readonly maxTokens: number;
     readonly seed: number;
     /** How long the caller waits for acceptance and first token. */
--- a/packages/client/src/command/common.ts
+++ b/packages/client/src/command/common.ts
@@ -29,6 +29,7 @@
         .option("entry", {
             type: "string",
             array: true,
+            nargs: 1,
             default: (process.env["FILBERTRELAY_ENTRY"] ?? "").split(",").filter(address => address !== ""),
             describe: "Callers' address of an entry host, such as 10.0.0.5:8080; can be repeated (FILBERTRELAY_ENTRY)",
         })
--- a/packages/client/src/filbertrelay.ts
+++ b/packages/client/src/filbertrelay.ts
@@ -3,9 +3,11 @@
 import { hideBin } from "yargs/helpers";
 import { applyCommand } from "./command/apply.js";
 import { checkCommand } from "./command/check.js";
+import { demoCommand } from "./command/demo.js";
 import { drainCommand } from "./command/drain.js";
 import { explainCommand } from "./command/explain.js";
 import { initCommand } from "./command/init.js";
+import { replayCommand } from "./command/replay.js";
 import { reportCommand } from "./command/report.js";
 import { requestsCommand } from "./command/requests.js";
 import { statusCommand } from "./command/status.js";
@@ -13,7 +15,7 @@
 
 await yargs(hideBin(process.argv))
     .scriptName("filbertrelay")
-    .usage("$0 COMMAND", "Operates a deployment of filbertrelay.")
+    .usage("$0 COMMAND\n\nOperates a deployment of filbertrelay.")
     .option("json", { type: "boolean", default: false, describe: "Write the result as one JSON document" })
     .command(initCommand)
     .command(checkCommand)
@@ -22,6 +24,8 @@
     .command(explainCommand)
     .command(requestsCommand)
     .command(drainCommand)
+    .command(replayCommand)
+    .command(demoCommand)
     .command(reportCommand)
     .demandCommand(1, "Give a command.")
     .strict()
