--- a/packages/client/src/command/demo.ts
+++ b/packages/client/src/command/demo.ts
@@ -37,7 +37,7 @@
                 describe: "Example deployment",
             })
             .option("seed", { type: "number", default: 1, describe: "Seed of the trace" })
-            .option("requests", { type: "number", default: 160, describe: "Requests to play" })
+            .option("requests", { type: "number", default: 300, describe: "Requests to play" })
             .option("output", { type: "string", default: "reports/demo.json", describe: "Result file for 'report'" })
             .option("keep", {
                 type: "boolean",
--- a/packages/client/src/command/explain.ts
+++ b/packages/client/src/command/explain.ts
@@ -2,7 +2,7 @@
 import { z } from "zod";
 import { ExitCode, failed } from "../exit.js";
 import type { CommandResult } from "../exit.js";
-import type { OperatorClient, OperatorIssue } from "../operator.js";
+import type { DaemonStatus, OperatorClient, OperatorIssue } from "../operator.js";
 import { askAny, daemonFailed, run, withDaemonOptions, withOperatorClient } from "./common.js";
 import type { DaemonArguments } from "./common.js";
 
@@ -32,17 +32,10 @@
     if (!status.ok) {
         return daemonFailed(status.issue);
     }
-    const decisions: Decision[] = [];
-    const unreachable: OperatorIssue[] = [];
-    for (const member of status.value.members.filter(candidate => candidate.state !== "dead")) {
-        const reply = await client.explain(member.callerAddress, commandArguments.id);
-        if (!reply.ok && reply.issue.code !== "daemon.notFound") {
-            unreachable.push(reply.issue);
-        }
-        const explanation = reply.ok ? explanationSchema.safeParse(reply.value).data : undefined;
-        decisions.push(...(explanation?.decisions ?? []).map(decision => ({ ...decision, hostId: member.hostId })));
-    }
-    decisions.sort((left, right) => left.at.localeCompare(right.at));
+    const members = status.value.members.filter(member => member.state !== "dead");
+    const asked = await Promise.all(members.map(member => askMember(client, member, commandArguments.id)));
+    const decisions = asked.flatMap(answer => answer.decisions).sort((left, right) => left.at.localeCompare(right.at));
+    const unreachable = asked.flatMap(answer => answer.issues);
     if (decisions.length === 0) {
         return unreachable.length > 0 ?
             failed(ExitCode.Unreachable, "No host that answered remembers the request; some did not answer.", unreachable) :
@@ -54,3 +47,30 @@
     const value = { requestId: commandArguments.id, decisions, unreachable };
     return { exitCode: ExitCode.Success, value, lines: [...lines, ...unreachable.map(issue => `Not asked: ${issue.message}`)] };
 }
+
+interface MemberAnswer {
+    readonly decisions: readonly Decision[];
+    readonly issues: readonly OperatorIssue[];
+}
+
+/** Asks one host for its decisions and for the entry of a non-idempotent request in the shards that it owns. */
+async function askMember(
+    client: OperatorClient,
+    member: DaemonStatus["members"][number],
+    requestId: string,
+): Promise<MemberAnswer> {
+    const { hostId, callerAddress } = member;
+    const reply = await client.explain(callerAddress, requestId);
+    const explanation = reply.ok ? explanationSchema.safeParse(reply.value).data : undefined;
+    const remembered = (explanation?.decisions ?? []).map(decision => ({ ...decision, hostId }));
+    const status = await client.status(callerAddress);
+    const entries = status.ok ? status.value.entries.filter(entry => entry.requestId === requestId) : [];
+    const held = entries.map(({ since, state, customer, service, operation }) => ({
+        at: since,
+        what: `held as '${state}'`,
+        details: { customer, service, operation },
+        hostId,
+    }));
+    const issues = [reply, status].flatMap(answer => answer.ok || answer.issue.code === "daemon.notFound" ? [] : [answer.issue]);
+    return { decisions: [...remembered, ...held], issues };
+}
