Accept hosts whose clock was set back and join seeds and host list independently

Cause: incarnations and versions of published values start from wall-clock time, so a host whose clock was set back would have been ignored until the clock caught up. A slow host list delayed the join through a seed.

Change: a starting host takes an incarnation above one that its peers know, and values get above a version that peers know. Seeds and the host list are asked independently.

Conclusion: a scenario restarts a host with its clock set back by an hour.

--- a/features/membership.feature
+++ b/features/membership.feature
@@ -73,6 +73,14 @@
     Then the other hosts see "host-2" as alive under a newer incarnation
     And a value that "host-2" publishes is read by the other hosts
 
+  Scenario: A restarted host whose clock was set back is accepted under a newer incarnation
+    Given membership services on 3 hosts that know one seed
+    Then a value that "host-2" publishes is read by the other hosts
+    When the host "host-2" leaves and stops
+    And the host "host-2" starts again with its clock set back by an hour
+    Then the other hosts see "host-2" as alive under a newer incarnation
+    And a value that "host-2" publishes is read by the other hosts
+
   Scenario: A configuration reaches hosts that never call the key-value service for it, and an older or malformed one changes nothing
     Given 4 hosts in one failure domain and a key-value service that holds version 1
     Then every host has version 1 in effect and is ready
--- a/features/steps/membership.service.ts
+++ b/features/steps/membership.service.ts
@@ -20,17 +20,18 @@
 }
 
 interface ServiceWorld {
-    hosts: Map<string, RunningHost>;
+    membershipHosts: Map<string, RunningHost>;
     seeds: string[];
     formerIncarnation: Incarnation;
 }
 
 After(async function(this: ServiceWorld) {
-    await Promise.all([...this.hosts?.values() ?? []].map(({ kernel }) => kernel.stop(clock.monotonicMs() + 1_000)));
+    await Promise.all([...this.membershipHosts?.values() ?? []].map(({ kernel }) => kernel.stop(clock.monotonicMs() + 1_000)));
 });
 
-async function startHost(world: ServiceWorld, name: string): Promise<void> {
-    const kernel = createKernel({ clock, log: silentEventLog });
+async function startHost(world: ServiceWorld, name: string, clockOffsetMs = 0): Promise<void> {
+    const shifted = { ...clock, now: () => new Date(Date.now() + clockOffsetMs) };
+    const kernel = createKernel({ clock: shifted, log: silentEventLog });
     const network = createPeerNetwork({
         clock,
         log: silentEventLog,
@@ -50,7 +51,7 @@
     kernel.register("membership", membership);
     await kernel.start();
     world.seeds = world.seeds.length === 0 ? [network.address] : world.seeds;
-    world.hosts.set(name, { kernel, network, membership });
+    world.membershipHosts.set(name, { kernel, network, membership });
 }
 
 function memberAt(host: RunningHost, name: string): Member | undefined {
@@ -66,11 +67,11 @@
 }
 
 function othersOf(world: ServiceWorld, name: string): RunningHost[] {
-    return [...world.hosts].filter(([other]) => other !== name).map(([, host]) => host);
+    return [...world.membershipHosts].filter(([other]) => other !== name).map(([, host]) => host);
 }
 
 Given("membership services on {int} hosts that know one seed", async function(this: ServiceWorld, count: number) {
-    this.hosts = new Map();
+    this.membershipHosts = new Map();
     this.seeds = [];
     for (let number = 1; number <= count; number++) {
         await startHost(this, `host-${number}`);
@@ -80,17 +81,17 @@
 Then("all {int} hosts are alive for each other", async function(this: ServiceWorld, count: number) {
     const isWhole = ({ membership }: RunningHost) =>
         membership.members().filter(({ state }) => state === "alive").length === count;
-    await waitUntil(() => [...this.hosts.values()].every(isWhole));
+    await waitUntil(() => [...this.membershipHosts.values()].every(isWhole));
 });
 
 When("the host {string} leaves and stops", async function(this: ServiceWorld, name: string) {
-    const host = this.hosts.get(name);
+    const host = this.membershipHosts.get(name);
     assert.ok(host);
     this.formerIncarnation = host.membership.self().incarnation;
     await host.membership.leave();
     assert.equal(host.membership.self().state, "leaving");
     await host.kernel.stop(clock.monotonicMs() + 2_000);
-    this.hosts.delete(name);
+    this.membershipHosts.delete(name);
 });
 
 Then("the other hosts see {string} as dead", async function(this: ServiceWorld, name: string) {
@@ -101,8 +102,12 @@
     await startHost(this, name);
 });
 
+When("the host {string} starts again with its clock set back by an hour", async function(this: ServiceWorld, name: string) {
+    await startHost(this, name, -3_600_000);
+});
+
 Then("the other hosts see {string} as alive under a newer incarnation", async function(this: ServiceWorld, name: string) {
-    const own = this.hosts.get(name)?.membership.self();
+    const own = this.membershipHosts.get(name)?.membership.self();
     assert.notEqual(own?.incarnation, this.formerIncarnation);
     await waitUntil(() =>
         othersOf(this, name).every(host => {
@@ -113,7 +118,7 @@
 });
 
 Then("a value that {string} publishes is read by the other hosts", async function(this: ServiceWorld, name: string) {
-    this.hosts.get(name)?.membership.publish("note", { text: "new" });
+    this.membershipHosts.get(name)?.membership.publish("note", { text: "new" });
     const isRead = ({ membership }: RunningHost) =>
         membership.published("note").some(({ host, value }) => host === name && (value as { text: string; }).text === "new");
     await waitUntil(() => othersOf(this, name).every(isRead));
--- a/packages/policy/src/membership/gossip.ts
+++ b/packages/policy/src/membership/gossip.ts
@@ -9,7 +9,7 @@
 /** Applies the changes that came with a message. */
 export function applyGossip(draft: Draft, gossip: Gossip): void {
     gossip.updates.forEach(update => applyUpdate(draft, update));
-    gossip.values.forEach(value => applyValue(draft, value));
+    gossip.values.forEach(value => receiveValue(draft, value));
 }
 
 /**
@@ -30,7 +30,7 @@
             applyUpdate(draft, update);
         }
     }
-    gossip.values.forEach(value => applyValue(draft, value));
+    gossip.values.forEach(value => receiveValue(draft, value));
     if (!isSpread) {
         draft.restoreQueue(queue);
         draft.assign({ isUrgent });
@@ -70,6 +70,18 @@
     }
 }
 
+// A former process of this host with a faster clock may have published under a higher version; this process must get above it.
+function receiveValue(draft: Draft, value: PublishedValue): void {
+    if (value.host !== draft.state.self) {
+        applyValue(draft, value);
+        return;
+    }
+    const own = draft.state.values.get(valueKey(value.name, value.host));
+    if (own !== undefined && own.version < value.version) {
+        applyValue(draft, { ...own, version: value.version + 1 });
+    }
+}
+
 /** Stores a member's record, spreads it and keeps the timers that follow from it. */
 export function storeRecord(draft: Draft, record: MemberRecord): void {
     const former = draft.state.members.get(record.hostId);
--- a/packages/policy/src/membership/machine.ts
+++ b/packages/policy/src/membership/machine.ts
@@ -13,6 +13,7 @@
     slownessLimit,
     startProbe,
 } from "./probe.js";
+import { valueKey } from "./queue.js";
 import { describeRecord } from "./record.js";
 import type { MembershipEffect, MembershipInput, MembershipState } from "./state.js";
 import { answerSync, finishSync, startSync } from "./sync.js";
@@ -54,7 +55,7 @@
             spread(draft, leaveFanout);
             break;
         case "publish":
-            applyValue(draft, { name: input.name, host: draft.state.self, version: input.version, value: input.value });
+            publish(draft, input);
             break;
         case "configuration":
             draft.assign({ configurationVersion: Math.max(draft.state.configurationVersion, input.version) });
@@ -62,6 +63,12 @@
     }
 }
 
+function publish(draft: Draft, { name, value, version }: MembershipInput & { readonly kind: "publish"; }): void {
+    const host = draft.state.self;
+    const known = draft.state.values.get(valueKey(name, host));
+    applyValue(draft, { name, host, value, version: Math.max(version, (known?.version ?? 0) + 1) });
+}
+
 function leave(draft: Draft): void {
     if (!draft.own.isLeaving) {
         storeRecord(draft, { ...draft.own, isLeaving: true });
--- a/packages/relay/src/membership/seeding.ts
+++ b/packages/relay/src/membership/seeding.ts
@@ -1,13 +1,13 @@
-import type { Clock, EventLog, HostId } from "@filbertrelay/kernel";
+import type { EventLog, HostId } from "@filbertrelay/kernel";
 import type { HostListClient } from "@filbertrelay/platform";
 import type { TcpPeerNetwork } from "@filbertrelay/wire";
 import { membershipEvents } from "./event.js";
 
-const hostsPerAttempt = 3;
+// Each host that is asked sends its whole table; two suffice unless one of them is just failing.
+const hostsPerAttempt = 2;
 
-/** Options of `findHosts`. */
+/** Where a host looks for its first members. */
 export interface SeedingOptions {
-    readonly clock: Clock;
     readonly log: EventLog;
     readonly network: TcpPeerNetwork;
     readonly hostList: HostListClient;
@@ -19,20 +19,15 @@
     readonly isKnown: (hostId: HostId) => boolean;
 }
 
-/** Finds a few hosts that could be members and are not known: from the seeds, whose host ids the handshake proves, and the host list. */
-export async function findHosts(options: SeedingOptions): Promise<readonly HostId[]> {
-    const [seeded, listed] = await Promise.all([identifySeeds(options), readHostList(options)]);
-    const unknown = [...new Set([...seeded, ...listed])].filter(hostId => hostId !== options.self && !options.isKnown(hostId));
-    return shuffle(unknown).slice(0, hostsPerAttempt);
-}
-
-async function identifySeeds({ network, seeds, ownAddress }: SeedingOptions): Promise<readonly HostId[]> {
+/** Finds the hosts behind a few seeds by their handshakes. */
+export async function identifySeeds({ network, seeds, ownAddress }: SeedingOptions): Promise<readonly HostId[]> {
     const chosen = shuffle(seeds.filter(address => address !== ownAddress)).slice(0, hostsPerAttempt);
     const identified = await Promise.all(chosen.map(address => network.identify(address)));
-    return identified.flatMap(outcome => outcome.ok ? [outcome.value] : []);
+    return [...new Set(identified.flatMap(outcome => outcome.ok ? [outcome.value] : []))];
 }
 
-async function readHostList({ hostList, network, log, self, isKnown }: SeedingOptions): Promise<readonly HostId[]> {
+/** Finds a few entry hosts in the host list that are not known as members. */
+export async function readHostList({ hostList, network, log, self, isKnown }: SeedingOptions): Promise<readonly HostId[]> {
     const listed = await hostList.list();
     if (!listed.ok) {
         log.write(membershipEvents.hostListUnavailable, { reason: listed.issue.message });
@@ -40,7 +35,7 @@
     }
     const hosts = listed.value.filter(({ role, hostId }) => role === "entry" && hostId !== self && !isKnown(hostId));
     hosts.forEach(({ hostId, address }) => network.setAddress(hostId, address));
-    return hosts.map(({ hostId }) => hostId);
+    return shuffle(hosts.map(({ hostId }) => hostId)).slice(0, hostsPerAttempt);
 }
 
 function shuffle<T>(items: readonly T[]): T[] {
--- a/packages/relay/src/membership/service.ts
+++ b/packages/relay/src/membership/service.ts
@@ -8,7 +8,8 @@
 import type { GossipValue, Member, MembershipService } from "../contract.js";
 import type { Settings } from "../settings.js";
 import { membershipEvents } from "./event.js";
-import { findHosts } from "./seeding.js";
+import { identifySeeds, readHostList } from "./seeding.js";
+import type { SeedingOptions } from "./seeding.js";
 import { encodeAnswer, encodeSyncReply, pingRequestTopic, pingTopic, pushTopic, syncTopic } from "./topic.js";
 import { sendMessage } from "./transport.js";
 import { viewMember, viewMembers, viewValues } from "./view.js";
@@ -47,6 +48,9 @@
     #state: MembershipState;
     #cancelTick: Cancel | undefined;
     #lastValueVersion = 0;
+    #superseding: Incarnation | undefined;
+    #isStarted = false;
+    #isAlone = false;
 
     constructor(kernel: Kernel, settings: Pick<Settings, "host" | "cluster" | "timing">) {
         this.#clock = kernel.clock;
@@ -66,6 +70,10 @@
         this.#scheduleTick();
         const isFirstAttemptDone = this.#seed();
         await settleWithin(this.#clock, isFirstAttemptDone, startWaitMs);
+        if (this.#superseding !== undefined) {
+            await this.#takeNewerIncarnation(this.#superseding);
+        }
+        this.#isStarted = true;
         void isFirstAttemptDone.then(() => this.#seedLoop());
     }
 
@@ -122,11 +130,11 @@
         return () => this.#versionCallbacks.delete(callback);
     }
 
-    #createState(peerAddress: string): MembershipState {
+    #createState(peerAddress: string, startMs = this.#clock.now().getTime()): MembershipState {
         const { host, timing } = this.#settings;
         return createMembershipState({
             self: brandAs<HostId>(host.id),
-            incarnation: brandAs<Incarnation>(`${this.#clock.now().getTime()}-${randomInt(36 ** 6).toString(36)}`),
+            incarnation: brandAs<Incarnation>(`${startMs}-${randomInt(36 ** 6).toString(36)}`),
             details: {
                 failureDomain: brandAs<FailureDomainId>(host.failureDomain),
                 peerAddress: host.advertisedPeerAddress ?? peerAddress,
@@ -138,6 +146,20 @@
         });
     }
 
+    // The clock may have been set back since a former process of this host started; the others would ignore the older start time.
+    async #takeNewerIncarnation(known: Incarnation): Promise<void> {
+        const { peerAddress } = this.self();
+        this.#state = this.#createState(peerAddress, Number.parseInt(known, 10) + 1);
+        await settleWithin(this.#clock, this.#seed(), startWaitMs);
+    }
+
+    #noteSuperseded(incarnation: Incarnation): void {
+        if (this.#isStarted && this.#superseding !== incarnation) {
+            this.#log.write(membershipEvents.superseded, { incarnation });
+        }
+        this.#superseding = incarnation;
+    }
+
     #round(): number {
         return Math.floor(this.#clock.now().getTime() / this.#settings.timing.probePeriodMs);
     }
@@ -160,24 +182,29 @@
         }
     }
 
+    // A slow host list must not delay the seeds, nor the other way round.
     async #seed(): Promise<void> {
+        await Promise.all([this.#joinThrough(identifySeeds), this.#joinThrough(readHostList)]);
+        const isAlone = this.#state.members.size === 1;
+        if (isAlone && !this.#isAlone) {
+            this.#log.write(membershipEvents.noPeers, { seeds: this.#settings.cluster.seeds });
+        }
+        this.#isAlone = isAlone;
+    }
+
+    async #joinThrough(findHosts: (options: SeedingOptions) => Promise<readonly HostId[]>): Promise<void> {
         const { members, self } = this.#state;
-        const isAlone = members.size === 1;
         const hosts = await findHosts({
-            clock: this.#clock,
             log: this.#log,
             network: this.#network,
             hostList: this.#hostList,
             self,
             ownAddress: this.self().peerAddress,
             // Seeds are only asked while no member is known; the host list finds the other side of a partition later.
-            seeds: isAlone ? this.#settings.cluster.seeds : [],
+            seeds: members.size === 1 ? this.#settings.cluster.seeds : [],
             isKnown: hostId => this.#state.members.has(hostId),
         });
         await Promise.all(hosts.map(host => this.#run({ kind: "join", nowMs: this.#clock.monotonicMs(), host })));
-        if (this.#state.members.size === 1) {
-            this.#log.write(membershipEvents.noPeers, { seeds: this.#settings.cluster.seeds });
-        }
     }
 
     #handleTopics(): void {
@@ -247,7 +274,7 @@
                 this.#network.forget(effect.hostId);
                 break;
             case "superseded":
-                this.#log.write(membershipEvents.superseded, { incarnation: effect.incarnation });
+                this.#noteSuperseded(effect.incarnation);
                 break;
         }
     }
