Copy decoded byte strings and test the probe order

Cause: a decoded byte string kept the whole chunk read from the socket in memory, and a body that the codec can't encode would have raised an unhandled rejection.

Change: the codec copies byte strings, and an encoding failure is an issue with sent false. A property check shows that each member is probed once per round.

--- a/features/membership.feature
+++ b/features/membership.feature
@@ -28,6 +28,9 @@
   Scenario: Each change is sent a bounded number of times
     Then a change is taken from the queue as often as its limit for fleets of 2 to 400
 
+  Scenario: No member goes unprobed in a round
+    Then nodes with equal tables probe each other member exactly once per round
+
   Scenario: A node refutes a suspicion and a false death, but not after it stopped
     Given a node that others hold for dead
     When the claim reaches it
--- a/features/steps/membership.ts
+++ b/features/steps/membership.ts
@@ -2,6 +2,7 @@
 import { brandAs } from "@filbertrelay/kernel";
 import type { FailureDomainId, HostId, Incarnation } from "@filbertrelay/kernel";
 import {
+    chooseTarget,
     createMembershipState,
     createMembershipTiming,
     mergeRecords,
@@ -190,6 +191,20 @@
     },
 );
 
+Then("nodes with equal tables probe each other member exactly once per round", function() {
+    fc.assert(
+        fc.property(fc.integer({ min: 2, max: 60 }), fc.nat(), (size, round) => {
+            const records = Array.from({ length: size }, (...[, index]) => createRecord(`host-${index}`));
+            const members = new Map(records.map(record => [record.hostId, record] as const));
+            const base = createState([]);
+            const targets = records.map(({ hostId }) => chooseTarget({ ...base, self: hostId, members }, round));
+            assert.ok(targets.every((target, index) => target !== undefined && target !== records[index]?.hostId));
+            assert.equal(new Set(targets).size, size);
+        }),
+        { seed, numRuns: 300 },
+    );
+});
+
 Given("a node that others hold for dead", function(this: MembershipWorld) {
     this.state = createState([createRecord("birch")]);
 });
--- a/packages/policy/src/index.ts
+++ b/packages/policy/src/index.ts
@@ -4,6 +4,7 @@
 export * from "./admission/share.js";
 export * from "./membership/machine.js";
 export * from "./membership/message.js";
+export { chooseTarget } from "./membership/probe.js";
 export * from "./membership/queue.js";
 export * from "./membership/record.js";
 export * from "./membership/state.js";
--- a/packages/wire/src/frame.ts
+++ b/packages/wire/src/frame.ts
@@ -9,7 +9,14 @@
 // A short frame can claim a huge array or map, which the decoder would allocate before it finds the data missing.
 setSizeLimits({ maxArraySize: 1_000_000, maxMapSize: 1_000_000, maxObjectSize: 1_000_000 });
 
-const codec = new Encoder({ useRecords: false, mapsAsObjects: true, variableMapSize: true, tagUint8Array: false });
+// Decoded byte strings are copied, since a view would keep the whole chunk that was read from the socket in memory.
+const codec = new Encoder({
+    useRecords: false,
+    mapsAsObjects: true,
+    variableMapSize: true,
+    tagUint8Array: false,
+    copyBuffers: true,
+});
 
 const frameSchema = z.strictObject({
     kind: z.enum(["request", "reply", "event", "chunk", "end"]),
@@ -31,7 +38,13 @@
 
 /** Encodes a frame with its length; fails when the body exceeds the limit in bytes. */
 export function encodeFrame(frame: Frame, limitBytes: number): Outcome<Buffer, FrameIssue> {
-    const body = codec.encode(frame);
+    let body: Buffer;
+    try {
+        body = codec.encode(frame);
+    }
+    catch (error) {
+        return malformed(String(error));
+    }
     if (body.length > limitBytes) {
         return failure({
             code: "frame.tooLarge",
