--- a/features/steps/membership.service.ts
+++ b/features/steps/membership.service.ts
@@ -20,13 +20,13 @@
 }
 
 interface ServiceWorld {
-    membershipHosts: Map<string, RunningHost>;
+    memberHosts: Map<string, RunningHost>;
     seeds: string[];
     formerIncarnation: Incarnation;
 }
 
 After(async function(this: ServiceWorld) {
-    await Promise.all([...this.membershipHosts?.values() ?? []].map(({ kernel }) => kernel.stop(clock.monotonicMs() + 1_000)));
+    await Promise.all([...this.memberHosts?.values() ?? []].map(({ kernel }) => kernel.stop(clock.monotonicMs() + 1_000)));
 });
 
 async function startHost(world: ServiceWorld, name: string, clockOffsetMs = 0): Promise<void> {
@@ -51,7 +51,7 @@
     kernel.register("membership", membership);
     await kernel.start();
     world.seeds = world.seeds.length === 0 ? [network.address] : world.seeds;
-    world.membershipHosts.set(name, { kernel, network, membership });
+    world.memberHosts.set(name, { kernel, network, membership });
 }
 
 function memberAt(host: RunningHost, name: string): Member | undefined {
@@ -67,11 +67,11 @@
 }
 
 function othersOf(world: ServiceWorld, name: string): RunningHost[] {
-    return [...world.membershipHosts].filter(([other]) => other !== name).map(([, host]) => host);
+    return [...world.memberHosts].filter(([other]) => other !== name).map(([, host]) => host);
 }
 
 Given("membership services on {int} hosts that know one seed", async function(this: ServiceWorld, count: number) {
-    this.membershipHosts = new Map();
+    this.memberHosts = new Map();
     this.seeds = [];
     for (let number = 1; number <= count; number++) {
         await startHost(this, `host-${number}`);
@@ -81,17 +81,17 @@
 Then("all {int} hosts are alive for each other", async function(this: ServiceWorld, count: number) {
     const isWhole = ({ membership }: RunningHost) =>
         membership.members().filter(({ state }) => state === "alive").length === count;
-    await waitUntil(() => [...this.membershipHosts.values()].every(isWhole));
+    await waitUntil(() => [...this.memberHosts.values()].every(isWhole));
 });
 
 When("the host {string} leaves and stops", async function(this: ServiceWorld, name: string) {
-    const host = this.membershipHosts.get(name);
+    const host = this.memberHosts.get(name);
     assert.ok(host);
     this.formerIncarnation = host.membership.self().incarnation;
     await host.membership.leave();
     assert.equal(host.membership.self().state, "leaving");
     await host.kernel.stop(clock.monotonicMs() + 2_000);
-    this.membershipHosts.delete(name);
+    this.memberHosts.delete(name);
 });
 
 Then("the other hosts see {string} as dead", async function(this: ServiceWorld, name: string) {
@@ -107,7 +107,7 @@
 });
 
 Then("the other hosts see {string} as alive under a newer incarnation", async function(this: ServiceWorld, name: string) {
-    const own = this.membershipHosts.get(name)?.membership.self();
+    const own = this.memberHosts.get(name)?.membership.self();
     assert.notEqual(own?.incarnation, this.formerIncarnation);
     await waitUntil(() =>
         othersOf(this, name).every(host => {
@@ -118,7 +118,7 @@
 });
 
 Then("a value that {string} publishes is read by the other hosts", async function(this: ServiceWorld, name: string) {
-    this.membershipHosts.get(name)?.membership.publish("note", { text: "new" });
+    this.memberHosts.get(name)?.membership.publish("note", { text: "new" });
     const isRead = ({ membership }: RunningHost) =>
         membership.published("note").some(({ host, value }) => host === name && (value as { text: string; }).text === "new");
     await waitUntil(() => othersOf(this, name).every(isRead));
