Close the holes that the checker found in the holder changes

Cause: four counterexamples: an owner whose standbys were all terminated could replace them after a takeover with their promises; a standby that promised without having agreed to a newer set counted as its witness; a refusal was taken as proven by an acknowledgement of another set or of an earlier call; a released shard forgot keys whose repetition was not sent yet. Change: a change needs an agreeing survivor of every possible set, a promise carries the set agreed to, acknowledgements name the step that asked.

--- a/packages/policy/src/shards/check/fault.ts
+++ b/packages/policy/src/shards/check/fault.ts
@@ -1,6 +1,6 @@
 import type { NodeModel } from "./node.js";
 import type { Random } from "./random.js";
-import { submitSomewhere } from "./schedule.js";
+import { checkedKeys, submitSomewhere } from "./schedule.js";
 import type { World } from "./world.js";
 
 /** A disturbance that a schedule can contain. */
@@ -16,6 +16,8 @@
     | "terminateOwner"
     | "terminateStandby"
     | "terminateCrashed"
+    | "terminateFormer"
+    | "submitOwner"
     | "leaveOwner"
     | "leaveStandby"
     | "startHost"
@@ -29,7 +31,8 @@
     | "cloudOutageEnd"
     | "takeover"
     | "twoSuccessors"
-    | "settle";
+    | "settle"
+    | "wait";
 
 /** Sequences of faults that are hard on the protocol; single faults are added at random places. */
 export const faultPlans: readonly (readonly FaultName[])[] = [
@@ -85,6 +88,28 @@
         "submit",
     ],
     ["settle", "cutOwnerFromStore", "leaveOwner", "settle", "terminateOwner", "takeover", "leaveOwner", "submit"],
+    [
+        "startHost",
+        "settle",
+        "outage",
+        "leaveOwner",
+        "settle",
+        "terminateFormer",
+        "terminateStandby",
+        "settle",
+        "leaveOwner",
+        "settle",
+        "terminateFormer",
+        "cutOwnerFromStore",
+        "outageEnd",
+        "startHost",
+        "takeover",
+        "submit",
+        "wait",
+        "submitOwner",
+        "wait",
+        "submit",
+    ],
     ["cloudOutage", "terminateOwner", "takeover", "submit", "cloudOutageEnd"],
     ["restart", "pause", "crash", "outage", "restart", "outageEnd", "resume"],
     ["terminateCrashed", "startHost", "outage", "partition", "rejoin", "outageEnd"],
@@ -106,6 +131,7 @@
         terminateOwner: owner,
         terminateStandby: standby,
         terminateCrashed: random.pick(world.nodes.filter(node => node.isStarted && !node.isRunning)),
+        terminateFormer: random.pick(running.filter(node => node.isLeaving && node !== owner)),
         leaveOwner: owner,
         leaveStandby: standby,
         restart: random.pick(world.nodes.filter(node => node.isStarted && !node.isRunning && !node.isTerminated)),
@@ -165,6 +191,12 @@
         submitSomewhere(world, random);
         submitSomewhere(world, random);
     }
+    else if (fault === "submitOwner") {
+        submitAtOwner(world, live);
+    }
+    else if (fault === "wait") {
+        wait(world);
+    }
     else if (fault === "resume") {
         world.nodes.forEach(node => node.isPaused = false);
     }
@@ -187,14 +219,38 @@
         takeOver(world, random, live, fault === "takeover" ? 1 : 2);
     }
     else if (fault === "settle") {
-        for (let count = 0; count < 60; count++) {
-            if (!world.deliver()) {
-                world.advance(60);
-            }
+        run(world, 60, 60);
+    }
+}
+
+/** More than half of the retention of results in the modelled fleet. */
+const waitMs = 12_000;
+
+function wait(world: World): void {
+    const untilMs = world.nowMs + waitMs;
+    for (let steps = 0; world.nowMs < untilMs && steps < 400; steps++) {
+        run(world, 1, 500);
+    }
+}
+
+function run(world: World, steps: number, quietMs: number): void {
+    for (let count = 0; count < steps; count++) {
+        if (!world.deliver()) {
+            world.advance(quietMs);
         }
     }
 }
 
+/** Submits at the owner with the lowest epoch, which does not know of its successor. */
+function submitAtOwner(world: World, live: readonly NodeModel[]): void {
+    const owners = live.filter(node => node.state.owner !== undefined);
+    owners.sort((left, right) => (left.state.owner?.epoch ?? 0) - (right.state.owner?.epoch ?? 0));
+    const stale = owners[0];
+    if (stale !== undefined) {
+        checkedKeys.filter(key => world.mayComeBack(key)).forEach(key => world.submit(stale, key, "body", 2_000));
+    }
+}
+
 function takeOver(world: World, random: Random, live: readonly NodeModel[], count: number): void {
     const successors = live.filter(node => node.state.owner === undefined);
     for (let index = 0; index < count; index++) {
@@ -204,9 +260,5 @@
             world.feed(node, { type: "acquire", force: true });
         }
     }
-    for (let step = 0; step < 30; step++) {
-        if (!world.deliver()) {
-            world.advance(50);
-        }
-    }
+    run(world, 30, 50);
 }
--- a/packages/policy/src/shards/check/heal.ts
+++ b/packages/policy/src/shards/check/heal.ts
@@ -40,8 +40,10 @@
         refreshAll(world);
         const live = world.nodes.filter(node => node.canAct && !node.isLeaving);
         const owners = live.filter(node => node.state.owner !== undefined);
-        const node = random.pick(owners.length > 0 && random.chance(80) ? owners : live);
-        if (node === undefined) {
+        const named = live.filter(other => live.some(node => node.state.known?.owner.host === other.host));
+        const likely = owners.length > 0 ? owners : named;
+        const node = random.pick(likely.length > 0 && random.chance(70) ? likely : live);
+        if (node === undefined || !world.mayComeBack(key)) {
             return steps;
         }
         const call = world.submit(node, key, "body", waitMs);
--- a/packages/policy/src/shards/check/model.ts
+++ b/packages/policy/src/shards/check/model.ts
@@ -13,6 +13,11 @@
         return this.#stored ?? "missing";
     }
 
+    /** True after a last-resort takeover, in which the copies of finished keys may have been lost. */
+    get hasLostCopies(): boolean {
+        return (this.#stored?.value.unknownUntilMs ?? 0) > 0;
+    }
+
     swap(value: VersionedValue["value"], expectedVersion: number): number | "conflict" {
         if ((this.#stored?.version ?? 0) !== expectedVersion) {
             return "conflict";
@@ -25,6 +30,7 @@
 /** The modelled endpoints: every run of a key is counted. */
 export class EndpointModel {
     readonly runs = new Map<string, number>();
+    readonly firstRunAtMs = new Map<string, number>();
     readonly repetition: Repetition;
     readonly #answers = new Map<string, StoredResponse>();
 
@@ -33,13 +39,14 @@
     }
 
     /** Runs a key; an endpoint that deduplicates recognises only what it ran itself. */
-    run(endpoint: string, key: string): StoredResponse {
+    run(endpoint: string, key: string, nowMs: number): StoredResponse {
         const known = this.#answers.get(`${endpoint}/${key}`);
         if (known !== undefined && this.repetition === "deduplicates") {
             return known;
         }
         const count = (this.runs.get(key) ?? 0) + 1;
         this.runs.set(key, count);
+        this.firstRunAtMs.set(key, this.firstRunAtMs.get(key) ?? nowMs);
         const response = { status: 200, headers: {}, body: `${key}/${count}` };
         this.#answers.set(`${endpoint}/${key}`, response);
         return response;
--- a/packages/policy/src/shards/check/node.ts
+++ b/packages/policy/src/shards/check/node.ts
@@ -2,6 +2,9 @@
 import { createShardState, stepShard } from "../index.js";
 import type { Candidate, Holder, PeerReply, RuleName, ShardEffect, ShardInput, ShardState } from "../index.js";
 
+/** How long results are kept in the modelled fleet. */
+export const resultRetentionMs = 20_000;
+
 /** One host of the modelled fleet with the machine of its present process. */
 export class NodeModel {
     readonly host: HostId;
@@ -63,7 +66,8 @@
     /** How another node sees this one; a paused or cut-off node may look dead. */
     view(isSuspected: boolean): Candidate {
         const state = !this.isRunning || isSuspected ? "dead" : this.isLeaving ? "leaving" : "alive";
-        return { ...this.holder, failureDomain: this.failureDomain, state };
+        const { host, failureDomain } = this;
+        return { host, incarnation: this.holder.incarnation, failureDomain, state };
     }
 
     #freshState(): ShardState {
@@ -73,7 +77,7 @@
             batchIntervalMs: 100,
             writeBurst: 3,
             retryMs: 100,
-            resultRetentionMs: 20_000,
+            resultRetentionMs,
             keyRetentionMs: 10_000_000,
             openEntryLimit: 100,
             resultBytesLimit: 100_000,
--- a/packages/policy/src/shards/check/schedule.ts
+++ b/packages/policy/src/shards/check/schedule.ts
@@ -59,19 +59,21 @@
         endpointFault: random.below(20),
     };
     const { disabledRules, trace } = options;
-    const world = new World(random, { nodeCount: 5, repetition, disorder, disabledRules, trace });
+    const world = new World(random, { nodeCount: 6, repetition, disorder, disabledRules, trace });
     const startCount = 3 + random.below(2);
     world.nodes.slice(0, startCount).forEach(node => node.start(world.nowMs));
     world.nodes.slice(0, startCount).forEach(node => world.refresh(node, true));
     return world;
 }
 
+const singleFaults = faultPlans.flat();
+
 /** A plan from the table with single faults added, in the order in which they strike. */
 function planFaults(random: Random): FaultName[] {
     const plan = [...random.pick(faultPlans) ?? []];
     const extra = random.below(4);
     for (let count = 0; count < extra || plan.length < 2; count++) {
-        const fault = random.pick(faultPlans.flat()) ?? "pause";
+        const fault = random.pick(singleFaults) ?? "pause";
         plan.splice(random.below(plan.length + 1), 0, fault);
     }
     return plan;
@@ -118,7 +120,7 @@
     const live = world.nodes.filter(node => node.canAct);
     const owners = live.filter(node => node.state.owner !== undefined);
     const node = random.pick(owners.length > 0 && random.chance(75) ? owners : live);
-    const key = random.pick(checkedKeys);
+    const key = random.pick(checkedKeys.filter(candidate => world.mayComeBack(candidate)));
     if (node !== undefined && key !== undefined) {
         world.submit(node, key, random.chance(3) ? "other" : "body", random.pick([100, 600, 2_000]) ?? 600);
     }
--- a/packages/policy/src/shards/check/world.ts
+++ b/packages/policy/src/shards/check/world.ts
@@ -11,7 +11,7 @@
     VersionedValue,
 } from "../index.js";
 import { CallerModel, EndpointModel, KeyValueModel } from "./model.js";
-import { NodeModel } from "./node.js";
+import { NodeModel, resultRetentionMs } from "./node.js";
 import type { Random } from "./random.js";
 
 /** How often messages go wrong, in percent. */
@@ -29,6 +29,9 @@
     readonly run: () => void;
 }
 
+/** The longest time that a submission may wait before it is run. */
+const longestWaitMs = 3_000;
+
 type EffectOf<T extends ShardEffect["type"]> = Extract<ShardEffect, { type: T; }>;
 
 /** A modelled fleet with its platform; every event in flight is delivered in an order that the scheduler chooses. */
@@ -121,6 +124,12 @@
         this.feed(node, { type: "members", members });
     }
 
+    /** After copies were lost, keys are protected only for as long as a caller may come back, which is the retention of results. */
+    mayComeBack(key: string): boolean {
+        const firstRunAtMs = this.endpoints.firstRunAtMs.get(key) ?? this.nowMs;
+        return !this.keyValue.hasLostCopies || this.nowMs + longestWaitMs < firstRunAtMs + resultRetentionMs;
+    }
+
     /** Submits a key at a node. */
     submit(node: NodeModel, key: string, fingerprint: string, waitMs: number): number {
         const call = this.callers.submit(key, fingerprint);
@@ -294,7 +303,7 @@
         }
         this.#outside(() => {
             this.note(() => `${endpoint} runs ${key} for ${node.host}, intent ${intent}`);
-            const response = this.endpoints.run(endpoint, key);
+            const response = this.endpoints.run(endpoint, key, this.nowMs);
             this.callers.checkRun(key);
             if (!isSilent) {
                 finish({ type: "response", response });
--- a/packages/policy/src/shards/commit.ts
+++ b/packages/policy/src/shards/commit.ts
@@ -148,7 +148,8 @@
     const { state } = step;
     owner.write = undefined;
     dropChange(owner);
-    owner.uncertainStandbys = write.value.change >= owner.highestChange ? [] : owner.uncertainStandbys;
+    owner.uncertainSets = [];
+    owner.droppedStandbys = write.value.change >= owner.highestChange ? [] : owner.droppedStandbys;
     owner.version = version;
     owner.mode = "store";
     state.confirmed = Math.max(state.confirmed, write.issued);
@@ -178,7 +179,8 @@
 function dropCopies(step: Step, owner: OwnerState): void {
     const set = actingSet(step.state, owner);
     const { storedSequence } = owner;
-    const request = { type: "copy" as const, set, sequence: storedSequence, storedSequence, entries: [] };
+    const issued = step.state.counter;
+    const request = { type: "copy" as const, set, sequence: storedSequence, issued, storedSequence, entries: [] };
     for (const standby of owner.standbys) {
         if (owner.acknowledgements.has(holderKey(standby))) {
             step.effects.push({ type: "call", to: standby, request });
@@ -223,7 +225,7 @@
  */
 export function dropChange(owner: OwnerState): void {
     if (owner.holderChange !== undefined) {
-        owner.uncertainStandbys = [...owner.uncertainStandbys, ...owner.holderChange.set.standbys];
+        owner.droppedStandbys = [...owner.droppedStandbys, ...owner.holderChange.set.standbys];
         owner.holderChange = undefined;
     }
 }
@@ -235,7 +237,7 @@
 /** The value is still of this owner's line: the last write did not take effect, or an earlier one did late. */
 function rebase(step: Step, owner: OwnerState, read: VersionedValue, issued: number): void {
     if (owner.write !== undefined) {
-        owner.uncertainStandbys = [...owner.uncertainStandbys, ...owner.write.value.standbys];
+        owner.uncertainSets = [...owner.uncertainSets, owner.write.value.standbys];
         owner.write = undefined;
     }
     dropChange(owner);
--- a/packages/policy/src/shards/entry.ts
+++ b/packages/policy/src/shards/entry.ts
@@ -15,12 +15,13 @@
     if ((owner.sealed.get(input.key) ?? 0) > step.state.nowMs) {
         answer(step, input.call, { ok: false, code: "shard.expired", executed: "yes" });
     }
+    else if (entry !== undefined && entry.fingerprint !== input.fingerprint) {
+        // A closed intent counts too: its write may still take effect and would then stand for the other request.
+        answer(step, input.call, { ok: false, code: "shard.keyReused", executed: "no" });
+    }
     else if (entry === undefined || entry.state === "notRun") {
         acceptKey(step, owner, input, waiter);
     }
-    else if (entry.fingerprint !== input.fingerprint) {
-        answer(step, input.call, { ok: false, code: "shard.keyReused", executed: "no" });
-    }
     else if (entry.state === "done") {
         answer(step, input.call, answerOf(entry));
     }
--- a/packages/policy/src/shards/machine.ts
+++ b/packages/policy/src/shards/machine.ts
@@ -16,7 +16,7 @@
 } from "./takeover.js";
 import { holderKey, holderSetOf, isNewerSet, isSameHolder } from "./value.js";
 import type { Holder, HolderSet } from "./value.js";
-import { completeChange, flushWitness, handleCopied, handleHolders } from "./witness.js";
+import { completeChange, flushWitness, handleCopied, handleHolders, requiredStandbys } from "./witness.js";
 
 /** The shard state machine: all safety decisions about a shard in one process. The given state is not changed. */
 export function stepShard(previous: ShardState, { input, nowMs }: TimedInput): StepResult {
@@ -162,10 +162,8 @@
     }
     const holders = [
         ...state.takeover?.required ?? [],
-        ...state.takeover?.target === undefined ? [] : [state.takeover.target.owner],
-        ...state.owner?.standbys ?? [],
-        ...state.owner?.uncertainStandbys ?? [],
-        ...state.owner?.write?.value.standbys ?? [],
+        ...state.takeover?.sets.map(set => set.owner) ?? [],
+        ...state.owner === undefined ? [] : requiredStandbys(state.owner),
         ...state.owner?.holderChange?.needed ?? [],
     ];
     holders.filter(holder => holder.host === input.host).forEach(holder => state.gone.add(holderKey(holder)));
--- a/packages/policy/src/shards/message.ts
+++ b/packages/policy/src/shards/message.ts
@@ -7,6 +7,8 @@
         readonly type: "copy";
         readonly set: HolderSet;
         readonly sequence: number;
+        /** The owner's step that sent the copy; an acknowledgement proves ownership as of then. */
+        readonly issued: number;
         /** Copies up to this revision are in the key-value service and can be dropped. */
         readonly storedSequence: number;
         readonly entries: readonly ShardEntry[];
@@ -37,6 +39,8 @@
     readonly ok: boolean;
     /** The newest holder set that the answering process knows. */
     readonly newest?: HolderSet | undefined;
+    /** The newest holder set that the answering process agreed to, so that it holds all copies of that set. */
+    readonly agreed?: HolderSet | undefined;
     readonly copies?: readonly ShardEntry[] | undefined;
 }
 
--- a/packages/policy/src/shards/standby.ts
+++ b/packages/policy/src/shards/standby.ts
@@ -2,7 +2,7 @@
 import { answerOf, answerWaiters, changeEntry, drainQueue, settles } from "./entry.js";
 import type { PeerReply, PeerRequest } from "./message.js";
 import { actingSet, isInForce, wake } from "./state.js";
-import type { ShardState, Step } from "./state.js";
+import type { OwnerState, ShardState, Step } from "./state.js";
 import { createOwner, startTakeover } from "./takeover.js";
 import { isNewerSet, isSameHolder, newerEntry } from "./value.js";
 import type { Holder, HolderSet, ShardEntry } from "./value.js";
@@ -40,13 +40,16 @@
 }
 
 function reply(state: ShardState, ok: boolean, copies?: readonly ShardEntry[]): PeerReply {
-    return { holder: state.options.self, ok, newest: newestSet(state), copies };
+    return { holder: state.options.self, ok, newest: newestSet(state), agreed: state.agreed, copies };
 }
 
 function remember(state: ShardState, set: HolderSet): void {
     if (state.known === undefined || isNewerSet(set, state.known)) {
         state.known = set;
     }
+    if (state.agreed === undefined || isNewerSet(set, state.agreed)) {
+        state.agreed = set;
+    }
 }
 
 function acceptCopy(state: ShardState, request: RequestOf<"copy">): PeerReply {
@@ -83,7 +86,13 @@
     return [...state.copies.values()];
 }
 
-/** Gives up ownership for a successor that found all standbys gone; once a delegation is under way it is too late. */
+/** The entries without those that were never sent; a repeated intent that was not sent leaves the key unknown. */
+function decidedEntries(owner: OwnerState): ShardEntry[] {
+    return [...owner.entries.values()].filter(entry => entry.state !== "accepted" || entry.isRepeat === true)
+        .map(entry => entry.state === "accepted" ? { ...entry, state: "unknown" } : entry);
+}
+
+/** Gives up ownership for a successor that found all standbys gone; a delegation that is not in force yet ends with it. */
 function release(step: Step, request: RequestOf<"release">): PeerReply {
     const { state } = step;
     const { owner } = state;
@@ -91,7 +100,7 @@
         owner !== undefined && owner.epoch === request.epoch && owner.successor === undefined && owner.holderChange === undefined
     ) {
         const set = actingSet(state, owner);
-        const entries = [...owner.entries.values()].filter(entry => entry.state !== "accepted");
+        const entries = decidedEntries(owner);
         loseOwnership(step, set);
         entries.forEach(entry => addCopy(state, entry));
         state.releasedEpoch = request.epoch;
@@ -151,7 +160,7 @@
 /** A host without newer knowledge promises as well, so that it can't become a holder after it answered. */
 function promiseAndReport(state: ShardState, request: RequestOf<"query">): PeerReply {
     state.promisedEpoch = Math.max(state.promisedEpoch, request.epoch);
-    const own = [...state.owner?.entries.values() ?? []].filter(entry => entry.state !== "accepted");
+    const own = state.owner === undefined ? [] : decidedEntries(state.owner);
     return reply(state, true, [...heldEntries(state), ...own]);
 }
 
--- a/packages/policy/src/shards/state.ts
+++ b/packages/policy/src/shards/state.ts
@@ -10,8 +10,9 @@
     | "intentBeforeSend"
     | "unknownAfterLastResort"
     | "confirmedRefusal"
-    | "mergeAfterConflict"
     | "agreementOfHolders"
+    | "survivingStandby"
+    | "agreedPromise"
     | "queryAllHosts";
 
 /** Parameters of a shard machine. */
@@ -53,7 +54,8 @@
 export interface Acknowledgement {
     readonly sequence: number;
     readonly isInFlight: boolean;
-    readonly issued: number;
+    /** The step that sent the last copy which was acknowledged. */
+    readonly confirmed: number;
     readonly retryAtMs: number;
 }
 
@@ -84,8 +86,10 @@
     isSealing: boolean;
     unknownUntilMs: number;
     write: PendingWrite | undefined;
-    /** Standbys of holder sets whose write may still take effect; they must acknowledge too. */
-    uncertainStandbys: readonly Holder[];
+    /** Standbys of values whose write may still take effect; all of them must acknowledge too. */
+    uncertainSets: readonly (readonly Holder[])[];
+    /** Standbys that may remember a change which was proposed and dropped; all of them must acknowledge too. */
+    droppedStandbys: readonly Holder[];
     acknowledgements: Map<string, Acknowledgement>;
     holderChange: HolderChange | undefined;
     /** The host that the shard is offered to; the offer is never taken back, because it may take effect late. */
@@ -101,13 +105,14 @@
 export interface Takeover {
     stage: "reading" | "promising" | "listing" | "querying" | "writing";
     base: VersionedValue | undefined;
-    /** The newest holder set learnt. */
-    target: HolderSet | undefined;
+    /** The holder sets learnt, newest first; any of them may be in force. */
+    sets: readonly HolderSet[];
     /** The standbys of every holder set learnt. */
     required: readonly Holder[];
     /** Former owners that were asked to release. */
     asked: readonly string[];
-    promised: Set<string>;
+    /** The standbys that promised, with the newest holder set that each had agreed to before. */
+    promised: Map<string, HolderSet | undefined>;
     isReleased: boolean;
     copies: Map<string, ShardEntry>;
     /** Answers to the last-resort query by host: the incarnation that answered `no`. */
@@ -136,6 +141,8 @@
     isLeaving: boolean;
     /** The newest holder set that this process has seen. */
     known: HolderSet | undefined;
+    /** The newest holder set that this process agreed to or took copies for. */
+    agreed: HolderSet | undefined;
     /** No copy or holder change of this epoch or an earlier one is accepted any more. */
     promisedEpoch: number;
     /** The epoch whose ownership this process gave up to a successor. */
@@ -183,6 +190,7 @@
         members: [],
         isLeaving: false,
         known: undefined,
+        agreed: undefined,
         promisedEpoch: 0,
         releasedEpoch: 0,
         copies: new Map(),
@@ -203,33 +211,42 @@
 export function cloneState(state: ShardState): ShardState {
     return {
         ...state,
-        copies: new Map(state.copies),
-        gone: new Set(state.gone),
+        copies: copyMap(state.copies),
+        gone: copySet(state.gone),
         owner: state.owner === undefined ? undefined : cloneOwner(state.owner),
         takeover: state.takeover === undefined ? undefined : cloneTakeover(state.takeover),
-        waiting: new Map(state.waiting),
-        attempts: new Map(state.attempts),
-        unsettled: new Map(state.unsettled),
+        waiting: copyMap(state.waiting),
+        attempts: copyMap(state.attempts),
+        unsettled: copyMap(state.unsettled),
     };
 }
 
 function cloneOwner(owner: OwnerState): OwnerState {
     return {
         ...owner,
-        entries: new Map(owner.entries),
-        acknowledgements: new Map(owner.acknowledgements),
+        entries: copyMap(owner.entries),
+        acknowledgements: copyMap(owner.acknowledgements),
     };
 }
 
 function cloneTakeover(takeover: Takeover): Takeover {
     return {
         ...takeover,
-        promised: new Set(takeover.promised),
-        copies: new Map(takeover.copies),
-        answers: new Map(takeover.answers),
+        promised: copyMap(takeover.promised),
+        copies: copyMap(takeover.copies),
+        answers: copyMap(takeover.answers),
     };
 }
 
+// Most maps of a state are empty, and copying an empty map through its iterator is slow.
+function copyMap<K, V>(map: ReadonlyMap<K, V>): Map<K, V> {
+    return map.size === 0 ? new Map<K, V>() : new Map(map);
+}
+
+function copySet<T>(set: ReadonlySet<T>): Set<T> {
+    return set.size === 0 ? new Set<T>() : new Set(set);
+}
+
 /** Tells whether a safety rule is in force; always true outside the model checker. */
 export function isInForce(state: ShardState, rule: RuleName): boolean {
     return !state.options.disabledRules.has(rule);
--- a/packages/policy/src/shards/takeover.ts
+++ b/packages/policy/src/shards/takeover.ts
@@ -20,10 +20,10 @@
     state.takeover = {
         stage: "reading",
         base: undefined,
-        target: undefined,
+        sets: [],
         required: [],
         asked: [],
-        promised: new Set(),
+        promised: new Map(),
         isReleased: false,
         copies: new Map(),
         answers: new Map(),
@@ -118,7 +118,6 @@
         return;
     }
     takeover.base = base;
-    takeover.target ??= holderSetOf(base.value);
     learnSet(takeover, holderSetOf(base.value));
     if (state.known !== undefined) {
         learnSet(takeover, state.known);
@@ -142,9 +141,8 @@
     if (takeover.base === undefined || set.epoch !== takeover.base.value.epoch) {
         return false;
     }
-    if (takeover.target === undefined || isNewerSet(set, takeover.target)) {
-        takeover.target = set;
-    }
+    const isListed = takeover.sets.some(other => other.change === set.change);
+    takeover.sets = isListed ? takeover.sets : [...takeover.sets, set].sort((left, right) => right.change - left.change);
     const fresh = set.standbys.filter(standby => !takeover.required.some(other => isSameHolder(other, standby)));
     takeover.required = [...takeover.required, ...fresh];
     return fresh.length > 0;
@@ -159,7 +157,7 @@
     const epoch = takeover.base?.value.epoch ?? 0;
     for (const standby of takeover.required) {
         if (isSameHolder(standby, state.options.self)) {
-            takeover.promised.add(holderKey(standby));
+            takeover.promised.set(holderKey(standby), state.agreed);
         }
         else if (!takeover.promised.has(holderKey(standby)) && !state.gone.has(holderKey(standby))) {
             step.effects.push({ type: "call", to: standby, request: { type: "promise", epoch } });
@@ -181,9 +179,7 @@
     reply?.copies?.forEach(copy => addCopy(takeover, copy));
     const isFresh = reply?.newest !== undefined && learnSet(takeover, reply.newest);
     if (isFresh) {
-        takeover.previousAnswers = undefined;
-        takeover.stage = "promising";
-        askStandbys(step, takeover);
+        askAgain(step, takeover);
     }
     if (reply?.newest !== undefined && reply.newest.epoch > request.epoch) {
         yieldTo(step, reply.newest);
@@ -194,7 +190,7 @@
     }
     else if (reply?.ok === true && isSameHolder(reply.holder, to)) {
         takeover.isReleased ||= request.type === "release";
-        takeover.promised.add(holderKey(to));
+        takeover.promised.set(holderKey(to), reply.agreed);
     }
     else {
         noteAbsence(step, to, reply);
@@ -202,6 +198,16 @@
     advance(step, takeover);
 }
 
+/** A reading takeover asks everyone anyway when it has the value. */
+function askAgain(step: Step, takeover: Takeover): void {
+    takeover.previousAnswers = undefined;
+    if (takeover.stage !== "reading" && takeover.stage !== "writing") {
+        takeover.stage = "promising";
+        askStandbys(step, takeover);
+        pause(step, takeover);
+    }
+}
+
 function noteQuery(takeover: Takeover, to: Holder, reply: PeerReply | undefined): void {
     if (reply?.ok === true) {
         takeover.answers.set(to.host, reply.holder.incarnation);
@@ -220,27 +226,49 @@
 
 function advancePromises(step: Step, takeover: Takeover): void {
     const { state } = step;
-    const { target } = takeover;
-    if (target === undefined || takeover.base === undefined) {
+    const { base } = takeover;
+    if (base === undefined) {
         return;
     }
     if (!isInForce(state, "promises") || takeover.isReleased) {
-        claim(step, takeover, takeover.base);
+        claim(step, takeover, base);
         return;
     }
-    const open = takeover.required.filter(standby =>
-        !takeover.promised.has(holderKey(standby)) && !state.gone.has(holderKey(standby))
-    );
-    const promised = target.standbys.filter(standby => takeover.promised.has(holderKey(standby)));
-    if (open.length > 0) {
+    const isOpen = (standby: Holder): boolean =>
+        !takeover.promised.has(holderKey(standby)) && !state.gone.has(holderKey(standby));
+    if (takeover.required.some(isOpen)) {
         return;
     }
-    if (promised.length > 0 || takeover.required.length === 0) {
-        claim(step, takeover, takeover.base);
+    const lostSet = findLostSet(state, takeover, base.value);
+    if (lostSet === undefined) {
+        claim(step, takeover, base);
     }
     else {
-        askOwner(step, takeover, target.owner);
+        askOwner(step, takeover, lostSet.owner);
+    }
+}
+
+/**
+ * Finds a set that may be in force although none of its standbys is left to promise. A promise of a standby that had
+ * agreed to its set settles the question: it holds every copy of the set. A newer set with a standby that promised
+ * without having agreed never came into force, so the next older set counts.
+ */
+function findLostSet(state: ShardState, takeover: Takeover, stored: HolderSet): HolderSet | undefined {
+    for (const set of takeover.sets) {
+        const promised = set.standbys.filter(standby => takeover.promised.has(holderKey(standby)));
+        const isStored = set.change <= stored.change || !isInForce(state, "agreedPromise");
+        const hasAgreed = promised.some(standby => {
+            const agreed = takeover.promised.get(holderKey(standby));
+            return agreed !== undefined && !isNewerSet(set, agreed);
+        });
+        if (hasAgreed || (isStored && (promised.length > 0 || set.standbys.length === 0))) {
+            return undefined;
+        }
+        if (promised.length === 0) {
+            return set;
+        }
     }
+    return undefined;
 }
 
 function askOwner(step: Step, takeover: Takeover, owner: Holder): void {
@@ -385,7 +413,8 @@
         isSealing: false,
         unknownUntilMs: value.unknownUntilMs,
         write: undefined,
-        uncertainStandbys: [],
+        uncertainSets: [],
+        droppedStandbys: [],
         acknowledgements: new Map(),
         holderChange: undefined,
         successor: undefined,
@@ -404,7 +433,14 @@
     const { sequence } = owner;
     for (const standby of takeover?.required ?? []) {
         if (takeover?.promised.has(holderKey(standby)) === true && !isSameHolder(standby, state.options.self)) {
-            const request: PeerRequest = { type: "copy", set, sequence, storedSequence: sequence, entries: [] };
+            const request: PeerRequest = {
+                type: "copy",
+                set,
+                sequence,
+                issued: state.counter,
+                storedSequence: sequence,
+                entries: [],
+            };
             step.effects.push({ type: "call", to: standby, request });
         }
     }
--- a/packages/policy/src/shards/witness.ts
+++ b/packages/policy/src/shards/witness.ts
@@ -17,12 +17,22 @@
 
 type CopyRequest = Extract<PeerRequest, { type: "copy"; }>;
 
-/** All standbys that must acknowledge: those of the set in force and of sets whose write may still take effect. */
-export function requiredStandbys(owner: OwnerState): Holder[] {
+/** The standbys of every value that a successor may find in the key-value service, or of the completed change after it. */
+function possibleSets(owner: OwnerState): (readonly Holder[])[] {
     // A completed change has the agreement of the holders of every write that was uncertain before it.
-    const written = owner.write !== undefined && owner.write.value.change >= owner.change ? owner.write.value.standbys : [];
-    const sets = [...owner.standbys, ...owner.uncertainStandbys, ...written];
-    return [...new Map(sets.map(standby => [holderKey(standby), standby])).values()];
+    const written = owner.write !== undefined && owner.write.value.change >= owner.change ? [owner.write.value.standbys] : [];
+    return [owner.standbys, ...owner.uncertainSets, ...written];
+}
+
+/** All standbys that must acknowledge. */
+export function requiredStandbys(owner: OwnerState): Holder[] {
+    const all = [...possibleSets(owner).flat(), ...owner.droppedStandbys];
+    return [...new Map(all.map(standby => [holderKey(standby), standby])).values()];
+}
+
+/** A successor that finds a set without standbys asks nobody, so that nothing can be done without the key-value service. */
+function hasWitnesses(owner: OwnerState): boolean {
+    return possibleSets(owner).every(standbys => standbys.length > 0);
 }
 
 /** Sends copies to the standbys, or changes the holder set, while the key-value service can't be reached. */
@@ -52,9 +62,17 @@
     }
     const entries = [...owner.entries.values()].filter(entry => entry.revision > acknowledged).map(asIntent);
     const { sequence, storedSequence } = owner;
-    const request: CopyRequest = { type: "copy", set: actingSet(state, owner), sequence, storedSequence, entries };
-    const isRetried = { sequence: acknowledged, isInFlight: true, issued: state.counter, retryAtMs: 0 };
-    owner.acknowledgements.set(holderKey(standby), isRetried);
+    const request: CopyRequest = {
+        type: "copy",
+        set: actingSet(state, owner),
+        sequence,
+        issued: state.counter,
+        storedSequence,
+        entries,
+    };
+    const { confirmed } = known ?? { confirmed: 0 };
+    const asked = { sequence: acknowledged, isInFlight: true, confirmed, retryAtMs: 0 };
+    owner.acknowledgements.set(holderKey(standby), asked);
     step.effects.push({ type: "call", to: standby, request });
 }
 
@@ -73,8 +91,9 @@
     }
     if (reply?.ok === true && isSameHolder(reply.holder, to)) {
         const sequence = Math.max(known.sequence, request.sequence);
-        owner.acknowledgements.set(holderKey(to), { ...known, sequence, isInFlight: false });
-        state.confirmed = Math.max(state.confirmed, known.issued);
+        const confirmed = Math.max(known.confirmed, request.issued);
+        owner.acknowledgements.set(holderKey(to), { ...known, sequence, isInFlight: false, confirmed });
+        state.confirmed = Math.max(state.confirmed, confirmedByStandbys(owner));
         startWitnessed(step, owner);
         return;
     }
@@ -89,6 +108,14 @@
     }
 }
 
+/** A takeover needs a promise from each set that it finds, so one acknowledgement of each set rules it out until then. */
+function confirmedByStandbys(owner: OwnerState): number {
+    const latest = possibleSets(owner).map(standbys =>
+        Math.max(0, ...standbys.map(standby => owner.acknowledgements.get(holderKey(standby))?.confirmed ?? 0))
+    );
+    return Math.min(...latest);
+}
+
 function isForeignSet(owner: OwnerState, newest: HolderSet): boolean {
     const isTaken = newest.epoch === owner.epoch && isSameHolder(newest.owner, owner.successor) &&
         newest.change !== owner.holderChange?.set.change;
@@ -110,7 +137,7 @@
 
 function startWitnessed(step: Step, owner: OwnerState): void {
     const required = requiredStandbys(owner);
-    if (required.length === 0 || owner.mode !== "witness") {
+    if (!hasWitnesses(owner) || owner.mode !== "witness") {
         return;
     }
     const sequences = required.map(standby => owner.acknowledgements.get(holderKey(standby))?.sequence ?? owner.storedSequence);
@@ -124,7 +151,7 @@
     const required = requiredStandbys(owner);
     const successor = owner.successor ?? (state.isLeaving ? chooseSuccessor(state, owner) : undefined);
     const isReplacing = required.some(standby => state.gone.has(holderKey(standby)) || isLeavingMember(state, standby));
-    if (required.length === 0 || (successor === undefined && !isReplacing)) {
+    if (!hasWitnesses(owner) || (successor === undefined && !isReplacing)) {
         return;
     }
     const chosen = successor ?? state.options.self;
@@ -200,7 +227,7 @@
         isSameHolder(holder, change.set.owner) || change.set.standbys.some(standby => isSameHolder(standby, holder));
     const isMissing = (holder: Holder): boolean =>
         !change.agreed.has(holderKey(holder)) && !(state.gone.has(holderKey(holder)) && !isNew(holder));
-    if (change.needed.some(isMissing)) {
+    if (change.needed.some(isMissing) || !hasSurvivors(state, owner, change)) {
         retryWithoutGone(step, owner, change, isNew);
         return;
     }
@@ -213,6 +240,15 @@
     adoptChange(step, owner, change);
 }
 
+/**
+ * A standby may have promised to a successor before it was terminated. Only one that agrees now proves that no
+ * takeover with its promise has been completed, and every set that a successor may have found needs one.
+ */
+function hasSurvivors(state: ShardState, owner: OwnerState, change: HolderChange): boolean {
+    return !isInForce(state, "survivingStandby") ||
+        possibleSets(owner).every(standbys => standbys.some(standby => change.agreed.has(holderKey(standby))));
+}
+
 function retryWithoutGone(step: Step, owner: OwnerState, change: HolderChange, isNew: (holder: Holder) => boolean): void {
     const isLost = change.needed.some(holder => isNew(holder) && step.state.gone.has(holderKey(holder)));
     if (isLost && isSameHolder(change.set.owner, step.state.options.self)) {
@@ -225,9 +261,11 @@
     const { state } = step;
     owner.change = change.set.change;
     owner.standbys = change.set.standbys;
-    owner.uncertainStandbys = [];
+    owner.uncertainSets = [];
+    owner.droppedStandbys = [];
     state.known = change.set;
-    const acknowledged = { sequence: change.sequence, isInFlight: false, issued: state.counter, retryAtMs: 0 };
+    const { sequence } = change;
+    const acknowledged = { sequence, isInFlight: false, confirmed: 0, retryAtMs: 0 };
     owner.acknowledgements = new Map(change.set.standbys.map(standby => [holderKey(standby), acknowledged]));
     startWitnessed(step, owner);
 }
--- a/packages/relay/src/shards/topic.ts
+++ b/packages/relay/src/shards/topic.ts
@@ -48,6 +48,7 @@
         type: z.literal("copy"),
         set: holderSetSchema,
         sequence: z.int(),
+        issued: z.int(),
         storedSequence: z.int(),
         entries: z.array(entrySchema),
     }),
@@ -78,6 +79,7 @@
         holder: holderSchema,
         ok: z.boolean(),
         newest: holderSetSchema.optional(),
+        agreed: holderSetSchema.optional(),
         copies: z.array(entrySchema).optional(),
     }),
 };
