--- a/features/steps/membership.service.ts
+++ b/features/steps/membership.service.ts
@@ -29,8 +29,9 @@
     await Promise.all([...this.memberHosts?.values() ?? []].map(({ kernel }) => kernel.stop(clock.monotonicMs() + 1_000)));
 });
 
-async function startHost(world: ServiceWorld, name: string): Promise<void> {
-    const kernel = createKernel({ clock, log: silentEventLog });
+async function startHost(world: ServiceWorld, name: string, clockOffsetMs = 0): Promise<void> {
+    const shifted = { ...clock, now: () => new Date(Date.now() + clockOffsetMs) };
+    const kernel = createKernel({ clock: shifted, log: silentEventLog });
     const network = createPeerNetwork({
         clock,
         log: silentEventLog,
@@ -101,6 +102,10 @@
     await startHost(this, name);
 });
 
+When("the host {string} starts again with its clock set back by an hour", async function(this: ServiceWorld, name: string) {
+    await startHost(this, name, -3_600_000);
+});
+
 Then("the other hosts see {string} as alive under a newer incarnation", async function(this: ServiceWorld, name: string) {
     const own = this.memberHosts.get(name)?.membership.self();
     assert.notEqual(own?.incarnation, this.formerIncarnation);
