Let the demo reclaim without notice and put requests and events on one time scale

Cause: the report drew events up to 5 s late against requests, because their times had different origins. Change: all times count from the start of the run; '--notice-seconds' sets the notice of the reclaim.

--- a/packages/client/src/command/demo.ts
+++ b/packages/client/src/command/demo.ts
@@ -19,6 +19,7 @@
     readonly deployment: DemoDeployment;
     readonly seed: number;
     readonly requests: number;
+    readonly noticeSeconds: number;
     readonly output: string;
     readonly keep: boolean;
 }
@@ -38,6 +39,11 @@
             })
             .option("seed", { type: "number", default: 1, describe: "Seed of the trace" })
             .option("requests", { type: "number", default: 300, describe: "Requests to play" })
+            .option("notice-seconds", {
+                type: "number",
+                default: 4,
+                describe: "Notice of the reclaim; 0 kills the hosts at once",
+            })
             .option("output", { type: "string", default: "reports/demo.json", describe: "Result file for 'report'" })
             .option("keep", {
                 type: "boolean",
@@ -48,10 +54,13 @@
 };
 
 async function demo(commandArguments: DemoArguments, output: Output): Promise<CommandResult> {
-    const { deployment, seed, requests } = commandArguments;
+    const { deployment, seed, requests, noticeSeconds } = commandArguments;
     if (!Number.isSafeInteger(seed) || !Number.isSafeInteger(requests) || requests < 1 || requests > 2_000) {
         return failed(ExitCode.BadInput, "'--seed' must be a whole number and '--requests' one from 1 to 2000.");
     }
+    if (!(noticeSeconds >= 0 && noticeSeconds <= 30)) {
+        return failed(ExitCode.BadInput, "'--notice-seconds' must be a number from 0 to 30.");
+    }
     const answers = loadAnswers(exampleFile(`${deployment}.toml`));
     if (!answers.ok) {
         return answers.result;
@@ -68,6 +77,7 @@
         keys: keys.value,
         seed,
         requests,
+        noticeMs: noticeSeconds * 1_000,
         keepsDirectory: commandArguments.keep,
     });
     return finishRun(result, commandArguments.output);
--- a/packages/client/src/command/replay.ts
+++ b/packages/client/src/command/replay.ts
@@ -108,6 +108,7 @@
         runName: `replay-${startedAt.getTime()}`,
         longestDeadlineMs,
         patienceMs,
+        originMs: startMs,
     });
     const recomputedTokens = await recomputed.finish();
     await client.close();
--- a/packages/client/src/demo/demo.ts
+++ b/packages/client/src/demo/demo.ts
@@ -25,6 +25,8 @@
     readonly keys: DeploymentKeys;
     readonly seed: number;
     readonly requests: number;
+    /** Notice of the reclaim; 0 kills the hosts at once. */
+    readonly noticeMs: number;
     readonly keepsDirectory: boolean;
 }
 
@@ -36,7 +38,6 @@
 
 const playMs = 24_000;
 const reclaimAtMs = 9_000;
-const noticeMs = 4_000;
 const outageAtMs = 12_000;
 const outageMs = 5_000;
 const longestDeadlineMs = 15_000;
@@ -87,7 +88,7 @@
     const client = createOperatorClient({ operatorKey: keys.operator });
     const recomputed = new RecomputedTokens({ client, clock, addresses: () => fleet.callerAddresses() });
     recomputed.start();
-    const disturbances = disturb(fleet, clock, note);
+    const disturbances = disturb(fleet, options, note);
     const played = await playTrace({
         clock,
         trace: createDemoTrace(options),
@@ -99,6 +100,7 @@
         runName: `demo-${options.seed}`,
         longestDeadlineMs,
         patienceMs,
+        originMs: options.startMs,
     });
     await disturbances;
     note("All requests have an outcome.");
@@ -125,7 +127,7 @@
     return generateTrace({ ...workload, requests: options.requests, hours: [1], serviceShare: 0.4 }, "reported", options.seed);
 }
 
-async function disturb(fleet: Fleet, clock: Clock, note: (text: string) => void): Promise<void> {
+async function disturb(fleet: Fleet, { clock, noticeMs }: DemoOptions, note: (text: string) => void): Promise<void> {
     const failureDomain = fleet.configuration.failureDomains[1] ?? "";
     await clock.sleep(reclaimAtMs);
     const hostIds = await fleet.reclaim({ failureDomain, noticeMs });
--- a/packages/client/src/demo/player.ts
+++ b/packages/client/src/demo/player.ts
@@ -37,6 +37,8 @@
     /** Upper limit of every caller's deadline. */
     readonly longestDeadlineMs: number;
     readonly patienceMs: number;
+    /** Start of the run on the clock's monotonic time; the times of requests count from here. */
+    readonly originMs: number;
 }
 
 /** What the callers of a played trace know. */
@@ -102,7 +104,7 @@
         const scale = this.#options.durationMs / Math.max(1, (entries.at(-1)?.at ?? 0) - firstAt);
         const running: Promise<void>[] = [];
         for (const entry of entries) {
-            const waitMs = (entry.at - firstAt) * scale - this.#elapsedMs();
+            const waitMs = (entry.at - firstAt) * scale - (this.#options.clock.monotonicMs() - this.#startMs);
             if (waitMs > 0) {
                 await this.#options.clock.sleep(waitMs);
             }
@@ -124,7 +126,7 @@
     }
 
     #elapsedMs(): number {
-        return this.#options.clock.monotonicMs() - this.#startMs;
+        return this.#options.clock.monotonicMs() - this.#options.originMs;
     }
 
     // Each customer is a caller of its own, with its own failure domain and its own cached entry points.
