Give hosts that are started through the cloud a process

Cause: tests of the planner need replacements that appear. Change: launchFleet({ provisions: true }) polls the cloud stand-in and starts a daemon or an engine per new host.

--- a/features/fleet.feature
+++ b/features/fleet.feature
@@ -27,3 +27,9 @@
     When a trace of 20 requests with seed 4301 is replayed against it
     Then replay ends with 0 and its result holds 20 requests, of which all were answered
     And the same trace with a customer that does not exist ends with 2
+
+  Scenario: Hosts that are started through the cloud get a process and join the fleet
+    Guards against planner tests in which replacements never appear.
+    Given a fleet of 2 daemons of "salal" that provisions hosts
+    When an entry host and an engine are started through the cloud API
+    Then the daemons offer the new entry host, and the host list names the new engine
--- a/features/steps/fleet.ts
+++ b/features/steps/fleet.ts
@@ -4,7 +4,9 @@
 import { checkAnswers } from "@filbertrelay/configuration";
 import type { Answers } from "@filbertrelay/configuration";
 import { chaulageWorkload, formatTrace, generateTrace } from "@filbertrelay/emulator";
-import { createSystemClock } from "@filbertrelay/kernel";
+import { brandAs, createSystemClock } from "@filbertrelay/kernel";
+import type { FailureDomainId } from "@filbertrelay/kernel";
+import { createCloudClient } from "@filbertrelay/platform";
 import assert from "node:assert/strict";
 import { spawn } from "node:child_process";
 import { existsSync, readdirSync, readFileSync, writeFileSync } from "node:fs";
@@ -29,20 +31,28 @@
     await this.loopbackFleet?.stop();
 });
 
+async function launch(world: FleetWorld, entryHosts: number, deployment: string, provisions: boolean): Promise<void> {
+    const answers = checkAnswers(parse(readFileSync(`examples/${deployment}.toml`, "utf8")));
+    assert.ok(answers.ok);
+    world.answers = answers.value;
+    world.keys = (parse(readFileSync("examples/keys.toml", "utf8")) as Record<string, FleetWorld["keys"]>)[deployment]!;
+    const size = { entryHosts, enginesPerModel: 3, instancesPerService: 1 };
+    world.loopbackFleet = await launchFleet({ answers: answers.value, ...size, provisions });
+}
+
 Given(
     "a fleet of {int} daemons of {string}",
     launchTimeout,
-    async function(this: FleetWorld, entryHosts: number, deployment: string) {
-        const answers = checkAnswers(parse(readFileSync(`examples/${deployment}.toml`, "utf8")));
-        assert.ok(answers.ok);
-        this.answers = answers.value;
-        this.keys = (parse(readFileSync("examples/keys.toml", "utf8")) as Record<string, FleetWorld["keys"]>)[deployment]!;
-        this.loopbackFleet = await launchFleet({
-            answers: answers.value,
-            entryHosts,
-            enginesPerModel: 3,
-            instancesPerService: 1,
-        });
+    function(this: FleetWorld, entryHosts: number, deployment: string) {
+        return launch(this, entryHosts, deployment, false);
+    },
+);
+
+Given(
+    "a fleet of {int} daemons of {string} that provisions hosts",
+    launchTimeout,
+    function(this: FleetWorld, entryHosts: number, deployment: string) {
+        return launch(this, entryHosts, deployment, true);
     },
 );
 
@@ -258,3 +268,31 @@
         assert.match(result.output, /nobody/);
     },
 );
+
+When("an entry host and an engine are started through the cloud API", launchTimeout, async function(this: FleetWorld) {
+    const cloud = createCloudClient({ url: this.loopbackFleet.platform.cloud.url, clock: createSystemClock() });
+    for (const role of ["entry", "engine"] as const) {
+        const failureDomain = brandAs<FailureDomainId>("coast-c");
+        const wanted = { requestId: role, role, failureDomain, hostClass: role, reclaimable: true };
+        assert.ok((await cloud.startHost(wanted)).ok);
+    }
+    await cloud.stop();
+});
+
+Then(
+    "the daemons offer the new entry host, and the host list names the new engine",
+    launchTimeout,
+    async function(this: FleetWorld) {
+        const address = this.loopbackFleet.callerAddresses()[0]!;
+        await waitFor("the new entry host to be offered", async () => {
+            const response = await fetch(`http://${address}/v1/entry-points`);
+            const { entryPoints } = await response.json() as { entryPoints: { hostId: string; }[]; };
+            return entryPoints.some(point => point.hostId === "host-1") ? true : undefined;
+        }, { limitMs });
+        await waitFor("the new engine to be listed", async () => {
+            const response = await fetch(`${this.loopbackFleet.platform.hostList.url}/v1/hosts`);
+            const { hosts } = await response.json() as { hosts: { hostId: string; serves?: string; }[]; };
+            return hosts.some(host => host.hostId === "host-2" && host.serves === "drafting") ? true : undefined;
+        }, { limitMs });
+    },
+);
--- a/packages/client/src/fleet/cloud.ts
+++ b/packages/client/src/fleet/cloud.ts
@@ -45,9 +45,10 @@
         });
     }
 
-    /** Names the new process of a restarted host. */
-    async attach(hostId: string, process: HostProcess): Promise<void> {
-        await callControl(this.url, `/hosts/${hostId}`, process);
+    /** Names the process of a host that the cloud knows already, and what it serves. */
+    async attach(hostId: string, process: HostProcess, serves?: string): Promise<void> {
+        const endpoint = serves === undefined ? {} : { serves, endpointId: hostId };
+        await callControl(this.url, `/hosts/${hostId}`, { ...process, ...endpoint });
     }
 
     /** Announces a reclaim and carries it out after the notice; gives the hosts concerned. */
--- a/packages/client/src/fleet/fleet.ts
+++ b/packages/client/src/fleet/fleet.ts
@@ -21,6 +21,7 @@
 import type { Platform, StandInKind, StandInOptions } from "./platform.js";
 import { findFreePorts, pickLoopbackAddress } from "./port.js";
 import { FleetProcess, waitFor } from "./process.js";
+import { Provisioner } from "./provisioner.js";
 import { formatSettings } from "./settings.js";
 
 /** How a fleet is started. */
@@ -34,6 +35,8 @@
         host: PlannedHost,
         platform: Platform,
     ) => Partial<Record<"keyValue" | "cloud" | "hostList" | "weightStore", string>>;
+    /** Starts a process for every host that is started through the cloud API, such as by the planner. */
+    readonly provisions?: boolean;
     /** Leaves the configuration head unwritten, so that daemons wait for it. */
     readonly withoutConfiguration?: boolean;
     /** Keeps settings and logs after `stop`. */
@@ -69,6 +72,10 @@
     readonly #options: FleetOptions;
     readonly #address = pickLoopbackAddress();
     readonly #clusterKey = randomBytes(24).toString("hex");
+    readonly #provisioner: Provisioner;
+    /** Hosts that the cloud knew before they had a process. */
+    readonly #provisioned = new Set<string>();
+    #isStopping = false;
 
     constructor(
         options: FleetOptions,
@@ -78,6 +85,7 @@
         this.directory = parts.directory;
         this.configuration = parts.configuration;
         this.platform = parts.platform;
+        this.#provisioner = new Provisioner({ cloudUrl: this.platform.cloud.url, start: host => this.#provision(host) });
     }
 
     /** Starts endpoints, writes the configuration and starts the daemons; resolves when all are ready. */
@@ -91,6 +99,9 @@
         if (this.#options.withoutConfiguration !== true) {
             await this.waitUntilReady();
         }
+        if (this.#options.provisions === true) {
+            this.#provisioner.start();
+        }
     }
 
     /** Running entry hosts. */
@@ -204,6 +215,8 @@
 
     /** Kills every process and removes the directory. */
     async stop(): Promise<void> {
+        this.#isStopping = true;
+        this.#provisioner.stop();
         const { keyValue, cloud, hostList, weightStore } = this.platform;
         const processes = [...this.hosts.values(), keyValue, cloud, hostList, weightStore].map(part => part.process);
         await Promise.all(processes.map(process => process.kill()));
@@ -212,6 +225,24 @@
         }
     }
 
+    /** Gives a host of the cloud its process; an engine starts with the first model until it is told another. */
+    async #provision(host: PlannedHost): Promise<void> {
+        const model = this.configuration.models[0]?.name;
+        if (this.#isStopping || host.role === "service" || (host.role === "engine" && model === undefined)) {
+            return;
+        }
+        this.#provisioned.add(host.hostId);
+        try {
+            await (host.role === "entry" ? this.#startDaemon(host) : this.#startEndpoint({ ...host, serves: model ?? "" }));
+        }
+        catch (error) {
+            // A host that is reclaimed while it starts is no fault, nor is one that the end of the fleet kills.
+            if (this.hosts.get(host.hostId)?.process.isRunning === true && !this.#isStopping) {
+                throw error;
+            }
+        }
+    }
+
     async #startEndpoint(planned: PlannedHost): Promise<void> {
         const kind = planned.role === "engine" ? "model-engine" : "plain-service";
         const words = [...this.#endpointWords(planned), ...this.#options.standIns?.[kind] ?? []];
@@ -292,7 +323,11 @@
     async #add(host: FleetHost): Promise<void> {
         this.hosts.set(host.hostId, host);
         this.#watchEnd(host);
-        await this.platform.cloud.control.register(host, { pid: host.process.pid, address: host.address });
+        const { control } = this.platform.cloud;
+        const process = { pid: host.process.pid, address: host.address };
+        await (this.#provisioned.has(host.hostId) ?
+            control.attach(host.hostId, process, host.serves) :
+            control.register(host, process));
     }
 
     #watchEnd(host: FleetHost): void {
