--- a/packages/relay/src/caller/server.ts
+++ b/packages/relay/src/caller/server.ts
@@ -171,6 +171,9 @@
 
     #publishLoad(): void {
         if (!this.#isStopping) {
+            const metrics = this.#kernel.get<Metrics>("metrics");
+            metrics.gauge("requests.open", this.#openRequests);
+            metrics.gauge("streams.open", this.#streams.openCount());
             const change = Math.abs(this.#openRequests - this.#publishedLoad);
             if (change > loadChangeRatio * this.#publishedLoad) {
                 this.#publishedLoad = this.#openRequests;
--- a/packages/relay/src/filbertrelayd.ts
+++ b/packages/relay/src/filbertrelayd.ts
@@ -1,10 +1,11 @@
 #!/usr/bin/env node
-import { createEventLog, createSystemClock, declareEvents, InvariantError, invariantExitCode } from "@filbertrelay/kernel";
+import { createEventLog, createSystemClock, InvariantError, invariantExitCode } from "@filbertrelay/kernel";
 import type { EventLog, Issue } from "@filbertrelay/kernel";
 import { readFileSync } from "node:fs";
 import yargs from "yargs";
 import { hideBin } from "yargs/helpers";
 import { createDaemon } from "./daemon.js";
+import { lifecycleEvents as events } from "./lifecycle/event.js";
 import type { Lifecycle } from "./lifecycle/lifecycle.js";
 import { parseSettings } from "./settings.js";
 import type { Settings } from "./settings.js";
@@ -12,22 +13,6 @@
 const badSettingsExitCode = 2;
 const startFailedExitCode = 3;
 
-const events = declareEvents({
-    started: { number: 1020, level: "info", text: "The daemon started.", action: "None." },
-    startFailed: {
-        number: 1021,
-        level: "error",
-        text: "The daemon could not start.",
-        action: "Check that the addresses in the settings belong to this host and are free.",
-    },
-    defect: {
-        number: 1022,
-        level: "error",
-        text: "The daemon stops because an invariant is broken.",
-        action: "Report the error; other hosts take over.",
-    },
-});
-
 const commandLine = await yargs(hideBin(process.argv))
     .scriptName("filbertrelayd")
     .usage("$0 --settings FILE\n\nRuns one entry host of filbertrelay.")
--- a/packages/relay/src/lifecycle/lifecycle.ts
+++ b/packages/relay/src/lifecycle/lifecycle.ts
@@ -1,21 +1,8 @@
 import type { Kernel, Service } from "@filbertrelay/kernel";
-import { declareEvents } from "@filbertrelay/kernel";
 import type { MembershipService, ShardService } from "../contract.js";
 import type { Directory } from "../directory/directory.js";
 import type { StreamService } from "../streams/service.js";
-
-const events = declareEvents({
-    draining: { number: 1010, level: "info", text: "This host is leaving and drains.", action: "None." },
-    shardsReleased: { number: 1011, level: "info", text: "All shards of this host were handed over.", action: "None." },
-    shardsNotReleased: {
-        number: 1012,
-        level: "warn",
-        text: "Some shards were not handed over before the deadline.",
-        action: "None; other hosts take them over with the standbys' promises.",
-    },
-    streamsDrained: { number: 1013, level: "info", text: "All answers in progress ended or were handed over.", action: "None." },
-    drained: { number: 1014, level: "info", text: "This host has drained and stops.", action: "None." },
-});
+import { lifecycleEvents as events } from "./event.js";
 
 /** Why a host leaves. */
 export type DrainReason = "reclaim" | "signal" | "operator";
--- a/packages/relay/src/streams/reclaim.ts
+++ b/packages/relay/src/streams/reclaim.ts
@@ -4,7 +4,8 @@
 import type { ReclaimStep } from "@filbertrelay/policy";
 import type { Directory } from "../directory/directory.js";
 import type { EngineChoice } from "../routing/router.js";
-import type { StreamTask, StreamTaskContext } from "./task.js";
+import type { StreamTaskContext } from "./context.js";
+import type { StreamTask } from "./task.js";
 
 const events = declareEvents({
     engineReclaimed: { number: 4006, level: "info", text: "Streams leave an engine whose host is reclaimed.", action: "None." },
--- a/packages/relay/src/streams/service.ts
+++ b/packages/relay/src/streams/service.ts
@@ -16,13 +16,14 @@
 import { Answer } from "./answer.js";
 import { BackupHolder, BackupSender } from "./backup.js";
 import type { HeldCopy } from "./backup.js";
+import { findTaskContext } from "./context.js";
+import type { StreamTaskContext } from "./context.js";
 import { AnswerReader } from "./reader.js";
 import { EngineReclaims } from "./reclaim.js";
 import { createModelRequestId } from "./request.js";
 import type { ModelRequest } from "./request.js";
 import { AnswerStore } from "./store.js";
-import { findTaskContext, StreamTask } from "./task.js";
-import type { StreamTaskContext } from "./task.js";
+import { StreamTask } from "./task.js";
 import { backupTopic, readTopic } from "./topic.js";
 
 const events = declareEvents({
--- a/packages/relay/src/streams/task.ts
+++ b/packages/relay/src/streams/task.ts
@@ -1,20 +1,18 @@
-import type { EndpointIssue, EngineDriver, EngineItem } from "@filbertrelay/endpoints";
-import type { EndpointId, Kernel } from "@filbertrelay/kernel";
+import type { EndpointIssue, EngineItem } from "@filbertrelay/endpoints";
+import type { EndpointId } from "@filbertrelay/kernel";
 import { declareEvents } from "@filbertrelay/kernel";
 import { fingerprintRequest, hashPrefixBlocks, planRecovery } from "@filbertrelay/policy";
 import type { InterruptionCause, PromptBlocks } from "@filbertrelay/policy";
 import type { Span } from "@opentelemetry/api";
-import { match, P } from "ts-pattern";
+import { match } from "ts-pattern";
 import { notRun } from "../caller/error.js";
 import type { CallerIssue } from "../caller/error.js";
-import type { RetryBudgets } from "../calls/retry.js";
 import type { DirectoryEntry } from "../contract.js";
-import type { EngineChoice, EngineRouter } from "../routing/router.js";
-import type { Suspects } from "../suspects/suspects.js";
-import type { Explanations } from "../telemetry/explanation.js";
-import type { Metrics } from "../telemetry/metrics.js";
-import type { Tracing } from "../telemetry/tracing.js";
+import type { EngineChoice } from "../routing/router.js";
+import { interruptionOf } from "./attempt.js";
+import type { AttemptEnd } from "./attempt.js";
 import type { BackedUpAnswer } from "./backup.js";
+import type { StreamTaskContext } from "./context.js";
 
 const events = declareEvents({
     interrupted: { number: 4001, level: "info", text: "A stream from an engine was interrupted and goes on.", action: "None." },
@@ -42,25 +40,6 @@
     readonly engineAddress: string;
 }
 
-/** What one attempt at an engine came to. */
-type AttemptEnd =
-    | { readonly type: "finished"; readonly item: Extract<EngineItem, { type: "finish"; }>; }
-    | { readonly type: "interrupted"; readonly cause: InterruptionCause; readonly issue?: EndpointIssue; }
-    | { readonly type: "stopped"; };
-
-/** Services and settings that all stream tasks share. */
-export interface StreamTaskContext {
-    readonly kernel: Kernel;
-    readonly engines: EngineDriver;
-    readonly router: EngineRouter;
-    readonly suspects: Suspects;
-    readonly retries: RetryBudgets;
-    readonly metrics: Metrics;
-    readonly tracing: Tracing;
-    readonly explanations: Explanations;
-    readonly stallTimeoutMs: number;
-}
-
 /** Generates one answer: chooses engines and goes on elsewhere after an interruption until the answer is whole. */
 export class StreamTask {
     readonly source: BackedUpAnswer;
@@ -76,6 +55,8 @@
     #reconnects = 0;
     #attemptsElsewhere = 0;
     #wasSent = false;
+    /** Why the answer last went to another engine. */
+    #interruption: InterruptionCause | undefined;
     #avoided: DirectoryEntry | undefined;
     #preferred: EndpointId | undefined;
 
@@ -262,11 +243,7 @@
         if (this.#relocation !== undefined) {
             return { type: "interrupted", cause: this.#relocation };
         }
-        const cause = match<string | undefined, InterruptionCause>(issue?.code)
-            .with("endpoint.silent", () => "stalled")
-            .with(P.union("endpoint.unreachable", "endpoint.refused", "endpoint.overloaded", "endpoint.invalid"), () => "refused")
-            .with("endpoint.crashed", () => "crashed")
-            .otherwise(() => "connectionLost");
+        const cause = interruptionOf(issue);
         return issue === undefined ? { type: "interrupted", cause } : { type: "interrupted", cause, issue };
     }
 
@@ -314,6 +291,7 @@
             return false;
         }
         this.#attemptsElsewhere += 1;
+        this.#interruption = cause;
         metrics.increment(`streams.interrupted.${cause}`);
         explanations.add(answer.requestId, "interrupted", { cause, issue: issue?.code, offset: answer.length });
         kernel.log.write(events.interrupted, {
@@ -384,8 +362,8 @@
         metrics.increment("tokens.prompt", item.finish.promptTokens);
         metrics.increment("tokens.computed", computed);
         metrics.increment("tokens.generated", answer.length);
-        if (this.#attemptsElsewhere > 0) {
-            metrics.increment("tokens.recomputed.interruption", computed);
+        if (this.#interruption !== undefined) {
+            metrics.increment(`tokens.recomputed.${this.#interruption}`, computed);
         }
         metrics.increment("streams.finished");
         answer.end({ type: "finished", finish: item.finish });
@@ -400,18 +378,3 @@
         answer.end({ type: "failed", issue });
     }
 }
-
-/** The drivers and services that stream tasks need, found by name. */
-export function findTaskContext(kernel: Kernel, stallTimeoutMs: number): StreamTaskContext {
-    return {
-        kernel,
-        engines: kernel.get<EngineDriver>("engines"),
-        router: kernel.get<EngineRouter>("routing"),
-        suspects: kernel.get<Suspects>("suspects"),
-        retries: kernel.get<RetryBudgets>("retries"),
-        metrics: kernel.get<Metrics>("metrics"),
-        tracing: kernel.get<Tracing>("tracing"),
-        explanations: kernel.get<Explanations>("explanations"),
-        stallTimeoutMs,
-    };
-}
