Test that a peer refuses a request which only its own schema rejects

Cause: the caller checks requests with the same schema, so no test reached the check of the receiving side, which guards against peers of another version.

--- a/features/steps/wire.ts
+++ b/features/steps/wire.ts
@@ -17,6 +17,7 @@
 const waitMs = 20_000;
 const echo = declareTopic("test.echo", { request: z.object({ value: z.int(), delayMs: z.int() }), reply: z.int() });
 const endless = declareTopic("test.endless", { request: z.object({}), reply: z.int() });
+const looseEcho = declareTopic("test.echo", { request: z.unknown(), reply: z.int() });
 const missing = declareTopic("test.missing", { request: z.object({}), reply: z.object({}) });
 const broken = declareTopic("test.broken", { request: z.object({}), reply: z.object({}) });
 const wrong = declareTopic("test.wrong", { request: z.object({}), reply: z.string() });
@@ -168,6 +169,8 @@
             return caller.call(peer, bulk, "x".repeat(frameBytes + 1), options);
         case "without a handler":
             return caller.call(peer, missing, {}, options);
+        case "that only the peer's schema refuses":
+            return caller.call(peer, looseEcho, { value: "seven", delayMs: 0 }, options);
         case "whose handler throws":
             return caller.call(peer, broken, {}, options);
         case "whose reply fails its schema":
--- a/features/wire.feature
+++ b/features/wire.feature
@@ -16,6 +16,7 @@
     And a call whose request fails its schema fails with "peer.invalid" and is unsent
     And a call larger than a frame fails with "peer.invalid" and is unsent
     And a call without a handler fails with "peer.refused" and is sent
+    And a call that only the peer's schema refuses fails with "peer.invalid" and is sent
     And a call whose handler throws fails with "peer.refused" and is sent
     And a call whose reply fails its schema fails with "peer.invalid" and is sent
     And a call whose reply is late fails with "peer.timeout" and is sent
