--- a/packages/emulator/src/replay/fleet.ts
+++ b/packages/emulator/src/replay/fleet.ts
@@ -12,6 +12,8 @@
 
 /** Receives what engines report. */
 export interface FleetObserver {
+    /** The engine does not answer. */
+    recordUnreachable?(endpointId: EndpointId): void;
     recordReport(endpointId: EndpointId, report: EngineLoadReport): void;
     applyCacheEvents(endpointId: EndpointId, events: readonly EngineCacheEvent[]): void;
 }
@@ -44,6 +46,7 @@
     const readNow = (): void => {
         for (const { endpointId, engine } of fleet) {
             if (engine.state === "down") {
+                observer.recordUnreachable?.(endpointId);
                 continue;
             }
             observer.recordReport(endpointId, engine.load());
--- a/packages/emulator/src/replay/request.ts
+++ b/packages/emulator/src/replay/request.ts
@@ -26,8 +26,11 @@
     readonly request: ReplayRequest;
 }
 
-/** Expands the model requests of a trace, in order of time. */
-export function prepareRequests(trace: Trace): readonly ReplayRequest[] {
+/**
+ * Expands the model requests of a trace, in order of time. With a copy number the documents and own texts differ from those of
+ * other copies, while system prompts and manuals are the same.
+ */
+export function prepareRequests(trace: Trace, copy = 0): readonly ReplayRequest[] {
     const texts = new Map<string, string>();
     const callers = new Map(trace.header.callerKinds.map(caller => [caller.name, caller]));
     return trace.entries.flatMap((entry, index) => {
@@ -35,19 +38,24 @@
             return [];
         }
         const caller = callers.get(entry.caller);
+        const parts = copy === 0 ? entry.parts : entry.parts.map(([name, tokens]) => [renamePart(name, copy), tokens] as const);
         return [{
-            id: `r${index}`,
+            id: `r${index}-${copy}`,
             customer: brandAs<CustomerId>(entry.customer),
             caller: entry.caller,
             kind: entry.kind,
             priority: caller?.priority ?? 5,
             deadlineMs: caller?.deadlineMs ?? 60_000,
-            prompt: hashPrefixBlocks(expandMessages(entry.parts, texts)),
+            prompt: hashPrefixBlocks(expandMessages(parts, texts)),
             answerTokens: entry.answer,
         }];
     });
 }
 
+function renamePart(name: string, copy: number): string {
+    return name.startsWith("system-") || name.startsWith("manual-") ? name : `${name}#${copy}`;
+}
+
 /**
  * Spreads requests over time as a Poisson process of the given rate, in the order of the trace, over entry hosts chosen at
  * random. The traced day is far below the fleet's capacity; this puts its requests at a chosen load.
--- a/packages/policy/src/streams/recovery.ts
+++ b/packages/policy/src/streams/recovery.ts
@@ -31,6 +31,8 @@
         readonly recomputedTokens: number;
         readonly cause: InterruptionCause;
     }
+    /** The retry budget is used up; ask again after this time, when first attempts have refilled it. */
+    | { readonly action: "wait"; readonly retryAfterMs: number; }
     | { readonly action: "fail"; readonly reason: "deadline" | "attempts" | "retryBudget"; };
 
 /** Options of `planRecovery`. */
@@ -39,12 +41,14 @@
     readonly maximumReconnects?: number;
     /** Engines tried after the first one; 4 by default. */
     readonly maximumAttemptsElsewhere?: number;
+    /** Wait for the retry budget to refill; 500 ms by default. */
+    readonly budgetWaitMs?: number;
 }
 
 /**
  * Decides how a stream goes on. A silent or lost connection is replaced by a new one first, since the engine may still
- * generate. A stream that has forwarded tokens is resumed without regard to the retry budget: it was accepted, and
- * losing it is worse than the load.
+ * generate. A stream that has forwarded tokens is resumed without regard to the retry budget: its caller is reading. One
+ * without a token waits for the budget instead of failing, since losing a request is worse than answering it late.
  */
 export function planRecovery(stream: InterruptedStream, options: RecoveryOptions = {}): RecoveryPlan {
     if (stream.remainingMs <= 0) {
@@ -58,7 +62,8 @@
         return { action: "fail", reason: "attempts" };
     }
     if (!stream.retryAllowed && stream.forwardedTokens === 0 && stream.cause !== "reclaimed") {
-        return { action: "fail", reason: "retryBudget" };
+        const retryAfterMs = options.budgetWaitMs ?? 500;
+        return stream.remainingMs > retryAfterMs ? { action: "wait", retryAfterMs } : { action: "fail", reason: "retryBudget" };
     }
     return {
         action: "resumeElsewhere",
