--- a/features/standins.feature
+++ b/features/standins.feature
@@ -12,6 +12,7 @@
       | cloud         |                                                  |                                                      | 10    |
       | weight-store  | --default-bytes 5000000                          |                                                      | 4     |
       | model-engine  | --check-fencing                                  | --with-orders --checks-fencing                       | 11    |
+      | model-engine  | --check-fencing --timing steps                   | --with-orders --checks-fencing                       | 11    |
       | plain-service | --deduplicate --answers-status --check-fencing   | --deduplicates --answers-status --checks-fencing     | 5     |
       | fault-proxy   |                                                  |                                                      | 5     |
 
@@ -146,7 +147,12 @@
     And every third cache event is missing
 
   # Guards against a batch that ignores priorities.
-  Scenario: Waiting requests start in order of priority
-    Given a stand-in "engine" of kind "model-engine" with options "--batch-slots 1 --token-interval-ms 5"
+  Scenario Outline: Waiting requests start in order of priority with the timing <timing>
+    Given a stand-in "engine" of kind "model-engine" with options "--batch-slots 1 --token-interval-ms 5 --timing <timing>"
     When requests with the priorities "5,9,1,3" are sent while the only slot is in use
     Then their first tokens come in the order "1,3,5,9"
+
+    Examples:
+      | timing   |
+      | interval |
+      | steps    |
--- a/features/steps/endpoints.ts
+++ b/features/steps/endpoints.ts
@@ -15,7 +15,7 @@
 import type { StandInWorld } from "./standins.js";
 
 interface EndpointWorld extends StandInWorld {
-    server: Server;
+    endpointServer: Server;
     address: string;
     routeAddress: string;
     endpointKind: string;
@@ -30,14 +30,14 @@
 let bookings = 0;
 
 After(function(this: EndpointWorld) {
-    this.server?.closeAllConnections();
-    this.server?.close();
+    this.endpointServer?.closeAllConnections();
+    this.endpointServer?.close();
 });
 
 async function serve(world: EndpointWorld, listener: RequestListener): Promise<void> {
-    world.server = createServer(listener);
-    await new Promise<void>(resolve => world.server.listen(0, "127.0.0.1", resolve));
-    world.address = `127.0.0.1:${(world.server.address() as AddressInfo).port}`;
+    world.endpointServer = createServer(listener);
+    await new Promise<void>(resolve => world.endpointServer.listen(0, "127.0.0.1", resolve));
+    world.address = `127.0.0.1:${(world.endpointServer.address() as AddressInfo).port}`;
 }
 
 function booking(): ServiceRequest {
--- a/features/steps/standins.ts
+++ b/features/steps/standins.ts
@@ -16,8 +16,8 @@
 
 export interface StandInWorld {
     standIns: Map<string, StandInProcess>;
-    hosts: Map<string, ChildProcess>;
-    relays: Server[];
+    standInHosts: Map<string, ChildProcess>;
+    brokenRelays: Server[];
     urls: Map<string, string>;
     check: { readonly output: string; readonly exitCode: number; };
     results: (Outcome<unknown> | undefined)[];
@@ -32,9 +32,9 @@
 export const engines = createEngineDriver({ clock });
 
 After(async function(this: StandInWorld) {
-    this.hosts?.forEach(host => host.kill("SIGKILL"));
+    this.standInHosts?.forEach(host => host.kill("SIGKILL"));
     this.standIns?.forEach(standIn => standIn.child.kill("SIGKILL"));
-    this.relays?.forEach(relay => {
+    this.brokenRelays?.forEach(relay => {
         relay.closeAllConnections();
         relay.close();
     });
@@ -115,7 +115,7 @@
         const target = standIn(this, original).url;
         const server = createServer((message, outgoing) => void relay(target, faults[fault]!, message, outgoing));
         await new Promise<void>(resolve => server.listen(0, "127.0.0.1", resolve));
-        this.relays = [server];
+        this.brokenRelays = [server];
         this.urls.set(name, `http://127.0.0.1:${(server.address() as AddressInfo).port}`);
     },
 );
--- a/packages/endpoints/src/enginedriver.ts
+++ b/packages/endpoints/src/enginedriver.ts
@@ -1,11 +1,11 @@
 import { failure, success } from "@filbertrelay/kernel";
 import type { Clock, Outcome, RequestId } from "@filbertrelay/kernel";
-import { connect } from "node:net";
 import { z } from "zod";
 import { EndpointConnections, failedAttempt, isDeclaredNotRun, readBody } from "./connection.js";
 import type { Attempt, EndpointResponse } from "./connection.js";
 import type { CacheEvent, EndpointIssue, EngineDriver, EngineItem, EngineLoad, EngineOrder, EngineRequest } from "./engine.js";
 import { EngineItemStream } from "./itemstream.js";
+import { refusesConnections } from "./probe.js";
 
 /** Options of `createEngineDriver`. */
 export interface EngineDriverOptions {
@@ -238,20 +238,3 @@
         return undefined;
     }
 }
-
-const probeTimeoutMs = 500;
-
-function refusesConnections(address: string, clock: Clock): Promise<boolean> {
-    const separator = address.lastIndexOf(":");
-    const socket = connect({ host: address.slice(0, separator), port: Number(address.slice(separator + 1)) });
-    return new Promise(resolve => {
-        const finish = (refuses: boolean): void => {
-            cancel();
-            socket.destroy();
-            resolve(refuses);
-        };
-        const cancel = clock.after(probeTimeoutMs, () => finish(false));
-        socket.once("connect", () => finish(false));
-        socket.once("error", (error: NodeJS.ErrnoException) => finish(error.code === "ECONNREFUSED"));
-    });
-}
--- a/packages/standins/src/fault.ts
+++ b/packages/standins/src/fault.ts
@@ -74,6 +74,10 @@
             await sleep(this.#delayMs);
         }
         const response = await handle();
+        // A call that waited, such as a watch, is not answered while the service is down.
+        if (response !== RESPONSE_ALREADY_SENT && this.#current() === "down") {
+            return Response.json(errorBody("unavailable", "The service is in an outage."), { status: 503 });
+        }
         return this.#takeLoss(request.method, bindings) ? dropReply(response, bindings) : response;
     }
 
--- a/packages/standins/src/main.ts
+++ b/packages/standins/src/main.ts
@@ -52,6 +52,7 @@
         "listen": listenOption,
         "model": { type: "string", default: "*" },
         "model-version": { type: "string", default: "1" },
+        "timing": { choices: ["interval", "steps"] as const, default: "interval" as const },
         "batch-slots": { type: "number", default: 32 },
         "prefill-tokens-per-second": { type: "number", default: 20_000 },
         "token-interval-ms": { type: "number", default: 20 },
