Add the planner: hosts by placement, orders with fencing tokens

Cause: engines lost to a reclaim were not replaced, and a new model version in the questionnaire reached no engine. Change: one host at a time plans under a lease whose key's version is the fencing token; it writes its desired state by compare-and-swap before it starts hosts or sends orders; placement survives the loss of the largest reclaimable failure domain; loads keep within the weight store's rate and a third of a model's engines; refused starts back off.

--- a/packages/endpoints/src/engine.ts
+++ b/packages/endpoints/src/engine.ts
@@ -84,6 +84,14 @@
     readonly role: "mixed" | "prefill" | "decode";
 }
 
+/** What an engine has loaded; `loading` is true while it changes. */
+export interface EngineState {
+    readonly model: string;
+    readonly modelVersion: string;
+    readonly adapters: readonly string[];
+    readonly loading: boolean;
+}
+
 /** Talks to model engines; registered in the kernel as `engines`. */
 export interface EngineDriver {
     /** Starts a generation. Ends with an issue when nothing arrives for `silenceMs`. */
@@ -111,6 +119,8 @@
     /** Moves the KV cache of a generation to another engine; gives the number of tokens moved. */
     moveCache(fromAddress: string, toAddress: string, requestId: RequestId): Promise<Outcome<number, EndpointIssue>>;
     sendOrder(address: string, order: EngineOrder): Promise<Outcome<undefined, EndpointIssue>>;
+    /** Reads what the engine has loaded. */
+    readState(address: string): Promise<Outcome<EngineState, EndpointIssue>>;
 }
 
 /** An endpoint as the routing sees it. */
--- a/packages/endpoints/src/enginedriver.ts
+++ b/packages/endpoints/src/enginedriver.ts
@@ -3,7 +3,16 @@
 import { z } from "zod";
 import { EndpointConnections, failedAttempt, isDeclaredNotRun, readBody } from "./connection.js";
 import type { Attempt, EndpointResponse } from "./connection.js";
-import type { CacheEvent, EndpointIssue, EngineDriver, EngineItem, EngineLoad, EngineOrder, EngineRequest } from "./engine.js";
+import type {
+    CacheEvent,
+    EndpointIssue,
+    EngineDriver,
+    EngineItem,
+    EngineLoad,
+    EngineOrder,
+    EngineRequest,
+    EngineState,
+} from "./engine.js";
 import { EngineItemStream } from "./itemstream.js";
 import { refusesConnections } from "./probe.js";
 
@@ -30,6 +39,13 @@
 const defaultMoveTimeoutMs = 30_000;
 const replyLimitBytes = 64_000_000;
 
+const stateSchema = z.object({
+    model: z.string(),
+    modelVersion: z.string(),
+    adapters: z.array(z.string()),
+    loading: z.boolean(),
+});
+
 const loadSchema = z.object({
     reportedAt: z.iso.datetime().transform(value => new Date(value)),
     runningRequests: z.int().min(0),
@@ -123,6 +139,10 @@
         return reply.ok ? success(undefined) : reply;
     }
 
+    readState(address: string): Promise<Outcome<EngineState, EndpointIssue>> {
+        return this.#call(address, { method: "GET", path: "/v1/state", timeoutMs: this.#callTimeoutMs }, stateSchema);
+    }
+
     stop(): Promise<void> {
         return this.#connections.close();
     }
--- a/packages/policy/src/index.ts
+++ b/packages/policy/src/index.ts
@@ -11,6 +11,7 @@
 export * from "./planner/backoff.js";
 export * from "./planner/loading.js";
 export * from "./planner/placement.js";
+export * from "./planner/reconcile.js";
 export * from "./rendezvous.js";
 export * from "./routing/block.js";
 export * from "./routing/choice.js";
--- a/packages/relay/src/daemon.ts
+++ b/packages/relay/src/daemon.ts
@@ -1,7 +1,13 @@
 import { createEngineDriver, createServiceDriver } from "@filbertrelay/endpoints";
 import { brandAs, createKernel } from "@filbertrelay/kernel";
 import type { Clock, EventLog, HostId, Kernel } from "@filbertrelay/kernel";
-import { createCallBudget, createCloudClient, createHostListClient, createKeyValueClient } from "@filbertrelay/platform";
+import {
+    createCallBudget,
+    createCloudClient,
+    createHostListClient,
+    createKeyValueClient,
+    createWeightStoreClient,
+} from "@filbertrelay/platform";
 import { createPeerNetwork } from "@filbertrelay/wire";
 import { AdmissionControl } from "./admission/admission.js";
 import { CallerServer } from "./caller/server.js";
@@ -14,6 +20,7 @@
 import { CallBudgetShare } from "./keyvalue/share.js";
 import { Lifecycle } from "./lifecycle/lifecycle.js";
 import { createMembershipService } from "./membership/service.js";
+import { Planner } from "./planner/planner.js";
 import { EngineRouter } from "./routing/router.js";
 import type { Settings } from "./settings.js";
 import { createShardService } from "./shards/index.js";
@@ -41,6 +48,7 @@
     registerPlatform(kernel, settings);
     registerFleet(kernel, settings);
     registerRequests(kernel, settings);
+    kernel.register("planner", new Planner(kernel));
     kernel.register(
         "lifecycle",
         new Lifecycle(kernel, { drainLimitMs: settings.timing.drainLimitMs, onDrained: options.onDrained }),
@@ -66,6 +74,7 @@
     kernel.register("keyValue", new RelayedKeyValueClient(direct, kernel));
     kernel.register("cloud", createCloudClient({ url: settings.platform.cloud, clock }));
     kernel.register("hostList", createHostListClient({ url: settings.platform.hostList, clock }));
+    kernel.register("weightStore", createWeightStoreClient({ url: settings.platform.weightStore, clock }));
     kernel.register("engines", createEngineDriver({ clock }));
     kernel.register("services", createServiceDriver({ clock }));
 }
--- a/packages/relay/src/settings.ts
+++ b/packages/relay/src/settings.ts
@@ -26,7 +26,7 @@
         /** Peer addresses tried before the host list is read. */
         seeds: z.array(hostAndPort).default([]),
     }),
-    platform: z.strictObject({ keyValue: url, cloud: url, hostList: url, weightStore: url.optional() }),
+    platform: z.strictObject({ keyValue: url, cloud: url, hostList: url, weightStore: url }),
     log: z.strictObject({
         format: z.enum(["json", "text"]).default("json"),
         level: z.enum(["debug", "info", "warn", "error"]).default("info"),
