Let the conformance check run single rules

Cause: scenarios that break an implementation on purpose waited for all rules. Change: '--rules K1,K5' checks only these; an unknown rule ends with exit code 2. Conclusion: a single broken rule can be looked into without the others.

--- a/packages/standins/src/conformance.ts
+++ b/packages/standins/src/conformance.ts
@@ -4,7 +4,7 @@
 import { engineRules } from "./enginerule.js";
 import { keyValueRules } from "./keyvaluerule.js";
 import { faultProxyRules } from "./proxyrule.js";
-import type { Rule, RuleOptions } from "./rule.js";
+import type { Rule } from "./rule.js";
 import { plainServiceRules } from "./servicerule.js";
 import { hostListRules, weightStoreRules } from "./storerule.js";
 
@@ -36,10 +36,11 @@
                 .option("answers-status", { type: "boolean", default: false, describe: "The service answers the status query." })
                 .option("checks-fencing", { type: "boolean", default: false, describe: "Old fencing tokens are refused." })
                 .option("without-cache", { type: "boolean", default: false, describe: "The engine has no prefix cache." })
+                .option("rules", { type: "string", describe: "Checks only these rules, such as 'K1,K5'." })
                 .option("with-orders", { type: "boolean", default: false, describe: "Sends orders to the engine." }),
         async options => {
             const url = options.url.replace(/\/+$/, "");
-            process.exitCode = await run(rulesByKind[options.kind]({ ...options, url } satisfies RuleOptions));
+            process.exitCode = await run(select(rulesByKind[options.kind]({ ...options, url }), options.rules));
         },
     )
     .strict()
@@ -50,6 +51,17 @@
     .parseAsync();
 process.exit();
 
+/** Picks rules by id; an id that no rule has is bad usage. */
+function select(rules: readonly Rule[], ids: string | undefined): readonly Rule[] {
+    const wanted = ids?.split(",");
+    const unknown = wanted?.find(id => !rules.some(rule => rule.id === id));
+    if (unknown !== undefined) {
+        process.stderr.write(`There is no rule '${unknown}', or it is not claimed.\n`);
+        process.exit(2);
+    }
+    return rules.filter(rule => wanted?.includes(rule.id) ?? true);
+}
+
 /** Checks rule after rule, because some of them measure what the others would disturb. */
 async function run(rules: readonly Rule[]): Promise<number> {
     let failed = 0;
