--- a/packages/endpoints/src/enginedriver.ts
+++ b/packages/endpoints/src/enginedriver.ts
@@ -1,11 +1,20 @@
 import { failure, success } from "@filbertrelay/kernel";
 import type { Clock, Outcome, RequestId } from "@filbertrelay/kernel";
-import { connect } from "node:net";
 import { z } from "zod";
 import { EndpointConnections, failedAttempt, isDeclaredNotRun, readBody } from "./connection.js";
 import type { Attempt, EndpointResponse } from "./connection.js";
-import type { CacheEvent, EndpointIssue, EngineDriver, EngineItem, EngineLoad, EngineOrder, EngineRequest } from "./engine.js";
+import type {
+    CacheEvent,
+    EndpointIssue,
+    EngineDriver,
+    EngineItem,
+    EngineLoad,
+    EngineOrder,
+    EngineRequest,
+    EngineState,
+} from "./engine.js";
 import { EngineItemStream } from "./itemstream.js";
+import { refusesConnections } from "./probe.js";
 
 /** Options of `createEngineDriver`. */
 export interface EngineDriverOptions {
@@ -30,6 +39,13 @@
 const defaultMoveTimeoutMs = 30_000;
 const replyLimitBytes = 64_000_000;
 
+const stateSchema = z.object({
+    model: z.string(),
+    modelVersion: z.string(),
+    adapters: z.array(z.string()),
+    loading: z.boolean(),
+});
+
 const loadSchema = z.object({
     reportedAt: z.iso.datetime().transform(value => new Date(value)),
     runningRequests: z.int().min(0),
@@ -123,6 +139,10 @@
         return reply.ok ? success(undefined) : reply;
     }
 
+    readState(address: string): Promise<Outcome<EngineState, EndpointIssue>> {
+        return this.#call(address, { method: "GET", path: "/v1/state", timeoutMs: this.#callTimeoutMs }, stateSchema);
+    }
+
     stop(): Promise<void> {
         return this.#connections.close();
     }
@@ -238,20 +258,3 @@
         return undefined;
     }
 }
-
-const probeTimeoutMs = 500;
-
-function refusesConnections(address: string, clock: Clock): Promise<boolean> {
-    const separator = address.lastIndexOf(":");
-    const socket = connect({ host: address.slice(0, separator), port: Number(address.slice(separator + 1)) });
-    return new Promise(resolve => {
-        const finish = (refuses: boolean): void => {
-            cancel();
-            socket.destroy();
-            resolve(refuses);
-        };
-        const cancel = clock.after(probeTimeoutMs, () => finish(false));
-        socket.once("connect", () => finish(false));
-        socket.once("error", (error: NodeJS.ErrnoException) => finish(error.code === "ECONNREFUSED"));
-    });
-}
