Load only the modules of the stand-in that is started

Cause: fleets of tests start some twenty stand-ins at once, and each loaded the modules of all kinds. Change: main.js imports each kind on demand; the engine model is passed to the engine as a function.

--- a/packages/standins/src/engine.ts
+++ b/packages/standins/src/engine.ts
@@ -5,7 +5,6 @@
 import { setTimeout as sleep } from "node:timers/promises";
 import { z } from "zod";
 import { answerToken, countTokens, hashBlocks, hashPrompt, renderPrompt } from "./answer.js";
-import { createIntervalModel } from "./enginemodel.js";
 import type { EngineModel, EngineModelOptions } from "./enginemodel.js";
 import { EngineOrders } from "./engineorder.js";
 import { Generation, sequenceText } from "./generation.js";
@@ -14,15 +13,14 @@
 import type { CacheChange } from "./prefixcache.js";
 import { queryNumber, readJson, refuse } from "./reply.js";
 import type { StandIn, StandInEnvironment } from "./server.js";
-import { createStepModel } from "./stepmodel.js";
 
 /** Options of `createEngineStandIn`. */
 export interface EngineOptions extends EngineModelOptions {
     /** Model that is loaded at the start; `*` accepts requests for any model. */
     readonly model: string;
     readonly modelVersion: string;
-    /** `interval`: a fixed time between tokens; `steps`: the emulator's engine, whose steps take longer with a larger batch. */
-    readonly timing: "interval" | "steps";
+    /** Creates the queue, batch and prefix cache; calls back when a poison request is about to produce a token. */
+    readonly createModel: (options: EngineModelOptions, onPoison: () => void) => EngineModel;
     readonly loadLagMs: number;
     /** Waiting requests above this are refused. */
     readonly queueLimit: number;
@@ -74,8 +72,7 @@
 
     constructor(options: EngineOptions) {
         this.#options = options;
-        const createModel = options.timing === "steps" ? createStepModel : createIntervalModel;
-        this.#model = createModel(options, () => process.exit(1));
+        this.#model = options.createModel(options, () => process.exit(1));
         this.#orders = new EngineOrders(options, () => this.#model.clearCache());
         this.#reports = new LoadReports(this.#model, options.loadLagMs);
         this.#sweepTimer = setInterval(() => this.#sweep(), 1_000);
--- a/packages/standins/src/main.ts
+++ b/packages/standins/src/main.ts
@@ -1,15 +1,9 @@
 import yargs from "yargs";
 import { hideBin } from "yargs/helpers";
-import { createCloudStandIn, readPrices } from "./cloud.js";
-import { createEngineStandIn } from "./engine.js";
-import { createFaultProxyStandIn } from "./faultproxy.js";
-import { createHostListStandIn } from "./hostlist.js";
-import { createKeyValueStandIn } from "./keyvalue.js";
-import { createPlainServiceStandIn } from "./plainservice.js";
 import { serveStandIn } from "./server.js";
 import type { RunningStandIn, StandIn } from "./server.js";
-import { createWeightStoreStandIn } from "./weightstore.js";
 
+// Each kind loads only its own modules: fleets of tests start some twenty processes at once.
 const listenOption = {
     type: "string",
     default: "127.0.0.1:0",
@@ -21,7 +15,7 @@
         "listen": listenOption,
         "reads-per-second": { type: "number", default: 2_000 },
         "writes-per-second": { type: "number", default: 400 },
-    }, async options => run(createKeyValueStandIn(options), options.listen))
+    }, async options => run((await import("./keyvalue.js")).createKeyValueStandIn(options), options.listen))
     .command(
         "cloud",
         "Cloud API",
@@ -33,21 +27,23 @@
             },
             "notice-ms": { type: "number", default: 5_000, describe: "Notice period of reclaims that name none." },
         },
-        async options =>
-            run(createCloudStandIn({ prices: readPrices(options.prices), noticeMs: options.noticeMs }), options.listen),
+        async options => {
+            const { createCloudStandIn, readPrices } = await import("./cloud.js");
+            await run(createCloudStandIn({ prices: readPrices(options.prices), noticeMs: options.noticeMs }), options.listen);
+        },
     )
     .command("host-list", "Host list", {
         "listen": listenOption,
         "cloud-url": { type: "string", demandOption: true },
         "lag-ms": { type: "number", default: 1_000 },
         "poll-ms": { type: "number", default: 100 },
-    }, async options => run(createHostListStandIn(options), options.listen))
+    }, async options => run((await import("./hostlist.js")).createHostListStandIn(options), options.listen))
     .command("weight-store", "Weight store", {
         "listen": listenOption,
         "bytes-per-second": { type: "number", default: 200_000_000 },
         "concurrent-downloads": { type: "number", default: 4 },
         "default-bytes": { type: "number", default: 10_000_000 },
-    }, async options => run(createWeightStoreStandIn(options), options.listen))
+    }, async options => run((await import("./weightstore.js")).createWeightStoreStandIn(options), options.listen))
     .command("model-engine", "Model engine", {
         "listen": listenOption,
         "model": { type: "string", default: "*" },
@@ -68,7 +64,13 @@
         "check-fencing": { type: "boolean", default: false },
         "weight-store-url": { type: "string" },
         "keep-finished-ms": { type: "number", default: 30_000 },
-    }, async options => run(createEngineStandIn({ ...options, weightStoreUrl: options.weightStoreUrl }), options.listen))
+    }, async options => {
+        const { createEngineStandIn } = await import("./engine.js");
+        const createModel = options.timing === "steps" ?
+            (await import("./stepmodel.js")).createStepModel :
+            (await import("./enginemodel.js")).createIntervalModel;
+        await run(createEngineStandIn({ ...options, weightStoreUrl: options.weightStoreUrl, createModel }), options.listen);
+    })
     .command("plain-service", "Plain service", {
         "listen": listenOption,
         "instance": { type: "string", default: "plain-service" },
@@ -76,12 +78,12 @@
         "deduplicate": { type: "boolean", default: false },
         "answers-status": { type: "boolean", default: false },
         "check-fencing": { type: "boolean", default: false },
-    }, async options => run(createPlainServiceStandIn(options), options.listen))
+    }, async options => run((await import("./plainservice.js")).createPlainServiceStandIn(options), options.listen))
     .command(
         "fault-proxy",
         "Fault-injecting TCP proxy",
         { "listen": listenOption },
-        async options => run(createFaultProxyStandIn(), options.listen),
+        async options => run((await import("./faultproxy.js")).createFaultProxyStandIn(), options.listen),
     )
     .demandCommand(1)
     .strict()
