--- a/features/steps/wire.ts
+++ b/features/steps/wire.ts
@@ -17,6 +17,7 @@
 const waitMs = 20_000;
 const echo = declareTopic("test.echo", { request: z.object({ value: z.int(), delayMs: z.int() }), reply: z.int() });
 const endless = declareTopic("test.endless", { request: z.object({}), reply: z.int() });
+const looseEcho = declareTopic("test.echo", { request: z.unknown(), reply: z.int() });
 const missing = declareTopic("test.missing", { request: z.object({}), reply: z.object({}) });
 const broken = declareTopic("test.broken", { request: z.object({}), reply: z.object({}) });
 const wrong = declareTopic("test.wrong", { request: z.object({}), reply: z.string() });
@@ -58,6 +59,7 @@
         keys,
         frameBytes,
         handshakeTimeoutMs: 5_000,
+        freshMs: 300,
     });
     network.handle(echo, async ({ value, delayMs }) => {
         world.callsRun += 1;
@@ -167,6 +169,8 @@
             return caller.call(peer, bulk, "x".repeat(frameBytes + 1), options);
         case "without a handler":
             return caller.call(peer, missing, {}, options);
+        case "that only the peer's schema refuses":
+            return caller.call(peer, looseEcho, { value: "seven", delayMs: 0 }, options);
         case "whose handler throws":
             return caller.call(peer, broken, {}, options);
         case "whose reply fails its schema":
@@ -325,6 +329,15 @@
     assert.deepEqual({ code: outcome.issue.code, sent: outcome.issue.sent }, { code: "peer.closed", sent: true });
 });
 
+When("the connection is black-holed while no call is in progress and stays quiet", async function(this: WireWorld) {
+    this.forwarder.blackHole();
+    await delay(400);
+});
+
+Then("the next call succeeds", async function(this: WireWorld) {
+    assert.deepEqual(await callEcho(network(this, "alder"), "birch", 6), { ok: true, value: 6 });
+});
+
 async function waitUntil(condition: () => boolean | Promise<boolean>): Promise<void> {
     const endMs = clock.monotonicMs() + waitMs;
     while (!await condition()) {
--- a/features/wire.feature
+++ b/features/wire.feature
@@ -16,6 +16,7 @@
     And a call whose request fails its schema fails with "peer.invalid" and is unsent
     And a call larger than a frame fails with "peer.invalid" and is unsent
     And a call without a handler fails with "peer.refused" and is sent
+    And a call that only the peer's schema refuses fails with "peer.invalid" and is sent
     And a call whose handler throws fails with "peer.refused" and is sent
     And a call whose reply fails its schema fails with "peer.invalid" and is sent
     And a call whose reply is late fails with "peer.timeout" and is sent
@@ -49,3 +50,8 @@
     When the forwarder black-holes the open connection
     Then calls succeed again on a new connection without a restart
     And the call that was in progress fails as closed and sent
+
+  Scenario: A call on a connection that was black-holed while idle goes out on a new connection
+    Given two peers "alder" and "birch" connected through a forwarder
+    When the connection is black-holed while no call is in progress and stays quiet
+    Then the next call succeeds
--- a/packages/wire/src/tcpnetwork.ts
+++ b/packages/wire/src/tcpnetwork.ts
@@ -4,13 +4,12 @@
 import type { AddressInfo, Server } from "node:net";
 import { z } from "zod";
 import { Call } from "./call.js";
-import type { CallOptions } from "./call.js";
 import { PeerConnection } from "./connection.js";
 import type { ConnectionTiming } from "./connection.js";
 import { FrameSocket } from "./framesocket.js";
 import { HandlerTable } from "./handler.js";
 import { authenticateClient, authenticateServer, handshakeFrameBytes } from "./handshake.js";
-import type { PeerContext, PeerIssue, PeerNetwork, Topic } from "./network.js";
+import type { CallOptions, PeerContext, PeerIssue, PeerNetwork, Topic } from "./network.js";
 import { Traffic } from "./traffic.js";
 import type { TopicTraffic } from "./traffic.js";
 
@@ -90,7 +89,9 @@
         this.#options = options;
         this.#timing = {
             heartbeatMs: options.heartbeatMs ?? 300,
-            idleHeartbeatMs: options.idleHeartbeatMs ?? 30_000,
+            // A node has a connection to every other one; a shorter interval would make its cost grow with the fleet.
+            idleHeartbeatMs: options.idleHeartbeatMs ?? 600_000,
+            freshMs: options.freshMs ?? 5_000,
             doubtMs: options.doubtMs ?? 700,
             silenceMs: options.silenceMs ?? 3_000,
         };
@@ -150,7 +151,7 @@
             return;
         }
         const call = new Call<Reply>(this.#options.clock, topic, options);
-        void call.start(body, () => this.#connect(peer));
+        void call.start(body, () => this.#connect(peer, options.isRepeatable === true));
         yield* call.items();
     }
 
@@ -208,10 +209,10 @@
         return entry;
     }
 
-    async #connect(peer: HostId): Promise<Outcome<PeerConnection, PeerIssue>> {
+    async #connect(peer: HostId, isRepeatable: boolean): Promise<Outcome<PeerConnection, PeerIssue>> {
         const entry = this.#peers.get(peer);
         const current = entry?.current;
-        if (current !== undefined && current.isUsable && !current.isDoubtful()) {
+        if (current !== undefined && current.isUsable && !current.isDoubtful() && (isRepeatable || await current.verify())) {
             return success(current);
         }
         if (entry?.address === undefined || peer === this.#options.hostId) {
@@ -290,10 +291,8 @@
             timing: this.#timing,
         });
         this.#connections.add(connection);
-        const entry = this.#peer(peer);
-        if (entry.current?.isUsable !== true || entry.current.isDoubtful()) {
-            entry.current = connection;
-        }
+        // Whichever side opened it had a reason not to use an older one.
+        this.#peer(peer).current = connection;
         connection.onClose(reason => this.#release(connection, reason));
         return connection;
     }
