--- a/packages/relay/src/routing/router.ts
+++ b/packages/relay/src/routing/router.ts
@@ -10,7 +10,7 @@
 import { EngineWatch } from "./watch.js";
 
 /** Engines that one entry host sends to; more are only a longer list of late reports. */
-const subsetSize = 48;
+const subsetSize = 32;
 
 /** A host without a load report of each model's engines takes requests after this time all the same. */
 const reportWaitMs = 3_000;
@@ -184,7 +184,7 @@
                     address: engine.address,
                     index: this.#index,
                     loads: this.#loads,
-                    engineCount: () => this.#watches.size,
+                    fleetSize: () => this.#kernel.get<MembershipService>("membership").members().length,
                 });
                 this.#watches.set(endpointId, watch);
                 watch.start();
--- a/packages/relay/src/routing/watch.ts
+++ b/packages/relay/src/routing/watch.ts
@@ -3,8 +3,8 @@
 import type { LoadTable, PrefixIndex } from "@filbertrelay/policy";
 
 const minimumLoadPeriodMs = 1_000;
-/** Spreads load reads over time, so that the bytes spent on them don't grow with the number of engines. */
-const loadPeriodPerEngineMs = 60;
+/** 360 hosts read each load every 8 s, which keeps the reads of 32 engines under 2 KB/s; up to 45 hosts read every second. */
+const loadPeriodPerHostMs = 22;
 const cacheEventWaitMs = 10_000;
 const minimumCacheEventPeriodMs = 500;
 const retryPeriodMs = 1_000;
@@ -17,7 +17,8 @@
     readonly address: string;
     readonly index: PrefixIndex;
     readonly loads: LoadTable;
-    readonly engineCount: () => number;
+    /** Entry hosts in the fleet. */
+    readonly fleetSize: () => number;
 }
 
 /** Keeps one engine's load and cache events up to date. */
@@ -43,13 +44,13 @@
     }
 
     async #loadLoop(): Promise<void> {
-        const { engines, loads, endpointId, address, engineCount } = this.#options;
+        const { engines, loads, endpointId, address, fleetSize } = this.#options;
         while (!this.#stopping.signal.aborted) {
             const load = await engines.readLoad(address);
             if (load.ok && !this.#stopping.signal.aborted) {
                 loads.recordReport(endpointId, load.value);
             }
-            await this.#sleep(Math.max(minimumLoadPeriodMs, engineCount() * loadPeriodPerEngineMs));
+            await this.#sleep(Math.max(minimumLoadPeriodMs, fleetSize() * loadPeriodPerHostMs));
         }
     }
 
