--- a/packages/emulator/src/engine/engine.ts
+++ b/packages/emulator/src/engine/engine.ts
@@ -91,6 +91,8 @@
     #waiting: Sequence[] = [];
     #running: Sequence[] = [];
     #busyMs = 0;
+    #crashes = 0;
+    #crashedBy: string | undefined;
     #stepping = false;
     #epoch = 0;
     #stalledUntilMs = -Infinity;
@@ -126,6 +128,16 @@
         return this.#busyMs;
     }
 
+    /** Crashes since the start. */
+    get crashes(): number {
+        return this.#crashes;
+    }
+
+    /** The request that caused the last crash, if one did. */
+    get crashedBy(): string | undefined {
+        return this.#crashedBy;
+    }
+
     /** Starts or queues a generation; one that can't be taken ends at once with the reason `refused`. */
     submit(submission: EngineSubmission, listener: EngineListener): void {
         const sequence = this.#createSequence(submission, listener);
@@ -189,6 +201,7 @@
 
     /** Ends all generations and loses the cache; the engine is up again after the given time, if at all. */
     crash(restartMs = Infinity): void {
+        this.#crashes += 1;
         this.#epoch += 1;
         this.#stepping = false;
         this.#state = "down";
@@ -200,11 +213,16 @@
         this.#history.restart();
         this.#recordLoad();
         if (Number.isFinite(restartMs)) {
-            this.#clock.after(restartMs, () => this.#state = "up");
+            this.restart(restartMs);
         }
         lost.forEach(sequence => sequence.listener.end(describeEnd(sequence, "crashed")));
     }
 
+    /** Brings a crashed engine up again after a time. */
+    restart(delayMs: number): void {
+        this.#clock.after(delayMs, () => this.#state = "up");
+    }
+
     /** Keeps everything but makes no progress for a time. */
     stall(ms: number): void {
         this.#stalledUntilMs = Math.max(this.#stalledUntilMs, this.#clock.monotonicMs() + ms);
@@ -322,6 +340,7 @@
             return;
         }
         if (this.#options.crashesOn(sequence.submission)) {
+            this.#crashedBy = sequence.submission.requestId;
             this.crash();
             return;
         }
