Share suspects of a crash before one of them runs or is answered

Cause: after an engine crashed, each host chose an engine for its suspects on its own and told the others with membership messages. Several hosts isolated suspects on the same engine, requests of other callers were charged with the crash of a request that ran beside them and were refused, and a poison request that its caller sent again at once met hosts that did not know it. A run in isolation that was interrupted kept its reservation for 60 s. A connection refused by the crashed engine used up the attempts of a request. Change: crashes and reservations are sent to all hosts and acknowledged before a suspect runs and before its caller is told; of two reservations at the same time one gives way; interrupted runs release theirs; refused connections are no attempts.

--- a/packages/policy/src/suspects/tracker.ts
+++ b/packages/policy/src/suspects/tracker.ts
@@ -62,8 +62,13 @@
     isolatedEndpoints(nowMs: number): ReadonlySet<EndpointId>;
     /** Entries to publish. */
     entries(nowMs: number): readonly SuspectEntry[];
-    /** Merges entries of other hosts; repeated and reordered merges give the same result. */
-    merge(entries: readonly SuspectEntry[], nowMs: number): void;
+    /**
+     * Merges entries of other hosts; repeated and reordered merges give the same result. With `from`, the entries are all
+     * that this host runs in isolation at present, so that runs it reported before have ended.
+     */
+    merge(entries: readonly SuspectEntry[], nowMs: number, from?: HostId): void;
+    /** Whether a run in isolation that was started here has to give way to one that another host started at the same time. */
+    mustYield(fingerprint: string, endpointId: EndpointId, nowMs: number): boolean;
 }
 
 /** Creates an empty tracker. */
@@ -115,7 +120,7 @@
     stopIsolated(fingerprint: string, nowMs: number): void {
         this.#release(fingerprint);
         const entry = this.#live(fingerprint, nowMs);
-        if (entry !== undefined) {
+        if (entry?.isolatedBy?.hostId === this.#options.hostId) {
             this.#entries.set(fingerprint, withoutIsolation(entry));
         }
     }
@@ -159,15 +164,36 @@
         return [...this.#entries.values()];
     }
 
-    merge(entries: readonly SuspectEntry[], nowMs: number): void {
+    merge(entries: readonly SuspectEntry[], nowMs: number, from?: HostId): void {
+        for (const entry of [...this.#entries.values()]) {
+            if (from !== undefined && entry.isolatedBy?.hostId === from) {
+                this.#entries.set(entry.fingerprint, withoutIsolation(entry));
+            }
+        }
         for (const entry of entries) {
             if (entry.untilMs > nowMs) {
-                const known = this.#live(entry.fingerprint, nowMs);
-                this.#store(known === undefined ? entry : mergeEntries(known, entry));
+                this.#mergeOne(entry, nowMs);
             }
         }
     }
 
+    mustYield(fingerprint: string, endpointId: EndpointId, nowMs: number): boolean {
+        const own = this.#options.hostId;
+        const isolatedBy = this.#live(fingerprint, nowMs)?.isolatedBy;
+        const isTaken = [...this.#entries.values()].some(entry =>
+            entry.isolatedBy?.endpointId === endpointId && entry.isolatedBy.untilMs > nowMs && entry.isolatedBy.hostId < own
+        );
+        return isTaken || isolatedBy?.hostId !== own || isolatedBy.endpointId !== endpointId;
+    }
+
+    // Another host's report of a run in isolation here is out of date: this host knows its own runs.
+    #mergeOne(entry: SuspectEntry, nowMs: number): void {
+        const known = this.#live(entry.fingerprint, nowMs);
+        const isEcho = entry.isolatedBy?.hostId === this.#options.hostId;
+        const reported = isEcho ? { ...withoutIsolation(entry), ...pickCleared(entry) } : entry;
+        this.#store(known === undefined ? reported : mergeEntries(known, reported));
+    }
+
     #isolatedOn(endpointId: EndpointId, nowMs: number): string | undefined {
         const isRunning = ({ isolatedBy }: SuspectEntry): boolean =>
             isolatedBy?.endpointId === endpointId && isolatedBy.untilMs > nowMs;
@@ -220,6 +246,10 @@
     return { fingerprint, state, crashes, untilMs };
 }
 
+function pickCleared({ clearedMs }: SuspectEntry): Pick<SuspectEntry, "clearedMs"> {
+    return clearedMs === undefined ? {} : { clearedMs };
+}
+
 /** Joins two views of a fingerprint: crashes of both, rejected if either or two different crashes say so. */
 function mergeEntries(left: SuspectEntry, right: SuspectEntry): SuspectEntry {
     const crashes = [...new Set([...left.crashes, ...right.crashes])].sort();
--- a/packages/relay/src/streams/task.ts
+++ b/packages/relay/src/streams/task.ts
@@ -55,6 +55,7 @@
     #reconnects = 0;
     #attemptsElsewhere = 0;
     #wasSent = false;
+    #hasReservation = false;
     /** Why the answer last went to another engine. */
     #interruption: InterruptionCause | undefined;
     #avoided: DirectoryEntry | undefined;
@@ -88,9 +89,10 @@
                 end = await this.#dispatch(false);
             }
             else {
-                return;
+                break;
             }
         }
+        this.#releaseReservation();
         if (end.type === "finished") {
             this.#finish(end.item);
         }
@@ -280,7 +282,9 @@
             this.#avoided = cause === "reclaimed" || cause === "crashed" ? engine.entry : undefined;
         }
         const plan = this.#plan(cause);
-        const needsBudget = cause !== "reclaimed" && answer.length === 0;
+        // A refused connection costs no engine anything, so it neither counts as an attempt nor needs a retry's budget.
+        const isUnreached = issue?.code === "endpoint.unreachable";
+        const needsBudget = cause !== "reclaimed" && answer.length === 0 && !isUnreached;
         if (plan.action === "fail" || (needsBudget && !retries.tryRetry(answer.customer, request.model))) {
             this.#fail({
                 status: 502,
@@ -290,7 +294,7 @@
             });
             return false;
         }
-        this.#attemptsElsewhere += 1;
+        this.#attemptsElsewhere += isUnreached ? 0 : 1;
         this.#interruption = cause;
         metrics.increment(`streams.interrupted.${cause}`);
         explanations.add(answer.requestId, "interrupted", { cause, issue: issue?.code, offset: answer.length });
@@ -307,6 +311,8 @@
         const { kernel, suspects } = this.#context;
         const { answer, request } = this.source;
         const startedMs = kernel.clock.now().getTime();
+        this.#releaseReservation();
+        await suspects.shared();
         while (!this.#isStopped) {
             const decision = suspects.decide(this.#fingerprint);
             if (decision.type === "reject") {
@@ -319,8 +325,11 @@
                 });
                 return undefined;
             }
-            const choice = decision.type === "wait" ? undefined : this.#choose(decision.type === "isolate");
-            if (choice !== undefined) {
+            const choice = decision.type === "wait" ? undefined : this.#choose();
+            const isUsable = decision.type !== "isolate" ||
+                (choice !== undefined && await suspects.reserve(this.#fingerprint, choice.endpointId));
+            if (choice !== undefined && isUsable) {
+                this.#hasReservation = decision.type === "isolate";
                 return choice;
             }
             const limitMs = answer.length > 0 ? startedMs + recoveryLimitMs : request.deadlineAt;
@@ -338,7 +347,14 @@
         return undefined;
     }
 
-    #choose(isIsolated: boolean): EngineChoice | undefined {
+    #releaseReservation(): void {
+        if (this.#hasReservation) {
+            this.#hasReservation = false;
+            this.#context.suspects.release(this.#fingerprint);
+        }
+    }
+
+    #choose(): EngineChoice | undefined {
         const { router, suspects } = this.#context;
         const isolated = suspects.isolatedEndpoints();
         const avoidedFailureDomains = new Set(this.#avoided === undefined ? [] : [this.#avoided.failureDomain]);
@@ -349,10 +365,7 @@
                 router.choose(this.source.request.model, this.#prompt, { excluded, avoidedFailureDomains, preferred })
             )
             .find(choice => choice.ok);
-        if (chosen?.ok !== true) {
-            return undefined;
-        }
-        return isIsolated && !suspects.startIsolated(this.#fingerprint, chosen.value.endpointId) ? undefined : chosen.value;
+        return chosen?.ok === true ? chosen.value : undefined;
     }
 
     #finish(item: Extract<EngineItem, { type: "finish"; }>): void {
--- a/packages/relay/src/suspects/suspects.ts
+++ b/packages/relay/src/suspects/suspects.ts
@@ -1,7 +1,9 @@
-import type { EndpointId, Kernel, Service } from "@filbertrelay/kernel";
+import type { EndpointId, HostId, Kernel, Service } from "@filbertrelay/kernel";
 import { declareEvents } from "@filbertrelay/kernel";
 import { createSuspectTracker } from "@filbertrelay/policy";
 import type { SuspectDecision, SuspectEntry, SuspectTracker } from "@filbertrelay/policy";
+import { declareTopic } from "@filbertrelay/wire";
+import type { PeerNetwork } from "@filbertrelay/wire";
 import { z } from "zod";
 import type { MembershipService } from "../contract.js";
 import type { EngineRouter } from "../routing/router.js";
@@ -37,6 +39,16 @@
     clearedMs: z.number().optional(),
 });
 
+/** Longest wait for other hosts before a suspect runs; a host that answers later learns from the membership messages. */
+const shareTimeoutMs = 500;
+/** Bounds one message; runs in isolation come first, since they must be complete. */
+const sharedEntries = 500;
+
+const shareTopic = declareTopic("suspects.share", {
+    request: z.object({ entries: z.array(entrySchema) }),
+    reply: z.object({ entries: z.array(entrySchema) }),
+});
+
 /** Requests that were in progress at a crash, shared with all hosts; registered as `suspects`. */
 export class Suspects implements Service {
     readonly #kernel: Kernel;
@@ -46,16 +58,23 @@
     readonly #lastCrashMs = new Map<EndpointId, number>();
     readonly #published: string[] = [];
     readonly #stopping = new AbortController();
+    readonly #peers: PeerNetwork;
     #crashes = 0;
+    #sharing: Promise<void> = Promise.resolve();
 
     constructor(kernel: Kernel) {
         this.#kernel = kernel;
+        this.#peers = kernel.get<PeerNetwork & object>("peers");
         this.#membership = kernel.get<MembershipService>("membership");
         this.#tracker = createSuspectTracker({ hostId: this.#membership.self().hostId });
     }
 
     start(): Promise<void> {
         void this.#exchangeLoop();
+        this.#peers.handle(shareTopic, ({ entries }, { from }) => {
+            this.#merge(entries, from);
+            return Promise.resolve({ entries: this.#toShare() });
+        });
         return Promise.resolve();
     }
 
@@ -73,11 +92,33 @@
         return this.#tracker.isolatedEndpoints(this.#nowMs());
     }
 
-    /** Reserves an endpoint for a suspect; false when it runs another one. */
-    startIsolated(fingerprint: string, endpointId: EndpointId): boolean {
-        const isStarted = this.#tracker.startIsolated(fingerprint, endpointId, this.#nowMs());
+    /**
+     * Reserves an endpoint for a suspect; false when it runs another one. Two hosts that reserve at the same time learn of
+     * each other from the answers to their messages, and one of them gives way.
+     */
+    async reserve(fingerprint: string, endpointId: EndpointId): Promise<boolean> {
+        if (!this.#tracker.startIsolated(fingerprint, endpointId, this.#nowMs())) {
+            return false;
+        }
+        await this.#share();
+        const isFree = !this.#tracker.mustYield(fingerprint, endpointId, this.#nowMs());
+        if (!isFree) {
+            this.#tracker.stopIsolated(fingerprint, this.#nowMs());
+        }
+        this.#publish();
+        return isFree;
+    }
+
+    /** Gives a reservation up whose run neither completed nor crashed, so that the suspect can run elsewhere at once. */
+    release(fingerprint: string): void {
+        this.#tracker.stopIsolated(fingerprint, this.#nowMs());
         this.#publish();
-        return isStarted;
+        void this.#share();
+    }
+
+    /** Resolves when the other hosts know of the crashes noted here, so that a resubmission elsewhere is recognised. */
+    shared(): Promise<void> {
+        return this.#sharing;
     }
 
     /** Notes that a request runs on an endpoint. */
@@ -118,6 +159,29 @@
         this.#kernel.log.write(events.endpointCrashed, { endpoint: endpointId, inProgress: inProgress.size });
         rejected.forEach(entry => this.#kernel.log.write(events.requestRejected, { fingerprint: entry }));
         this.#publish();
+        this.#sharing = Promise.all([this.#sharing, this.#share()]).then(() => undefined);
+    }
+
+    // Crashes are rare, so that a message to every host costs little; membership messages take seconds to reach all.
+    async #share(): Promise<void> {
+        const own = this.#membership.self().hostId;
+        const others = this.#membership.members().filter(({ hostId, state }) => hostId !== own && state !== "dead");
+        const body = { entries: this.#toShare() };
+        await Promise.all(others.map(async ({ hostId }) => {
+            const reply = await this.#peers.call(hostId, shareTopic, body, { timeoutMs: shareTimeoutMs });
+            if (reply.ok) {
+                this.#merge(reply.value.entries, hostId);
+            }
+        }));
+    }
+
+    #toShare(): z.input<typeof entrySchema>[] {
+        const own = this.#membership.self().hostId;
+        const isRunning = (entry: SuspectEntry): number => Number(entry.isolatedBy?.hostId === own);
+        const entries = this.#ownEntries().sort((left, right) =>
+            isRunning(right) - isRunning(left) || right.untilMs - left.untilMs
+        );
+        return entries.slice(0, sharedEntries).map(entry => ({ ...entry, crashes: [...entry.crashes] }));
     }
 
     async #exchangeLoop(): Promise<void> {
@@ -130,22 +194,26 @@
         }
     }
 
-    #merge(value: unknown): void {
+    #merge(value: unknown, from?: HostId): void {
         const entries = z.array(entrySchema).safeParse(value);
         if (entries.success) {
-            this.#tracker.merge(entries.data as readonly SuspectEntry[], this.#nowMs());
+            this.#tracker.merge(entries.data as readonly SuspectEntry[], this.#nowMs(), from);
         }
     }
 
     // Only what this host saw itself, so that an entry is not published by every host that heard of it.
-    // Rejected requests first, then those that run in isolation: these change what other hosts may do.
-    #publish(): void {
+    #ownEntries(): SuspectEntry[] {
         const own = this.#membership.self().hostId;
         const isOwn = (entry: SuspectEntry): boolean =>
             entry.isolatedBy?.hostId === own || entry.crashes.some(crash => crash.startsWith(`${own}/`));
+        return this.#tracker.entries(this.#nowMs()).filter(isOwn);
+    }
+
+    // Rejected requests first, then those that run in isolation: these change what other hosts may do.
+    #publish(): void {
         const rank = (entry: SuspectEntry): number => entry.state === "rejected" ? 0 : entry.isolatedBy === undefined ? 2 : 1;
         const chunks = chunkEntries(
-            this.#tracker.entries(this.#nowMs()).filter(isOwn).sort((left, right) => rank(left) - rank(right)),
+            this.#ownEntries().sort((left, right) => rank(left) - rank(right)),
         );
         for (let index = 0; index < maximumValues; index++) {
             const chunk = chunks[index] ?? [];
