Show the reader of a waiting answer that its holder is alive

Cause: a peer's read of an answer ends after 2 s without a chunk, and the next host asked is the backup, which generates the answer once more although the accepting host still does. Change: the holder sends an empty chunk after each 500 ms without tokens. Figures: the new scenario with a virtual clock fails without the change ('silence') and passes with it. Conclusion: only a holder that does not answer is replaced by its backup.

--- a/features/promises.ownership.feature
+++ b/features/promises.ownership.feature
@@ -35,3 +35,8 @@
     Then no host lets the other customer read or resume these requests
     And both customers have a booking of their own
     And every caller gets the whole answer to its own question
+
+  Scenario: The holder of a waiting answer shows that it is alive
+    Guards against a second generation of an answer whose engine pauses for longer than a reader waits for its holder.
+    Given an answer that waits for its engine
+    Then its reader hears from the holder every 1000 ms for 10 times
--- a/features/steps/promises.ownership.ts
+++ b/features/steps/promises.ownership.ts
@@ -1,10 +1,20 @@
 import { Given, Then, When } from "@cucumber/cucumber";
 import { callControl, waitFor } from "@filbertrelay/client";
+import { brandAs, createVirtualClock } from "@filbertrelay/kernel";
+import type { CustomerId, RequestId, VirtualClock } from "@filbertrelay/kernel";
 import assert from "node:assert/strict";
+import { setImmediate as nextTurn } from "node:timers/promises";
+import { Answer } from "../../packages/relay/src/streams/answer.js";
+import { AnswerReader } from "../../packages/relay/src/streams/reader.js";
 import { customerKey, customers, limitMs } from "./promises.fleet.js";
 import { stepTimeout } from "./promises.js";
 import type { PromiseWorld } from "./promises.js";
 
+interface ReaderWorld {
+    virtualClock: VirtualClock;
+    chunks: AsyncIterator<unknown>;
+}
+
 interface Routes {
     readonly routes: readonly { readonly labels: readonly string[]; readonly accepted: number; }[];
 }
@@ -98,3 +108,25 @@
         }
     }
 });
+
+Given("an answer that waits for its engine", async function(this: ReaderWorld) {
+    this.virtualClock = createVirtualClock();
+    const customer = brandAs<CustomerId>("c1");
+    const answer = new Answer({ requestId: brandAs<RequestId>("m.a.b.c"), customer, model: "m" });
+    const unused = {} as ConstructorParameters<typeof AnswerReader>[0];
+    const reader = new AnswerReader({ ...unused, clock: this.virtualClock });
+    this.chunks = reader.serve(answer, customer, 0)[Symbol.asyncIterator]();
+    assert.deepEqual((await this.chunks.next()).value, { type: "found", model: "m" });
+});
+
+Then(
+    "its reader hears from the holder every {int} ms for {int} times",
+    async function(this: ReaderWorld, everyMs: number, times: number) {
+        for (let count = 0; count < times; count++) {
+            const heard = this.chunks.next().then(({ value }) => value as unknown);
+            await nextTurn();
+            this.virtualClock.advance(everyMs);
+            assert.deepEqual(await Promise.race([heard, nextTurn("silence")]), { type: "tokens", fromOffset: 0, tokens: [] });
+        }
+    },
+);
--- a/packages/relay/src/streams/reader.ts
+++ b/packages/relay/src/streams/reader.ts
@@ -11,7 +11,9 @@
 
 type ReadChunk = z.input<typeof readTopic.reply>;
 
-const firstChunkTimeoutMs = 2_000;
+const chunkTimeoutMs = 2_000;
+/** A reader that hears nothing for longer takes the holder for lost and has the backup host generate the answer once more. */
+const keepAliveMs = 500;
 /** Hosts asked besides the two that the request id names, for an answer whose holders were both lost. */
 const furtherHosts = 4;
 const maximumRounds = 20;
@@ -52,11 +54,24 @@
                 return;
             }
             if (answer.state.type === "running") {
-                await answer.changed();
+                const changed = answer.changed();
+                while (!await this.#isWithinKeepAlive(changed)) {
+                    yield { type: "tokens", fromOffset: next, tokens: [] };
+                }
             }
         }
     }
 
+    async #isWithinKeepAlive(changed: Promise<void>): Promise<boolean> {
+        return new Promise(resolve => {
+            const cancel = this.#clock.after(keepAliveMs, () => resolve(false));
+            void changed.then(() => {
+                cancel();
+                resolve(true);
+            });
+        });
+    }
+
     /**
      * Mirrors an answer from the host that holds it; `undefined` when no host knows it for this customer.
      * The accepting host is asked first; others are asked to adopt the answer only when it can't be reached.
@@ -137,7 +152,7 @@
     async *#peerChunks(host: HostId, requestId: RequestId, customer: CustomerId, offset: number): AsyncIterable<ReadChunk> {
         const adopt = holdersOf(requestId)?.[0] !== host;
         const replies = this.#peers.stream(host, readTopic, { requestId, customer, offset, adopt }, {
-            timeoutMs: firstChunkTimeoutMs,
+            timeoutMs: chunkTimeoutMs,
         });
         for await (const reply of replies) {
             if (!reply.ok) {
