Ask the peers as well before a starting host is ready

Cause: a starting host was ready with the first answer of the key-value service or of a peer. After the stored head was replaced by an older one, the host could take requests under that one until its peers announced theirs. Change: the answer of the key-value service counts only after the peers were asked; the peers' answer counts at once, as before.

--- a/features/promises.configuration.feature
+++ b/features/promises.configuration.feature
@@ -25,3 +25,8 @@
     And the host "entry-2" is started again
     And a new host "entry-8" starts in "ste-agathe"
     Then all hosts have the version 2 and none went back
+
+  Scenario: A starting host is not ready with an older stored head
+    Guards against a host that takes requests under a configuration which its peers have already replaced.
+    Given a stored head of version 1 and a peer with version 2 that answers late
+    Then a starting host is ready with version 2 at once
--- a/features/steps/promises.configuration.ts
+++ b/features/steps/promises.configuration.ts
@@ -1,12 +1,13 @@
 import { After, Given, Then, When } from "@cucumber/cucumber";
 import { callControl, readHead, startStandIn, submit, waitFor } from "@filbertrelay/client";
 import type { SubmissionIssue } from "@filbertrelay/client";
-import { configurationHeadKey } from "@filbertrelay/configuration";
+import { buildHead, configurationHeadKey } from "@filbertrelay/configuration";
 import type { Answers, ConfigurationHead } from "@filbertrelay/configuration";
-import { createSystemClock } from "@filbertrelay/kernel";
+import { createKernel, createSystemClock, silentEventLog, success } from "@filbertrelay/kernel";
 import type { Outcome } from "@filbertrelay/kernel";
 import { createKeyValueClient } from "@filbertrelay/platform";
 import type { KeyValueClient } from "@filbertrelay/platform";
+import { createConfigurationService } from "@filbertrelay/relay";
 import assert from "node:assert/strict";
 import { randomUUID } from "node:crypto";
 import { mkdtempSync, rmSync } from "node:fs";
@@ -15,6 +16,7 @@
 import { tmpdir } from "node:os";
 import { join } from "node:path";
 import { setTimeout as delay } from "node:timers/promises";
+import { HeadHistory } from "../../packages/relay/src/configuration/history.js";
 import { limitMs, PromiseFleet, readAnswers } from "./promises.fleet.js";
 import { stepTimeout } from "./promises.js";
 import type { PromiseWorld } from "./promises.js";
@@ -202,3 +204,47 @@
         assert.ok((await keyValue.compareAndSwap(configurationHeadKey, this.firstHead, options)).ok);
     });
 });
+
+interface StartWorld {
+    service: ReturnType<typeof createConfigurationService>;
+    answerPeer: () => void;
+}
+
+Given("a stored head of version 1 and a peer with version 2 that answers late", function(this: StartWorld) {
+    const [stored, newer] = [1, 2].map(version =>
+        JSON.stringify(buildHead({ answers: readAnswers(), version, submissionId: `s${version}`, submittedAt: new Date(0) }))
+    ) as [string, string];
+    const history = new HeadHistory();
+    history.add(2, newer);
+    const late = new Promise<void>(resolve => this.answerPeer = resolve);
+    const kernel = createKernel({ clock, log: silentEventLog });
+    const member = (hostId: string) => ({ hostId, failureDomain: "d", state: "alive" });
+    const none = () => undefined;
+    const parts = {
+        keyValue: {
+            get: () => Promise.resolve(success({ key: configurationHeadKey, value: stored, version: 9 })),
+            watch: () => new Promise(none),
+        },
+        membership: {
+            self: () => member("a"),
+            members: () => [member("a"), member("b")],
+            onConfigurationAnnounced: none,
+            onChange: none,
+            announceConfiguration: none,
+            publish: none,
+        },
+        peers: { handle: none, call: () => late.then(() => success(history.describe(0))) },
+    };
+    Object.entries(parts).forEach(([name, part]) => kernel.register(name, part));
+    this.service = createConfigurationService(kernel);
+});
+
+Then("a starting host is ready with version 2 at once", async function(this: StartWorld) {
+    const started = this.service.start?.();
+    await delay(50);
+    assert.equal(this.service.isReady(), false);
+    this.answerPeer();
+    await started;
+    assert.deepEqual([this.service.isReady(), this.service.head()?.version], [true, 2]);
+    await this.service.stop?.(0);
+});
--- a/packages/relay/src/configuration/service.ts
+++ b/packages/relay/src/configuration/service.ts
@@ -91,7 +91,10 @@
 
     async #askUntilReady(): Promise<void> {
         for (let retryMs = firstRetryMs; !this.#isStopped; retryMs = nextRetry(retryMs)) {
-            await Promise.any([this.#askStore(), this.#askPeers()]).catch(() => undefined);
+            const peers = this.#askPeers();
+            // The stored head may have been replaced by an older one, so its answer counts only after the peers were asked too.
+            const store = Promise.all([this.#askStore(), peers.catch(() => undefined)]);
+            this.#hasAsked = await Promise.any([peers, store]).then(() => true, () => false);
             if (this.isReady()) {
                 return;
             }
@@ -105,7 +108,6 @@
         if (!stored.ok) {
             throw new Error(stored.issue.message);
         }
-        this.#hasAsked = true;
         if (stored.value !== undefined) {
             this.#applyStored(stored.value);
         }
@@ -119,7 +121,6 @@
             peersAsked,
         );
         await Promise.any(chosen.map(({ hostId }) => this.#fetchFrom(hostId)));
-        this.#hasAsked = true;
     }
 
     async #watchLoop(): Promise<void> {
