Wait for the retry budget and pause after refusals instead of failing accepted requests

Cause: an accepted request failed when four engines refused it in a row, which takes milliseconds while a failure domain is lost, and the policy now asks to wait for the retry budget. Change: a refusal is followed by a pause and is not counted as an attempt; attempts are counted since the last token; a request without tokens waits for the budget; a stalled generation is cancelled when the answer goes elsewhere; first attempts of model requests fill the budget. Conclusion: accepted requests outlast short refusals.

--- a/packages/relay/src/streams/reclaim.ts
+++ b/packages/relay/src/streams/reclaim.ts
@@ -1,16 +1,13 @@
 import type { EndpointId, HostId } from "@filbertrelay/kernel";
-import { brandAs, declareEvents } from "@filbertrelay/kernel";
+import { brandAs } from "@filbertrelay/kernel";
 import { planEngineReclaim, prefixBlockTokens } from "@filbertrelay/policy";
 import type { ReclaimStep } from "@filbertrelay/policy";
 import type { Directory } from "../directory/directory.js";
 import type { EngineChoice } from "../routing/router.js";
 import type { StreamTaskContext } from "./context.js";
+import { streamEvents as events } from "./event.js";
 import type { StreamTask } from "./task.js";
 
-const events = declareEvents({
-    engineReclaimed: { number: 4006, level: "info", text: "Streams leave an engine whose host is reclaimed.", action: "None." },
-});
-
 const moveOverheadMs = 50;
 const moveTokensPerSecond = 50_000;
 /** Assumed until the stream has shown its own pace. */
--- a/packages/relay/src/streams/service.ts
+++ b/packages/relay/src/streams/service.ts
@@ -1,5 +1,5 @@
 import type { CustomerId, HostId, Kernel, RequestId, Service } from "@filbertrelay/kernel";
-import { brandAs, declareEvents } from "@filbertrelay/kernel";
+import { brandAs } from "@filbertrelay/kernel";
 import { hashPrefixBlocks, rankByRendezvous } from "@filbertrelay/policy";
 import type { PeerNetwork } from "@filbertrelay/wire";
 import type { Span } from "@opentelemetry/api";
@@ -7,6 +7,7 @@
 import type { Customer } from "../caller/authentication.js";
 import { notRun } from "../caller/error.js";
 import type { CallerIssue } from "../caller/error.js";
+import type { RetryBudgets } from "../calls/retry.js";
 import type { ConfigurationService, MembershipService } from "../contract.js";
 import type { Directory } from "../directory/directory.js";
 import type { EngineRouter } from "../routing/router.js";
@@ -18,6 +19,7 @@
 import type { HeldCopy } from "./backup.js";
 import { findTaskContext } from "./context.js";
 import type { StreamTaskContext } from "./context.js";
+import { streamEvents as events } from "./event.js";
 import { AnswerReader } from "./reader.js";
 import { EngineReclaims } from "./reclaim.js";
 import { createModelRequestId } from "./request.js";
@@ -26,22 +28,6 @@
 import { StreamTask } from "./task.js";
 import { backupTopic, readTopic } from "./topic.js";
 
-const events = declareEvents({
-    adopted: { number: 4003, level: "info", text: "This host continues answers of another host.", action: "None." },
-    handedOver: {
-        number: 4004,
-        level: "info",
-        text: "Answers in progress were handed over to their backup hosts.",
-        action: "None.",
-    },
-    notHandedOver: {
-        number: 4005,
-        level: "warn",
-        text: "Some answers in progress could not be handed over before the deadline.",
-        action: "None; callers that come back get them from the backup host.",
-    },
-});
-
 const maximumEndedAnswers = 5_000;
 const defaultRetentionMs = 60_000;
 const maximumCopyCharacters = 48_000_000;
@@ -136,6 +122,7 @@
             return admitted;
         }
         this.#metrics().increment("requests.accepted");
+        this.#kernel.get<RetryBudgets>("retries").countRequest(customer.name, request.model);
         const answer = new Answer({ requestId, customer: customerId, model: request.model });
         const task = this.#begin(answer, request, span);
         void answer.ended().then(() => this.#kernel.get<AdmissionControl>("admission").finish(request.model, requestId));
--- a/packages/relay/src/streams/task.ts
+++ b/packages/relay/src/streams/task.ts
@@ -1,6 +1,5 @@
 import type { EndpointIssue, EngineItem } from "@filbertrelay/endpoints";
 import type { EndpointId } from "@filbertrelay/kernel";
-import { declareEvents } from "@filbertrelay/kernel";
 import { fingerprintRequest, hashPrefixBlocks, planRecovery } from "@filbertrelay/policy";
 import type { InterruptionCause, PromptBlocks } from "@filbertrelay/policy";
 import type { Span } from "@opentelemetry/api";
@@ -13,16 +12,7 @@
 import type { AttemptEnd } from "./attempt.js";
 import type { BackedUpAnswer } from "./backup.js";
 import type { StreamTaskContext } from "./context.js";
-
-const events = declareEvents({
-    interrupted: { number: 4001, level: "info", text: "A stream from an engine was interrupted and goes on.", action: "None." },
-    failed: {
-        number: 4002,
-        level: "warn",
-        text: "A model request failed for good.",
-        action: "Look at 'explain' for the request; check the engines of the model.",
-    },
-});
+import { streamEvents as events } from "./event.js";
 
 /** How long a request waits for an engine to appear or for its turn in isolation before it asks again. */
 const waitPeriodMs = 200;
@@ -54,6 +44,8 @@
     #isStopped = false;
     #reconnects = 0;
     #attemptsElsewhere = 0;
+    /** When the answer was interrupted without a token since; monotonic. */
+    #interruptedMs: number | undefined;
     #wasSent = false;
     /** Why the answer last went to another engine. */
     #interruption: InterruptionCause | undefined;
@@ -84,7 +76,7 @@
             if (this.#planReconnect(end.cause)) {
                 end = await this.#reconnect();
             }
-            else if (this.#mayGoElsewhere(end.cause, end.issue)) {
+            else if (await this.#mayGoElsewhere(end.cause, end.issue)) {
                 end = await this.#dispatch(false);
             }
             else {
@@ -226,6 +218,8 @@
                     return { type: "interrupted", cause: "connectionLost" };
                 }
                 this.#reconnects = 0;
+                this.#attemptsElsewhere = 0;
+                this.#interruptedMs = undefined;
                 continue;
             }
             if (item.type === "finish") {
@@ -248,12 +242,13 @@
     }
 
     #planReconnect(cause: InterruptionCause): boolean {
-        return this.#engine !== undefined && this.#plan(cause).action === "reconnect";
+        return this.#engine !== undefined && this.#plan(cause, true).action === "reconnect";
     }
 
-    #plan(cause: InterruptionCause): ReturnType<typeof planRecovery> {
+    #plan(cause: InterruptionCause, retryAllowed: boolean): ReturnType<typeof planRecovery> {
         const { answer, request } = this.source;
-        const nowMs = this.#context.kernel.clock.now().getTime();
+        const { clock } = this.#context.kernel;
+        this.#interruptedMs ??= clock.monotonicMs();
         return planRecovery({
             cause,
             endpointId: this.#engine?.endpointId ?? ("" as EndpointId),
@@ -261,27 +256,31 @@
             forwardedTokens: answer.length,
             reconnects: this.#reconnects,
             attemptsElsewhere: this.#attemptsElsewhere,
-            remainingMs: answer.length > 0 ? recoveryLimitMs : request.deadlineAt - nowMs,
-            retryAllowed: true,
+            remainingMs: answer.length > 0 ?
+                this.#interruptedMs + recoveryLimitMs - clock.monotonicMs() :
+                request.deadlineAt - clock.now().getTime(),
+            retryAllowed,
         });
     }
 
     // False when the answer failed for good. A crash is charged to the requests in progress before the next engine is chosen.
-    #mayGoElsewhere(cause: InterruptionCause, issue: EndpointIssue | undefined): boolean {
-        const { answer, request } = this.source;
-        const { suspects, retries, metrics, kernel, explanations } = this.#context;
+    async #mayGoElsewhere(cause: InterruptionCause, issue: EndpointIssue | undefined): Promise<boolean> {
+        const { answer } = this.source;
+        const { suspects, metrics, kernel, explanations } = this.#context;
         const engine = this.#engine;
         if (engine !== undefined) {
             if (cause === "crashed") {
                 suspects.recordCrash(engine.endpointId, this.#fingerprint);
             }
+            if (cause === "stalled") {
+                // Only the path to the engine may be broken; a generation that nobody reads would keep its slot.
+                void this.#context.engines.cancel(engine.entry.address, answer.requestId);
+            }
             this.#excluded.clear();
             this.#excluded.add(engine.endpointId);
             this.#avoided = cause === "reclaimed" || cause === "crashed" ? engine.entry : undefined;
         }
-        const plan = this.#plan(cause);
-        const needsBudget = cause !== "reclaimed" && answer.length === 0;
-        if (plan.action === "fail" || (needsBudget && !retries.tryRetry(answer.customer, request.model))) {
+        if (!await this.#waitForRetry(cause)) {
             this.#fail({
                 status: 502,
                 code: "stream.interrupted",
@@ -290,7 +289,8 @@
             });
             return false;
         }
-        this.#attemptsElsewhere += 1;
+        // A refusal cost the engine nothing, so it does not count as an attempt.
+        this.#attemptsElsewhere += cause === "refused" ? 0 : 1;
         this.#interruption = cause;
         metrics.increment(`streams.interrupted.${cause}`);
         explanations.add(answer.requestId, "interrupted", { cause, issue: issue?.code, offset: answer.length });
@@ -303,6 +303,24 @@
         return true;
     }
 
+    // Waits while the retry budget is used up; false when the answer can't go on. A refusal is followed by a pause.
+    async #waitForRetry(cause: InterruptionCause): Promise<boolean> {
+        const { retries, kernel } = this.#context;
+        const { answer, request } = this.source;
+        if (cause === "refused") {
+            await kernel.clock.sleep(waitPeriodMs);
+        }
+        while (!this.#isStopped) {
+            const needsBudget = cause !== "reclaimed" && cause !== "refused" && answer.length === 0;
+            const plan = this.#plan(cause, !needsBudget || retries.tryRetry(answer.customer, request.model));
+            if (plan.action !== "wait") {
+                return plan.action !== "fail";
+            }
+            await kernel.clock.sleep(plan.retryAfterMs);
+        }
+        return true;
+    }
+
     async #waitForEngine(): Promise<EngineChoice | undefined> {
         const { kernel, suspects } = this.#context;
         const { answer, request } = this.source;
