--- a/features/shards.feature
+++ b/features/shards.feature
@@ -77,3 +77,47 @@
     And another key of the same shard is submitted at a surviving host
     Then the answers were "ok, ok, ok"
     And the endpoint ran the key "k1" 1 time
+
+  Scenario: A key that comes back after its result was dropped is not run again
+    Guards against a second run when only the sealed segments remember the key, also after a takeover.
+    Given an entry fleet of 3 hosts that keeps results for 30 ms
+    When the key "k1" is submitted at host 0
+    And the result of the key has been sealed
+    And the key "k1" is submitted at host 1
+    And the owner dies
+    And the key "k1" is submitted at a surviving host
+    Then the answers were "ok, shard.expired/yes, shard.expired/yes"
+    And the endpoint ran the key "k1" 1 time
+
+  Scenario: A status query resolves an unknown key
+    Guards against leaving a caller without the answer that the endpoint still has.
+    Given an entry fleet of 3 hosts whose endpoint answers status queries
+    And the endpoint runs requests without answering
+    When the key "k1" is submitted at host 0 and its owner dies
+    And the key "k1" is submitted at a surviving host
+    Then the answers were "shard.unknown/unknown, ok"
+    And the endpoint ran the key "k1" 1 time
+
+  Scenario: No generated schedule of faults breaks an invariant
+    Guards against a second run, a lost accepted key, a false "not run" and a shard that never answers again.
+    When the checker runs 20000 schedules from seed 1
+    Then no schedule broke an invariant
+
+  Scenario Outline: The checker notices that the rule "<rule>" is missing
+    Guards against a checker whose schedules are too tame to show the fault that the rule prevents.
+    When the checker runs up to 20000 schedules from seed 1 without the rule "<rule>"
+    Then a schedule broke an invariant and its trace can be printed
+
+    Examples:
+      | rule                   |
+      | allAcknowledgements    |
+      | promises               |
+      | neverRetryIntent       |
+      | proofOfTermination     |
+      | intentBeforeSend       |
+      | unknownAfterLastResort |
+      | confirmedRefusal       |
+      | agreementOfHolders     |
+      | survivingStandby       |
+      | agreedPromise          |
+      | queryAllHosts          |
--- a/features/steps/shards.fleet.ts
+++ b/features/steps/shards.fleet.ts
@@ -1,7 +1,16 @@
 import type { Configuration } from "@filbertrelay/configuration";
-import type { ServiceDriver, ServiceRequest } from "@filbertrelay/endpoints";
+import type { ServiceDriver, ServiceRequest, ServiceResponse } from "@filbertrelay/endpoints";
 import { brandAs, createKernel, createSystemClock, failure, silentEventLog, success } from "@filbertrelay/kernel";
-import type { CustomerId, FailureDomainId, HostId, IdempotencyKey, Incarnation, Kernel, ServiceName } from "@filbertrelay/kernel";
+import type {
+    CustomerId,
+    FailureDomainId,
+    HostId,
+    IdempotencyKey,
+    Incarnation,
+    Kernel,
+    Service,
+    ServiceName,
+} from "@filbertrelay/kernel";
 import type { CloudClient, KeyValueClient, StoredValue } from "@filbertrelay/platform";
 import { createShardService } from "@filbertrelay/relay";
 import type { Member, ShardService, Submission } from "@filbertrelay/relay";
@@ -59,6 +68,12 @@
 
 type Handler = (body: unknown, context: PeerContext) => Promise<unknown>;
 
+/** What the configuration of a fleet says where it differs from the defaults. */
+export interface FleetOptions {
+    readonly resultRetentionMs?: number;
+    readonly answersStatus?: boolean;
+}
+
 /** One entry host with its shard service over in-memory partners. */
 export interface EntryHost {
     readonly member: Member;
@@ -77,10 +92,11 @@
     readonly terminated = new Set<string>();
     readonly #listeners = new Set<(member: Member) => void>();
     readonly #configuration: Configuration;
+    readonly #answers = new Map<string, ServiceResponse>();
     isAnswering = true;
 
-    constructor(size: number, shardCount = 1, batchIntervalMs = 20) {
-        this.#configuration = createConfiguration(shardCount, batchIntervalMs);
+    constructor(size: number, options: FleetOptions = {}) {
+        this.#configuration = createConfiguration(options);
         for (let index = 0; index < size; index++) {
             this.hosts.push(this.#createHost(index));
         }
@@ -165,7 +181,7 @@
             cloud: this.#cloud(),
             shards: host.shards,
         };
-        Object.entries(parts).forEach(([name, part]) => kernel.register(name, part));
+        Object.entries(parts).forEach(([name, part]) => kernel.register(name, part as Service));
     }
 
     #network(host: EntryHost): PeerNetwork {
@@ -187,8 +203,7 @@
     #driver(host: EntryHost): ServiceDriver {
         return {
             send: (_address: string, request: ServiceRequest) => this.#run(host, request),
-            queryKey: () =>
-                Promise.resolve(failure({ code: "endpoint.notFound" as const, message: "No.", executed: "unknown" as const })),
+            queryKey: (_address: string, key: IdempotencyKey) => Promise.resolve(this.#query(key)),
         };
     }
 
@@ -199,11 +214,18 @@
         const key = String(request.idempotencyKey);
         const count = (this.runs.get(key) ?? 0) + 1;
         this.runs.set(key, count);
+        const response = { status: 201, headers: {}, body: new TextEncoder().encode(`${key} run ${count}`) };
+        this.#answers.set(key, response);
         if (!this.isAnswering) {
             return new Promise(() => undefined);
         }
         await Promise.resolve();
-        return success({ status: 201, headers: {}, body: new TextEncoder().encode(`${key} run ${count}`) });
+        return success(response);
+    }
+
+    #query(key: string): Awaited<ReturnType<ServiceDriver["queryKey"]>> {
+        const response = this.#answers.get(key);
+        return success(response === undefined ? { executed: "no" } : { executed: "yes", response });
     }
 
     #cloud(): CloudClient {
@@ -224,13 +246,8 @@
     }
 }
 
-function createConfiguration(shardCount: number, batchIntervalMs: number): Configuration {
-    const shards = {
-        generation: 1,
-        count: shardCount,
-        batchIntervalMs,
-        resultRetentionMs: 3_600_000,
-        keyRetentionMs: 86_400_000,
-    };
-    return { shards, services: [{ name: "orders", deduplicates: false, answersStatus: false }] } as unknown as Configuration;
+function createConfiguration(options: FleetOptions): Configuration {
+    const { resultRetentionMs = 3_600_000, answersStatus = false } = options;
+    const shards = { generation: 1, count: 1, batchIntervalMs: 20, resultRetentionMs, keyRetentionMs: 86_400_000 };
+    return { shards, services: [{ name: "orders", deduplicates: false, answersStatus }] } as unknown as Configuration;
 }
--- a/features/steps/shards.ts
+++ b/features/steps/shards.ts
@@ -41,6 +41,27 @@
     await this.fleet.start();
 });
 
+Given("an entry fleet of 3 hosts that keeps results for {int} ms", async function(this: ShardWorld, resultRetentionMs: number) {
+    this.fleet = new EntryFleet(3, { resultRetentionMs });
+    this.answers = [];
+    await this.fleet.start();
+});
+
+Given("an entry fleet of 3 hosts whose endpoint answers status queries", async function(this: ShardWorld) {
+    this.fleet = new EntryFleet(3, { answersStatus: true });
+    this.answers = [];
+    await this.fleet.start();
+});
+
+When("the result of the key has been sealed", async function(this: ShardWorld) {
+    await waitFor(() => [...this.fleet!.keyValue.values.keys()].some(key => key.startsWith("segments/")));
+    await waitFor(() => this.fleet!.owner()!.shards.entries().length === 0);
+});
+
+When("the owner dies", function(this: ShardWorld) {
+    this.fleet!.kill(this.fleet!.owner()!);
+});
+
 Given("the key-value service loses the replies of the next {int} writes", function(this: ShardWorld, count: number) {
     this.fleet!.keyValue.lostReplies = count;
 });
--- a/packages/policy/src/shards/check/fault.ts
+++ b/packages/policy/src/shards/check/fault.ts
@@ -1,120 +1,9 @@
+import { checkedKeys, submitSomewhere } from "./caller.js";
 import type { NodeModel } from "./node.js";
+import type { FaultName } from "./plan.js";
 import type { Random } from "./random.js";
-import { checkedKeys, submitSomewhere } from "./schedule.js";
 import type { World } from "./world.js";
 
-/** A disturbance that a schedule can contain. */
-export type FaultName =
-    | "submit"
-    | "pause"
-    | "pauseOwner"
-    | "resume"
-    | "crash"
-    | "crashOwner"
-    | "crashStandby"
-    | "restart"
-    | "terminateOwner"
-    | "terminateStandby"
-    | "terminateCrashed"
-    | "terminateFormer"
-    | "submitOwner"
-    | "leaveOwner"
-    | "leaveStandby"
-    | "startHost"
-    | "outage"
-    | "outageEnd"
-    | "cutOwnerFromStore"
-    | "partition"
-    | "isolateOwner"
-    | "rejoin"
-    | "cloudOutage"
-    | "cloudOutageEnd"
-    | "takeover"
-    | "twoSuccessors"
-    | "settle"
-    | "wait";
-
-/** Sequences of faults that are hard on the protocol; single faults are added at random places. */
-export const faultPlans: readonly (readonly FaultName[])[] = [
-    ["crashOwner", "takeover", "submit"],
-    ["pauseOwner", "twoSuccessors", "submit", "resume", "submit"],
-    ["outage", "submit", "crashOwner", "outageEnd", "takeover", "submit"],
-    ["outage", "submit", "crashOwner", "terminateStandby", "outageEnd", "takeover", "submit"],
-    ["settle", "outage", "submit", "isolateOwner", "outageEnd", "takeover", "submit", "rejoin"],
-    ["settle", "outage", "submit", "leaveOwner", "submit", "terminateOwner", "outageEnd", "takeover", "submit"],
-    ["outage", "leaveOwner", "crashOwner", "outageEnd", "takeover", "submit"],
-    ["leaveOwner", "crashOwner", "takeover", "submit"],
-    [
-        "settle",
-        "outage",
-        "terminateStandby",
-        "terminateStandby",
-        "submit",
-        "terminateOwner",
-        "outageEnd",
-        "twoSuccessors",
-        "submit",
-    ],
-    ["settle", "outage", "terminateStandby", "submit", "pauseOwner", "outageEnd", "takeover", "submit", "resume"],
-    ["settle", "outage", "leaveStandby", "submit", "terminateStandby", "terminateOwner", "outageEnd", "takeover", "submit"],
-    ["cutOwnerFromStore", "submit", "takeover", "submit", "rejoin"],
-    ["settle", "cutOwnerFromStore", "submit", "partition", "takeover", "submit", "rejoin", "submit"],
-    ["settle", "cutOwnerFromStore", "submit", "pauseOwner", "takeover", "submit", "resume", "submit"],
-    [
-        "settle",
-        "outage",
-        "submit",
-        "settle",
-        "crashOwner",
-        "crashStandby",
-        "crashStandby",
-        "restart",
-        "outageEnd",
-        "takeover",
-        "submit",
-    ],
-    [
-        "settle",
-        "outage",
-        "terminateStandby",
-        "startHost",
-        "settle",
-        "terminateStandby",
-        "submit",
-        "settle",
-        "terminateOwner",
-        "outageEnd",
-        "takeover",
-        "submit",
-    ],
-    ["settle", "cutOwnerFromStore", "leaveOwner", "settle", "terminateOwner", "takeover", "leaveOwner", "submit"],
-    [
-        "startHost",
-        "settle",
-        "outage",
-        "leaveOwner",
-        "settle",
-        "terminateFormer",
-        "terminateStandby",
-        "settle",
-        "leaveOwner",
-        "settle",
-        "terminateFormer",
-        "cutOwnerFromStore",
-        "outageEnd",
-        "startHost",
-        "takeover",
-        "submit",
-        "wait",
-        "submitOwner",
-        "wait",
-        "submit",
-    ],
-    ["cloudOutage", "terminateOwner", "takeover", "submit", "cloudOutageEnd"],
-    ["restart", "pause", "crash", "outage", "restart", "outageEnd", "resume"],
-    ["terminateCrashed", "startHost", "outage", "partition", "rejoin", "outageEnd"],
-];
-
 /** Applies one fault; one that does not fit the present state has no effect. */
 export function applyFault(world: World, random: Random, fault: FaultName): void {
     world.note(() => `fault ${fault}`);
@@ -138,6 +27,7 @@
         startHost: random.pick(world.nodes.filter(node => !node.isStarted)),
         cutOwnerFromStore: owner,
         isolateOwner: owner,
+        isolateStandby: standby,
     };
     const node = target[fault];
     if (node !== undefined) {
@@ -175,7 +65,7 @@
     else if (fault === "cutOwnerFromStore") {
         node.isCutFromStore = true;
     }
-    else if (fault === "isolateOwner") {
+    else if (fault === "isolateOwner" || fault === "isolateStandby") {
         node.group = 9;
     }
 }
@@ -191,8 +81,17 @@
         submitSomewhere(world, random);
         submitSomewhere(world, random);
     }
-    else if (fault === "submitOwner") {
-        submitAtOwner(world, live);
+    else if (fault === "submitOwner" || fault === "submitAll") {
+        submitAtOwners(world, live, fault === "submitAll");
+    }
+    else if (fault === "acquireFresh" || fault === "takeoverFresh") {
+        acquireFresh(world, random, live);
+        run(world, fault === "takeoverFresh" ? 30 : 0, 50);
+    }
+    else if (fault === "terminateWitnesses") {
+        const running = world.nodes.filter(node => node.isRunning);
+        const stale = oldestOwner(running);
+        running.filter(node => isStandbyOf(node, stale)).forEach(terminate);
     }
     else if (fault === "wait") {
         wait(world);
@@ -241,13 +140,26 @@
     }
 }
 
-/** Submits at the owner with the lowest epoch, which does not know of its successor. */
-function submitAtOwner(world: World, live: readonly NodeModel[]): void {
-    const owners = live.filter(node => node.state.owner !== undefined);
-    owners.sort((left, right) => (left.state.owner?.epoch ?? 0) - (right.state.owner?.epoch ?? 0));
-    const stale = owners[0];
-    if (stale !== undefined) {
-        checkedKeys.filter(key => world.mayComeBack(key)).forEach(key => world.submit(stale, key, "body", 2_000));
+/** The owner with the lowest epoch, which does not know of its successor. */
+function oldestOwner(nodes: readonly NodeModel[]): NodeModel | undefined {
+    const owners = nodes.filter(node => node.state.owner !== undefined);
+    return owners.sort((left, right) => (left.state.owner?.epoch ?? 0) - (right.state.owner?.epoch ?? 0))[0];
+}
+
+function submitAtOwners(world: World, live: readonly NodeModel[], isAll: boolean): void {
+    const oldest = oldestOwner(live);
+    const owners = live.filter(node => isAll ? node.state.owner !== undefined : node === oldest);
+    for (const owner of owners) {
+        checkedKeys.filter(key => world.mayComeBack(key)).forEach(key => world.submit(owner, key, "body", 2_000));
+    }
+}
+
+/** Starts a takeover at a host that knows nothing about the shard. */
+function acquireFresh(world: World, random: Random, live: readonly NodeModel[]): void {
+    const node = random.pick(live.filter(other => other.state.known === undefined));
+    if (node !== undefined) {
+        world.refresh(node, true);
+        world.feed(node, { type: "acquire", force: true });
     }
 }
 
--- a/packages/policy/src/shards/check/heal.ts
+++ b/packages/policy/src/shards/check/heal.ts
@@ -1,7 +1,7 @@
+import { checkedKeys } from "./caller.js";
 import { Violation } from "./model.js";
 import type { NodeModel } from "./node.js";
 import type { Random } from "./random.js";
-import { checkedKeys } from "./schedule.js";
 import type { World } from "./world.js";
 
 const attemptsPerKey = 24;
--- a/packages/policy/src/shards/check/schedule.ts
+++ b/packages/policy/src/shards/check/schedule.ts
@@ -1,14 +1,13 @@
 import type { Repetition, RuleName } from "../index.js";
-import { applyFault, faultPlans } from "./fault.js";
-import type { FaultName } from "./fault.js";
+import { submitSomewhere } from "./caller.js";
+import { applyFault } from "./fault.js";
 import { heal } from "./heal.js";
 import { Violation } from "./model.js";
+import { faultPlans } from "./plan.js";
+import type { FaultName } from "./plan.js";
 import { Random } from "./random.js";
 import { World } from "./world.js";
 
-/** The keys that callers submit. */
-export const checkedKeys = ["k0", "k1", "k2"];
-
 /** The verdict on one schedule. */
 export interface ScheduleResult {
     readonly seed: number;
@@ -23,6 +22,8 @@
 export interface ScheduleOptions {
     readonly seed: number;
     readonly disabledRules: ReadonlySet<RuleName>;
+    /** Faults to use instead of a generated plan. */
+    readonly plan?: readonly FaultName[];
     /** Receives what happened when given. */
     readonly trace?: string[];
 }
@@ -31,7 +32,7 @@
 export function runSchedule(options: ScheduleOptions): ScheduleResult {
     const random = new Random(options.seed);
     const world = createWorld(random, options);
-    const faults = planFaults(random);
+    const faults = options.plan ?? planFaults(random);
     let steps = 0;
     let violation: string | undefined;
     try {
@@ -114,14 +115,3 @@
         }
     }
 }
-
-/** Submits a key at a host that is likely to own the shard, as callers and forwarding hosts do. */
-export function submitSomewhere(world: World, random: Random): void {
-    const live = world.nodes.filter(node => node.canAct);
-    const owners = live.filter(node => node.state.owner !== undefined);
-    const node = random.pick(owners.length > 0 && random.chance(75) ? owners : live);
-    const key = random.pick(checkedKeys.filter(candidate => world.mayComeBack(candidate)));
-    if (node !== undefined && key !== undefined) {
-        world.submit(node, key, random.chance(3) ? "other" : "body", random.pick([100, 600, 2_000]) ?? 600);
-    }
-}
--- a/packages/policy/src/shards/retention.ts
+++ b/packages/policy/src/shards/retention.ts
@@ -15,25 +15,45 @@
     }
 }
 
+/** Sealing waits for this share of the retention, so that one segment write takes many keys. */
+const sealDelayRatio = 0.1;
+/** A value that has grown too large is brought down to this share of the limit. */
+const shrinkRatio = 0.8;
+
 function expiredEntries(step: Step, owner: OwnerState): ShardEntry[] {
     const { resultRetentionMs, resultBytesLimit } = step.state.options;
     const finished = [...owner.entries.values()].filter(entry => entry.state === "done" && entry.revision <= owner.storedSequence)
         .sort((left, right) => left.sinceMs - right.sinceMs);
-    let excessBytes = finished.reduce((sum, entry) => sum + sizeOf(entry), 0) - resultBytesLimit;
-    const expired = finished.filter(entry => {
+    const bytes = finished.reduce((sum, entry) => sum + sizeOf(entry), 0);
+    const oldest = finished[0];
+    const dueMs = (oldest?.sinceMs ?? 0) + resultRetentionMs * (1 + sealDelayRatio);
+    if (oldest === undefined || (bytes <= resultBytesLimit && dueMs > step.state.nowMs)) {
+        wakeForOldest(step, oldest, dueMs);
+        return [];
+    }
+    let excessBytes = bytes > resultBytesLimit ? bytes - resultBytesLimit * shrinkRatio : 0;
+    return finished.filter(entry => {
         const isDropped = excessBytes > 0 || entry.sinceMs + resultRetentionMs <= step.state.nowMs;
         excessBytes -= isDropped ? sizeOf(entry) : 0;
         return isDropped;
     });
-    const oldest = finished.find(entry => !expired.includes(entry));
+}
+
+function wakeForOldest(step: Step, oldest: ShardEntry | undefined, dueMs: number): void {
     if (oldest !== undefined) {
-        wake(step, oldest.sinceMs + resultRetentionMs);
+        wake(step, Math.ceil(dueMs));
     }
-    return expired;
 }
 
+/** Key, names, intent and JSON syntax of an entry, in bytes. */
+const entryOverheadBytes = 400;
+
 function sizeOf(entry: ShardEntry): number {
-    return entry.result?.body.length ?? 0;
+    const headers = Object.entries(entry.result?.headers ?? {}).reduce(
+        (sum, [name, value]) => sum + name.length + value.length + 6,
+        0,
+    );
+    return entryOverheadBytes + headers + (entry.result?.body.length ?? 0);
 }
 
 /** Removes entries once the segment that names them is written. */
--- a/packages/policy/src/shards/state.ts
+++ b/packages/policy/src/shards/state.ts
@@ -29,7 +29,7 @@
     readonly keyRetentionMs: number;
     /** Open entries above which new keys are refused. */
     readonly openEntryLimit: number;
-    /** Bytes of recorded results above which the oldest are dropped early, which keeps the value under 1 MB. */
+    /** Bytes of finished entries above which the oldest are sealed early, which keeps the value under 1 MB. */
     readonly resultBytesLimit: number;
     readonly disabledRules: ReadonlySet<RuleName>;
 }
--- a/packages/relay/src/shards/service.ts
+++ b/packages/relay/src/shards/service.ts
@@ -42,7 +42,7 @@
 /** Wait before a submission that met a host without the shard is routed again. */
 const rerouteDelayMs = 50;
 const openEntryLimit = 512;
-/** Base64 characters of recorded results per shard; the value stays under the 1 MB of the key-value service. */
+/** Bytes of finished entries per shard; with the open ones the value stays under the 1 MB of the key-value service. */
 const resultBytesLimit = 524_288;
 
 const messages: Record<SubmissionIssue["code"], string> = {
