Trace the owner hop and its attempts

Cause: a non-idempotent request's trace ended at the entry host. Conclusion: every hop of a request is in one trace.

--- a/features/steps/telemetry.ts
+++ b/features/steps/telemetry.ts
@@ -75,7 +75,7 @@
     return socket.address().port;
 }
 
-When("a caller sends a model request and an idempotent call within one trace", async function(this: TelemetryWorld) {
+When("a caller sends a model request, an idempotent call and a booking within one trace", async function(this: TelemetryWorld) {
     const address = this.observedFleet?.callerAddresses()[0] ?? "";
     const headers = { authorization: `Bearer ${customerKey}`, "content-type": "application/json", traceparent: traceParent };
     const chat = await fetch(`http://${address}/v1/chat/completions`, {
@@ -90,16 +90,23 @@
     assert.equal(chat.status, 200, await chat.text());
     const lookup = await fetch(`http://${address}/v1/services/booking/bookings`, { headers });
     assert.equal(lookup.status, 200, await lookup.text());
+    const booking = await fetch(`http://${address}/v1/services/booking/bookings`, {
+        method: "POST",
+        headers: { ...headers, "idempotency-key": "booking-1" },
+        body: "{}",
+    });
+    assert.equal(booking.status, 200, await booking.text());
 });
 
 Then(
-    "the spans {string} and {string} arrive with the caller's trace id",
-    async function(this: TelemetryWorld, first: string, second: string) {
-        const hasBoth = (): boolean => {
-            const names = this.spanBodies.flatMap(readSpans).filter(span => span.traceId === traceId).map(span => span.name);
-            return names.filter(name => name === first).length >= 2 && names.filter(name => name === second).length >= 2;
-        };
-        await waitUntil(hasBoth, "both spans of both requests");
+    "the spans {string} and {string} of {int} requests and {string} of {int} arrive with the caller's trace id",
+    async function(this: TelemetryWorld, first: string, second: string, requests: number, third: string, submissions: number) {
+        const count = (name: string): number =>
+            this.spanBodies.flatMap(readSpans).filter(span => span.traceId === traceId && span.name === name).length;
+        await waitUntil(
+            () => count(first) === requests && count(second) === requests && count(third) === submissions,
+            "the spans of all hops",
+        );
     },
 );
 
--- a/packages/kernel/src/kernel.ts
+++ b/packages/kernel/src/kernel.ts
@@ -53,6 +53,11 @@
         return service as T;
     }
 
+    /** Finds a service by name; `undefined` when the name is not registered. */
+    find<T extends object>(name: string): T | undefined {
+        return this.#services.get(name) as T | undefined;
+    }
+
     /** Starts all services in the order of registration. */
     async start(): Promise<void> {
         for (const [name, service] of this.#services) {
--- a/packages/relay/src/shards/actor.ts
+++ b/packages/relay/src/shards/actor.ts
@@ -15,6 +15,7 @@
 } from "@filbertrelay/policy";
 import { match } from "ts-pattern";
 import type { Submission } from "../contract.js";
+import { startHop } from "../telemetry/hop.js";
 import type { ShardContext } from "./context.js";
 import { shardEvents } from "./event.js";
 import { ShardStore } from "./store.js";
@@ -242,17 +243,19 @@
         if (submission === undefined || address === undefined) {
             return { type: "notRun", code: "endpoint.unreachable" };
         }
+        const hop = startHop(this.#context.tracing, "endpoint attempt", submission.headers, { endpoint: send.endpoint });
         const request = {
             requestId: this.requestId(send.key),
             method: submission.method,
             path: submission.path,
-            headers: submission.headers,
+            headers: hop.headers,
             body: submission.body,
             idempotencyKey: submission.idempotencyKey,
             fencingToken: send.epoch,
         };
         const timeoutMs = Math.max(1, send.deadlineMs - this.#nowMs()) + attemptGraceMs;
         const outcome = await this.#context.services.send(address, request, { timeoutMs });
+        hop.end(outcome.ok ? undefined : outcome.issue.code);
         if (outcome.ok) {
             return { type: "response", response: encodeResponse(outcome.value) };
         }
--- a/packages/relay/src/shards/context.ts
+++ b/packages/relay/src/shards/context.ts
@@ -3,6 +3,7 @@
 import type { KeyValueClient } from "@filbertrelay/platform";
 import type { Repetition } from "@filbertrelay/policy";
 import type { PeerNetwork } from "@filbertrelay/wire";
+import type { Tracing } from "../telemetry/tracing.js";
 
 /** What a shard actor needs of the daemon. */
 export interface ShardContext {
@@ -13,6 +14,8 @@
     readonly peers: PeerNetwork;
     readonly services: ServiceDriver;
     readonly keyRetentionMs: number;
+    /** Absent in processes that export no spans. */
+    readonly tracing: Tracing | undefined;
     /** Endpoint ids of a service in order of preference; leaving endpoints are left out. */
     endpoints(service: string): readonly string[];
     /** The address of an endpoint; `undefined` when it is not listed any more. */
--- a/packages/relay/src/shards/service.ts
+++ b/packages/relay/src/shards/service.ts
@@ -1,11 +1,10 @@
 import type { ServiceResponse } from "@filbertrelay/endpoints";
 import type { Cancel, CustomerId, HostId, Kernel, Outcome, RequestId, ServiceName } from "@filbertrelay/kernel";
-import { brandAs, failure, success } from "@filbertrelay/kernel";
+import { brandAs, success } from "@filbertrelay/kernel";
 import type { CloudClient, KeyValueClient } from "@filbertrelay/platform";
 import { answerOf, digestKey, rankHosts, shardOf } from "@filbertrelay/policy";
 import type { Candidate, Holder, PeerRequest, ShardAnswer, ShardOptions } from "@filbertrelay/policy";
 import type { PeerNetwork } from "@filbertrelay/wire";
-import { createHash } from "node:crypto";
 import type { z } from "zod";
 import type {
     ConfigurationService,
@@ -16,7 +15,10 @@
     Submission,
     SubmissionIssue,
 } from "../contract.js";
+import { startHop } from "../telemetry/hop.js";
+import type { Tracing } from "../telemetry/tracing.js";
 import { ShardActor } from "./actor.js";
+import { decodeResponse, fingerprintOf, toFailure } from "./answer.js";
 import type { ShardContext } from "./context.js";
 import { machineTopics, readTopic, submitTopic } from "./topic.js";
 
@@ -45,17 +47,6 @@
 /** Bytes of finished entries per shard; with the open ones the value stays under the 1 MB of the key-value service. */
 const resultBytesLimit = 524_288;
 
-const messages: Record<SubmissionIssue["code"], string> = {
-    "shard.notOwned": "No host owns the shard of this request at present.",
-    "shard.noWitness": "The key-value service and the standbys of the shard can't be reached.",
-    "shard.unavailable": "The owner of the shard of this request can't be reached in time.",
-    "shard.unknown": "It is not known whether the request was executed; it will not be sent again.",
-    "shard.keyReused": "The idempotency key was used for a different request.",
-    "shard.overloaded": "The shard has too many open requests.",
-    "shard.expired": "The request was executed; its result is no longer kept.",
-    "endpoint.refused": "No endpoint accepted the request.",
-};
-
 /** Creates the shard service; it finds its partners in the kernel when it starts. */
 export function createShardService(kernel: Kernel, options: ShardServiceOptions = {}): ShardService {
     return new RoutedShardService(kernel, options);
@@ -238,6 +229,7 @@
             peers: this.#peers,
             services: this.#kernel.get("services") as unknown as ShardContext["services"],
             keyRetentionMs: this.#configuration.current().shards.keyRetentionMs,
+            tracing: this.#kernel.find<Tracing>("tracing"),
             endpoints: service =>
                 this.#directory.endpoints(service).filter(entry => !entry.leaving).map(entry => entry.endpointId),
             address: (service, endpointId) =>
@@ -336,7 +328,9 @@
     async #submitHere(shard: number, submission: Submission): Promise<Routed> {
         const actor = this.#actor(shard);
         const key = digestKey(submission.customer, submission.idempotencyKey);
-        const answer = await actor.submit(key, fingerprintOf(submission), submission);
+        const hop = startHop(this.#kernel.find<Tracing>("tracing"), "owner", submission.headers, { shard });
+        const answer = await actor.submit(key, fingerprintOf(submission), { ...submission, headers: hop.headers });
+        hop.end(answer.ok ? undefined : answer.code);
         return { answer, owner: actor.state.owner === undefined ? actor.state.known?.owner : this.#self() };
     }
 
@@ -402,19 +396,3 @@
 function isOwner(member: Holder, owner: Holder): boolean {
     return member.host === owner.host && member.incarnation === owner.incarnation;
 }
-
-function fingerprintOf(submission: Submission): string {
-    const { service, operation, method, path, body } = submission;
-    return createHash("sha256").update(JSON.stringify([service, operation, method, path])).update(body).digest("hex").slice(
-        0,
-        32,
-    );
-}
-
-function decodeResponse(stored: { status: number; headers: Readonly<Record<string, string>>; body: string; }): ServiceResponse {
-    return { status: stored.status, headers: stored.headers, body: new Uint8Array(Buffer.from(stored.body, "base64")) };
-}
-
-function toFailure(answer: Extract<ShardAnswer, { ok: false; }>): { readonly ok: false; readonly issue: SubmissionIssue; } {
-    return failure({ code: answer.code, executed: answer.executed, message: messages[answer.code] });
-}
--- /dev/null
+++ b/packages/relay/src/telemetry/hop.ts
@@ -0,0 +1,28 @@
+import { traceHeader } from "./tracing.js";
+import type { Tracing } from "./tracing.js";
+
+/** One hop of a request that arrived with a trace context in its headers. */
+export interface Hop {
+    /** The headers for the next hop, with this hop as parent. */
+    readonly headers: Readonly<Record<string, string>>;
+    /** Ends the span; a code marks it as failed. */
+    end(code?: string): void;
+}
+
+/** Starts the span of a hop; without tracing the headers stay as they are. */
+export function startHop(
+    tracing: Tracing | undefined,
+    name: string,
+    headers: Readonly<Record<string, string>>,
+    attributes: Record<string, string | number>,
+): Hop {
+    if (tracing === undefined) {
+        return { headers, end: () => undefined };
+    }
+    const span = tracing.startSpan(name, tracing.extract(headers[traceHeader]), attributes);
+    const context = tracing.inject(span);
+    return {
+        headers: context === undefined ? headers : { ...headers, [traceHeader]: context },
+        end: code => code === undefined ? span.end() : tracing.fail(span, code),
+    };
+}
