--- a/packages/relay/src/streams/task.ts
+++ b/packages/relay/src/streams/task.ts
@@ -47,6 +47,7 @@
     /** When the answer was interrupted without a token since; monotonic. */
     #interruptedMs: number | undefined;
     #wasSent = false;
+    #hasReservation = false;
     /** Why the answer last went to another engine. */
     #interruption: InterruptionCause | undefined;
     #avoided: DirectoryEntry | undefined;
@@ -80,9 +81,10 @@
                 end = await this.#dispatch(false);
             }
             else {
-                return;
+                break;
             }
         }
+        this.#releaseReservation();
         if (end.type === "finished") {
             this.#finish(end.item);
         }
@@ -325,6 +327,8 @@
         const { kernel, suspects } = this.#context;
         const { answer, request } = this.source;
         const startedMs = kernel.clock.now().getTime();
+        this.#releaseReservation();
+        await suspects.shared();
         while (!this.#isStopped) {
             const decision = suspects.decide(this.#fingerprint);
             if (decision.type === "reject") {
@@ -337,8 +341,11 @@
                 });
                 return undefined;
             }
-            const choice = decision.type === "wait" ? undefined : this.#choose(decision.type === "isolate");
-            if (choice !== undefined) {
+            const choice = decision.type === "wait" ? undefined : this.#choose();
+            const isUsable = decision.type !== "isolate" ||
+                (choice !== undefined && await suspects.reserve(this.#fingerprint, choice.endpointId));
+            if (choice !== undefined && isUsable) {
+                this.#hasReservation = decision.type === "isolate";
                 return choice;
             }
             const limitMs = answer.length > 0 ? startedMs + recoveryLimitMs : request.deadlineAt;
@@ -356,7 +363,14 @@
         return undefined;
     }
 
-    #choose(isIsolated: boolean): EngineChoice | undefined {
+    #releaseReservation(): void {
+        if (this.#hasReservation) {
+            this.#hasReservation = false;
+            this.#context.suspects.release(this.#fingerprint);
+        }
+    }
+
+    #choose(): EngineChoice | undefined {
         const { router, suspects } = this.#context;
         const isolated = suspects.isolatedEndpoints();
         const avoidedFailureDomains = new Set(this.#avoided === undefined ? [] : [this.#avoided.failureDomain]);
@@ -367,10 +381,7 @@
                 router.choose(this.source.request.model, this.#prompt, { excluded, avoidedFailureDomains, preferred })
             )
             .find(choice => choice.ok);
-        if (chosen?.ok !== true) {
-            return undefined;
-        }
-        return isIsolated && !suspects.startIsolated(this.#fingerprint, chosen.value.endpointId) ? undefined : chosen.value;
+        return chosen?.ok === true ? chosen.value : undefined;
     }
 
     #finish(item: Extract<EngineItem, { type: "finish"; }>): void {
