Give the choice of engines a class of its own; weigh own dispatches by the hosts that share an engine

Change: EngineSelection holds exclusions, reservations and waiting; the load table's weight follows the fleet's size and the part of the engines that each host uses.

--- a/packages/policy/src/routing/load.ts
+++ b/packages/policy/src/routing/load.ts
@@ -51,7 +51,7 @@
      * to the same endpoints at the same time, so an own dispatch stands for a part of theirs; half the number of hosts that
      * share the endpoints is a good value.
      */
-    readonly dispatchWeight?: number;
+    readonly dispatchWeight?: number | (() => number);
 }
 
 /** Creates an empty load table. */
@@ -130,8 +130,10 @@
         // An engine that does not know its rate or size reports 0, which would make every expected time infinite.
         const tokensPerSecond = positiveOr(report?.tokensPerSecond, this.#defaults.defaultTokensPerSecond);
         const backlog = new Backlog(report?.waitingPromptTokens ?? 0, reportedMs, tokensPerSecond);
+        const { dispatchWeight } = this.#defaults;
+        const weight = typeof dispatchWeight === "function" ? dispatchWeight() : dispatchWeight;
         for (const dispatch of endpoint?.dispatches.values() ?? []) {
-            const change = changeSince(dispatch, reportedMs, this.#defaults.dispatchWeight);
+            const change = changeSince(dispatch, reportedMs, weight);
             requests += change.requests;
             backlog.add(Math.max(dispatch.sentMs, reportedMs), change.tokens);
         }
--- a/packages/relay/src/routing/router.ts
+++ b/packages/relay/src/routing/router.ts
@@ -36,7 +36,9 @@
     readonly #directory: Directory;
     readonly #configuration: ConfigurationService;
     readonly #index: PrefixIndex = createPrefixIndex();
-    readonly #loads: LoadTable = createLoadTable();
+    readonly #loads: LoadTable = createLoadTable({ dispatchWeight: () => this.#dispatchWeight });
+    /** An own dispatch stands for part of what other hosts with the same late report send; see `LoadTableOptions`. */
+    #dispatchWeight = 1;
     readonly #watches = new Map<EndpointId, EngineWatch>();
     readonly #crashedUntilMs = new Map<EndpointId, number>();
     #startedMs = 0;
@@ -50,6 +52,7 @@
 
     start(): Promise<void> {
         this.#startedMs = this.#kernel.clock.monotonicMs();
+        this.#kernel.get<MembershipService>("membership").onChange(() => this.#updateWeight());
         this.#directory.onChange(() => this.#updateWatches());
         this.#configuration.onChange(() => this.#updateWatches());
         this.#updateWatches();
@@ -160,10 +163,20 @@
         return this.#configuration.isReady() ? this.#configuration.current().weights : { latency: 1, cost: 1 };
     }
 
+    // Half the hosts that share an engine: all of them in a small fleet, few where each host uses a subset.
+    #updateWeight(): void {
+        const hosts =
+            this.#kernel.get<MembershipService>("membership").members().filter(member => member.state === "alive").length;
+        const models = this.#configuration.head()?.configuration.models ?? [];
+        const engines = Math.max(1, ...models.map(model => this.#directory.endpoints(model.name).length));
+        this.#dispatchWeight = Math.max(1, (hosts * Math.min(1, subsetSize / engines) + 1) / 2);
+    }
+
     #updateWatches(): void {
         if (this.#isStopped) {
             return;
         }
+        this.#updateWeight();
         const models = this.#configuration.head()?.configuration.models ?? [];
         const engines = models.flatMap(model => this.#subset(this.#directory.endpoints(model.name)));
         const wanted = new Map(engines.map(engine => [brandAs<EndpointId>(engine.endpointId), engine]));
--- a/packages/relay/src/streams/task.ts
+++ b/packages/relay/src/streams/task.ts
@@ -4,18 +4,17 @@
 import type { InterruptionCause, PromptBlocks } from "@filbertrelay/policy";
 import type { Span } from "@opentelemetry/api";
 import { match } from "ts-pattern";
-import { notRun } from "../caller/error.js";
 import type { CallerIssue } from "../caller/error.js";
 import type { DirectoryEntry } from "../contract.js";
-import type { EngineChoice } from "../routing/router.js";
 import { interruptionOf } from "./attempt.js";
 import type { AttemptEnd } from "./attempt.js";
 import type { BackedUpAnswer } from "./backup.js";
 import type { StreamTaskContext } from "./context.js";
 import { streamEvents as events } from "./event.js";
+import { EngineSelection } from "./selection.js";
 
-/** How long a request waits for an engine to appear or for its turn in isolation before it asks again. */
-const waitPeriodMs = 200;
+/** Pause after a refusal, so that a request does not ask all engines within milliseconds. */
+const refusalPauseMs = 200;
 /** Before its first token a request may wait in the engine's queue, so the engine may be silent for longer. */
 const firstTokenStallFactor = 5;
 /** An answer whose first token is out goes on for at most this time without an engine. */
@@ -37,7 +36,7 @@
     readonly #span: Span;
     readonly #prompt: PromptBlocks;
     readonly #fingerprint: string;
-    readonly #excluded = new Set<EndpointId>();
+    readonly #selection: EngineSelection;
     #engine: { readonly entry: DirectoryEntry; readonly endpointId: EndpointId; } | undefined;
     #attempt = new AbortController();
     #relocation: InterruptionCause | undefined;
@@ -47,11 +46,8 @@
     /** When the answer was interrupted without a token since; monotonic. */
     #interruptedMs: number | undefined;
     #wasSent = false;
-    #hasReservation = false;
     /** Why the answer last went to another engine. */
     #interruption: InterruptionCause | undefined;
-    #avoided: DirectoryEntry | undefined;
-    #preferred: EndpointId | undefined;
 
     constructor(source: BackedUpAnswer, span: Span, context: StreamTaskContext) {
         this.source = source;
@@ -59,6 +55,11 @@
         this.#context = context;
         this.#prompt = hashPrefixBlocks(source.request.messages);
         this.#fingerprint = fingerprintRequest(source.answer.customer, source.request.model, source.request.messages);
+        this.#selection = new EngineSelection(context, {
+            model: source.request.model,
+            prompt: this.#prompt,
+            fingerprint: this.#fingerprint,
+        });
     }
 
     /** The engine that generates now. */
@@ -84,7 +85,7 @@
                 break;
             }
         }
-        this.#releaseReservation();
+        this.#selection.release();
         if (end.type === "finished") {
             this.#finish(end.item);
         }
@@ -93,7 +94,7 @@
     /** Leaves the present engine: the answer goes on elsewhere, at the preferred engine if it can take it. */
     relocate(cause: InterruptionCause, preferred?: EndpointId): void {
         this.#relocation = cause;
-        this.#preferred = preferred;
+        this.#selection.prefer(preferred);
         this.#attempt.abort(new Error("The stream leaves the engine."));
     }
 
@@ -104,12 +105,19 @@
     }
 
     async #dispatch(isFirst: boolean): Promise<AttemptEnd> {
-        const choice = await this.#waitForEngine();
-        if (choice === undefined) {
+        const { answer, request } = this.source;
+        const { router, explanations, engines, kernel } = this.#context;
+        const selected = await this.#selection.choose({
+            limitAt: answer.length > 0 ? kernel.clock.now().getTime() + recoveryLimitMs : request.deadlineAt,
+            isStopped: () => this.#isStopped,
+        });
+        if (selected.type !== "chosen") {
+            if (selected.type === "failed") {
+                this.#fail({ ...selected.issue, executed: this.#wasSent ? "unknown" : "no" });
+            }
             return { type: "stopped" };
         }
-        const { answer, request } = this.source;
-        const { router, explanations, engines } = this.#context;
+        const { choice } = selected;
         const prefix = answer.tokensFrom(0);
         explanations.add(answer.requestId, isFirst ? "engine chosen" : "answer continued on another engine", {
             endpoint: choice.endpointId,
@@ -278,9 +286,7 @@
                 // Only the path to the engine may be broken; a generation that nobody reads would keep its slot.
                 void this.#context.engines.cancel(engine.entry.address, answer.requestId);
             }
-            this.#excluded.clear();
-            this.#excluded.add(engine.endpointId);
-            this.#avoided = cause === "reclaimed" || cause === "crashed" ? engine.entry : undefined;
+            this.#selection.leaveOut(engine.entry, engine.endpointId, cause);
         }
         if (!await this.#waitForRetry(cause)) {
             this.#fail({
@@ -310,7 +316,7 @@
         const { retries, kernel } = this.#context;
         const { answer, request } = this.source;
         if (cause === "refused") {
-            await kernel.clock.sleep(waitPeriodMs);
+            await kernel.clock.sleep(refusalPauseMs);
         }
         while (!this.#isStopped) {
             const needsBudget = cause !== "reclaimed" && cause !== "refused" && answer.length === 0;
@@ -323,67 +329,6 @@
         return true;
     }
 
-    async #waitForEngine(): Promise<EngineChoice | undefined> {
-        const { kernel, suspects } = this.#context;
-        const { answer, request } = this.source;
-        const startedMs = kernel.clock.now().getTime();
-        this.#releaseReservation();
-        await suspects.shared();
-        while (!this.#isStopped) {
-            const decision = suspects.decide(this.#fingerprint);
-            if (decision.type === "reject") {
-                this.#fail({
-                    status: 422,
-                    code: "stream.crashesEndpoints",
-                    message: "This request was in progress at two crashes of engines and is refused for a while.",
-                    executed: this.#wasSent ? "unknown" : "no",
-                    retryAfterMs: decision.retryAfterMs,
-                });
-                return undefined;
-            }
-            const choice = decision.type === "wait" ? undefined : this.#choose();
-            const isUsable = decision.type !== "isolate" ||
-                (choice !== undefined && await suspects.reserve(this.#fingerprint, choice.endpointId));
-            if (choice !== undefined && isUsable) {
-                this.#hasReservation = decision.type === "isolate";
-                return choice;
-            }
-            const limitMs = answer.length > 0 ? startedMs + recoveryLimitMs : request.deadlineAt;
-            if (kernel.clock.now().getTime() >= limitMs) {
-                this.#fail(
-                    notRun(503, "stream.noEngine", `The model '${request.model}' has no engine that can take the request.`, {
-                        executed: this.#wasSent ? "unknown" : "no",
-                        retryAfterMs: 1_000,
-                    }),
-                );
-                return undefined;
-            }
-            await kernel.clock.sleep(waitPeriodMs);
-        }
-        return undefined;
-    }
-
-    #releaseReservation(): void {
-        if (this.#hasReservation) {
-            this.#hasReservation = false;
-            this.#context.suspects.release(this.#fingerprint);
-        }
-    }
-
-    #choose(): EngineChoice | undefined {
-        const { router, suspects } = this.#context;
-        const isolated = suspects.isolatedEndpoints();
-        const avoidedFailureDomains = new Set(this.#avoided === undefined ? [] : [this.#avoided.failureDomain]);
-        const preferred = this.#preferred;
-        this.#preferred = undefined;
-        const chosen = [new Set([...this.#excluded, ...isolated]), isolated]
-            .map(excluded =>
-                router.choose(this.source.request.model, this.#prompt, { excluded, avoidedFailureDomains, preferred })
-            )
-            .find(choice => choice.ok);
-        return chosen?.ok === true ? chosen.value : undefined;
-    }
-
     #finish(item: Extract<EngineItem, { type: "finish"; }>): void {
         const { metrics } = this.#context;
         const { answer } = this.source;
