Wait for hosts that are being started before a fleet ends

Cause: in one run on a loaded machine (load 58) the engine of a provisioned host was left running after the fleet's stop and kept the test runner from ending; its start was in progress when the other processes were killed. Change: the provisioner polls one at a time, and stop waits for the start in progress.

--- a/packages/client/src/fleet/fleet.ts
+++ b/packages/client/src/fleet/fleet.ts
@@ -216,7 +216,7 @@
     /** Kills every process and removes the directory. */
     async stop(): Promise<void> {
         this.#isStopping = true;
-        this.#provisioner.stop();
+        await this.#provisioner.stop();
         const { keyValue, cloud, hostList, weightStore } = this.platform;
         const processes = [...this.hosts.values(), keyValue, cloud, hostList, weightStore].map(part => part.process);
         await Promise.all(processes.map(process => process.kill()));
--- a/packages/client/src/fleet/provisioner.ts
+++ b/packages/client/src/fleet/provisioner.ts
@@ -23,6 +23,7 @@
     readonly #start: (host: PlannedHost) => Promise<void>;
     readonly #seen = new Set<string>();
     #timer: NodeJS.Timeout | undefined;
+    #polling: Promise<void> | undefined;
 
     constructor(options: { readonly cloudUrl: string; readonly start: (host: PlannedHost) => Promise<void>; }) {
         this.#cloudUrl = options.cloudUrl;
@@ -31,12 +32,17 @@
 
     /** Starts to poll. */
     start(): void {
-        this.#timer = setInterval(() => void this.#poll(), pollIntervalMs);
+        this.#timer = setInterval(() => {
+            this.#polling ??= this.#poll().finally(() => {
+                this.#polling = undefined;
+            });
+        }, pollIntervalMs);
     }
 
-    /** Stops polling; hosts that are being started are still started. */
-    stop(): void {
+    /** Stops polling and waits for starts in progress, so that the processes they start can be ended. */
+    async stop(): Promise<void> {
         clearInterval(this.#timer);
+        await this.#polling;
     }
 
     async #poll(): Promise<void> {
