--- a/packages/relay/src/streams/task.ts
+++ b/packages/relay/src/streams/task.ts
@@ -1,31 +1,20 @@
 import type { EndpointIssue, EngineItem } from "@filbertrelay/endpoints";
 import type { EndpointId } from "@filbertrelay/kernel";
-import { declareEvents } from "@filbertrelay/kernel";
 import { fingerprintRequest, hashPrefixBlocks, planRecovery } from "@filbertrelay/policy";
 import type { InterruptionCause, PromptBlocks } from "@filbertrelay/policy";
 import type { Span } from "@opentelemetry/api";
 import { match } from "ts-pattern";
-import { notRun } from "../caller/error.js";
 import type { CallerIssue } from "../caller/error.js";
 import type { DirectoryEntry } from "../contract.js";
-import type { EngineChoice } from "../routing/router.js";
 import { interruptionOf } from "./attempt.js";
 import type { AttemptEnd } from "./attempt.js";
 import type { BackedUpAnswer } from "./backup.js";
 import type { StreamTaskContext } from "./context.js";
+import { streamEvents as events } from "./event.js";
+import { EngineSelection } from "./selection.js";
 
-const events = declareEvents({
-    interrupted: { number: 4001, level: "info", text: "A stream from an engine was interrupted and goes on.", action: "None." },
-    failed: {
-        number: 4002,
-        level: "warn",
-        text: "A model request failed for good.",
-        action: "Look at 'explain' for the request; check the engines of the model.",
-    },
-});
-
-/** How long a request waits for an engine to appear or for its turn in isolation before it asks again. */
-const waitPeriodMs = 200;
+/** Pause after a refusal, so that a request does not ask all engines within milliseconds. */
+const refusalPauseMs = 200;
 /** Before its first token a request may wait in the engine's queue, so the engine may be silent for longer. */
 const firstTokenStallFactor = 5;
 /** An answer whose first token is out goes on for at most this time without an engine. */
@@ -47,19 +36,18 @@
     readonly #span: Span;
     readonly #prompt: PromptBlocks;
     readonly #fingerprint: string;
-    readonly #excluded = new Set<EndpointId>();
+    readonly #selection: EngineSelection;
     #engine: { readonly entry: DirectoryEntry; readonly endpointId: EndpointId; } | undefined;
     #attempt = new AbortController();
     #relocation: InterruptionCause | undefined;
     #isStopped = false;
     #reconnects = 0;
     #attemptsElsewhere = 0;
+    /** When the answer was interrupted without a token since; monotonic. */
+    #interruptedMs: number | undefined;
     #wasSent = false;
-    #hasReservation = false;
     /** Why the answer last went to another engine. */
     #interruption: InterruptionCause | undefined;
-    #avoided: DirectoryEntry | undefined;
-    #preferred: EndpointId | undefined;
 
     constructor(source: BackedUpAnswer, span: Span, context: StreamTaskContext) {
         this.source = source;
@@ -67,6 +55,11 @@
         this.#context = context;
         this.#prompt = hashPrefixBlocks(source.request.messages);
         this.#fingerprint = fingerprintRequest(source.answer.customer, source.request.model, source.request.messages);
+        this.#selection = new EngineSelection(context, {
+            model: source.request.model,
+            prompt: this.#prompt,
+            fingerprint: this.#fingerprint,
+        });
     }
 
     /** The engine that generates now. */
@@ -85,14 +78,14 @@
             if (this.#planReconnect(end.cause)) {
                 end = await this.#reconnect();
             }
-            else if (this.#mayGoElsewhere(end.cause, end.issue)) {
+            else if (await this.#mayGoElsewhere(end.cause, end.issue)) {
                 end = await this.#dispatch(false);
             }
             else {
                 break;
             }
         }
-        this.#releaseReservation();
+        this.#selection.release();
         if (end.type === "finished") {
             this.#finish(end.item);
         }
@@ -101,7 +94,7 @@
     /** Leaves the present engine: the answer goes on elsewhere, at the preferred engine if it can take it. */
     relocate(cause: InterruptionCause, preferred?: EndpointId): void {
         this.#relocation = cause;
-        this.#preferred = preferred;
+        this.#selection.prefer(preferred);
         this.#attempt.abort(new Error("The stream leaves the engine."));
     }
 
@@ -112,12 +105,19 @@
     }
 
     async #dispatch(isFirst: boolean): Promise<AttemptEnd> {
-        const choice = await this.#waitForEngine();
-        if (choice === undefined) {
+        const { answer, request } = this.source;
+        const { router, explanations, engines, kernel } = this.#context;
+        const selected = await this.#selection.choose({
+            limitAt: answer.length > 0 ? kernel.clock.now().getTime() + recoveryLimitMs : request.deadlineAt,
+            isStopped: () => this.#isStopped,
+        });
+        if (selected.type !== "chosen") {
+            if (selected.type === "failed") {
+                this.#fail({ ...selected.issue, executed: this.#wasSent ? "unknown" : "no" });
+            }
             return { type: "stopped" };
         }
-        const { answer, request } = this.source;
-        const { router, explanations, engines } = this.#context;
+        const { choice } = selected;
         const prefix = answer.tokensFrom(0);
         explanations.add(answer.requestId, isFirst ? "engine chosen" : "answer continued on another engine", {
             endpoint: choice.endpointId,
@@ -228,6 +228,8 @@
                     return { type: "interrupted", cause: "connectionLost" };
                 }
                 this.#reconnects = 0;
+                this.#attemptsElsewhere = 0;
+                this.#interruptedMs = undefined;
                 continue;
             }
             if (item.type === "finish") {
@@ -250,12 +252,13 @@
     }
 
     #planReconnect(cause: InterruptionCause): boolean {
-        return this.#engine !== undefined && this.#plan(cause).action === "reconnect";
+        return this.#engine !== undefined && this.#plan(cause, true).action === "reconnect";
     }
 
-    #plan(cause: InterruptionCause): ReturnType<typeof planRecovery> {
+    #plan(cause: InterruptionCause, retryAllowed: boolean): ReturnType<typeof planRecovery> {
         const { answer, request } = this.source;
-        const nowMs = this.#context.kernel.clock.now().getTime();
+        const { clock } = this.#context.kernel;
+        this.#interruptedMs ??= clock.monotonicMs();
         return planRecovery({
             cause,
             endpointId: this.#engine?.endpointId ?? ("" as EndpointId),
@@ -263,29 +266,29 @@
             forwardedTokens: answer.length,
             reconnects: this.#reconnects,
             attemptsElsewhere: this.#attemptsElsewhere,
-            remainingMs: answer.length > 0 ? recoveryLimitMs : request.deadlineAt - nowMs,
-            retryAllowed: true,
+            remainingMs: answer.length > 0 ?
+                this.#interruptedMs + recoveryLimitMs - clock.monotonicMs() :
+                request.deadlineAt - clock.now().getTime(),
+            retryAllowed,
         });
     }
 
     // False when the answer failed for good. A crash is charged to the requests in progress before the next engine is chosen.
-    #mayGoElsewhere(cause: InterruptionCause, issue: EndpointIssue | undefined): boolean {
-        const { answer, request } = this.source;
-        const { suspects, retries, metrics, kernel, explanations } = this.#context;
+    async #mayGoElsewhere(cause: InterruptionCause, issue: EndpointIssue | undefined): Promise<boolean> {
+        const { answer } = this.source;
+        const { suspects, metrics, kernel, explanations } = this.#context;
         const engine = this.#engine;
         if (engine !== undefined) {
             if (cause === "crashed") {
                 suspects.recordCrash(engine.endpointId, this.#fingerprint);
             }
-            this.#excluded.clear();
-            this.#excluded.add(engine.endpointId);
-            this.#avoided = cause === "reclaimed" || cause === "crashed" ? engine.entry : undefined;
+            if (cause === "stalled") {
+                // Only the path to the engine may be broken; a generation that nobody reads would keep its slot.
+                void this.#context.engines.cancel(engine.entry.address, answer.requestId);
+            }
+            this.#selection.leaveOut(engine.entry, engine.endpointId, cause);
         }
-        const plan = this.#plan(cause);
-        // A refused connection costs no engine anything, so it neither counts as an attempt nor needs a retry's budget.
-        const isUnreached = issue?.code === "endpoint.unreachable";
-        const needsBudget = cause !== "reclaimed" && answer.length === 0 && !isUnreached;
-        if (plan.action === "fail" || (needsBudget && !retries.tryRetry(answer.customer, request.model))) {
+        if (!await this.#waitForRetry(cause)) {
             this.#fail({
                 status: 502,
                 code: "stream.interrupted",
@@ -294,7 +297,8 @@
             });
             return false;
         }
-        this.#attemptsElsewhere += isUnreached ? 0 : 1;
+        // A refusal cost the engine nothing, so it does not count as an attempt.
+        this.#attemptsElsewhere += cause === "refused" ? 0 : 1;
         this.#interruption = cause;
         metrics.increment(`streams.interrupted.${cause}`);
         explanations.add(answer.requestId, "interrupted", { cause, issue: issue?.code, offset: answer.length });
@@ -307,65 +311,22 @@
         return true;
     }
 
-    async #waitForEngine(): Promise<EngineChoice | undefined> {
-        const { kernel, suspects } = this.#context;
+    // Waits while the retry budget is used up; false when the answer can't go on. A refusal is followed by a pause.
+    async #waitForRetry(cause: InterruptionCause): Promise<boolean> {
+        const { retries, kernel } = this.#context;
         const { answer, request } = this.source;
-        const startedMs = kernel.clock.now().getTime();
-        this.#releaseReservation();
-        await suspects.shared();
+        if (cause === "refused") {
+            await kernel.clock.sleep(refusalPauseMs);
+        }
         while (!this.#isStopped) {
-            const decision = suspects.decide(this.#fingerprint);
-            if (decision.type === "reject") {
-                this.#fail({
-                    status: 422,
-                    code: "stream.crashesEndpoints",
-                    message: "This request was in progress at two crashes of engines and is refused for a while.",
-                    executed: this.#wasSent ? "unknown" : "no",
-                    retryAfterMs: decision.retryAfterMs,
-                });
-                return undefined;
-            }
-            const choice = decision.type === "wait" ? undefined : this.#choose();
-            const isUsable = decision.type !== "isolate" ||
-                (choice !== undefined && await suspects.reserve(this.#fingerprint, choice.endpointId));
-            if (choice !== undefined && isUsable) {
-                this.#hasReservation = decision.type === "isolate";
-                return choice;
-            }
-            const limitMs = answer.length > 0 ? startedMs + recoveryLimitMs : request.deadlineAt;
-            if (kernel.clock.now().getTime() >= limitMs) {
-                this.#fail(
-                    notRun(503, "stream.noEngine", `The model '${request.model}' has no engine that can take the request.`, {
-                        executed: this.#wasSent ? "unknown" : "no",
-                        retryAfterMs: 1_000,
-                    }),
-                );
-                return undefined;
+            const needsBudget = cause !== "reclaimed" && cause !== "refused" && answer.length === 0;
+            const plan = this.#plan(cause, !needsBudget || retries.tryRetry(answer.customer, request.model));
+            if (plan.action !== "wait") {
+                return plan.action !== "fail";
             }
-            await kernel.clock.sleep(waitPeriodMs);
+            await kernel.clock.sleep(plan.retryAfterMs);
         }
-        return undefined;
-    }
-
-    #releaseReservation(): void {
-        if (this.#hasReservation) {
-            this.#hasReservation = false;
-            this.#context.suspects.release(this.#fingerprint);
-        }
-    }
-
-    #choose(): EngineChoice | undefined {
-        const { router, suspects } = this.#context;
-        const isolated = suspects.isolatedEndpoints();
-        const avoidedFailureDomains = new Set(this.#avoided === undefined ? [] : [this.#avoided.failureDomain]);
-        const preferred = this.#preferred;
-        this.#preferred = undefined;
-        const chosen = [new Set([...this.#excluded, ...isolated]), isolated]
-            .map(excluded =>
-                router.choose(this.source.request.model, this.#prompt, { excluded, avoidedFailureDomains, preferred })
-            )
-            .find(choice => choice.ok);
-        return chosen?.ok === true ? chosen.value : undefined;
+        return true;
     }
 
     #finish(item: Extract<EngineItem, { type: "finish"; }>): void {
