--- a/packages/endpoints/src/engine.ts
+++ b/packages/endpoints/src/engine.ts
@@ -31,6 +31,8 @@
     readonly seed: number;
     /** Smaller is more urgent. */
     readonly priority: number;
+    /** Sampling members of the chat-completions form, passed on as they are (temperature, top_p, stop). */
+    readonly sampling?: Readonly<Record<string, number | string | readonly string[]>>;
     /** Tokens of the answer that are already known; generation goes on behind them. */
     readonly prefix?: readonly string[];
 }
@@ -61,6 +63,7 @@
     readonly runningRequests: number;
     readonly waitingRequests: number;
     readonly waitingPromptTokens: number;
+    /** Prompt tokens that the engine computes per second when it is busy; 0 when it does not know. */
     readonly tokensPerSecond: number;
     readonly batchSlots: number;
 }
@@ -81,6 +84,14 @@
     readonly role: "mixed" | "prefill" | "decode";
 }
 
+/** What an engine has loaded; `loading` is true while it changes. */
+export interface EngineState {
+    readonly model: string;
+    readonly modelVersion: string;
+    readonly adapters: readonly string[];
+    readonly loading: boolean;
+}
+
 /** Talks to model engines; registered in the kernel as `engines`. */
 export interface EngineDriver {
     /** Starts a generation. Ends with an issue when nothing arrives for `silenceMs`. */
@@ -108,6 +119,8 @@
     /** Moves the KV cache of a generation to another engine; gives the number of tokens moved. */
     moveCache(fromAddress: string, toAddress: string, requestId: RequestId): Promise<Outcome<number, EndpointIssue>>;
     sendOrder(address: string, order: EngineOrder): Promise<Outcome<undefined, EndpointIssue>>;
+    /** Reads what the engine has loaded. */
+    readState(address: string): Promise<Outcome<EngineState, EndpointIssue>>;
 }
 
 /** An endpoint as the routing sees it. */
--- /dev/null
+++ b/packages/relay/src/membership/seeding.ts
@@ -0,0 +1,45 @@
+import type { EventLog, HostId } from "@filbertrelay/kernel";
+import type { HostListClient } from "@filbertrelay/platform";
+import type { TcpPeerNetwork } from "@filbertrelay/wire";
+import { membershipEvents } from "./event.js";
+
+// Each host that is asked sends its whole table; two suffice unless one of them is just failing.
+const hostsPerAttempt = 2;
+
+/** Where a host looks for its first members. */
+export interface SeedingOptions {
+    readonly log: EventLog;
+    readonly network: TcpPeerNetwork;
+    readonly hostList: HostListClient;
+    readonly self: HostId;
+    readonly ownAddress: string;
+    /** Peer addresses from the settings. */
+    readonly seeds: readonly string[];
+    /** Members that need no seeding. */
+    readonly isKnown: (hostId: HostId) => boolean;
+}
+
+/** Finds the hosts behind a few seeds by their handshakes. */
+export async function identifySeeds({ network, seeds, ownAddress }: SeedingOptions): Promise<readonly HostId[]> {
+    const chosen = shuffle(seeds.filter(address => address !== ownAddress)).slice(0, hostsPerAttempt);
+    const identified = await Promise.all(chosen.map(address => network.identify(address)));
+    return [...new Set(identified.flatMap(outcome => outcome.ok ? [outcome.value] : []))];
+}
+
+/** Finds a few entry hosts in the host list that are not known as members. */
+export async function readHostList({ hostList, network, log, self, isKnown }: SeedingOptions): Promise<readonly HostId[]> {
+    const listed = await hostList.list();
+    if (!listed.ok) {
+        log.write(membershipEvents.hostListUnavailable, { reason: listed.issue.message });
+        return [];
+    }
+    const hosts = listed.value.filter(({ role, hostId }) => role === "entry" && hostId !== self && !isKnown(hostId));
+    hosts.forEach(({ hostId, address }) => network.setAddress(hostId, address));
+    return shuffle(hosts.map(({ hostId }) => hostId)).slice(0, hostsPerAttempt);
+}
+
+function shuffle<T>(items: readonly T[]): T[] {
+    return items.map(item => ({ item, order: Math.random() })).sort((left, right) => left.order - right.order).map(({ item }) =>
+        item
+    );
+}
--- a/scripts/test.mjs
+++ b/scripts/test.mjs
@@ -18,6 +18,8 @@
         "features/steps/**/*.ts",
         "--format",
         "progress",
+        "--parallel",
+        "4",
         "--format",
         `message:${resultFile}`,
         ...process.argv.slice(2),
