Compare outcomes of a key by the time they were asked for

Change: a result counts as lost only if a submission that started after a caller had it does not get it. Conclusion: submissions at the same time may differ; a result that was told is still demanded from every later submission.

--- a/features/steps/promises.fleet.ts
+++ b/features/steps/promises.fleet.ts
@@ -60,6 +60,8 @@
     readonly key: string;
     readonly customer: string;
     readonly answers: ServiceAnswer[];
+    /** When each answer was asked for and came; monotonic. */
+    readonly times: { readonly startedMs: number; readonly endedMs: number; }[];
 }
 
 /** Entry points whose first choice is fixed, and whose addresses can be replaced by those of a proxy. */
@@ -164,8 +166,9 @@
         options: { customer?: string; failureDomain?: string; first?: string; } = {},
     ): Promise<ServiceAnswer> {
         const customer = options.customer ?? customers[0]!;
-        const sent = this.sent.get(`${customer} ${key}`) ?? { key, customer, answers: [] };
+        const sent = this.sent.get(`${customer} ${key}`) ?? { key, customer, answers: [], times: [] };
         this.sent.set(`${customer} ${key}`, sent);
+        const startedMs = clock.monotonicMs();
         const answer = await callService(this.context(options), {
             customerKey: customerKey(customer),
             service: "booking",
@@ -177,6 +180,7 @@
             patienceMs: limitMs,
         });
         sent.answers.push(answer);
+        sent.times.push({ startedMs, endedMs: clock.monotonicMs() });
         return answer;
     }
 
@@ -233,14 +237,16 @@
         this.#checkSameAnswers();
     }
 
-    // A recorded result never changes, and a result that was given once is given again.
+    // A recorded result never changes, and a result that was given is given again to whoever asks after that. Submissions at
+    // the same time may get different outcomes: one can be answered before the result is known and delivered after it.
     #checkSameAnswers(): void {
-        for (const { key, answers } of this.sent.values()) {
+        for (const { key, answers, times } of this.sent.values()) {
             const bodies = new Set(answers.filter(answer => answer.outcome === "done").map(answer => answer.body));
             assert.ok(bodies.size <= 1, `The key '${key}' got different answers: ${[...bodies].join(" ")}`);
-            const firstDone = answers.findIndex(answer => answer.outcome === "done");
+            const isDone = (index: number): boolean => answers[index]?.outcome === "done";
+            const knownMs = Math.min(Infinity, ...times.filter((...[, index]) => isDone(index)).map(time => time.endedMs));
             assert.ok(
-                firstDone < 0 || answers.slice(firstDone).every(answer => answer.outcome === "done"),
+                times.every(({ startedMs }, index) => isDone(index) || startedMs <= knownMs),
                 `The key '${key}' lost its result: ${answers.map(answer => answer.outcome).join(", ")}`,
             );
         }
