--- a/packages/emulator/src/engine/engine.ts
+++ b/packages/emulator/src/engine/engine.ts
@@ -5,6 +5,8 @@
 import { BlockCache } from "./cache.js";
 import { EngineHistory } from "./history.js";
 import type { EngineCacheEvent, EngineLoadReport } from "./history.js";
+import { describeEnd, missingTokens } from "./sequence.js";
+import type { Sequence } from "./sequence.js";
 
 /** A generation that an engine is asked for. */
 export interface EngineSubmission {
@@ -67,20 +69,6 @@
     readonly crashesOn?: (submission: EngineSubmission) => boolean;
 }
 
-interface Sequence {
-    readonly submission: EngineSubmission;
-    readonly listener: EngineListener;
-    readonly answerTokens: number;
-    readonly contextTokens: number;
-    readonly privateBlocks: number;
-    /** Tokens not cached when the request arrived; an estimate for load reports while it waits. */
-    readonly estimatedTokens: number;
-    cachedTokens: number;
-    computedTokens: number;
-    pinnedBlocks: number;
-    generatedTokens: number;
-}
-
 /** A model engine with continuous batching, a prefix cache and a waiting queue, driven by a clock. */
 export class EmulatedEngine {
     readonly #clock: Clock;
@@ -386,17 +374,3 @@
         });
     }
 }
-
-function missingTokens(sequence: Sequence): number {
-    return sequence.contextTokens - sequence.cachedTokens - sequence.computedTokens;
-}
-
-function describeEnd(sequence: Sequence, reason: EngineEnd["reason"]): EngineEnd {
-    return {
-        reason,
-        promptTokens: sequence.submission.prompt.promptTokens,
-        cachedTokens: sequence.cachedTokens,
-        computedTokens: sequence.computedTokens,
-        generatedTokens: sequence.generatedTokens,
-    };
-}
--- a/packages/policy/src/shards/machine.ts
+++ b/packages/policy/src/shards/machine.ts
@@ -1,3 +1,4 @@
+import { handleTakeoverWritten } from "./claim.js";
 import { flushStore, handleRead, handleWritten } from "./commit.js";
 import { drainQueue, expireWaiters, handleQueried, handleSent, submitToOwner } from "./entry.js";
 import type { PeerReply, PeerRequest, ShardInput, SubmitInput } from "./message.js";
@@ -5,15 +6,7 @@
 import { handleRequest } from "./standby.js";
 import { cloneState, isServing, wake } from "./state.js";
 import type { ShardState, Step, StepResult, TimedInput } from "./state.js";
-import {
-    advance,
-    continueTakeover,
-    handleHosts,
-    handleTakeoverRead,
-    handleTakeoverReply,
-    handleTakeoverWritten,
-    startTakeover,
-} from "./takeover.js";
+import { advance, continueTakeover, handleHosts, handleTakeoverRead, handleTakeoverReply, startTakeover } from "./takeover.js";
 import { holderKey, holderSetOf, isNewerSet, isSameHolder } from "./value.js";
 import type { Holder, HolderSet } from "./value.js";
 import { completeChange, flushWitness, handleCopied, handleHolders, requiredStandbys } from "./witness.js";
--- a/packages/policy/src/shards/message.ts
+++ b/packages/policy/src/shards/message.ts
@@ -92,22 +92,21 @@
     | { readonly type: "sent"; readonly intent: string; readonly endpoint: string; readonly outcome: AttemptOutcome; }
     | { readonly type: "queried"; readonly key: string; readonly response: StoredResponse | undefined; };
 
+/** Why a submission has no answer. */
+export type ShardRefusalCode =
+    | "shard.notOwned"
+    | "shard.noWitness"
+    | "shard.unavailable"
+    | "shard.unknown"
+    | "shard.keyReused"
+    | "shard.overloaded"
+    | "shard.expired"
+    | "endpoint.refused";
+
 /** The answer to a submission. */
 export type ShardAnswer =
     | { readonly ok: true; readonly response: StoredResponse; }
-    | {
-        readonly ok: false;
-        readonly code:
-            | "shard.notOwned"
-            | "shard.noWitness"
-            | "shard.unavailable"
-            | "shard.unknown"
-            | "shard.keyReused"
-            | "shard.overloaded"
-            | "shard.expired"
-            | "endpoint.refused";
-        readonly executed: "no" | "unknown" | "yes";
-    };
+    | { readonly ok: false; readonly code: ShardRefusalCode; readonly executed: "no" | "unknown" | "yes"; };
 
 /** What the machine wants done; every effect but `answer`, `reply` and `wake` leads to one later input. */
 export type ShardEffect =
--- a/packages/policy/src/shards/standby.ts
+++ b/packages/policy/src/shards/standby.ts
@@ -1,9 +1,10 @@
+import { createOwner } from "./claim.js";
 import { loseOwnership } from "./commit.js";
 import { answerOf, answerWaiters, changeEntry, drainQueue, settles } from "./entry.js";
 import type { PeerReply, PeerRequest } from "./message.js";
 import { actingSet, isInForce, wake } from "./state.js";
 import type { OwnerState, ShardState, Step } from "./state.js";
-import { createOwner, startTakeover } from "./takeover.js";
+import { startTakeover } from "./takeover.js";
 import { isNewerSet, isSameHolder, newerEntry } from "./value.js";
 import type { Holder, HolderSet, ShardEntry } from "./value.js";
 
--- a/packages/policy/src/shards/takeover.ts
+++ b/packages/policy/src/shards/takeover.ts
@@ -1,9 +1,8 @@
-import { refreshStandbys } from "./commit.js";
-import { adoptEntries } from "./entry.js";
+import { becomeOwner, claim } from "./claim.js";
 import type { Candidate, PeerReply, PeerRequest } from "./message.js";
-import { isInForce, nextToken, wake } from "./state.js";
-import type { OwnerState, ShardState, Step, Takeover } from "./state.js";
-import { holderKey, holderSetOf, isNewerSet, isSameHolder, mergeCopies, newerEntry } from "./value.js";
+import { isInForce, wake } from "./state.js";
+import type { ShardState, Step, Takeover } from "./state.js";
+import { holderKey, holderSetOf, isNewerSet, isSameHolder, newerEntry } from "./value.js";
 import type { Holder, HolderSet, ShardEntry, ShardValue, VersionedValue } from "./value.js";
 import { noteAbsence } from "./witness.js";
 
@@ -342,106 +341,3 @@
     pause(step, takeover);
     step.effects.push({ type: "listHosts" });
 }
-
-function claim(step: Step, takeover: Takeover, base: VersionedValue | undefined): void {
-    const { state } = step;
-    const { self } = state.options;
-    const entries = base === undefined ? [] : mergeCopies(base.value, takeover.copies.values()).values();
-    const lostUntilMs = takeover.isLastResort ? state.nowMs + state.options.resultRetentionMs : 0;
-    const value: ShardValue = {
-        epoch: (base?.value.epoch ?? 0) + 1,
-        change: 0,
-        owner: self,
-        standbys: refreshStandbys(state, self, base?.value.standbys ?? []),
-        writer: nextToken(state),
-        sequence: Math.max(base?.value.sequence ?? 0, ...[...takeover.copies.values()].map(copy => copy.revision)),
-        entries: [...adoptEntries(state, entries).values()].filter(entry => entry.state !== "notRun"),
-        unknownUntilMs: Math.max(base?.value.unknownUntilMs ?? 0, lostUntilMs),
-    };
-    takeover.stage = "writing";
-    takeover.retryAtMs = 0;
-    takeover.write = { token: value.writer, issued: state.counter, value, isUncertain: false };
-    step.effects.push({ type: "write", token: value.writer, expectedVersion: base?.version ?? 0, value });
-}
-
-/** Handles the outcome of the takeover's compare-and-swap. */
-export function handleTakeoverWritten(
-    step: Step,
-    takeover: Takeover,
-    token: string,
-    result: number | "conflict" | "unavailable",
-): void {
-    const write = takeover.write;
-    if (write?.token !== token || takeover.stage !== "writing") {
-        return;
-    }
-    if (typeof result === "number") {
-        becomeOwner(step, result, write.value);
-        return;
-    }
-    takeover.stage = "reading";
-    step.effects.push({ type: "read" });
-}
-
-function becomeOwner(step: Step, version: number, value: ShardValue): void {
-    const { state } = step;
-    const { takeover } = state;
-    const owner = createOwner(state, version, value, value.sequence);
-    state.confirmed = Math.max(state.confirmed, takeover?.write?.issued ?? 0);
-    state.takeover = undefined;
-    state.owner = owner;
-    dropPromisedCopies(step, owner, takeover);
-}
-
-/** The state of an owner that starts from a value. */
-export function createOwner(state: ShardState, version: number, value: ShardValue, storedSequence: number): OwnerState {
-    state.known = holderSetOf(value);
-    state.copies = new Map();
-    return {
-        epoch: value.epoch,
-        change: value.change,
-        standbys: value.standbys,
-        highestChange: value.change,
-        mode: "store",
-        version,
-        sequence: value.sequence,
-        storedSequence,
-        entries: adoptEntries(state, value.entries),
-        sealed: new Map(),
-        hasSegments: false,
-        isReadingSegments: false,
-        isSealing: false,
-        unknownUntilMs: value.unknownUntilMs,
-        write: undefined,
-        uncertainSets: [],
-        droppedStandbys: [],
-        acknowledgements: new Map(),
-        holderChange: undefined,
-        successor: undefined,
-        tokens: state.options.writeBurst,
-        refilledAtMs: state.nowMs,
-        dirtySinceMs: undefined,
-        readIssued: undefined,
-        nextReadAtMs: 0,
-    };
-}
-
-/** Tells the standbys that promised that the new value contains their copies. */
-function dropPromisedCopies(step: Step, owner: OwnerState, takeover: Takeover | undefined): void {
-    const { state } = step;
-    const set = { epoch: owner.epoch, change: owner.change, owner: state.options.self, standbys: owner.standbys };
-    const { sequence } = owner;
-    for (const standby of takeover?.required ?? []) {
-        if (takeover?.promised.has(holderKey(standby)) === true && !isSameHolder(standby, state.options.self)) {
-            const request: PeerRequest = {
-                type: "copy",
-                set,
-                sequence,
-                issued: state.counter,
-                storedSequence: sequence,
-                entries: [],
-            };
-            step.effects.push({ type: "call", to: standby, request });
-        }
-    }
-}
--- a/packages/relay/src/contract.ts
+++ b/packages/relay/src/contract.ts
@@ -13,6 +13,7 @@
     Service,
     ServiceName,
 } from "@filbertrelay/kernel";
+import type { ShardRefusalCode } from "@filbertrelay/policy";
 
 /** The state of an entry host as this daemon knows it. */
 export interface Member {
@@ -76,15 +77,7 @@
 
 /** Why a submission has no answer. */
 export interface SubmissionIssue extends Issue {
-    readonly code:
-        | "shard.notOwned"
-        | "shard.noWitness"
-        | "shard.unavailable"
-        | "shard.unknown"
-        | "shard.keyReused"
-        | "shard.overloaded"
-        | "shard.expired"
-        | "endpoint.refused";
+    readonly code: ShardRefusalCode;
     readonly executed: "no" | "unknown" | "yes";
 }
 
