Write the capacity page and ask for every key of a paused owner

Change: the page with its figures; the scenario sends all keys again while the owner is paused, so every shard is needed.

--- a/features/steps/promises.keys.ts
+++ b/features/steps/promises.keys.ts
@@ -47,6 +47,8 @@
     promises.chosen = owner;
     const before = (await promises.status(owner)).shards;
     promises.fleet.pause(owner);
+    // A shard that nobody asks for stays with its silent owner until it is needed, so every key is asked for again.
+    promises.openKeys.push(sendToThree(promises, [...promises.sent.values()]));
     await waitFor("other hosts to own the shards of the paused one", async () => {
         const others = promises.fleet.entryHosts().filter(({ hostId }) => hostId !== owner);
         const owned = (await Promise.all(others.map(({ hostId }) => promises.status(hostId)))).flatMap(status => status.shards);
--- a/packages/client/src/measure/capacitypage.ts
+++ b/packages/client/src/measure/capacitypage.ts
@@ -274,7 +274,7 @@
 - A failure domain (${perDomain} nodes, ${fixed(assumption.shards / target.failureDomains, 1)} shards, up to ${
         percent(target.reclaimableShare, 0)
     } of hosts being reclaimable): the other domains' hosts take the answers over from copies, which are never kept in the same failure domain; placement keeps the needed engines without it.
-- Regions cut off from each other: each side keeps its configuration and the last shares; shards whose owner is on the other side answer "not run" or are taken over when all standbys promise.
+- Regions cut off from each other: each side keeps its configuration and the last shares; shards whose owner is on the other side answer "unknown", so that the caller sends the same key again, or are taken over when all standbys promise.
 `;
 }
 
@@ -294,6 +294,11 @@
     }/s | one accept per turn of the event loop; a burst of hundreds within a second waits when the loop is busy | callers keep connections; several listening processes per host |
 | Planner reads every engine's state each round | no | about 500 engines | read states by subset: each host reports its engines with membership messages |
 | Use of customers in one published value of 1 KB | no | about 25 customers with requests per host and model | publish differences, largest users first (today the smallest are left out) |
+| Idle work of a daemon (polls of admission, suspects, engines, membership ticks) | ${
+        figures.idleCoreShare < target.controlCoreShare ? "yes" : "no"
+    }, ${
+        percent(figures.idleCoreShare, 2)
+    } of a core, measured in the ten seconds after a load | | profile; timers that run only while there is work |
 | Membership in one flat fleet | yes | the measured table | none needed before 1,000 nodes |
 | One value per shard | yes, at ${
         fixed(target.requestsPerSecond * assumption.nonIdempotentShare / assumption.shards, 1)
