Hash a prompt once per request and remove unused lookups

Cause: reading the whole change again, each accepted model request hashed its prompt for admission and once more for its stream; the directory had three lookups that nothing called and the reader a method that only called another. Change: the prompt's blocks travel with the answer's source; the unused methods are gone. Behaviour is the same. Conclusion: less work per request and less code.

--- a/packages/relay/src/directory/directory.ts
+++ b/packages/relay/src/directory/directory.ts
@@ -18,7 +18,7 @@
     readonly #hostList: HostListClient;
     readonly #cloud: CloudClient;
     readonly #entries = new Map<string, DirectoryEntry[]>();
-    readonly #terminations = new Map<HostId, Date>();
+    readonly #reclaimed = new Set<HostId>();
     readonly #listeners = new Set<() => void>();
     readonly #reclaimListeners = new Set<ReclaimListener>();
     readonly #stopping = new AbortController();
@@ -42,22 +42,7 @@
     }
 
     endpoints(serves: string): readonly DirectoryEntry[] {
-        return this.allEndpoints(serves).filter(entry => !entry.leaving);
-    }
-
-    /** All endpoints of a model or plain service, those that are leaving included. */
-    allEndpoints(serves: string): readonly DirectoryEntry[] {
-        return this.#entries.get(serves) ?? [];
-    }
-
-    /** Names of all models and plain services that have an endpoint. */
-    served(): readonly string[] {
-        return [...this.#entries.keys()];
-    }
-
-    /** The announced termination of a host; `undefined` when none was announced. */
-    terminationOf(hostId: HostId): Date | undefined {
-        return this.#terminations.get(hostId);
+        return (this.#entries.get(serves) ?? []).filter(entry => !entry.leaving);
     }
 
     onChange(callback: () => void): Cancel {
@@ -99,7 +84,7 @@
             }
             for (const notice of notices.value) {
                 sequence = Math.max(sequence, notice.sequence);
-                this.#terminations.set(notice.hostId, notice.terminatesAt);
+                this.#reclaimed.add(notice.hostId);
                 this.#reclaimListeners.forEach(listener => listener(notice.hostId, notice.terminatesAt));
             }
             if (notices.value.length > 0) {
@@ -119,7 +104,7 @@
                 hostId: host.hostId,
                 address: host.address,
                 failureDomain: host.failureDomain as FailureDomainId,
-                leaving: host.state === "leaving" || this.#terminations.has(host.hostId),
+                leaving: host.state === "leaving" || this.#reclaimed.has(host.hostId),
             };
             this.#entries.set(host.serves, [...(this.#entries.get(host.serves) ?? []), entry]);
         }
--- a/packages/relay/src/streams/backup.ts
+++ b/packages/relay/src/streams/backup.ts
@@ -1,5 +1,6 @@
 import type { Clock, CustomerId, HostId, RequestId } from "@filbertrelay/kernel";
 import { brandAs } from "@filbertrelay/kernel";
+import type { PromptBlocks } from "@filbertrelay/policy";
 import type { PeerNetwork } from "@filbertrelay/wire";
 import type { Answer } from "./answer.js";
 import type { ModelRequest } from "./request.js";
@@ -13,6 +14,8 @@
 export interface BackedUpAnswer {
     readonly answer: Answer;
     readonly request: ModelRequest;
+    /** Hashed once, for admission, routing and reclaims. */
+    readonly prompt: PromptBlocks;
     /** The engine whose generation can be resumed, as far as known. */
     engineAddress?: string;
 }
--- a/packages/relay/src/streams/reader.ts
+++ b/packages/relay/src/streams/reader.ts
@@ -99,7 +99,7 @@
                 const isSelf = host === this.#membership.self().hostId;
                 const source = isSelf ? adoptLocally() : undefined;
                 const chunks = isSelf ?
-                    this.#ownChunks(source, customer, mirror?.length ?? 0) :
+                    this.serve(source, customer, mirror?.length ?? 0) :
                     this.#peerChunks(host, requestId, customer, mirror?.length ?? 0);
                 for await (const chunk of chunks) {
                     mirror = this.#apply(chunk, { requestId, customer }, mirror, onFound);
@@ -145,10 +145,6 @@
             .exhaustive();
     }
 
-    #ownChunks(source: Answer | undefined, customer: CustomerId, offset: number): AsyncIterable<ReadChunk> {
-        return this.serve(source, customer, offset);
-    }
-
     async *#peerChunks(host: HostId, requestId: RequestId, customer: CustomerId, offset: number): AsyncIterable<ReadChunk> {
         const adopt = holdersOf(requestId)?.[0] !== host;
         const replies = this.#peers.stream(host, readTopic, { requestId, customer, offset, adopt }, {
--- a/packages/relay/src/streams/reclaim.ts
+++ b/packages/relay/src/streams/reclaim.ts
@@ -77,7 +77,7 @@
     }
 
     #chooseTarget(task: StreamTask, endpointId: EndpointId): EngineChoice | undefined {
-        const chosen = this.#context.router.choose(task.source.request.model, task.prompt, {
+        const chosen = this.#context.router.choose(task.source.request.model, task.source.prompt, {
             excluded: new Set([endpointId]),
             avoidedFailureDomains: new Set(),
         });
@@ -85,7 +85,9 @@
     }
 
     #cachedTokens(task: StreamTask, target: EngineChoice | undefined): number {
-        return target === undefined ? 0 : this.#context.router.cachedBlocks(target.endpointId, task.prompt) * prefixBlockTokens;
+        return target === undefined ?
+            0 :
+            this.#context.router.cachedBlocks(target.endpointId, task.source.prompt) * prefixBlockTokens;
     }
 }
 
@@ -97,7 +99,7 @@
     const { answer, request } = task.source;
     return {
         requestId,
-        promptTokens: task.prompt.promptTokens,
+        promptTokens: task.source.prompt.promptTokens,
         generatedTokens: answer.length,
         remainingMs: Math.max(0, request.maxTokens - answer.length) * tokenPeriodMs,
         cachedElsewhereTokens,
--- a/packages/relay/src/streams/service.ts
+++ b/packages/relay/src/streams/service.ts
@@ -1,6 +1,7 @@
 import type { CustomerId, HostId, Kernel, RequestId, Service } from "@filbertrelay/kernel";
 import { brandAs } from "@filbertrelay/kernel";
 import { hashPrefixBlocks, rankByRendezvous } from "@filbertrelay/policy";
+import type { PromptBlocks } from "@filbertrelay/policy";
 import type { PeerNetwork } from "@filbertrelay/wire";
 import type { Span } from "@opentelemetry/api";
 import type { AdmissionControl } from "../admission/admission.js";
@@ -16,7 +17,7 @@
 import type { Tracing } from "../telemetry/tracing.js";
 import { Answer } from "./answer.js";
 import { BackupHolder, BackupSender } from "./backup.js";
-import type { HeldCopy } from "./backup.js";
+import type { BackedUpAnswer, HeldCopy } from "./backup.js";
 import { findTaskContext } from "./context.js";
 import type { StreamTaskContext } from "./context.js";
 import { streamEvents as events } from "./event.js";
@@ -109,13 +110,14 @@
         const backup = this.#chooseBackup(seedId);
         const requestId = createModelRequestId(this.#membership.self().hostId, backup);
         const customerId = brandAs<CustomerId>(customer.name);
+        const prompt = hashPrefixBlocks(request.messages);
         const admitted = await this.#kernel.get<AdmissionControl>("admission").admit({
             requestId,
             model: request.model,
             customer: customerId,
             priority: request.priority,
             deadlineAt: request.deadlineAt,
-            expectedFirstTokenMs: this.#expectFirstTokenMs(request),
+            expectedFirstTokenMs: this.#expectFirstTokenMs(request.model, prompt),
         });
         if (!admitted.ok) {
             this.#metrics().increment("requests.refused");
@@ -124,7 +126,7 @@
         this.#metrics().increment("requests.accepted");
         this.#kernel.get<RetryBudgets>("retries").countRequest(customer.name, request.model);
         const answer = new Answer({ requestId, customer: customerId, model: request.model });
-        const task = this.#begin(answer, request, span);
+        const task = this.#begin({ answer, request, prompt }, span);
         void answer.ended().then(() => this.#kernel.get<AdmissionControl>("admission").finish(request.model, requestId));
         if (backup !== undefined) {
             await this.#sender.begin(backup, task.source);
@@ -189,7 +191,8 @@
     #continue(answer: Answer, held: HeldCopy): void {
         const tracing = this.#kernel.get<Tracing>("tracing");
         const span = tracing.startSpan("backup", tracing.extract(undefined), { requestId: answer.requestId });
-        const task = this.#begin(answer, held.request, span);
+        const prompt = hashPrefixBlocks(held.request.messages);
+        const task = this.#begin({ answer, request: held.request, prompt }, span);
         const next = this.#chooseBackup(answer.requestId);
         if (next !== undefined) {
             void this.#sender.begin(next, task.source);
@@ -198,13 +201,14 @@
         void answer.ended().then(() => span.end());
     }
 
-    #begin(answer: Answer, request: ModelRequest, span: Span): StreamTask {
+    #begin(source: BackedUpAnswer, span: Span): StreamTask {
+        const { answer } = source;
         const context = this.#taskContext;
         if (context === undefined) {
             throw new Error("The stream service takes requests before it started.");
         }
         this.#store.add(answer);
-        const task = new StreamTask({ answer, request }, span, context);
+        const task = new StreamTask(source, span, context);
         this.#tasks.set(answer.requestId, task);
         void answer.ended().then(() => this.#tasks.delete(answer.requestId));
         return task;
@@ -228,10 +232,9 @@
         return rankByRendezvous(requestId, elsewhere.length > 0 ? elsewhere : alive, member => member.hostId)[0]?.hostId;
     }
 
-    #expectFirstTokenMs(request: ModelRequest): number {
+    #expectFirstTokenMs(model: string, prompt: PromptBlocks): number {
         const router = this.#kernel.get<EngineRouter>("routing");
-        const prompt = hashPrefixBlocks(request.messages);
-        const chosen = router.choose(request.model, prompt, { excluded: new Set(), avoidedFailureDomains: new Set() });
+        const chosen = router.choose(model, prompt, { excluded: new Set(), avoidedFailureDomains: new Set() });
         return Math.max(minimumFirstTokenMs, chosen.ok ? chosen.value.routing.explanation[0]?.expectedFirstTokenMs ?? 0 : 0);
     }
 
--- a/packages/relay/src/streams/task.ts
+++ b/packages/relay/src/streams/task.ts
@@ -1,7 +1,7 @@
 import type { EndpointIssue, EngineItem } from "@filbertrelay/endpoints";
 import type { EndpointId } from "@filbertrelay/kernel";
-import { fingerprintRequest, hashPrefixBlocks, planRecovery } from "@filbertrelay/policy";
-import type { InterruptionCause, PromptBlocks } from "@filbertrelay/policy";
+import { fingerprintRequest, planRecovery } from "@filbertrelay/policy";
+import type { InterruptionCause } from "@filbertrelay/policy";
 import type { Span } from "@opentelemetry/api";
 import { match } from "ts-pattern";
 import type { CallerIssue } from "../caller/error.js";
@@ -34,7 +34,6 @@
     readonly source: BackedUpAnswer;
     readonly #context: StreamTaskContext;
     readonly #span: Span;
-    readonly #prompt: PromptBlocks;
     readonly #fingerprint: string;
     readonly #selection: EngineSelection;
     #engine: { readonly entry: DirectoryEntry; readonly endpointId: EndpointId; } | undefined;
@@ -53,11 +52,10 @@
         this.source = source;
         this.#span = span;
         this.#context = context;
-        this.#prompt = hashPrefixBlocks(source.request.messages);
         this.#fingerprint = fingerprintRequest(source.answer.customer, source.request.model, source.request.messages);
         this.#selection = new EngineSelection(context, {
             model: source.request.model,
-            prompt: this.#prompt,
+            prompt: this.source.prompt,
             fingerprint: this.#fingerprint,
         });
     }
@@ -67,10 +65,6 @@
         return this.#engine?.entry;
     }
 
-    get prompt(): PromptBlocks {
-        return this.#prompt;
-    }
-
     /** Runs until the answer has ended or the task is stopped. */
     async run(resume?: ResumePoint): Promise<void> {
         let end = resume === undefined ? await this.#dispatch(true) : await this.#resumeAt(resume);
@@ -125,7 +119,7 @@
             offset: answer.length,
             scores: choice.routing.explanation.slice(0, 4),
         });
-        router.recordDispatch(choice, answer.requestId, this.#prompt);
+        router.recordDispatch(choice, answer.requestId, this.source.prompt);
         const end = await this.#read(
             choice.engine,
             choice.endpointId,
@@ -262,7 +256,7 @@
         return planRecovery({
             cause,
             endpointId: this.#engine?.endpointId ?? ("" as EndpointId),
-            promptTokens: this.#prompt.promptTokens,
+            promptTokens: this.source.prompt.promptTokens,
             forwardedTokens: answer.length,
             reconnects: this.#reconnects,
             attemptsElsewhere: this.#attemptsElsewhere,
