Rename the package of outside-service clients to connectors

The adapter to the users' machines is going to live in a top-level folder platform/, and two folders of that name would puzzle a newcomer. The package holds the clients of the key-value service, cloud API, host list and weight store, so it is named for that. No behaviour changes.

--- a/features/steps/client.ts
+++ b/features/steps/client.ts
@@ -4,9 +4,9 @@
 import type { AnswerOutcome, KeyOutcome, StandIn, SubmissionIssue } from "@filbertrelay/client";
 import { checkAnswers, diffConfigurations, generateConfiguration, hashKey } from "@filbertrelay/configuration";
 import type { Answers, ConfigurationHead } from "@filbertrelay/configuration";
+import { createKeyValueClient } from "@filbertrelay/connectors";
 import { createSystemClock } from "@filbertrelay/kernel";
 import type { Outcome } from "@filbertrelay/kernel";
-import { createKeyValueClient } from "@filbertrelay/platform";
 import { Hono } from "hono";
 import assert from "node:assert/strict";
 import { spawn } from "node:child_process";
--- a/features/steps/configuration.ts
+++ b/features/steps/configuration.ts
@@ -1,9 +1,9 @@
 import { After, Given, Then, When } from "@cucumber/cucumber";
 import { configurationHeadKey, digestOf } from "@filbertrelay/configuration";
 import type { ConfigurationHead } from "@filbertrelay/configuration";
+import type { HostListClient, KeyValueClient, KeyValueIssue, StoredValue } from "@filbertrelay/connectors";
 import { brandAs, createKernel, createSystemClock, failure, silentEventLog, success } from "@filbertrelay/kernel";
 import type { HostId, Kernel, Service } from "@filbertrelay/kernel";
-import type { HostListClient, KeyValueClient, KeyValueIssue, StoredValue } from "@filbertrelay/platform";
 import {
     applyDelta,
     configurationValueName,
--- a/features/steps/endpoints.ts
+++ b/features/steps/endpoints.ts
@@ -1,10 +1,10 @@
 import { After, Given, Then, When } from "@cucumber/cucumber";
+import { createKeyValueClient } from "@filbertrelay/connectors";
+import type { ClosableKeyValueClient } from "@filbertrelay/connectors";
 import { createEngineDriver, createServiceDriver } from "@filbertrelay/endpoints";
 import type { ClosableEngineDriver, EngineItem, ServiceRequest } from "@filbertrelay/endpoints";
 import { brandAs } from "@filbertrelay/kernel";
 import type { IdempotencyKey, Outcome, RequestId } from "@filbertrelay/kernel";
-import { createKeyValueClient } from "@filbertrelay/platform";
-import type { ClosableKeyValueClient } from "@filbertrelay/platform";
 import { answerText } from "@filbertrelay/standins";
 import assert from "node:assert/strict";
 import { createServer } from "node:http";
--- a/features/steps/fleet.ts
+++ b/features/steps/fleet.ts
@@ -3,10 +3,10 @@
 import type { Fleet, RunResult } from "@filbertrelay/client";
 import { checkAnswers } from "@filbertrelay/configuration";
 import type { Answers } from "@filbertrelay/configuration";
+import { createCloudClient } from "@filbertrelay/connectors";
 import { chaulageWorkload, formatTrace, generateTrace } from "@filbertrelay/emulator";
 import { brandAs, createSystemClock } from "@filbertrelay/kernel";
 import type { FailureDomainId } from "@filbertrelay/kernel";
-import { createCloudClient } from "@filbertrelay/platform";
 import assert from "node:assert/strict";
 import { spawn } from "node:child_process";
 import { existsSync, readdirSync, readFileSync, writeFileSync } from "node:fs";
--- a/features/steps/membership.service.ts
+++ b/features/steps/membership.service.ts
@@ -1,7 +1,7 @@
 import { After, Given, Then, When } from "@cucumber/cucumber";
+import type { HostListClient } from "@filbertrelay/connectors";
 import { brandAs, createKernel, createSystemClock, silentEventLog, success } from "@filbertrelay/kernel";
 import type { HostId, Incarnation, Kernel } from "@filbertrelay/kernel";
-import type { HostListClient } from "@filbertrelay/platform";
 import { createMembershipService } from "@filbertrelay/relay";
 import type { GossipMembership, Member } from "@filbertrelay/relay";
 import { createPeerNetwork } from "@filbertrelay/wire";
--- a/features/steps/platform.ts
+++ b/features/steps/platform.ts
@@ -1,8 +1,8 @@
 import { Given, Then, When } from "@cucumber/cucumber";
+import { createCloudClient, createHostListClient, createKeyValueClient } from "@filbertrelay/connectors";
+import type { KeyValueIssue } from "@filbertrelay/connectors";
 import { brandAs } from "@filbertrelay/kernel";
 import type { FailureDomainId, HostId, Outcome } from "@filbertrelay/kernel";
-import { createCloudClient, createHostListClient, createKeyValueClient } from "@filbertrelay/platform";
-import type { KeyValueIssue } from "@filbertrelay/platform";
 import assert from "node:assert/strict";
 import { spawn } from "node:child_process";
 import { waitUntil } from "./process.js";
--- a/features/steps/promises.configuration.ts
+++ b/features/steps/promises.configuration.ts
@@ -3,10 +3,10 @@
 import type { SubmissionIssue } from "@filbertrelay/client";
 import { buildHead, configurationHeadKey } from "@filbertrelay/configuration";
 import type { Answers, ConfigurationHead } from "@filbertrelay/configuration";
+import { createKeyValueClient } from "@filbertrelay/connectors";
+import type { KeyValueClient } from "@filbertrelay/connectors";
 import { createKernel, createSystemClock, silentEventLog, success } from "@filbertrelay/kernel";
 import type { Outcome } from "@filbertrelay/kernel";
-import { createKeyValueClient } from "@filbertrelay/platform";
-import type { KeyValueClient } from "@filbertrelay/platform";
 import { createConfigurationService } from "@filbertrelay/relay";
 import assert from "node:assert/strict";
 import { randomUUID } from "node:crypto";
--- a/features/steps/replies.ts
+++ b/features/steps/replies.ts
@@ -1,16 +1,16 @@
 import { Given, Then, When } from "@cucumber/cucumber";
-import { createEngineDriver, createServiceDriver, EngineStreamReader } from "@filbertrelay/endpoints";
-import type { EngineItem, ServiceRequest } from "@filbertrelay/endpoints";
-import { brandAs, createSystemClock, createVirtualClock } from "@filbertrelay/kernel";
-import type { Clock, HostId, IdempotencyKey, RequestId, VirtualClock } from "@filbertrelay/kernel";
 import {
     createCallBudget,
     createCloudClient,
     createHostListClient,
     createKeyValueClient,
     createWeightStoreClient,
-} from "@filbertrelay/platform";
-import type { CallBudget, CallPurpose } from "@filbertrelay/platform";
+} from "@filbertrelay/connectors";
+import type { CallBudget, CallPurpose } from "@filbertrelay/connectors";
+import { createEngineDriver, createServiceDriver, EngineStreamReader } from "@filbertrelay/endpoints";
+import type { EngineItem, ServiceRequest } from "@filbertrelay/endpoints";
+import { brandAs, createSystemClock, createVirtualClock } from "@filbertrelay/kernel";
+import type { Clock, HostId, IdempotencyKey, RequestId, VirtualClock } from "@filbertrelay/kernel";
 import { answerToken } from "@filbertrelay/standins";
 import fc from "fast-check";
 import assert from "node:assert/strict";
--- a/features/steps/shards.fleet.ts
+++ b/features/steps/shards.fleet.ts
@@ -1,4 +1,5 @@
 import type { Configuration } from "@filbertrelay/configuration";
+import type { CloudClient, KeyValueClient, StoredValue } from "@filbertrelay/connectors";
 import type { ServiceDriver, ServiceRequest, ServiceResponse } from "@filbertrelay/endpoints";
 import { brandAs, createKernel, createSystemClock, failure, silentEventLog, success } from "@filbertrelay/kernel";
 import type {
@@ -11,7 +12,6 @@
     Service,
     ServiceName,
 } from "@filbertrelay/kernel";
-import type { CloudClient, KeyValueClient, StoredValue } from "@filbertrelay/platform";
 import { createShardService } from "@filbertrelay/relay";
 import type { Member, ShardService, Submission } from "@filbertrelay/relay";
 import type { PeerContext, PeerNetwork } from "@filbertrelay/wire";
--- a/packages/client/src/command/apply.ts
+++ b/packages/client/src/command/apply.ts
@@ -1,7 +1,7 @@
 import { formatDifference } from "@filbertrelay/configuration";
 import type { Answers, ConfigurationHead, Difference } from "@filbertrelay/configuration";
-import { createKeyValueClient } from "@filbertrelay/platform";
-import type { KeyValueClient } from "@filbertrelay/platform";
+import { createKeyValueClient } from "@filbertrelay/connectors";
+import type { KeyValueClient } from "@filbertrelay/connectors";
 import { randomUUID } from "node:crypto";
 import type { Argv, CommandModule } from "yargs";
 import { ExitCode, failed } from "../exit.js";
--- a/packages/client/src/fleet/fleet.ts
+++ b/packages/client/src/fleet/fleet.ts
@@ -1,7 +1,7 @@
 import { generateConfiguration } from "@filbertrelay/configuration";
 import type { Answers, Configuration } from "@filbertrelay/configuration";
+import { createKeyValueClient } from "@filbertrelay/connectors";
 import { createSystemClock } from "@filbertrelay/kernel";
-import { createKeyValueClient } from "@filbertrelay/platform";
 import { randomBytes, randomUUID } from "node:crypto";
 import { mkdtempSync, rmSync, writeFileSync } from "node:fs";
 import { tmpdir } from "node:os";
--- a/packages/client/src/submission.ts
+++ b/packages/client/src/submission.ts
@@ -8,9 +8,9 @@
     parseHead,
 } from "@filbertrelay/configuration";
 import type { Answers, ConfigurationHead, Difference } from "@filbertrelay/configuration";
+import type { KeyValueClient, KeyValueIssue } from "@filbertrelay/connectors";
 import { failure, success } from "@filbertrelay/kernel";
 import type { Clock, Issue, Outcome } from "@filbertrelay/kernel";
-import type { KeyValueClient, KeyValueIssue } from "@filbertrelay/platform";
 
 /** The head as it was read, with its version in the key-value service; 0 when there is none. */
 export interface ReadHead {
--- a/packages/relay/src/configuration/service.ts
+++ b/packages/relay/src/configuration/service.ts
@@ -1,8 +1,8 @@
 import { configurationHeadKey, parseHead } from "@filbertrelay/configuration";
 import type { Configuration, ConfigurationHead } from "@filbertrelay/configuration";
+import type { KeyValueClient, StoredValue } from "@filbertrelay/connectors";
 import { invariant } from "@filbertrelay/kernel";
 import type { Cancel, Clock, EventLog, HostId, Kernel } from "@filbertrelay/kernel";
-import type { KeyValueClient, StoredValue } from "@filbertrelay/platform";
 import { rankByRendezvous } from "@filbertrelay/policy";
 import type { PeerNetwork } from "@filbertrelay/wire";
 import type { ConfigurationService } from "../contract.js";
--- a/packages/relay/src/daemon.ts
+++ b/packages/relay/src/daemon.ts
@@ -1,13 +1,13 @@
-import { createEngineDriver, createServiceDriver } from "@filbertrelay/endpoints";
-import { brandAs, createKernel } from "@filbertrelay/kernel";
-import type { Clock, EventLog, HostId, Kernel } from "@filbertrelay/kernel";
 import {
     createCallBudget,
     createCloudClient,
     createHostListClient,
     createKeyValueClient,
     createWeightStoreClient,
-} from "@filbertrelay/platform";
+} from "@filbertrelay/connectors";
+import { createEngineDriver, createServiceDriver } from "@filbertrelay/endpoints";
+import { brandAs, createKernel } from "@filbertrelay/kernel";
+import type { Clock, EventLog, HostId, Kernel } from "@filbertrelay/kernel";
 import { createPeerNetwork } from "@filbertrelay/wire";
 import { AdmissionControl } from "./admission/admission.js";
 import { CallerServer } from "./caller/server.js";
--- a/packages/relay/src/directory/directory.ts
+++ b/packages/relay/src/directory/directory.ts
@@ -1,5 +1,5 @@
+import type { CloudClient, HostListClient, ListedHost } from "@filbertrelay/connectors";
 import type { Cancel, Clock, FailureDomainId, HostId, Kernel } from "@filbertrelay/kernel";
-import type { CloudClient, HostListClient, ListedHost } from "@filbertrelay/platform";
 import type { DirectoryEntry, DirectoryService } from "../contract.js";
 
 const refreshPeriodMs = 1_000;
--- a/packages/relay/src/keyvalue/relayed.ts
+++ b/packages/relay/src/keyvalue/relayed.ts
@@ -1,7 +1,7 @@
+import type { CallBudget, KeyValueClient, KeyValueIssue } from "@filbertrelay/connectors";
 import type { Clock, HostId, Kernel, Service } from "@filbertrelay/kernel";
 import { failure } from "@filbertrelay/kernel";
 import type { Outcome } from "@filbertrelay/kernel";
-import type { CallBudget, KeyValueClient, KeyValueIssue } from "@filbertrelay/platform";
 import { declareTopic } from "@filbertrelay/wire";
 import type { PeerNetwork } from "@filbertrelay/wire";
 import { match } from "ts-pattern";
--- a/packages/relay/src/keyvalue/share.ts
+++ b/packages/relay/src/keyvalue/share.ts
@@ -1,5 +1,5 @@
+import type { CallBudget, CallRates } from "@filbertrelay/connectors";
 import type { Kernel, Service } from "@filbertrelay/kernel";
-import type { CallBudget, CallRates } from "@filbertrelay/platform";
 import type { ConfigurationService, MembershipService } from "../contract.js";
 
 /** Shards are not spread evenly, so a host may use a multiple of its even share. */
--- a/packages/relay/src/measure/node.ts
+++ b/packages/relay/src/measure/node.ts
@@ -1,6 +1,6 @@
+import type { HostListClient } from "@filbertrelay/connectors";
 import { brandAs, createKernel, createSystemClock, silentEventLog, success } from "@filbertrelay/kernel";
 import type { HostId, Service } from "@filbertrelay/kernel";
-import type { HostListClient } from "@filbertrelay/platform";
 import { createPeerNetwork } from "@filbertrelay/wire";
 import { createMembershipService } from "../membership/service.js";
 import type { NodeCommand, NodeReport } from "./report.js";
--- a/packages/relay/src/membership/seeding.ts
+++ b/packages/relay/src/membership/seeding.ts
@@ -1,5 +1,5 @@
+import type { HostListClient } from "@filbertrelay/connectors";
 import type { EventLog, HostId } from "@filbertrelay/kernel";
-import type { HostListClient } from "@filbertrelay/platform";
 import type { TcpPeerNetwork } from "@filbertrelay/wire";
 import { membershipEvents } from "./event.js";
 
--- a/packages/relay/src/membership/service.ts
+++ b/packages/relay/src/membership/service.ts
@@ -1,6 +1,6 @@
+import type { HostListClient } from "@filbertrelay/connectors";
 import { brandAs, invariant } from "@filbertrelay/kernel";
 import type { Cancel, Clock, EventLog, FailureDomainId, HostId, Incarnation, Kernel } from "@filbertrelay/kernel";
-import type { HostListClient } from "@filbertrelay/platform";
 import { createMembershipState, createMembershipTiming, stepMembership } from "@filbertrelay/policy";
 import type { MembershipEffect, MembershipInput, MembershipMessage, MembershipState } from "@filbertrelay/policy";
 import type { TcpPeerNetwork } from "@filbertrelay/wire";
--- a/packages/relay/src/planner/intent.ts
+++ b/packages/relay/src/planner/intent.ts
@@ -1,4 +1,4 @@
-import type { KeyValueClient } from "@filbertrelay/platform";
+import type { KeyValueClient } from "@filbertrelay/connectors";
 import { z } from "zod";
 
 /** The key of the planner's desired state. */
--- a/packages/relay/src/planner/lease.ts
+++ b/packages/relay/src/planner/lease.ts
@@ -1,5 +1,5 @@
+import type { KeyValueClient } from "@filbertrelay/connectors";
 import type { Clock, HostId } from "@filbertrelay/kernel";
-import type { KeyValueClient } from "@filbertrelay/platform";
 import { randomUUID } from "node:crypto";
 
 /** The key that the planning host holds under a lease. */
--- a/packages/relay/src/planner/planner.ts
+++ b/packages/relay/src/planner/planner.ts
@@ -1,8 +1,8 @@
 import type { Configuration } from "@filbertrelay/configuration";
+import type { CloudClient, CloudHost, KeyValueClient, WeightStoreClient } from "@filbertrelay/connectors";
 import type { EngineDriver } from "@filbertrelay/endpoints";
 import type { FailureDomainId, HostId, Kernel, Service } from "@filbertrelay/kernel";
 import { brandAs, declareEvents } from "@filbertrelay/kernel";
-import type { CloudClient, CloudHost, KeyValueClient, WeightStoreClient } from "@filbertrelay/platform";
 import { createStartBackoff, nameOffer, planOrders, planPlacement, planStarts, rankByRendezvous } from "@filbertrelay/policy";
 import type { HostOffer, ObservedEngine, WantedOrder, WantedStart } from "@filbertrelay/policy";
 import type { ConfigurationService, MembershipService } from "../contract.js";
--- a/packages/relay/src/shards/context.ts
+++ b/packages/relay/src/shards/context.ts
@@ -1,6 +1,6 @@
+import type { KeyValueClient } from "@filbertrelay/connectors";
 import type { ServiceDriver } from "@filbertrelay/endpoints";
 import type { Clock, EventLog, HostId, ServiceName } from "@filbertrelay/kernel";
-import type { KeyValueClient } from "@filbertrelay/platform";
 import type { Repetition } from "@filbertrelay/policy";
 import type { PeerNetwork } from "@filbertrelay/wire";
 import type { Tracing } from "../telemetry/tracing.js";
--- a/packages/relay/src/shards/service.ts
+++ b/packages/relay/src/shards/service.ts
@@ -1,7 +1,7 @@
+import type { CloudClient, KeyValueClient } from "@filbertrelay/connectors";
 import type { ServiceResponse } from "@filbertrelay/endpoints";
 import type { Cancel, CustomerId, HostId, Kernel, Outcome, RequestId, ServiceName } from "@filbertrelay/kernel";
 import { brandAs, success } from "@filbertrelay/kernel";
-import type { CloudClient, KeyValueClient } from "@filbertrelay/platform";
 import { answerOf, digestKey, rankHosts, shardOf } from "@filbertrelay/policy";
 import type { Candidate, Holder, PeerRequest, ShardAnswer, ShardOptions } from "@filbertrelay/policy";
 import type { PeerNetwork } from "@filbertrelay/wire";
--- a/packages/relay/src/shards/store.ts
+++ b/packages/relay/src/shards/store.ts
@@ -1,5 +1,5 @@
+import type { KeyValueIssue, StoredValue } from "@filbertrelay/connectors";
 import type { Outcome } from "@filbertrelay/kernel";
-import type { KeyValueIssue, StoredValue } from "@filbertrelay/platform";
 import type { ShardValue, VersionedValue } from "@filbertrelay/policy";
 import { z } from "zod";
 import type { ShardContext } from "./context.js";
