Carry out the duties: lead by lease, usage reports, planning of engines

Change: one host at a time leads by a lease and a term that only grows; usage of a window is stored before it is sent; reclaimable engines are spread so that the loss of one failure domain leaves enough, and on-demand ones fill only what is essential.

--- a/packages/ingress/src/daemon.ts
+++ b/packages/ingress/src/daemon.ts
@@ -2,6 +2,7 @@
 import { brandAs, createKernel } from "@filbertrelay/kernel";
 import type { Clock, EventLog, FailureDomainId, HostId, Kernel } from "@filbertrelay/kernel";
 import {
+    createDemandMeter,
     createEndpointHealth,
     createLoadBoard,
     createPromptCacheModel,
@@ -15,6 +16,9 @@
 import { IngressServer } from "./caller/server.js";
 import type { Dialect, DutyCalls, StoreDecoder } from "./contract.js";
 import { ControlServer } from "./control/server.js";
+import { Lead } from "./duty/lead.js";
+import { ScalingDuty } from "./duty/scalingduty.js";
+import { UsageDuty } from "./duty/usageduty.js";
 import { ChannelPool } from "./endpoint/channelpool.js";
 import { HostDirectory } from "./fleet/directory.js";
 import { createIncarnation, PeerExchange } from "./fleet/exchange.js";
@@ -87,6 +91,7 @@
     const quota = createUsageQuota({ windowMs: promises.quotaWindowSeconds * 1_000, tolerance: promises.quotaTolerance, nowMs });
     const usage = createUsageLedger(promises.usageWindowSeconds * 1_000);
     const loads = createLoadBoard();
+    const demand = createDemandMeter();
     const health = createEndpointHealth();
     const promptCaches = createPromptCacheModel(assumedCacheTokens);
     const channels = new ChannelPool(clock, { onOpened: service => metrics.recordChannel(service) });
@@ -98,7 +103,7 @@
         keys: settings.cluster.keys,
         frameBytes: peerFrameBytes,
     });
-    const exchange = new PeerExchange({ clock, log, hostId, incarnation, peers, hosts, mirror, quota, usage, loads });
+    const exchange = new PeerExchange({ clock, log, hostId, incarnation, peers, hosts, mirror, quota, usage, loads, demand });
     const registration = new Registration({
         store,
         clock,
@@ -136,6 +141,7 @@
         }),
         usage,
         timings: createServiceTimings(),
+        demand,
         metrics,
         reach: () => exchange.reach(),
         isStopping: () => lifecycle.isRefusing(),
@@ -147,8 +153,10 @@
         configuration,
         pipeline: new RequestPipeline(context),
     });
+    const lead = new Lead({ store, mirror, clock, log, hostId, incarnation, leaseMs: promises.leadPauseMs, draw });
     const lifecycle = new IngressLifecycle(kernel, {
         registration,
+        lead,
         server,
         stopLimitMs: promises.stopLimitSeconds * 1_000,
         directoryKeepMs: promises.directoryKeepSeconds * 1_000,
@@ -165,6 +173,19 @@
     kernel.register("callers", server);
     registerControl(kernel, settings, environment, view);
     kernel.register("registration", registration);
+    const duties = environment.createDuties((kind, result) => metrics.recordDutyCall(kind, result));
+    if (duties !== undefined && settings.duties !== undefined) {
+        const common = { clock, log, lead, duties };
+        kernel.register("lead", lead);
+        if (settings.duties.usage) {
+            const { usageWindowSeconds, usageDueSeconds } = promises;
+            const windows = { windowMs: usageWindowSeconds * 1_000, dueMs: usageDueSeconds * 1_000 };
+            kernel.register("usageDuty", new UsageDuty({ ...common, ...windows, store, mirror, usage }));
+        }
+        if (settings.duties.scaling) {
+            kernel.register("scalingDuty", new ScalingDuty({ ...common, configuration, endpoints, demand }));
+        }
+    }
     kernel.register("lifecycle", lifecycle);
     return kernel;
 }
--- /dev/null
+++ b/packages/ingress/src/duty/lead.ts
@@ -0,0 +1,184 @@
+import type { Store } from "@filbertrelay/connectors";
+import type { Clock, EventLog, HostId, Incarnation, Service } from "@filbertrelay/kernel";
+import type { DutyHolder } from "../contract.js";
+import { fleetEvents as events } from "../fleet/event.js";
+import { ownPrefix } from "../fleet/hosts.js";
+import type { StoreMirror } from "../state/mirror.js";
+
+/** The holder's key; it lapses with its lease. */
+const leadKey = `${ownPrefix}lead`;
+/** The number of the last holder; it outlives every lease, so that fencing tokens only grow. */
+const termKey = `${ownPrefix}term`;
+/** How often the holder renews and the others look whether the key is free. */
+const tickMs = 500;
+/** Part of the lease in which the holder acts after a renewal; the rest covers slow calls and clocks. */
+const actingShare = 0.6;
+/** Hosts that see the key vanish try at different times, so that most of them find it taken. */
+const contendSpreadMs = 250;
+
+interface HeldLead {
+    readonly leaseId: number;
+    readonly term: number;
+    renewedMs: number;
+    renewedAt: number;
+}
+
+/** Holds the right to the fleet's duties on one host at a time, by a lease and a number that grows with each holder. */
+export class Lead implements Service {
+    readonly #store: Store;
+    readonly #mirror: StoreMirror;
+    readonly #clock: Clock;
+    readonly #log: EventLog;
+    readonly #hostId: HostId;
+    readonly #incarnation: Incarnation;
+    readonly #leaseMs: number;
+    readonly #draw: () => number;
+    readonly #stopped = new AbortController();
+    #held: HeldLead | undefined;
+    #pausedUntilMs: number;
+    #loop: Promise<void> | undefined;
+
+    constructor(
+        options: {
+            readonly store: Store;
+            readonly mirror: StoreMirror;
+            readonly clock: Clock;
+            readonly log: EventLog;
+            readonly hostId: HostId;
+            readonly incarnation: Incarnation;
+            /** Life of the lease, and how long a former holder leaves the duties to others. */
+            readonly leaseMs: number;
+            readonly draw: () => number;
+        },
+    ) {
+        this.#store = options.store;
+        this.#mirror = options.mirror;
+        this.#clock = options.clock;
+        this.#log = options.log;
+        this.#hostId = options.hostId;
+        this.#incarnation = options.incarnation;
+        this.#leaseMs = options.leaseMs;
+        this.#draw = options.draw;
+        // A former run of this host may have held the duties until just now.
+        this.#pausedUntilMs = options.clock.monotonicMs() + options.leaseMs;
+    }
+
+    /** This host as the holder, while it may act; asks for the time anew at each call, since the process may have been paused. */
+    holder(): DutyHolder | undefined {
+        const held = this.#held;
+        return held !== undefined && this.#sinceRenewalMs(held) < this.#leaseMs * actingShare ?
+            { hostId: this.#hostId, fencingToken: held.term } :
+            undefined;
+    }
+
+    /** Gives the duties up because the platform knows a later holder. */
+    yieldTo(reason: string): void {
+        this.#lose(reason);
+    }
+
+    start(): Promise<void> {
+        this.#loop = this.#run();
+        return Promise.resolve();
+    }
+
+    /** Releases the duties at once, so that another host takes them over without waiting for the lease to lapse. */
+    async release(): Promise<void> {
+        this.#stopped.abort(new Error("The host stops."));
+        await this.#loop;
+        const held = this.#held;
+        if (held !== undefined) {
+            this.#lose("released");
+            await this.#store.endLease(held.leaseId);
+        }
+    }
+
+    async stop(): Promise<void> {
+        await this.release();
+    }
+
+    async #run(): Promise<void> {
+        while (!this.#stopped.signal.aborted) {
+            const held = this.#held;
+            if (held !== undefined) {
+                await this.#renew(held);
+            }
+            else if (this.#isFree()) {
+                await this.#contend();
+            }
+            try {
+                await this.#clock.sleep(tickMs, this.#stopped.signal);
+            }
+            catch {
+                return;
+            }
+        }
+    }
+
+    #isFree(): boolean {
+        return this.#clock.monotonicMs() >= this.#pausedUntilMs && this.#mirror.ageMs() < this.#leaseMs &&
+            this.#mirror.revision > 0 && this.#mirror.get(leadKey) === undefined;
+    }
+
+    async #renew(held: HeldLead): Promise<void> {
+        const startMs = this.#clock.monotonicMs();
+        const startAt = this.#clock.now().getTime();
+        const renewed = await this.#store.renewLease(held.leaseId);
+        if (renewed.ok) {
+            // A process that was paused while the answer was under way counts from before the pause.
+            held.renewedMs = startMs;
+            held.renewedAt = startAt;
+        }
+        else if (renewed.issue.code === "store.leaseGone") {
+            this.#lose("the lease has lapsed");
+        }
+        else if (this.#sinceRenewalMs(held) > this.#leaseMs * 2) {
+            this.#lose("the store did not answer");
+        }
+    }
+
+    async #contend(): Promise<void> {
+        await this.#clock.sleep(contendSpreadMs * this.#draw());
+        if (this.#stopped.signal.aborted || !this.#isFree()) {
+            return;
+        }
+        const startMs = this.#clock.monotonicMs();
+        const startAt = this.#clock.now().getTime();
+        const lease = await this.#store.grantLease(this.#leaseMs);
+        if (!lease.ok) {
+            return;
+        }
+        const former = this.#mirror.get(termKey);
+        const term = Number(former?.value ?? 0) + 1;
+        const value = JSON.stringify({ hostId: this.#hostId, incarnation: this.#incarnation, term });
+        const committed = await this.#store.commit({
+            expected: [{ key: leadKey, revision: 0 }, { key: termKey, revision: former?.revision ?? 0 }],
+            writes: [{ key: leadKey, value, leaseId: lease.value }, { key: termKey, value: String(term) }],
+        });
+        if (!committed.ok && !(committed.issue.code === "store.unavailable" && await this.#isOwn(value))) {
+            // Without the lease a commit that is still under way can't take effect any more.
+            await this.#store.endLease(lease.value);
+            return;
+        }
+        this.#held = { leaseId: lease.value, term, renewedMs: startMs, renewedAt: startAt };
+        this.#log.write(events.leadGained, { term, formerRevision: former?.revision });
+    }
+
+    /** Whether a commit whose answer was lost has taken effect. */
+    async #isOwn(value: string): Promise<boolean> {
+        const stored = await this.#store.get(leadKey);
+        return stored.ok && stored.value?.value === value;
+    }
+
+    /** The monotonic clock stands still while a host is suspended, and the wall clock may be set; the larger one counts. */
+    #sinceRenewalMs(held: HeldLead): number {
+        return Math.max(this.#clock.monotonicMs() - held.renewedMs, this.#clock.now().getTime() - held.renewedAt);
+    }
+
+    #lose(reason: string): void {
+        if (this.#held !== undefined) {
+            this.#log.write(events.leadLost, { term: this.#held.term, reason });
+            this.#held = undefined;
+            this.#pausedUntilMs = this.#clock.monotonicMs() + 2 * this.#leaseMs;
+        }
+    }
+}
--- /dev/null
+++ b/packages/ingress/src/duty/usageduty.ts
@@ -0,0 +1,165 @@
+import type { Store } from "@filbertrelay/connectors";
+import type { Clock, EventLog, Service } from "@filbertrelay/kernel";
+import type { CustomerCounts, UsageLedger } from "@filbertrelay/policy";
+import { z } from "zod";
+import type { DutyCalls } from "../contract.js";
+import { fleetEvents as events } from "../fleet/event.js";
+import { ownPrefix } from "../fleet/hosts.js";
+import type { StoreMirror } from "../state/mirror.js";
+import type { Lead } from "./lead.js";
+
+const usageKey = `${ownPrefix}usage`;
+const storedSchema = z.record(z.string(), z.record(z.string(), z.number()));
+type StoredWindows = z.infer<typeof storedSchema>;
+
+/** How often the holder looks for windows that are due. */
+const tickMs = 400;
+/** Part of the time until a report is due that is waited, so that requests which began in the window have been counted. */
+const settleShare = 0.5;
+/** Windows kept in the store, for a holder that takes over; older ones are past due. */
+const windowsKept = 5;
+
+/** Reports the usage of each window once. Counts are stored before they are sent, so that a later holder repeats them exactly. */
+export class UsageDuty implements Service {
+    readonly #store: Store;
+    readonly #mirror: StoreMirror;
+    readonly #clock: Clock;
+    readonly #log: EventLog;
+    readonly #lead: Lead;
+    readonly #duties: DutyCalls;
+    readonly #usage: UsageLedger;
+    readonly #windowMs: number;
+    readonly #dueMs: number;
+    readonly #reported = new Set<number>();
+    readonly #startedWindow: number;
+    readonly #stopped = new AbortController();
+    #loop: Promise<void> | undefined;
+
+    constructor(
+        options: {
+            readonly store: Store;
+            readonly mirror: StoreMirror;
+            readonly clock: Clock;
+            readonly log: EventLog;
+            readonly lead: Lead;
+            readonly duties: DutyCalls;
+            readonly usage: UsageLedger;
+            readonly windowMs: number;
+            readonly dueMs: number;
+        },
+    ) {
+        this.#store = options.store;
+        this.#mirror = options.mirror;
+        this.#clock = options.clock;
+        this.#log = options.log;
+        this.#lead = options.lead;
+        this.#duties = options.duties;
+        this.#usage = options.usage;
+        this.#windowMs = options.windowMs;
+        this.#dueMs = options.dueMs;
+        this.#startedWindow = options.usage.windowAt(options.clock.now());
+    }
+
+    start(): Promise<void> {
+        this.#loop = this.#run();
+        return Promise.resolve();
+    }
+
+    async stop(): Promise<void> {
+        this.#stopped.abort(new Error("The host stops."));
+        await this.#loop;
+    }
+
+    async #run(): Promise<void> {
+        while (!this.#stopped.signal.aborted) {
+            this.#usage.forgetBefore(this.#usage.windowAt(this.#clock.now()) - windowsKept);
+            for (const window of this.#windowsDue()) {
+                await this.#report(window);
+            }
+            try {
+                await this.#clock.sleep(tickMs, this.#stopped.signal);
+            }
+            catch {
+                return;
+            }
+        }
+    }
+
+    /** Windows whose counts have settled and whose report would still be in time, oldest first. */
+    #windowsDue(): number[] {
+        if (this.#lead.holder() === undefined) {
+            return [];
+        }
+        const nowMs = this.#clock.now().getTime();
+        const settledMs = nowMs - this.#dueMs * settleShare;
+        const last = Math.floor(settledMs / this.#windowMs) - 1;
+        const first = Math.max(Math.ceil((nowMs - this.#dueMs) / this.#windowMs) - 1, this.#firstKnownWindow());
+        const windows: number[] = [];
+        for (let window = first; window <= last; window += 1) {
+            if (!this.#reported.has(window)) {
+                windows.push(window);
+            }
+        }
+        return windows;
+    }
+
+    /** The first window that this host can count, or that a former holder has stored. */
+    #firstKnownWindow(): number {
+        return Math.min(this.#startedWindow, ...Object.keys(this.#stored()).map(Number));
+    }
+
+    async #report(window: number): Promise<void> {
+        const counts = await this.#fixCounts(window);
+        const holder = this.#lead.holder();
+        if (counts === undefined || holder === undefined) {
+            return;
+        }
+        const reported = await this.#duties.reportUsage(holder, window, counts);
+        if (reported.ok) {
+            this.#reported.add(window);
+            this.#log.write(events.usageReported, { window, term: holder.fencingToken, customers: Object.keys(counts).length });
+            return;
+        }
+        this.#log.write(events.usageFailed, { window, code: reported.issue.code, message: reported.issue.message });
+        if (reported.issue.code === "duty.staleToken") {
+            this.#lead.yieldTo("the platform knows a later holder");
+        }
+    }
+
+    /** The counts of a window that are in the store; those of this host are stored when there are none. */
+    async #fixCounts(window: number): Promise<CustomerCounts | undefined> {
+        const known = this.#stored()[window];
+        if (known !== undefined) {
+            return known;
+        }
+        // The mirror may be behind a former holder's last write.
+        const current = await this.#store.get(usageKey);
+        if (!current.ok) {
+            return undefined;
+        }
+        const stored = parseStored(current.value?.value);
+        if (stored[window] !== undefined) {
+            return stored[window];
+        }
+        const counts = this.#usage.total(window);
+        const kept = Object.entries(stored).filter(([number]) => Number(number) > window - windowsKept);
+        const value = JSON.stringify(Object.fromEntries([...kept, [String(window), counts]]));
+        if (this.#lead.holder() === undefined) {
+            return undefined;
+        }
+        const committed = await this.#store.commit({
+            expected: [{ key: usageKey, revision: current.value?.revision ?? 0 }],
+            writes: [{ key: usageKey, value }],
+        });
+        // After a lost answer the next round reads what the store has.
+        return committed.ok ? counts : undefined;
+    }
+
+    #stored(): StoredWindows {
+        return parseStored(this.#mirror.get(usageKey)?.value);
+    }
+}
+
+function parseStored(value: string | undefined): StoredWindows {
+    return value === undefined ? {} : storedSchema.parse(JSON.parse(value));
+}
--- a/packages/ingress/src/fleet/exchange.ts
+++ b/packages/ingress/src/fleet/exchange.ts
@@ -1,6 +1,6 @@
 import type { Clock, EventLog, HostId, Incarnation, Service } from "@filbertrelay/kernel";
 import { brandAs } from "@filbertrelay/kernel";
-import type { FleetReach, LoadBoard, UsageLedger, UsageQuota } from "@filbertrelay/policy";
+import type { DemandMeter, FleetReach, LoadBoard, UsageLedger, UsageQuota } from "@filbertrelay/policy";
 import { declareTopic } from "@filbertrelay/wire";
 import type { TcpPeerNetwork } from "@filbertrelay/wire";
 import { z } from "zod";
@@ -15,6 +15,8 @@
     revision: z.number(),
     quotaUse: countsSchema,
     windowCounts: z.record(z.string(), countsSchema),
+    /** Busy endpoints by service. */
+    demand: countsSchema,
     endpointUse: z.record(z.string(), z.object({ running: z.number(), waitingTokens: countsSchema })),
 });
 type Report = z.infer<typeof reportSchema>;
@@ -53,6 +55,7 @@
     readonly #quota: UsageQuota;
     readonly #usage: UsageLedger;
     readonly #loads: LoadBoard;
+    readonly #demand: DemandMeter;
     readonly #heardMs = new Map<HostId, number>();
     readonly #addresses = new Map<HostId, string>();
     #isAskingForChanges = false;
@@ -70,6 +73,7 @@
             readonly quota: UsageQuota;
             readonly usage: UsageLedger;
             readonly loads: LoadBoard;
+            readonly demand: DemandMeter;
         },
     ) {
         this.#clock = options.clock;
@@ -82,6 +86,7 @@
         this.#quota = options.quota;
         this.#usage = options.usage;
         this.#loads = options.loads;
+        this.#demand = options.demand;
     }
 
     start(): Promise<void> {
@@ -167,6 +172,7 @@
         this.#heardMs.set(peer, nowMs);
         this.#quota.recordPeerUse(peer, report.quotaUse, nowMs);
         this.#usage.recordPeerCounts(`${peer}/${report.incarnation}`, report.windowCounts);
+        this.#demand.recordPeerDemand(peer, report.demand, nowMs);
         this.#loads.recordPeerUse(peer, report.endpointUse, nowMs);
         if (report.revision > this.#mirror.revision && this.#mirror.ageMs() > mirrorAgeMs && !this.#isAskingForChanges) {
             void this.#askForChanges(peer);
@@ -199,6 +205,7 @@
             revision: this.#mirror.revision,
             quotaUse: { ...this.#quota.ownUse(this.#clock.monotonicMs()) },
             windowCounts: copyCounts(this.#usage.ownCounts()),
+            demand: { ...this.#demand.ownDemand(this.#clock.monotonicMs()) },
             endpointUse: copyUse(this.#loads.ownUse()),
         };
     }
--- a/packages/ingress/src/lifecycle.ts
+++ b/packages/ingress/src/lifecycle.ts
@@ -1,6 +1,7 @@
 import type { Clock, EventLog, Kernel } from "@filbertrelay/kernel";
 import { declareEvents } from "@filbertrelay/kernel";
 import type { IngressServer } from "./caller/server.js";
+import type { Lead } from "./duty/lead.js";
 import type { Registration } from "./fleet/registration.js";
 
 /** Log events of a host's start and stop. */
@@ -37,6 +38,7 @@
     readonly #clock: Clock;
     readonly #log: EventLog;
     readonly #registration: Registration;
+    readonly #lead: Lead;
     readonly #server: IngressServer;
     readonly #stopLimitMs: number;
     readonly #directoryKeepMs: number;
@@ -46,6 +48,7 @@
         kernel: Kernel,
         options: {
             readonly registration: Registration;
+            readonly lead: Lead;
             readonly server: IngressServer;
             readonly stopLimitMs: number;
             readonly directoryKeepMs: number;
@@ -54,6 +57,7 @@
         this.#clock = kernel.clock;
         this.#log = kernel.log;
         this.#registration = options.registration;
+        this.#lead = options.lead;
         this.#server = options.server;
         this.#stopLimitMs = options.stopLimitMs;
         this.#directoryKeepMs = options.directoryKeepMs;
@@ -78,6 +82,7 @@
         this.#log.write(lifecycleEvents.hostStopping, { reason, inProgress: this.#server.inProgress });
         this.#server.closeConnections();
         void this.#registration.leave();
+        void this.#lead.release();
         const leastMs = Math.min(this.#directoryKeepMs * directoryKeepFactor, this.#stopLimitMs * acceptShare);
         for (;;) {
             const elapsedMs = this.#clock.monotonicMs() - startMs;
--- a/packages/ingress/src/request/attempt.ts
+++ b/packages/ingress/src/request/attempt.ts
@@ -18,7 +18,8 @@
     readonly endpoint: EndpointRecord;
     readonly priority: number;
     readonly tokens: number;
-    readonly expectedStartMs: number;
+    /** No other prompt waited at the endpoint when the request was sent. */
+    readonly isAloneAtStart: boolean;
     readonly isRepeatable: boolean;
     readonly isStream: boolean;
 }
@@ -108,8 +109,10 @@
         if (!this.#hasFirstEvent) {
             this.#hasFirstEvent = true;
             this.#context.loads.recordFirstEvent(this.#loadKey);
-            const startMs = this.#context.clock.monotonicMs() - this.#sentMs;
-            this.#context.timings.recordStart(this.#options.endpoint.service, startMs, this.#options.expectedStartMs);
+            if (this.#options.isAloneAtStart) {
+                const startMs = this.#context.clock.monotonicMs() - this.#sentMs;
+                this.#context.timings.recordStart(this.#options.endpoint.service, startMs, this.#options.tokens);
+            }
         }
     }
 
--- a/packages/ingress/src/request/context.ts
+++ b/packages/ingress/src/request/context.ts
@@ -1,5 +1,6 @@
 import type { Clock, EventLog, FailureDomainId } from "@filbertrelay/kernel";
 import type {
+    DemandMeter,
     EndpointHealth,
     FleetReach,
     LoadBoard,
@@ -31,6 +32,7 @@
     readonly repeats: RepeatBudget;
     readonly usage: UsageLedger;
     readonly timings: ServiceTimings;
+    readonly demand: DemandMeter;
     readonly metrics: IngressMetrics;
     /** How much of the fleet this host exchanges its use with. */
     readonly reach: () => FleetReach;
--- a/packages/ingress/src/request/pipeline.ts
+++ b/packages/ingress/src/request/pipeline.ts
@@ -83,14 +83,9 @@
             );
             return;
         }
+        const takenUse = customer === undefined ? 0 : measureUse(customer, description);
         if (customer?.limit !== undefined) {
-            const decision = quota.tryTake(
-                customer.name,
-                customer.limit,
-                measureUse(customer, description),
-                reach(),
-                clock.monotonicMs(),
-            );
+            const decision = quota.tryTake(customer.name, customer.limit, takenUse, reach(), clock.monotonicMs());
             if (!decision.admitted) {
                 this.#refuse(
                     caller,
@@ -109,6 +104,7 @@
             route,
             service,
             customer,
+            takenUse,
             configurationVersion: active.configuration.version,
             deadlineMs: caller.arrivedMs + waitMs,
         }, responder).start();
--- a/packages/ingress/src/request/task.ts
+++ b/packages/ingress/src/request/task.ts
@@ -15,6 +15,11 @@
 
 /** Assumed until requests of a service have ended: the time that one occupies a place. */
 const defaultHoldMs = 700;
+/**
+ * What one more request adds to an engine's time per stated output token. A generated token adds about 0.12 ms to a step, and
+ * requests generate about a third of what they state as their limit.
+ */
+const outputTokenMs = 0.04;
 /** A refused caller may come back at once when only a moment's change, such as a configuration, is missing. */
 const briefRetryMs = 250;
 
@@ -26,6 +31,8 @@
     readonly route: IngressRoute;
     readonly service: string;
     readonly customer: IngressCustomer | undefined;
+    /** What the request took from its customer's limit. */
+    readonly takenUse: number;
     readonly configurationVersion: number;
     /** Monotonic time by which the caller has its final answer. */
     readonly deadlineMs: number;
@@ -155,6 +162,7 @@
         if (description.prompt !== undefined && endpoint.hasPromptCache) {
             promptCaches.recordPrompt(endpoint.endpointId, description.prompt.parts);
         }
+        this.#recordDemand(choice);
         this.#frames.reader = new EventFrameReader();
         const attempt = new Attempt(this.#context, {
             requestId,
@@ -162,7 +170,7 @@
             endpoint,
             priority: this.#priority(),
             tokens: choice.tokensToCompute,
-            expectedStartMs: choice.expectedStartMs,
+            isAloneAtStart: choice.isIdle,
             isRepeatable: this.#isRepeatable(),
             isStream,
         }, { method: caller.method, target: caller.target, headers, body: caller.body });
@@ -174,6 +182,16 @@
         });
     }
 
+    /** Counts the engine's time for the prompt and for the tokens that it will generate. */
+    #recordDemand(choice: EndpointChoice): void {
+        const { timings, demand, clock } = this.#context;
+        const { description: { prompt }, service } = this.#request;
+        if (prompt !== undefined) {
+            const workMs = choice.tokensToCompute * timings.tokenMs(service) + prompt.outputTokens * outputTokenMs;
+            demand.recordWork(service, workMs, clock.monotonicMs());
+        }
+    }
+
     #receiveStream(attempt: Attempt, bytes: Buffer, route: IngressRoute): void {
         const frames = this.#frames.reader.push(bytes);
         if (frames === undefined) {
@@ -358,8 +376,11 @@
         this.#cancelSilence();
         this.#attempt?.cancel();
         this.#attempt = undefined;
-        const { clock, log, metrics } = this.#context;
-        const { caller, requestId, route, service, customer, configurationVersion } = this.#request;
+        const { clock, log, metrics, quota } = this.#context;
+        const { caller, requestId, route, service, customer, configurationVersion, takenUse } = this.#request;
+        if (outcome === "refused" && customer !== undefined) {
+            quota.giveBack(customer.name, takenUse, caller.arrivedMs, clock.monotonicMs());
+        }
         const elapsedMs = clock.monotonicMs() - caller.arrivedMs;
         metrics.recordRequest(service, outcome, elapsedMs);
         log.write(events.requestEnded, {
--- a/packages/ingress/src/settings.ts
+++ b/packages/ingress/src/settings.ts
@@ -33,7 +33,7 @@
         writesPerSecond: z.number().positive(),
     }),
     /** Absent where no duties are due. */
-    duties: z.object({ address: hostAndPort, names: z.array(z.string()) }).optional(),
+    duties: z.object({ address: hostAndPort, usage: z.boolean().default(true), scaling: z.boolean().default(true) }).optional(),
     promises: z.object({
         /** Length of the window in which customers' limits hold. */
         quotaWindowSeconds: seconds.default(8),
--- a/packages/policy/src/ingress/enginechoice.ts
+++ b/packages/policy/src/ingress/enginechoice.ts
@@ -40,6 +40,8 @@
     /** Time until the first event of the answer, or until a request without a prompt starts. */
     readonly expectedStartMs: number;
     readonly running: number;
+    /** No other prompt waits there. */
+    readonly isIdle: boolean;
     readonly candidates: number;
 }
 
@@ -86,6 +88,7 @@
                 tokensToCompute,
                 expectedStartMs,
                 running: candidate.load.running,
+                isIdle: candidate.load.waitingTokens === 0,
                 candidates: ranked.length,
             };
         }
--- a/packages/policy/src/ingress/index.ts
+++ b/packages/policy/src/ingress/index.ts
@@ -1,9 +1,12 @@
 /** Decisions of the ingress: routes, limits, placing and refusing. */
+export * from "./demandmeter.js";
 export * from "./endpointhealth.js";
+export * from "./endpointplan.js";
 export * from "./enginechoice.js";
 export * from "./loadboard.js";
 export * from "./promptcache.js";
 export * from "./repeatbudget.js";
+export * from "./requiredendpoints.js";
 export * from "./routetable.js";
 export * from "./servicetimings.js";
 export * from "./silence.js";
--- a/packages/policy/src/ingress/servicetimings.ts
+++ b/packages/policy/src/ingress/servicetimings.ts
@@ -1,7 +1,7 @@
 /** Times of services as this host measures them. */
 export interface ServiceTimings {
-    /** Takes the time from sending a request to its first event, with what was expected. */
-    recordStart(service: string, actualMs: number, expectedMs: number): void;
+    /** Takes the time from sending a request to its first event at an engine that had no other prompts to compute. */
+    recordStart(service: string, startMs: number, computedTokens: number): void;
     /** Takes the time that a request occupied a place. */
     recordHold(service: string, holdMs: number): void;
     /** Time to compute one prompt token. */
@@ -18,23 +18,24 @@
 /** Weight of one observation. */
 const startSmoothing = 0.03;
 const holdSmoothing = 0.05;
-/** A single start says little beyond a factor of two, since the prompts before it are only estimated. */
-const largestRatio = 2;
-/** Expected times below this say nothing about the time of a token. */
-const smallestExpectedMs = 40;
+/** Time of a start besides the prompt; see `baseStartMs`. */
+const startOverheadMs = 25;
+/** Shorter prompts say little about the time of a token. */
+const fewestTokens = 1_500;
 
 /** Creates timings without measurements. */
 export function createServiceTimings(): ServiceTimings {
     const tokens = new Map<string, number>();
     const holds = new Map<string, number>();
     return {
-        recordStart: (service, actualMs, expectedMs) => {
-            if (expectedMs < smallestExpectedMs) {
+        recordStart: (service, startMs, computedTokens) => {
+            if (computedTokens < fewestTokens) {
                 return;
             }
-            const ratio = Math.min(largestRatio, Math.max(1 / largestRatio, actualMs / expectedMs));
-            const updated = (tokens.get(service) ?? defaultTokenMs) * (1 + startSmoothing * (ratio - 1));
-            tokens.set(service, Math.min(longestTokenMs, Math.max(shortestTokenMs, updated)));
+            const measuredMs = Math.max(0, startMs - startOverheadMs) / computedTokens;
+            const bounded = Math.min(longestTokenMs, Math.max(shortestTokenMs, measuredMs));
+            const known = tokens.get(service) ?? defaultTokenMs;
+            tokens.set(service, known + startSmoothing * (bounded - known));
         },
         recordHold: (service, holdMs) => {
             const known = holds.get(service);
--- a/packages/policy/src/ingress/slidingwindow.ts
+++ b/packages/policy/src/ingress/slidingwindow.ts
@@ -19,6 +19,18 @@
         this.#sum += amount;
     }
 
+    /** Takes back an amount that was added at a time, if that time is still within the window. */
+    remove(amount: number, addedMs: number, nowMs: number): void {
+        this.#advance(nowMs);
+        const bucket = Math.floor(addedMs / this.#bucketMs);
+        if (bucket > this.#lastBucket - this.#amounts.length) {
+            const index = bucket % this.#amounts.length;
+            const removed = Math.min(amount, this.#amounts[index] ?? 0);
+            this.#amounts[index] = (this.#amounts[index] ?? 0) - removed;
+            this.#sum -= removed;
+        }
+    }
+
     sum(nowMs: number): number {
         this.#advance(nowMs);
         return Math.max(0, this.#sum);
--- a/packages/policy/src/ingress/usagequota.ts
+++ b/packages/policy/src/ingress/usagequota.ts
@@ -22,6 +22,8 @@
 export interface UsageQuota {
     /** Takes the amount from the customer's limit, unless it is used up. */
     tryTake(customer: string, limit: UsageLimit, amount: number, reach: FleetReach, nowMs: number): QuotaDecision;
+    /** Gives back an amount that was taken at a time for a request that has not run. */
+    giveBack(customer: string, amount: number, takenMs: number, nowMs: number): void;
     /** What this host let through within the window, by customer; sent to the peers. */
     ownUse(nowMs: number): Readonly<Record<string, number>>;
     /** Takes what a peer let through within the window. */
@@ -70,6 +72,10 @@
         return { admitted: true };
     }
 
+    giveBack(customer: string, amount: number, takenMs: number, nowMs: number): void {
+        this.#own.get(customer)?.remove(amount, takenMs, nowMs);
+    }
+
     ownUse(nowMs: number): Readonly<Record<string, number>> {
         const use: Record<string, number> = {};
         for (const [customer, window] of this.#own) {
