--- a/packages/ingress/src/duty/scalingduty.ts
+++ b/packages/ingress/src/duty/scalingduty.ts
@@ -19,6 +19,11 @@
 const leastEndpoints = 4;
 /** How long a peak keeps its endpoints. */
 const peakHoldMs = 20_000;
+const requirement = { targetUtilization, minimum: leastEndpoints, holdMs: peakHoldMs };
+/** A host looks at what runs for this long after its start, which is before it may hold the duties. */
+const observeMs = 2_900;
+/** Part of the endpoints that is left when one of three failure domains loses its own. */
+const lossShare = 2 / 3;
 /** Beyond the time to start an endpoint, an order that shows no effect is repeated. */
 const orderMarginMs = 2_500;
 /** Delays after a refused order of reclaimable endpoints. */
@@ -41,6 +46,7 @@
     readonly #required = new Map<string, RequiredEndpoints>();
     readonly #refusals: StartBackoff = createStartBackoff(refusalBackoff);
     readonly #orders = new Map<string, SentOrder>();
+    readonly #createdMs: number;
     readonly #stopped = new AbortController();
     #loop: Promise<void> | undefined;
 
@@ -62,6 +68,7 @@
         this.#configuration = options.configuration;
         this.#endpoints = options.endpoints;
         this.#demand = options.demand;
+        this.#createdMs = options.clock.monotonicMs();
     }
 
     start(): Promise<void> {
@@ -93,7 +100,7 @@
     async #scale(service: IngressService, scaling: Scaling): Promise<void> {
         const nowMs = this.#clock.monotonicMs();
         const demand = this.#demand.demand(service.name, nowMs);
-        const requiredEndpoints = this.#requiredOf(service.name).update(demand, nowMs);
+        const requiredEndpoints = this.#requiredOf(service.name, nowMs).update(demand, nowMs);
         const essentialEndpoints = Math.min(requiredEndpoints, Math.max(2, Math.ceil(demand / fullUtilization)));
         const serving = this.#countServing(service.name);
         if (this.#lead.holder() === undefined || serving.size === 0) {
@@ -162,11 +169,14 @@
         this.#orders.delete(key);
     }
 
-    #requiredOf(service: string): RequiredEndpoints {
-        const known = this.#required.get(service) ??
-            createRequiredEndpoints({ targetUtilization, minimum: leastEndpoints, holdMs: peakHoldMs });
-        this.#required.set(service, known);
-        return known;
+    #requiredOf(service: string, nowMs: number): RequiredEndpoints {
+        const required = this.#required.get(service) ?? createRequiredEndpoints(requirement);
+        this.#required.set(service, required);
+        if (nowMs - this.#createdMs < observeMs) {
+            // What runs at the start was chosen by somebody who knew the load, or by a host that measured it.
+            required.assume(Math.ceil(this.#endpoints.usable(service).length * lossShare), nowMs);
+        }
+        return required;
     }
 
     #countServing(service: string): ReadonlyMap<string, DomainCounts> {
--- a/packages/ingress/src/duty/usageduty.ts
+++ b/packages/ingress/src/duty/usageduty.ts
@@ -9,13 +9,20 @@
 import type { Lead } from "./lead.js";
 
 const usageKey = `${ownPrefix}usage`;
-const storedSchema = z.record(z.string(), z.record(z.string(), z.number()));
+const storedSchema = z.record(
+    z.string(),
+    z.object({
+        counts: z.record(z.string(), z.number()),
+        /** Final counts may have been sent and don't change any more. */
+        isFinal: z.boolean(),
+    }),
+);
 type StoredWindows = z.infer<typeof storedSchema>;
 
 /** How often the holder looks for windows that are due. */
 const tickMs = 400;
 /** Part of the time until a report is due that is waited, so that requests which began in the window have been counted. */
-const settleShare = 0.5;
+const settleShare = 0.54;
 /** Windows kept in the store, for a holder that takes over; older ones are past due. */
 const windowsKept = 5;
 
@@ -129,8 +136,8 @@
     /** The counts of a window that are in the store; those of this host are stored when there are none. */
     async #fixCounts(window: number): Promise<CustomerCounts | undefined> {
         const known = this.#stored()[window];
-        if (known !== undefined) {
-            return known;
+        if (known?.isFinal === true) {
+            return known.counts;
         }
         // The mirror may be behind a former holder's last write.
         const current = await this.#store.get(usageKey);
@@ -138,12 +145,16 @@
             return undefined;
         }
         const stored = parseStored(current.value?.value);
-        if (stored[window] !== undefined) {
-            return stored[window];
+        if (stored[window]?.isFinal === true) {
+            return stored[window].counts;
         }
-        const counts = this.#usage.total(window);
+        const counts = this.#count(window, stored);
         const kept = Object.entries(stored).filter(([number]) => Number(number) > window - windowsKept);
-        const value = JSON.stringify(Object.fromEntries([...kept, [String(window), counts]]));
+        const value = JSON.stringify({
+            ...Object.fromEntries(kept),
+            ...this.#preliminary(window, stored),
+            [window]: { counts, isFinal: true },
+        });
         if (this.#lead.holder() === undefined) {
             return undefined;
         }
@@ -155,6 +166,27 @@
         return committed.ok ? counts : undefined;
     }
 
+    /** Counts of later windows that have ended; they survive when all hosts are killed before those are due. */
+    #preliminary(window: number, stored: StoredWindows): StoredWindows {
+        const ended = this.#usage.windowAt(this.#clock.now()) - 1;
+        const preliminary: StoredWindows = {};
+        for (let later = window + 1; later <= ended; later += 1) {
+            if (stored[later]?.isFinal !== true) {
+                preliminary[later] = { counts: this.#count(later, stored), isFinal: false };
+            }
+        }
+        return preliminary;
+    }
+
+    /** The most that this host or the store knows: hosts that were killed took what they had counted with them. */
+    #count(window: number, stored: StoredWindows): Record<string, number> {
+        const counts: Record<string, number> = { ...stored[window]?.counts };
+        for (const [customer, count] of Object.entries(this.#usage.total(window))) {
+            counts[customer] = Math.max(counts[customer] ?? 0, count);
+        }
+        return counts;
+    }
+
     #stored(): StoredWindows {
         return parseStored(this.#mirror.get(usageKey)?.value);
     }
--- a/packages/ingress/src/fleet/exchange.ts
+++ b/packages/ingress/src/fleet/exchange.ts
@@ -13,7 +13,7 @@
     incarnation: z.string(),
     /** Revision of the store up to which the sender knows all changes. */
     revision: z.number(),
-    quotaUse: countsSchema,
+    quotaUse: z.record(z.string(), z.object({ whole: z.number(), short: z.number() })),
     windowCounts: z.record(z.string(), countsSchema),
     /** Busy endpoints by service. */
     demand: countsSchema,
--- a/packages/policy/src/ingress/requiredendpoints.ts
+++ b/packages/policy/src/ingress/requiredendpoints.ts
@@ -2,6 +2,8 @@
 export interface RequiredEndpoints {
     /** Takes the present demand in busy endpoints; gives the endpoints that carry it within the objectives. */
     update(demand: number, nowMs: number): number;
+    /** Takes a number that is needed until the demand has been measured for the hold time. */
+    assume(required: number, nowMs: number): void;
 }
 
 /** Options of `createRequiredEndpoints`. */
@@ -17,17 +19,18 @@
 /** Creates a decision that follows a rise at once and a fall after a while, so that a dip does not cost a start. */
 export function createRequiredEndpoints(options: RequiredEndpointsOptions): RequiredEndpoints {
     const peaks: { readonly required: number; readonly atMs: number; }[] = [];
+    const note = (required: number, nowMs: number): number => {
+        while ((peaks[0]?.atMs ?? Infinity) < nowMs - options.holdMs) {
+            peaks.shift();
+        }
+        while ((peaks.at(-1)?.required ?? Infinity) <= required) {
+            peaks.pop();
+        }
+        peaks.push({ required, atMs: nowMs });
+        return peaks[0]?.required ?? required;
+    };
     return {
-        update: (demand, nowMs) => {
-            const required = Math.max(options.minimum, Math.ceil(demand / options.targetUtilization));
-            while ((peaks[0]?.atMs ?? Infinity) < nowMs - options.holdMs) {
-                peaks.shift();
-            }
-            while ((peaks.at(-1)?.required ?? Infinity) <= required) {
-                peaks.pop();
-            }
-            peaks.push({ required, atMs: nowMs });
-            return peaks[0]?.required ?? required;
-        },
+        assume: (required, nowMs) => void note(required, nowMs),
+        update: (demand, nowMs) => note(Math.max(options.minimum, Math.ceil(demand / options.targetUtilization)), nowMs),
     };
 }
