--- /dev/null
+++ b/features/ingress.state.feature
@@ -0,0 +1,57 @@
+Feature: State of an ingress host
+
+  # Guards against sending requests to an engine that has said that it leaves.
+  Scenario: An engine that leaves gets no new request
+    Given an ingress with a store stand-in and two engines of each service
+    When the first engine is written as draining
+    And a caller sends 6 "idempotent" requests one after the other
+    Then only the second engine got them
+
+  Scenario: Entries of foreign writers are left out one by one
+    Given an ingress with a store stand-in and two engines of each service
+    When entries that can't be read and entries with wrong fields are written beside the engines
+    And a caller sends 4 "idempotent" requests one after the other
+    Then every request is answered with 200
+
+  # Guards against a host that never notices a change after its watch has lost the history.
+  Scenario: A host reads the store anew when its history is gone
+    Given an ingress with a store stand-in and two engines of each service
+    When the store forgets its history and a route is added
+    Then a request on the added route is answered with 200
+
+  # Guards against going back to an older configuration.
+  Scenario: A configuration with a lower version is not applied
+    Given an ingress with a store stand-in and two engines of each service
+    When a configuration with a lower version and without routes is written
+    Then a request on a known route is answered with 200
+
+  # Guards against serving nothing while the store is away.
+  Scenario: Requests are served while the store does not answer
+    Given an ingress with a store stand-in and two engines of each service
+    When the store falls silent for 1 s
+    Then 5 requests are answered with 200
+
+  Scenario: The directory names the host and readiness follows the configuration
+    Given an ingress with a store stand-in and two engines of each service
+    Then the directory names the host's address and the host is ready
+
+  # Guards against two different reports of one window after a change of the holder.
+  Scenario: A later holder repeats the counts that the former one stored
+    Given a usage duty whose report gets no answer
+    When another host with other counts takes the duties over
+    Then both sent the same counts for the same window
+
+  # Guards against two holders at once, and against a holder that was paused.
+  Scenario: One host holds the duties, and a paused one stops acting
+    Given two hosts that contend for the duties
+    Then exactly one of them holds the duties
+    And after the holder was paused for longer than its lease the other one holds them with a higher number
+    And the paused one does not act when it wakes up
+
+  # Guards against shutting out requests or cutting them off at a planned stop.
+  Scenario: A stopping host finishes what is in progress and leaves the directory
+    Given an ingress with a store stand-in and two engines of each service
+    And engines that answer after 400 ms
+    When the host is asked to stop while a request is in progress
+    Then the request is answered with 200
+    And the host is not ready and its entry in the store is gone
--- /dev/null
+++ b/features/steps/ingress.policy.ts
@@ -0,0 +1,448 @@
+import { Given, Then, When } from "@cucumber/cucumber";
+import type { IngressRoute, Scaling } from "@filbertrelay/configuration";
+import { brandAs } from "@filbertrelay/kernel";
+import type { EndpointId, FailureDomainId } from "@filbertrelay/kernel";
+import * as policy from "@filbertrelay/policy";
+import fc from "fast-check";
+import assert from "node:assert/strict";
+
+// A failed property prints this seed with the counterexample.
+const seed = 20_261_204;
+
+const windowMs = 8_000;
+const tolerance = 110_000;
+const limit = { unit: "tokens" as const, perSecond: 128_000, burst: 128_000, unstatedTokens: 200 };
+const limitWithTolerance = (limit.perSecond * windowMs / 1_000 + limit.burst) * 1.1 + tolerance;
+
+interface IngressPolicyWorld {
+    routes: policy.RouteTable;
+    hosts: QuotaHost[];
+    taken: { readonly atMs: number; readonly amount: number; }[];
+    durationMs: number;
+    quota: policy.UsageQuota;
+    budgets: policy.RepeatBudget[];
+    events: { readonly atMs: number; readonly isRepeat: boolean; }[];
+    plans: { readonly input: policy.EndpointPlanInput; readonly plan: ReadonlyMap<string, policy.DomainCounts>; }[];
+    required: policy.RequiredEndpoints;
+    choices: [string, string][];
+    ledger: policy.UsageLedger;
+    load: LoadResult;
+}
+
+interface QuotaHost {
+    quota: policy.UsageQuota;
+    group: number;
+    /** A host that was started again hears the others from the next exchange on. */
+    isStarted: boolean;
+}
+
+interface LoadResult {
+    readonly started: readonly number[];
+    readonly refusals: readonly { readonly waitedMs: number; readonly retryAfterMs: number; readonly remainingMs: number; }[];
+    readonly busyMs: number;
+    readonly durationMs: number;
+}
+
+function route(pathPrefix: string): IngressRoute {
+    return {
+        name: pathPrefix,
+        hostname: "shop.example",
+        pathPrefix,
+        kind: "idempotent",
+        targets: [{ service: "orders", weight: 1 }],
+        timeLimitMs: 1_000,
+        objectiveMs: 500,
+        priority: 1,
+        maximumAttempts: 2,
+        isPublic: false,
+        isResumable: false,
+    };
+}
+
+Given(
+    "routes for {string}, {string} and {string} of one host name",
+    function(this: IngressPolicyWorld, first: string, second: string, third: string) {
+        this.routes = policy.createRouteTable([first, second, third].map(route));
+    },
+);
+
+Then(
+    "{string} goes to {string}, {string} to {string}, {string} to {string} and another host name to none",
+    function(this: IngressPolicyWorld, a: string, toA: string, b: string, toB: string, c: string, toC: string) {
+        for (const [path, prefix] of [[a, toA], [b, toB], [c, toC]] as const) {
+            assert.equal(this.routes.find("Shop.example:8080", path)?.pathPrefix, prefix);
+        }
+        assert.equal(this.routes.find("other.example", "/a/"), undefined);
+    },
+);
+
+Given("{int} hosts that exchange their use every 150 ms", function(this: IngressPolicyWorld, count: number) {
+    this.hosts = Array.from({ length: count }, () => ({
+        quota: policy.createUsageQuota({ windowMs, tolerance, nowMs: -20_000 }),
+        group: 0,
+        isStarted: true,
+    }));
+    this.taken = [];
+});
+
+/** Plays a customer that asks for five times its limit in small requests, at random hosts. */
+function playCustomer(world: IngressPolicyWorld, durationMs: number, disturb: (atMs: number) => void): void {
+    const amount = 4_000;
+    const random = createRandom();
+    world.durationMs = durationMs;
+    for (let atMs = 0; atMs < durationMs; atMs += 5) {
+        disturb(atMs);
+        if (atMs % 150 === 0) {
+            exchange(world.hosts, atMs);
+        }
+        for (let sent = 0; sent < limit.perSecond * 5 * 0.005 / amount + random() - 0.5; sent += 1) {
+            const host = world.hosts[Math.floor(random() * world.hosts.length)]!;
+            const reach = {
+                knownHosts: world.hosts.length,
+                reachableHosts: world.hosts.filter(other => other === host || areConnected(other, host)).length,
+            };
+            if (host.quota.tryTake("large", limit, amount, reach, atMs).admitted) {
+                world.taken.push({ atMs, amount });
+            }
+        }
+    }
+}
+
+function areConnected(left: QuotaHost, right: QuotaHost): boolean {
+    return left.group === right.group && left.isStarted && right.isStarted;
+}
+
+function exchange(hosts: readonly QuotaHost[], atMs: number): void {
+    hosts.forEach(host => {
+        host.isStarted = true;
+    });
+    hosts.forEach((from, index) => {
+        const use = from.quota.ownUse(atMs);
+        hosts.filter(to => to !== from && areConnected(to, from)).forEach(to => to.quota.recordPeerUse(`h${index}`, use, atMs));
+    });
+}
+
+function createRandom(): () => number {
+    let state = seed;
+    return () => {
+        state = (state * 1_664_525 + 1_013_904_223) % 4_294_967_296;
+        return state / 4_294_967_296;
+    };
+}
+
+When(
+    "a customer asks for five times its limit for {int} s and all hosts are killed at {int} s and at {int} s",
+    function(this: IngressPolicyWorld, seconds: number, firstKill: number, secondKill: number) {
+        playCustomer(this, seconds * 1_000, atMs => {
+            if (atMs === firstKill * 1_000 || atMs === secondKill * 1_000) {
+                this.hosts.forEach(host => {
+                    host.quota = policy.createUsageQuota({ windowMs, tolerance, nowMs: atMs });
+                    host.isStarted = false;
+                });
+            }
+        });
+    },
+);
+
+When(
+    "a customer asks for five times its limit for {int} s and {int} hosts are cut off at {int} s",
+    function(this: IngressPolicyWorld, seconds: number, cut: number, cutAt: number) {
+        playCustomer(this, seconds * 1_000, atMs => {
+            if (atMs === cutAt * 1_000) {
+                this.hosts.slice(0, cut).forEach(host => {
+                    host.group = 1;
+                });
+            }
+        });
+    },
+);
+
+Then("no window of 8 s holds more than the limit with its tolerance", function(this: IngressPolicyWorld) {
+    let sum = 0;
+    let first = 0;
+    for (const { atMs, amount } of this.taken) {
+        sum += amount;
+        while (this.taken[first]!.atMs <= atMs - windowMs) {
+            sum -= this.taken[first]!.amount;
+            first += 1;
+        }
+        assert.ok(sum <= limitWithTolerance, `${sum} tokens within 8 s before ${atMs} ms, allowed ${limitWithTolerance}`);
+    }
+});
+
+Then("more than {int} percent of the limit is let through", function(this: IngressPolicyWorld, percent: number) {
+    const total = this.taken.reduce((sum, { amount }) => sum + amount, 0);
+    assert.ok(total > percent / 100 * limit.perSecond * this.durationMs / 1_000, `${total} tokens`);
+});
+
+Given("a quota of 1 host", function(this: IngressPolicyWorld) {
+    this.quota = policy.createUsageQuota({ windowMs, tolerance: 0, nowMs: -20_000 });
+});
+
+const alone = { knownHosts: 1, reachableHosts: 1 };
+
+When("a customer takes its whole limit and gives it back", function(this: IngressPolicyWorld) {
+    assert.ok(this.quota.tryTake("large", limit, 300_000, alone, 100).admitted);
+    assert.ok(!this.quota.tryTake("large", limit, 300_000, alone, 200).admitted);
+    this.quota.giveBack("large", 300_000, 100, 250);
+});
+
+Then("it can take the limit again at once", function(this: IngressPolicyWorld) {
+    assert.ok(this.quota.tryTake("large", limit, 300_000, alone, 300).admitted);
+});
+
+const repeatRatio = 0.2;
+const repeatExtra = 58;
+const repeatWindowMs = 10_000;
+
+Given("{int} hosts with a repeat budget of 0.2 and 58 in 10 s", function(this: IngressPolicyWorld, count: number) {
+    this.budgets = Array.from(
+        { length: count },
+        () => policy.createRepeatBudget({ windowMs: repeatWindowMs, ratio: repeatRatio, extra: repeatExtra, nowMs: -20_000 }),
+    );
+    this.events = [];
+});
+
+When(
+    "every request fails and is repeated while the budget allows for {int} s",
+    function(this: IngressPolicyWorld, seconds: number) {
+        for (let atMs = 0; atMs < seconds * 1_000; atMs += 20) {
+            const budget = this.budgets[(atMs / 20) % this.budgets.length]!;
+            budget.recordRequest("orders", atMs);
+            this.events.push({ atMs, isRepeat: false });
+            while (budget.tryRepeat("orders", this.budgets.length, atMs)) {
+                this.events.push({ atMs, isRepeat: true });
+            }
+        }
+    },
+);
+
+Then("no window of 10 s holds more repeats than the budget", function(this: IngressPolicyWorld) {
+    const lastMs = this.events.at(-1)!.atMs;
+    for (let startMs = 0; startMs + repeatWindowMs <= lastMs; startMs += 100) {
+        const within = this.events.filter(({ atMs }) => atMs >= startMs && atMs < startMs + repeatWindowMs);
+        const requests = within.filter(({ isRepeat }) => !isRepeat).length;
+        const repeats = within.length - requests;
+        assert.ok(
+            repeats <= repeatRatio * requests + repeatExtra,
+            `${repeats} repeats of ${requests} requests from ${startMs} ms`,
+        );
+    }
+    assert.ok(this.events.some(({ isRepeat }) => isRepeat));
+});
+
+When("plans are made for random limits, prices and loads", function(this: IngressPolicyWorld) {
+    this.plans = [];
+    const counts = fc.record({ reclaimable: fc.nat(6), onDemand: fc.nat(6) });
+    const input = fc.record({
+        maximum: fc.integer({ min: 1, max: 6 }),
+        required: fc.integer({ min: 1, max: 12 }),
+        essential: fc.integer({ min: 1, max: 6 }),
+        prices: fc.array(fc.integer({ min: 50, max: 150 }), { minLength: 3, maxLength: 3 }),
+        serving: fc.array(counts, { minLength: 3, maxLength: 3 }),
+    });
+    fc.assert(
+        fc.property(input, ({ maximum, required, essential, prices, serving }) => {
+            const scaling: Scaling = {
+                minimum: 1,
+                maximum,
+                startSeconds: 4,
+                reclaimablePriceRatio: 0.22,
+                domainPrices: Object.fromEntries(prices.map((price, index) => [`d${index}`, price / 100])),
+            };
+            const planInput = {
+                scaling,
+                requiredEndpoints: required,
+                essentialEndpoints: Math.min(required, essential),
+                serving: new Map(serving.map((entry, index) => [`d${index}`, entry])),
+            };
+            this.plans.push({ input: planInput, plan: policy.planEndpoints(planInput) });
+        }),
+        { seed, numRuns: 300 },
+    );
+});
+
+Then(
+    "the required endpoints remain after the loss of any failure domain, as far as the limits allow",
+    function(this: IngressPolicyWorld) {
+        for (const { input, plan } of this.plans) {
+            const counts = [...plan.values()];
+            const reclaimable = counts.map(entry => entry.reclaimable);
+            const total = reclaimable.reduce((sum, count) => sum + count, 0);
+            const { maximum } = input.scaling;
+            assert.ok(counts.every(entry => entry.reclaimable <= maximum && entry.onDemand <= maximum));
+            if (counts.every(entry => entry.onDemand === 0)) {
+                const remaining = total - Math.max(...reclaimable);
+                assert.ok(
+                    remaining >= Math.min(input.requiredEndpoints, 2 * maximum),
+                    JSON.stringify([input.requiredEndpoints, reclaimable]),
+                );
+            }
+        }
+    },
+);
+
+Then("endpoints that stay are planned only while fewer than the essential ones serve", function(this: IngressPolicyWorld) {
+    for (const { input, plan } of this.plans) {
+        const serving = [...input.serving.values()].reduce((sum, entry) => sum + entry.reclaimable, 0);
+        const onDemand = [...plan.values()].reduce((sum, entry) => sum + entry.onDemand, 0);
+        const allowed = Math.max(0, input.essentialEndpoints - serving);
+        assert.ok(onDemand <= allowed + plan.size, `${onDemand} planned, ${allowed} missing`);
+        assert.ok(allowed > 0 || onDemand === 0, `${onDemand} planned though enough serve`);
+    }
+});
+
+Given("a requirement with a peak hold of 20 s", function(this: IngressPolicyWorld) {
+    this.required = policy.createRequiredEndpoints({ targetUtilization: 0.5, minimum: 4, holdMs: 20_000 });
+});
+
+When("{int} endpoints are assumed at 0 s and the demand stays at 1", function(this: IngressPolicyWorld, count: number) {
+    this.required.assume(count, 0);
+});
+
+Then(
+    "{int} endpoints are required at {int} s and {int} at {int} s",
+    function(this: IngressPolicyWorld, first: number, firstAt: number, second: number, secondAt: number) {
+        assert.equal(this.required.update(1, firstAt * 1_000), first);
+        assert.equal(this.required.update(1, secondAt * 1_000), second);
+    },
+);
+
+const idle: policy.EndpointLoad = { running: 0, tokensAhead: 0, waitingTokens: 0 };
+
+function candidate(name: string, values: Partial<policy.EndpointCandidate> = {}): policy.EndpointCandidate {
+    return {
+        endpointId: brandAs<EndpointId>(name),
+        failureDomain: brandAs<FailureDomainId>(`d${Number(name.slice(1)) % 3}`),
+        capacity: 64,
+        load: idle,
+        cachedTokens: 0,
+        failureRatio: 0,
+        isQuarantined: false,
+        ...values,
+    };
+}
+
+function demand(session: string, values: Partial<policy.EndpointDemand> = {}): policy.EndpointDemand {
+    return {
+        parts: [{ id: "system", tokens: 2_500 }, { id: session, tokens: 3_700 }, { id: `${session}-own`, tokens: 2_900 }],
+        promptTokens: 9_100,
+        requestId: session,
+        tried: new Set(),
+        homeDomain: brandAs<FailureDomainId>("d0"),
+        tokenMs: 0.02,
+        holdMs: 700,
+        ...values,
+    };
+}
+
+When(
+    "{int} sessions are placed by two hosts over {int} idle engines",
+    function(this: IngressPolicyWorld, sessions: number, engines: number) {
+        const names = Array.from({ length: engines }, (_, index) => `e${index}`);
+        this.choices = Array.from({ length: sessions }, (_, index) => {
+            const choose = (order: readonly string[], domain: string): string =>
+                policy.chooseEndpointFor(
+                    order.map(name => candidate(name)),
+                    demand(`session-${index}`, { homeDomain: brandAs<FailureDomainId>(domain) }),
+                )!.endpointId;
+            return [choose(names, "d0"), choose(names.toReversed(), "d1")];
+        });
+    },
+);
+
+Then(
+    "both hosts choose the same engine for each, and no engine gets more than {int} sessions",
+    function(this: IngressPolicyWorld, most: number) {
+        const counts = new Map<string, number>();
+        for (const [first, second] of this.choices) {
+            assert.equal(first, second);
+            counts.set(first, (counts.get(first) ?? 0) + 1);
+        }
+        assert.ok(Math.max(...counts.values()) <= most, JSON.stringify([...counts]));
+    },
+);
+
+Given("an engine that has a session cached and 60,000 tokens waiting", function(this: IngressPolicyWorld) {
+    const loaded = candidate("e0", { cachedTokens: 6_200, load: { running: 12, tokensAhead: 60_000, waitingTokens: 60_000 } });
+    this.choices = [[policy.chooseEndpointFor([loaded, candidate("e1")], demand("hot"))!.endpointId, "e1"]];
+});
+
+Then("a request of the session goes to an idle engine", function(this: IngressPolicyWorld) {
+    assert.equal(this.choices[0]![0], this.choices[0]![1]);
+});
+
+When("prompts arrive at three times what an engine can compute for 20 s", function(this: IngressPolicyWorld) {
+    const tokenMs = 0.02;
+    const tokens = 2_500;
+    const objectiveMs = 800;
+    const deadlineMs = 5_000;
+    const durationMs = 20_000;
+    const random = createRandom();
+    let freeAtMs = 0;
+    let busyMs = 0;
+    const started: number[] = [];
+    const refusals: { waitedMs: number; retryAfterMs: number; remainingMs: number; }[] = [];
+    for (let atMs = 0; atMs < durationMs; atMs += 2 * random() * tokens * tokenMs / 3) {
+        const waitMs = Math.max(0, freeAtMs - atMs);
+        const choice = policy.chooseEndpointFor(
+            [candidate("e0", { load: { running: 0, tokensAhead: waitMs / tokenMs, waitingTokens: waitMs / tokenMs } })],
+            demand("load", { parts: [], promptTokens: tokens }),
+        )!;
+        const decision = policy.decideStart({
+            expectedStartMs: choice.expectedStartMs,
+            workMs: 0,
+            elapsedMs: 0,
+            objectiveMs,
+            remainingMs: deadlineMs,
+        });
+        if (decision.started) {
+            // The engine needs up to a fifth more or less than expected.
+            const workMs = tokens * tokenMs * (0.8 + 0.4 * random());
+            freeAtMs = Math.max(atMs, freeAtMs) + workMs;
+            busyMs += workMs;
+            started.push(freeAtMs - atMs);
+        }
+        else {
+            refusals.push({ waitedMs: 0, retryAfterMs: decision.retryAfterMs, remainingMs: deadlineMs });
+        }
+    }
+    this.load = { started, refusals, busyMs, durationMs };
+});
+
+Then(
+    "at least {int} percent of the started requests begin within their objective",
+    function(this: IngressPolicyWorld, percent: number) {
+        const inTime = this.load.started.filter(startMs => startMs <= 800).length;
+        assert.ok(inTime >= percent / 100 * this.load.started.length, `${inTime} of ${this.load.started.length}`);
+    },
+);
+
+Then("every refusal comes at once and with a time to come back within the caller's deadline", function(this: IngressPolicyWorld) {
+    assert.ok(this.load.refusals.length > 0);
+    for (const { waitedMs, retryAfterMs, remainingMs } of this.load.refusals) {
+        assert.equal(waitedMs, 0);
+        assert.ok(retryAfterMs > 0 && retryAfterMs <= remainingMs / 3);
+    }
+});
+
+Then("the engine is busy for at least {int} percent of the time", function(this: IngressPolicyWorld, percent: number) {
+    assert.ok(this.load.busyMs >= percent / 100 * this.load.durationMs, `${this.load.busyMs} ms`);
+});
+
+Given("a ledger with windows of 5 s", function(this: IngressPolicyWorld) {
+    this.ledger = policy.createUsageLedger(5_000);
+});
+
+When(
+    "a peer reports {int} requests, then {int}, and a restarted run of it {int}",
+    function(this: IngressPolicyWorld, first: number, second: number, restarted: number) {
+        this.ledger.recordPeerCounts("h1/run-1", { 2: { large: first } });
+        this.ledger.recordPeerCounts("h1/run-1", { 2: { large: second } });
+        this.ledger.recordPeerCounts("h1/run-2", { 2: { large: restarted } });
+    },
+);
+
+Then("the total of the window is {int}", function(this: IngressPolicyWorld, total: number) {
+    assert.equal(this.ledger.total(2)["large"], total);
+});
--- /dev/null
+++ b/features/steps/ingress.state.ts
@@ -0,0 +1,258 @@
+import { Given, Then, When } from "@cucumber/cucumber";
+import { Lead, StoreMirror, UsageDuty } from "@filbertrelay/ingress";
+import type { DutyCalls } from "@filbertrelay/ingress";
+import { brandAs, createSystemClock, failure, silentEventLog, success } from "@filbertrelay/kernel";
+import type { Clock, HostId, Incarnation } from "@filbertrelay/kernel";
+import { createPlatformStore } from "@filbertrelay/platform";
+import { StandinStore } from "@filbertrelay/platform/standins";
+import { createUsageLedger } from "@filbertrelay/policy";
+import type { CustomerCounts } from "@filbertrelay/policy";
+import assert from "node:assert/strict";
+import { describeConfiguration, waitFor } from "../support/ingress.js";
+import type { CallerAnswer } from "../support/ingress.js";
+import type { IngressWorld } from "./ingress.endpoint.js";
+
+interface StateWorld extends IngressWorld {
+    pending: Promise<CallerAnswer>;
+    stopped: Promise<void>;
+    store: StandinStore;
+    contenders: Contender[];
+    sent: { readonly window: number; readonly counts: CustomerCounts; }[];
+    paused: Contender;
+}
+
+const leaseMs = 600;
+
+/** A host's part in the duties, with a clock of its own that can be paused. */
+class Contender {
+    readonly lead: Lead;
+    readonly #mirror: StoreMirror;
+    readonly #system = createSystemClock();
+    #lagMs = 0;
+    isPaused = false;
+
+    constructor(readonly store: StandinStore, readonly name: string, createDuty?: (contender: Contender) => UsageDuty) {
+        const clock = this.clock;
+        const client = this.client();
+        this.#mirror = new StoreMirror({ store: client, clock, log: silentEventLog, draw: Math.random });
+        this.lead = new Lead({
+            store: client,
+            mirror: this.#mirror,
+            clock,
+            log: silentEventLog,
+            hostId: brandAs<HostId>(name),
+            incarnation: brandAs<Incarnation>("run-1"),
+            leaseMs,
+            draw: Math.random,
+        });
+        this.duty = createDuty?.(this);
+    }
+
+    readonly duty: UsageDuty | undefined;
+
+    get mirror(): StoreMirror {
+        return this.#mirror;
+    }
+
+    /** A paused process runs no timers; its monotonic clock stands still, as that of a suspended host does. */
+    get clock(): Clock {
+        return {
+            now: () => this.#system.now(),
+            monotonicMs: () => this.#system.monotonicMs() - this.#lagMs,
+            sleep: async (ms, signal) => {
+                await this.#system.sleep(ms, signal);
+                while (this.isPaused) {
+                    await this.#system.sleep(5);
+                }
+            },
+            after: (ms, callback) => this.#system.after(ms, callback),
+        };
+    }
+
+    client(): ReturnType<typeof createPlatformStore> {
+        return createPlatformStore({ address: this.store.address, clock: this.#system, timeoutMs: 300, onCall: () => undefined });
+    }
+
+    async start(): Promise<void> {
+        await this.#mirror.start();
+        await this.lead.start();
+        await this.duty?.start();
+    }
+
+    wake(pausedMs: number): void {
+        this.#lagMs += pausedMs;
+        this.isPaused = false;
+    }
+
+    async stop(): Promise<void> {
+        this.isPaused = false;
+        await this.duty?.stop();
+        await this.lead.stop();
+        await this.#mirror.stop();
+    }
+}
+
+When("the first engine is written as draining", async function(this: StateWorld) {
+    this.ingress.registerEngine(this.ingress.engines[0]!, 0, "draining");
+    await new Promise(resolve => setTimeout(resolve, 200));
+});
+
+Then("only the second engine got them", function(this: StateWorld) {
+    assert.deepEqual(this.ingress.engines.map(engine => engine.requests.length), [0, this.answers.length]);
+});
+
+When("entries that can't be read and entries with wrong fields are written beside the engines", async function(this: StateWorld) {
+    this.ingress.store.put("servers/foreign-1", "\u0000 no JSON");
+    this.ingress.store.put("servers/foreign-2", { backend: "records", address: 7, state: "resting" });
+    this.ingress.store.put("filbertrelay/hosts/foreign", { incarnation: 1 });
+    await new Promise(resolve => setTimeout(resolve, 100));
+});
+
+When("the store forgets its history and a route is added", function(this: StateWorld) {
+    this.ingress.store.put("op/config", describeConfiguration(9, ["added"]));
+    this.ingress.store.forgetHistory();
+});
+
+Then("a request on the added route is answered with {int}", async function(this: StateWorld, status: number) {
+    await waitFor(async () => (await this.ingress.send("idempotent", { path: "/added/item" })).status === status);
+});
+
+When("a configuration with a lower version and without routes is written", async function(this: StateWorld) {
+    this.ingress.store.put("op/config", describeConfiguration(3, [], []));
+    await new Promise(resolve => setTimeout(resolve, 200));
+});
+
+Then("a request on a known route is answered with {int}", async function(this: StateWorld, status: number) {
+    assert.equal((await this.ingress.send("idempotent")).status, status);
+});
+
+When("the store falls silent for {int} s", async function(this: StateWorld, seconds: number) {
+    this.ingress.store.fault = "silent";
+    await new Promise(resolve => setTimeout(resolve, seconds * 1_000));
+});
+
+Then("{int} requests are answered with {int}", async function(this: StateWorld, count: number, status: number) {
+    for (let sent = 0; sent < count; sent += 1) {
+        assert.equal((await this.ingress.send("idempotent")).status, status);
+    }
+});
+
+Then("the directory names the host's address and the host is ready", async function(this: StateWorld) {
+    const answer = await this.ingress.directory() as { addresses: string[]; ttlS: number; };
+    assert.deepEqual(answer.addresses, [this.ingress.callerAddress]);
+    assert.ok(answer.ttlS > 0);
+    assert.equal(await this.ingress.readiness(), 200);
+});
+
+When("the host is asked to stop while a request is in progress", async function(this: StateWorld) {
+    this.pending = this.ingress.send("nonIdempotent", { body: "order" });
+    await waitFor(() => Promise.resolve(this.ingress.received().length === 1));
+    this.stopped = this.ingress.lifecycle.drain("test");
+});
+
+Then("the request is answered with {int}", async function(this: StateWorld, status: number) {
+    assert.equal((await this.pending).status, status);
+});
+
+Then("the host is not ready and its entry in the store is gone", async function(this: StateWorld) {
+    assert.equal(await this.ingress.readiness(), 503);
+    await waitFor(() => Promise.resolve(this.ingress.store.keys("filbertrelay/hosts/").length === 0));
+    await this.stopped;
+});
+
+Given("two hosts that contend for the duties", async function(this: StateWorld) {
+    this.store = new StandinStore();
+    await this.store.start();
+    this.contenders = ["host-1", "host-2"].map(name => new Contender(this.store, name));
+    await Promise.all(this.contenders.map(contender => contender.start()));
+});
+
+Then("exactly one of them holds the duties", async function(this: StateWorld) {
+    await waitFor(() => Promise.resolve(this.contenders.some(({ lead }) => lead.holder() !== undefined)));
+    for (let look = 0; look < 20; look += 1) {
+        assert.ok(this.contenders.filter(({ lead }) => lead.holder() !== undefined).length <= 1);
+        await new Promise(resolve => setTimeout(resolve, 20));
+    }
+});
+
+Then(
+    "after the holder was paused for longer than its lease the other one holds them with a higher number",
+    async function(this: StateWorld) {
+        await waitFor(() => Promise.resolve(this.contenders.some(({ lead }) => lead.holder() !== undefined)));
+        this.paused = this.contenders.find(({ lead }) => lead.holder() !== undefined)!;
+        const { fencingToken } = this.paused.lead.holder()!;
+        const other = this.contenders.find(contender => contender !== this.paused)!;
+        const pausedAt = performance.now();
+        this.paused.isPaused = true;
+        await waitFor(() => Promise.resolve((other.lead.holder()?.fencingToken ?? 0) > fencingToken));
+        this.paused.wake(performance.now() - pausedAt);
+    },
+);
+
+Then("the paused one does not act when it wakes up", async function(this: StateWorld) {
+    assert.equal(this.paused.lead.holder(), undefined);
+    await new Promise(resolve => setTimeout(resolve, leaseMs));
+    assert.equal(this.paused.lead.holder(), undefined);
+    await Promise.all(this.contenders.map(contender => contender.stop()));
+    this.store.stop();
+});
+
+const usageWindowMs = 500;
+
+Given("a usage duty whose report gets no answer", async function(this: StateWorld) {
+    this.store = new StandinStore();
+    await this.store.start();
+    this.sent = [];
+    const createContender = (name: string, count: number, isAnswered: boolean): Contender =>
+        new Contender(this.store, name, contender => {
+            const usage = createUsageLedger(usageWindowMs);
+            const duties: DutyCalls = {
+                reportUsage: (_, window, counts) => {
+                    this.sent.push({ window, counts });
+                    const lost = failure({ code: "duty.unavailable" as const, message: "The answer was lost." });
+                    return Promise.resolve(isAnswered ? success(undefined) : lost);
+                },
+                orderEndpoints: () => Promise.resolve(success(undefined)),
+            };
+            const now = new Date();
+            for (let request = 0; request < count; request += 1) {
+                for (let window = 0; window < 40; window += 1) {
+                    usage.record("crew", new Date(now.getTime() + window * usageWindowMs));
+                }
+            }
+            return new UsageDuty({
+                store: contender.client(),
+                mirror: contender.mirror,
+                clock: contender.clock,
+                log: silentEventLog,
+                lead: contender.lead,
+                duties,
+                usage,
+                windowMs: usageWindowMs,
+                dueMs: 8_000,
+            });
+        });
+    this.contenders = [createContender("host-1", 3, false), createContender("host-2", 5, true)];
+    await this.contenders[0]!.start();
+    await waitFor(() => Promise.resolve(this.sent.length > 0));
+});
+
+When("another host with other counts takes the duties over", async function(this: StateWorld) {
+    await this.contenders[0]!.stop();
+    const former = new Set(this.sent.map(({ window }) => window));
+    const formerlySent = this.sent.length;
+    await this.contenders[1]!.start();
+    await waitFor(() => Promise.resolve(this.sent.slice(formerlySent).some(({ window }) => former.has(window))));
+    await this.contenders[1]!.stop();
+    this.store.stop();
+});
+
+Then("both sent the same counts for the same window", function(this: StateWorld) {
+    const byWindow = new Map<number, string>();
+    for (const { window, counts } of this.sent) {
+        const text = JSON.stringify(counts);
+        assert.equal(byWindow.get(window) ?? text, text, `window ${window}`);
+        byWindow.set(window, text);
+    }
+    assert.ok(this.sent.length > byWindow.size);
+});
--- /dev/null
+++ b/features/support/ingress.ts
@@ -0,0 +1,245 @@
+import { createIngressDaemon, parseIngressSettings } from "@filbertrelay/ingress";
+import type { IngressLifecycle } from "@filbertrelay/ingress";
+import { createSystemClock, silentEventLog } from "@filbertrelay/kernel";
+import type { Kernel } from "@filbertrelay/kernel";
+import {
+    createDirectoryApp,
+    createPlatformDecoder,
+    createPlatformDialect,
+    createPlatformStore,
+    createReadyApp,
+} from "@filbertrelay/platform";
+import { describeEngine, renderAnswer, StandinEngine, StandinStore } from "@filbertrelay/platform/standins";
+import type { EngineBehaviour } from "@filbertrelay/platform/standins";
+import assert from "node:assert/strict";
+import { Agent, request } from "node:http";
+import type { IncomingMessage } from "node:http";
+import { createServer } from "node:net";
+import type { AddressInfo } from "node:net";
+
+/** Route prefix, whether requests may be repeated, and the service behind it. */
+const routes = [
+    { name: "idempotent", routeType: "idempotent", backend: "records", maxAttempts: 2 },
+    { name: "nonIdempotent", routeType: "non_idempotent", backend: "records", maxAttempts: 1 },
+    { name: "stream", routeType: "streaming", backend: "assistant", maxAttempts: 2, streamResume: true, itlTargetMs: 600 },
+    { name: "plainStream", routeType: "streaming", backend: "assistant", maxAttempts: 1, streamResume: false, itlTargetMs: 600 },
+];
+
+/** The time limit of all routes. */
+export const routeTimeLimitMs = 1_200;
+/** The key of the only customer. */
+export const customerKey = "key-of-the-crew";
+
+/** What a caller got. */
+export interface CallerAnswer {
+    readonly status: number;
+    readonly headers: IncomingMessage["headers"];
+    readonly body: string;
+    readonly isComplete: boolean;
+    readonly elapsedMs: number;
+    readonly requestId: string;
+}
+
+/** A host with its surroundings, on loopback. */
+export class IngressFixture {
+    readonly store = new StandinStore();
+    readonly engines: StandinEngine[] = [];
+    readonly #agent = new Agent({ keepAlive: true });
+    #kernel: Kernel | undefined;
+    #ports: number[] = [];
+    #nextId = 1;
+
+    async start(options: { readonly hasConfiguration: boolean; }): Promise<void> {
+        await this.store.start();
+        for (let index = 0; index < 2; index += 1) {
+            const engine = new StandinEngine(answerWhole);
+            await engine.start();
+            this.engines.push(engine);
+        }
+        if (options.hasConfiguration) {
+            this.store.put("op/config", describeConfiguration(7));
+        }
+        this.engines.forEach((engine, index) => this.registerEngine(engine, index, "ready"));
+        this.#ports = await Promise.all([findPort(), findPort(), findPort(), findPort()]);
+        await this.#startHost();
+        if (options.hasConfiguration) {
+            await waitFor(async () => (await this.readiness()) === 200);
+        }
+        await waitFor(() => Promise.resolve(this.store.keys("filbertrelay/hosts/").length === 1));
+    }
+
+    /** Writes an engine's entries: one for each of the two services. */
+    registerEngine(engine: StandinEngine, index: number, state: string): void {
+        this.store.put(`servers/records-${index}`, describeEngine(engine, { service: "records", state }));
+        this.store.put(`servers/assistant-${index}`, describeEngine(engine, { service: "assistant", state, isModel: true }));
+    }
+
+    behave(...behaviours: EngineBehaviour[]): void {
+        this.engines.forEach((engine, index) => {
+            engine.behaviour = behaviours[index] ?? behaviours[0] ?? answerWhole;
+        });
+    }
+
+    /** All requests that reached an engine. */
+    received(): StandinEngine["requests"] {
+        return this.engines.flatMap(engine => engine.requests);
+    }
+
+    get lifecycle(): IngressLifecycle {
+        assert.ok(this.#kernel !== undefined);
+        return this.#kernel.get<IngressLifecycle>("lifecycle");
+    }
+
+    get callerAddress(): string {
+        return `127.0.0.1:${this.#ports[0]}`;
+    }
+
+    /** Sends a request and waits for its end; `leaveAfterMs` closes the connection before. */
+    send(
+        route: string,
+        options: {
+            readonly body?: string;
+            readonly key?: string;
+            readonly requestId?: string | undefined;
+            readonly path?: string;
+            readonly leaveAfterMs?: number;
+        } = {},
+    ): Promise<CallerAnswer> {
+        const requestId = "requestId" in options ? options.requestId : `request-${this.#nextId}`;
+        this.#nextId += 1;
+        const startMs = performance.now();
+        return new Promise(resolve => {
+            const finish = (answer: Omit<CallerAnswer, "elapsedMs" | "requestId">): void =>
+                resolve({ ...answer, elapsedMs: performance.now() - startMs, requestId: requestId ?? "" });
+            const sent = request({
+                host: "127.0.0.1",
+                port: this.#ports[0],
+                agent: this.#agent,
+                method: route === "idempotent" ? "GET" : "POST",
+                path: options.path ?? `/${route}/item?of=${route}`,
+                headers: {
+                    "Host": "shop.example",
+                    "X-Filbertrelay-Deadline-Ms": "5000",
+                    "Authorization": `Bearer ${options.key ?? customerKey}`,
+                    ...(requestId === undefined ? {} : { "X-Filbertrelay-Attempt-Id": requestId }),
+                },
+            }, response => {
+                let body = "";
+                response.setEncoding("utf8");
+                response.on("data", (chunk: string) => {
+                    body += chunk;
+                });
+                response.on("error", () => undefined);
+                response.on(
+                    "close",
+                    () =>
+                        finish({
+                            status: response.statusCode ?? 0,
+                            headers: response.headers,
+                            body,
+                            isComplete: response.complete,
+                        }),
+                );
+            });
+            sent.on("error", () => finish({ status: 0, headers: {}, body: "", isComplete: false }));
+            sent.end(options.body ?? "");
+            if (options.leaveAfterMs !== undefined) {
+                setTimeout(() => sent.destroy(), options.leaveAfterMs);
+            }
+        });
+    }
+
+    async readiness(): Promise<number> {
+        return (await fetch(`http://127.0.0.1:${this.#ports[3]}/readyz`)).status;
+    }
+
+    async directory(): Promise<unknown> {
+        const response = await fetch(`http://127.0.0.1:${this.#ports[2]}/resolution?name=shop.example&region=r&zone=zone-a`);
+        return await response.json();
+    }
+
+    async stop(): Promise<void> {
+        await this.#kernel?.stop(performance.now() + 1_000);
+        this.#agent.destroy();
+        this.engines.forEach(engine => engine.stop());
+        this.store.stop();
+    }
+
+    async #startHost(): Promise<void> {
+        const [callers, peers, directory, ready] = this.#ports;
+        const settings = parseIngressSettings(`
+[host]
+id = "host-1"
+failureDomain = "zone-a"
+callerAddress = "127.0.0.1:${callers}"
+peerAddress = "127.0.0.1:${peers}"
+directoryAddress = "127.0.0.1:${directory}"
+readyAddress = "127.0.0.1:${ready}"
+[cluster]
+keys = ["a-secret-of-16-characters"]
+[store]
+address = "${this.store.address}"
+readsPerSecond = 100
+writesPerSecond = 100
+[promises]
+stopLimitSeconds = 3
+directoryKeepSeconds = 0.5
+`);
+        assert.ok(settings.ok);
+        const clock = createSystemClock();
+        this.#kernel = createIngressDaemon(settings.value, {
+            clock,
+            log: silentEventLog,
+            draw: Math.random,
+            environment: {
+                createStore: onCall => createPlatformStore({ address: this.store.address, clock, timeoutMs: 500, onCall }),
+                decoder: createPlatformDecoder(),
+                dialect: createPlatformDialect(),
+                createDuties: () => undefined,
+                createDirectoryApp,
+                createReadyApp,
+            },
+        });
+        await this.#kernel.start();
+    }
+}
+
+/** Answers every request whole. */
+export const answerWhole: EngineBehaviour = (received, connection) => connection.send(renderAnswer(received));
+
+/** An operator's configuration with the routes of the fixture and further ones. */
+export function describeConfiguration(version: number, further: readonly string[] = [], only?: readonly unknown[]): unknown {
+    const added = further.map(name => ({ name, routeType: "idempotent", backend: "records", maxAttempts: 2 }));
+    return {
+        version,
+        routeList: only ?? [...routes, ...added].map(route => ({
+            ...route,
+            hostname: "shop.example",
+            prefix: `/${route.name}/`,
+            timeoutMs: routeTimeLimitMs,
+            targetLatencyMs: 1_000,
+            priority: 1,
+            public: false,
+        })),
+        backends: [{ name: "records", maxConnections: 100 }, { name: "assistant", maxConnections: 100 }],
+        tenants: [{ name: "crew", apiKeys: [customerKey] }],
+        limits: { maxHeaderBytes: 16_384, maxBodyBytes: 100_000, headerTimeoutMs: 3_000, idleTimeoutMs: 5_000 },
+    };
+}
+
+/** Waits until a condition holds; fails after ten seconds. */
+export async function waitFor(condition: () => Promise<boolean>): Promise<void> {
+    const untilMs = performance.now() + 10_000;
+    while (!await condition().catch(() => false)) {
+        assert.ok(performance.now() < untilMs, "The condition did not hold within 10 s.");
+        await new Promise(resolve => setTimeout(resolve, 10));
+    }
+}
+
+async function findPort(): Promise<number> {
+    const server = createServer();
+    await new Promise<void>(resolve => server.listen(0, "127.0.0.1", resolve));
+    const { port } = server.address() as AddressInfo;
+    await new Promise(resolve => server.close(resolve));
+    return port;
+}
--- a/packages/ingress/src/fleet/exchange.ts
+++ b/packages/ingress/src/fleet/exchange.ts
@@ -1,6 +1,6 @@
 import type { Clock, EventLog, HostId, Incarnation, Service } from "@filbertrelay/kernel";
 import { brandAs } from "@filbertrelay/kernel";
-import type { DemandMeter, FleetReach, LoadBoard, UsageLedger, UsageQuota } from "@filbertrelay/policy";
+import type { DemandMeter, FleetReach, LoadBoard, QuotaUse, UsageLedger, UsageQuota } from "@filbertrelay/policy";
 import { declareTopic } from "@filbertrelay/wire";
 import type { TcpPeerNetwork } from "@filbertrelay/wire";
 import { z } from "zod";
@@ -13,7 +13,11 @@
     incarnation: z.string(),
     /** Revision of the store up to which the sender knows all changes. */
     revision: z.number(),
-    quotaUse: z.record(z.string(), z.object({ whole: z.number(), short: z.number() })),
+    quotaUse: z.object({
+        ageMs: z.number(),
+        /** Use within growing parts of the quota's window. */
+        customers: z.record(z.string(), z.array(z.number())),
+    }),
     windowCounts: z.record(z.string(), countsSchema),
     /** Busy endpoints by service. */
     demand: countsSchema,
@@ -203,7 +207,7 @@
         return {
             incarnation: this.#incarnation,
             revision: this.#mirror.revision,
-            quotaUse: { ...this.#quota.ownUse(this.#clock.monotonicMs()) },
+            quotaUse: copyQuotaUse(this.#quota.ownUse(this.#clock.monotonicMs())),
             windowCounts: copyCounts(this.#usage.ownCounts()),
             demand: { ...this.#demand.ownDemand(this.#clock.monotonicMs()) },
             endpointUse: copyUse(this.#loads.ownUse()),
@@ -219,6 +223,10 @@
     }
 }
 
+function copyQuotaUse({ ageMs, customers }: QuotaUse): Report["quotaUse"] {
+    return { ageMs, customers: Object.fromEntries(Object.entries(customers).map(([name, use]) => [name, [...use]])) };
+}
+
 function copyCounts(counts: ReturnType<UsageLedger["ownCounts"]>): Report["windowCounts"] {
     return Object.fromEntries(Object.entries(counts).map(([window, customers]) => [window, { ...customers }]));
 }
--- a/packages/ingress/src/index.ts
+++ b/packages/ingress/src/index.ts
@@ -1,5 +1,8 @@
 /** The HTTP ingress: takes callers' requests and passes them on to endpoints. */
 export * from "./contract.js";
 export * from "./daemon.js";
+export { Lead } from "./duty/lead.js";
+export { UsageDuty } from "./duty/usageduty.js";
 export { IngressLifecycle, lifecycleEvents as ingressLifecycleEvents } from "./lifecycle.js";
 export * from "./settings.js";
+export { StoreMirror } from "./state/mirror.js";
--- a/packages/ingress/src/request/attempt.ts
+++ b/packages/ingress/src/request/attempt.ts
@@ -8,7 +8,7 @@
 /** How an attempt ended. After `notRun` the endpoint has not run the request and never will. */
 export type AttemptEnd =
     | { readonly type: "answered"; readonly status: number; readonly body: Buffer; readonly isStream: boolean; }
-    | { readonly type: "notRun"; readonly detail: string; }
+    | { readonly type: "notRun"; readonly hasArrived: boolean; readonly detail: string; }
     | { readonly type: "failed"; readonly detail: string; };
 
 /** What an attempt is made for. */
@@ -160,7 +160,7 @@
         const { status } = this;
         const description = this.#description;
         if (description?.isNotExecuted === true) {
-            this.#finish({ type: "notRun", detail: `The endpoint refused with status ${status}.` }, undefined);
+            this.#finish({ type: "notRun", hasArrived: true, detail: `The endpoint refused with status ${status}.` }, undefined);
             return;
         }
         const isSuccess = status >= 200 && status < 300;
@@ -179,7 +179,7 @@
 
     onFailure({ reason, wasSent, detail }: ChannelFailure): void {
         if (!wasSent) {
-            this.#finish({ type: "notRun", detail }, "unreachable");
+            this.#finish({ type: "notRun", hasArrived: false, detail }, "unreachable");
         }
         else {
             this.#finish({ type: "failed", detail: `${reason}: ${detail}` }, "broken");
--- a/packages/ingress/src/request/task.ts
+++ b/packages/ingress/src/request/task.ts
@@ -85,11 +85,6 @@
         if (this.#sends === 0 && !this.#mayStart(choice)) {
             return;
         }
-        const nowMs = this.#context.clock.monotonicMs();
-        if (this.#sends > 0 && !this.#context.repeats.tryRepeat(service, this.#context.reach().knownHosts, nowMs)) {
-            this.#giveUp("repeat budget", 503, briefRetryMs);
-            return;
-        }
         this.#send(endpoint, choice, route.kind === "stream");
     }
 
@@ -236,7 +231,11 @@
         if (end.type !== "notRun") {
             this.#runs += 1;
         }
-        if (end.type === "answered" && (end.isStream || end.status < 500 || !this.#mayRepeat())) {
+        const isFinal = end.type === "answered" && (end.isStream || end.status < 500);
+        // An attempt that never reached an endpoint costs no repeat.
+        const isFree = end.type === "notRun" && !end.hasArrived;
+        const isRepeated = !isFinal && (end.type === "notRun" || this.#mayRepeat()) && (isFree || this.#takeRepeat());
+        if (end.type === "answered" && !isRepeated) {
             this.#deliver(attempt, end);
             return;
         }
@@ -245,13 +244,15 @@
             endpoint: attempt.endpointId,
             result: end.type,
             detail: end.type === "answered" ? `status ${end.status}` : end.detail,
-            isRepeatable: this.#mayRepeat(),
+            isRepeated,
         });
-        if (end.type === "notRun" || this.#mayRepeat()) {
+        if (isRepeated) {
             this.#next();
             return;
         }
-        this.#countUse(attempt.startedAt);
+        if (end.type === "failed") {
+            this.#countUse(attempt.startedAt);
+        }
         this.#giveUp(end.type === "answered" ? "error" : end.detail, 502, undefined);
     }
 
@@ -262,7 +263,7 @@
             this.#end("answered", `status ${end.status}`);
             return;
         }
-        if (this.#frames.reader.pendingBytes > 0 && this.#mayRepeat()) {
+        if (this.#frames.reader.pendingBytes > 0 && this.#mayRepeat() && this.#takeRepeat()) {
             this.#next();
             return;
         }
@@ -277,6 +278,11 @@
         this.#end("answered", `status ${end.status}`);
     }
 
+    #takeRepeat(): boolean {
+        const { repeats, reach, clock } = this.#context;
+        return repeats.tryRepeat(this.#request.service, reach().knownHosts, clock.monotonicMs());
+    }
+
     /** Whether the request may run on one more endpoint. */
     #mayRepeat(): boolean {
         return this.#isRepeatable() && this.#runs < this.#request.route.maximumAttempts;
--- a/packages/policy/src/ingress/repeatbudget.ts
+++ b/packages/policy/src/ingress/repeatbudget.ts
@@ -21,6 +21,9 @@
 /** Part of the budget that is used; the rest covers hosts that joined without being known yet. */
 const usedBudgetShare = 0.85;
 
+/** A host may always repeat one request within the window; the part that is not used covers it for the whole fleet. */
+const leastRepeats = 1;
+
 interface ServiceUse {
     readonly requests: SlidingWindow;
     readonly repeats: SlidingWindow;
@@ -49,7 +52,7 @@
             const age = Math.min(1, (nowMs - options.nowMs) / options.windowMs);
             const allowed = usedBudgetShare *
                 (options.ratio * requests.sum(nowMs) + options.extra * age / Math.max(1, knownHosts));
-            if (repeats.sum(nowMs) + 1 > Math.max(allowed, age >= 0.1 ? 1 : 0)) {
+            if (repeats.sum(nowMs) + 1 > Math.max(allowed, leastRepeats)) {
                 return false;
             }
             repeats.add(1, nowMs);
--- a/packages/policy/src/ingress/usagequota.ts
+++ b/packages/policy/src/ingress/usagequota.ts
@@ -10,14 +10,14 @@
 /** The answer to a request for a part of a customer's limit. */
 export type QuotaDecision = { readonly admitted: true; } | { readonly admitted: false; readonly retryAfterMs: number; };
 
-/** What was let through for a customer within the whole window and within its last quarter. */
-export interface CustomerUsage {
-    readonly whole: number;
-    readonly short: number;
-}
+/** What was let through for a customer within the last quarter, half, three quarters and the whole of the window. */
+export type CustomerUsage = readonly number[];
 
-/** Use by customer. */
-export type QuotaUse = Readonly<Record<string, CustomerUsage>>;
+/** What a host let through, and since when it has been counting. */
+export interface QuotaUse {
+    readonly ageMs: number;
+    readonly customers: Readonly<Record<string, CustomerUsage>>;
+}
 
 /** Options of `createUsageQuota`. */
 export interface UsageQuotaOptions {
@@ -43,19 +43,19 @@
  * Use above the steady rate that is handed out at any time: a part of the burst and of the tolerance. The rest covers what the
  * other hosts let through between two exchanges, and that a fleet which was killed does not know its former use.
  */
-const usedBurstShare = 0.85;
-const usedToleranceShare = 0.3;
+const usedBurstShare = 0.7;
+const usedToleranceShare = 0.25;
 /** Part of that headroom that a host uses while its former use, or that of the whole fleet, may be within the window. */
-const startHeadroomShare = 0.3;
-/** The shorter window, as a part of the whole one, that keeps use from being spent at its end and again after a restart. */
-const shortWindowShare = 0.25;
+const startHeadroomShare = 0;
 /** Bounds of the delay that a refused caller is asked to wait. */
 const shortestRetryMs = 200;
 const longestRetryMs = 2_000;
 
-type Span = "whole" | "short";
-const spans: readonly Span[] = ["whole", "short"];
-const spanShares: Readonly<Record<Span, number>> = { whole: 1, short: shortWindowShare };
+/**
+ * Parts of the window in each of which the limit holds, so that the headroom can't be spent several times before a restart makes
+ * the hosts forget it.
+ */
+const spanShares: readonly number[] = [0.25, 0.5, 0.75, 1];
 
 /** Creates the quota of one host. */
 export function createUsageQuota(options: UsageQuotaOptions): UsageQuota {
@@ -64,7 +64,7 @@
 
 class ExchangedQuota implements UsageQuota {
     readonly #options: UsageQuotaOptions;
-    readonly #own = new Map<string, Record<Span, SlidingWindow>>();
+    readonly #own = new Map<string, readonly SlidingWindow[]>();
     readonly #peers = new Map<string, { readonly use: QuotaUse; readonly receivedMs: number; }>();
 
     constructor(options: UsageQuotaOptions) {
@@ -75,33 +75,32 @@
         // Hosts that can't be heard keep their part of the limit.
         const share = Math.min(1, reach.reachableHosts / Math.max(1, reach.knownHosts));
         const headroom = this.#headroom(limit, nowMs);
-        const excess = Math.max(...spans.map(span => {
-            const spanMs = this.#options.windowMs * spanShares[span];
+        const excess = Math.max(...spanShares.map((spanShare, span) => {
+            const spanMs = this.#options.windowMs * spanShare;
             const allowed = (limit.perSecond * spanMs / 1_000 + headroom) * share;
-            return this.#used(customer, limit, span, reach, nowMs) + amount - allowed;
+            return this.#used(customer, limit, span, spanMs, reach, nowMs) + amount - allowed;
         }));
         if (excess > 0) {
             const retryAfterMs = 1_000 * excess / limit.perSecond;
             return { admitted: false, retryAfterMs: Math.min(longestRetryMs, Math.max(shortestRetryMs, retryAfterMs)) };
         }
-        const own = this.#windowsOf(customer, nowMs);
-        spans.forEach(span => own[span].add(amount, nowMs));
+        this.#windowsOf(customer, nowMs).forEach(window => window.add(amount, nowMs));
         return { admitted: true };
     }
 
     giveBack(customer: string, amount: number, takenMs: number, nowMs: number): void {
-        spans.forEach(span => this.#own.get(customer)?.[span].remove(amount, takenMs, nowMs));
+        this.#own.get(customer)?.forEach(window => window.remove(amount, takenMs, nowMs));
     }
 
     ownUse(nowMs: number): QuotaUse {
-        const use: Record<string, CustomerUsage> = {};
+        const customers: Record<string, CustomerUsage> = {};
         for (const [customer, windows] of this.#own) {
-            const usage = { whole: windows.whole.sum(nowMs), short: windows.short.sum(nowMs) };
-            if (usage.whole > 0) {
-                use[customer] = usage;
+            const usage = windows.map(window => window.sum(nowMs));
+            if (usage.some(sum => sum > 0)) {
+                customers[customer] = usage;
             }
         }
-        return use;
+        return { ageMs: nowMs - this.#options.nowMs, customers };
     }
 
     recordPeerUse(peer: string, use: QuotaUse, nowMs: number): void {
@@ -113,19 +112,22 @@
         return nowMs - this.#options.nowMs < this.#options.windowMs ? headroom * startHeadroomShare : headroom;
     }
 
-    #used(customer: string, limit: UsageLimit, span: Span, reach: FleetReach, nowMs: number): number {
-        const own = this.#own.get(customer)?.[span].sum(nowMs) ?? 0;
-        return own + this.#unknownUse(limit, span, reach, nowMs) + this.#peerUse(customer, span, nowMs);
+    #used(customer: string, limit: UsageLimit, span: number, spanMs: number, reach: FleetReach, nowMs: number): number {
+        const own = this.#own.get(customer)?.[span]?.sum(nowMs) ?? 0;
+        return own + this.#unknownUse(limit, spanMs, reach, nowMs) + this.#peerUse(customer, span, spanMs, nowMs);
     }
 
-    /** A host that has just started assumes that the limit was used evenly before, since it can't know its former use. */
-    #unknownUse(limit: UsageLimit, span: Span, reach: FleetReach, nowMs: number): number {
-        const missingMs = Math.max(0, this.#options.nowMs + this.#options.windowMs * spanShares[span] - nowMs);
+    /** A host that has just started took a part in the former use of the limit that nobody knows; it is assumed to be an even one. */
+    #unknownUse(limit: UsageLimit, spanMs: number, reach: FleetReach, nowMs: number): number {
+        const ages = [
+            nowMs - this.#options.nowMs,
+            ...[...this.#peers.values()].map(({ use, receivedMs }) => use.ageMs + nowMs - receivedMs),
+        ];
+        const missingMs = ages.reduce((sum, ageMs) => sum + Math.max(0, spanMs - ageMs), 0);
         return limit.perSecond * missingMs / 1_000 / Math.max(1, reach.knownHosts);
     }
 
-    #peerUse(customer: string, span: Span, nowMs: number): number {
-        const spanMs = this.#options.windowMs * spanShares[span];
+    #peerUse(customer: string, span: number, spanMs: number, nowMs: number): number {
         let sum = 0;
         for (const [peer, { use, receivedMs }] of this.#peers) {
             const ageMs = nowMs - receivedMs;
@@ -133,22 +135,15 @@
                 this.#peers.delete(peer);
             }
             // The use of a peer that stopped reporting leaves the window as time passes.
-            sum += (use[customer]?.[span] ?? 0) * Math.max(0, 1 - ageMs / spanMs);
+            sum += (use.customers[customer]?.[span] ?? 0) * Math.max(0, 1 - ageMs / spanMs);
         }
         return sum;
     }
 
-    #windowsOf(customer: string, nowMs: number): Record<Span, SlidingWindow> {
-        const known = this.#own.get(customer);
-        if (known !== undefined) {
-            return known;
-        }
-        const { windowMs } = this.#options;
-        const created = {
-            whole: new SlidingWindow(windowMs, nowMs),
-            short: new SlidingWindow(windowMs * shortWindowShare, nowMs),
-        };
-        this.#own.set(customer, created);
-        return created;
+    #windowsOf(customer: string, nowMs: number): readonly SlidingWindow[] {
+        const known = this.#own.get(customer) ??
+            spanShares.map(share => new SlidingWindow(this.#options.windowMs * share, nowMs));
+        this.#own.set(customer, known);
+        return known;
     }
 }
