--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -1,7 +1,7 @@
 import tseslint from "typescript-eslint";
 
 export default tseslint.config(
-    { ignores: ["**/dist/**", "target/**", "**/node_modules/**"] },
+    { ignores: ["**/dist/**", "target/**", ".scratch/**", "**/node_modules/**"] },
     ...tseslint.configs.strict,
     ...tseslint.configs.stylistic,
     {
--- a/features/ingress.policy.feature
+++ b/features/ingress.policy.feature
@@ -34,6 +34,11 @@
     Then the required endpoints remain after the loss of any failure domain, as far as the limits allow
     And endpoints that stay are planned only while fewer than the essential ones serve
 
+  # Guards against standing without engines when two failure domains are reclaimed while no replacement is to be had.
+  Scenario: Endpoints that stay are ordered when reclaimable ones are scarce, and when none serve at all
+    Then with 3 reclaimable endpoints in each of two domains and scarcity, 4 essential ones lead to at least 1 that stays
+    And with no endpoint serving, 4 essential ones lead to at least 4 that stay
+
   Scenario: What runs at the start is kept until the demand is known
     Given a requirement with a peak hold of 20 s
     When 9 endpoints are assumed at 0 s and the demand stays at 1
--- a/features/steps/ingress.policy.ts
+++ b/features/steps/ingress.policy.ts
@@ -240,9 +240,10 @@
         essential: fc.integer({ min: 1, max: 6 }),
         prices: fc.array(fc.integer({ min: 50, max: 150 }), { minLength: 3, maxLength: 3 }),
         serving: fc.array(counts, { minLength: 3, maxLength: 3 }),
+        isScarce: fc.boolean(),
     });
     fc.assert(
-        fc.property(input, ({ maximum, required, essential, prices, serving }) => {
+        fc.property(input, ({ maximum, required, essential, prices, serving, isScarce }) => {
             const scaling: Scaling = {
                 minimum: 1,
                 maximum,
@@ -255,6 +256,7 @@
                 requiredEndpoints: required,
                 essentialEndpoints: Math.min(required, essential),
                 serving: new Map(serving.map((entry, index) => [`d${index}`, entry])),
+                isScarce,
             };
             this.plans.push({ input: planInput, plan: policy.planEndpoints(planInput) });
         }),
@@ -284,7 +286,9 @@
 
 Then("endpoints that stay are planned only while fewer than the essential ones serve", function(this: IngressPolicyWorld) {
     for (const { input, plan } of this.plans) {
-        const serving = [...input.serving.values()].reduce((sum, entry) => sum + entry.reclaimable, 0);
+        const reclaimable = [...input.serving.values()].map(entry => entry.reclaimable);
+        const atRisk = input.isScarce ? Math.max(...reclaimable) : 0;
+        const serving = reclaimable.reduce((sum, count) => sum + count, 0) - atRisk;
         const onDemand = [...plan.values()].reduce((sum, entry) => sum + entry.onDemand, 0);
         const allowed = Math.max(0, input.essentialEndpoints - serving);
         assert.ok(onDemand <= allowed + plan.size, `${onDemand} planned, ${allowed} missing`);
@@ -292,6 +296,30 @@
     }
 });
 
+function countOnDemand(reclaimable: readonly number[], isScarce: boolean): number {
+    const plan = policy.planEndpoints({
+        scaling: { minimum: 1, maximum: 4, startSeconds: 4, reclaimablePriceRatio: 0.22, domainPrices: { d0: 1, d1: 1, d2: 1 } },
+        requiredEndpoints: 6,
+        essentialEndpoints: 4,
+        serving: new Map(reclaimable.map((count, index) => [`d${index}`, { reclaimable: count, onDemand: 0 }])),
+        isScarce,
+    });
+    return [...plan.values()].reduce((sum, { onDemand }) => sum + onDemand, 0);
+}
+
+Then(
+    "with 3 reclaimable endpoints in each of two domains and scarcity, 4 essential ones lead to at least 1 that stays",
+    function() {
+        assert.ok(countOnDemand([3, 3, 0], true) >= 1);
+        assert.equal(countOnDemand([3, 3, 0], false), 0);
+    },
+);
+
+Then("with no endpoint serving, 4 essential ones lead to at least 4 that stay", function() {
+    assert.ok(countOnDemand([0, 0, 0], true) >= 4);
+    assert.ok(countOnDemand([], false) >= 4);
+});
+
 Given("a requirement with a peak hold of 20 s", function(this: IngressPolicyWorld) {
     this.required = policy.createRequiredEndpoints({ targetUtilization: 0.5, minimum: 4, holdMs: 20_000 });
 });
--- a/packages/ingress/src/duty/scalingduty.ts
+++ b/packages/ingress/src/duty/scalingduty.ts
@@ -29,6 +29,9 @@
 /** Delays after a refused order of reclaimable endpoints. */
 const refusalBackoff = { initialMs: 2_500, maximumMs: 6_000 };
 
+/** How long a reclaim or a refusal is taken to tell of more; refused orders are tried again within this time. */
+const scarceMs = 6_000;
+
 interface SentOrder {
     readonly count: number;
     readonly sentMs: number;
@@ -46,6 +49,7 @@
     readonly #required = new Map<string, RequiredEndpoints>();
     readonly #refusals: StartBackoff = createStartBackoff(refusalBackoff);
     readonly #orders = new Map<string, SentOrder>();
+    readonly #scarceUntilMs = new Map<string, number>();
     readonly #createdMs: number;
     readonly #stopped = new AbortController();
     #loop: Promise<void> | undefined;
@@ -101,18 +105,19 @@
         const nowMs = this.#clock.monotonicMs();
         const demand = this.#demand.demand(service.name, nowMs);
         const requiredEndpoints = this.#requiredOf(service.name, nowMs).update(demand, nowMs);
-        const essentialEndpoints = Math.min(requiredEndpoints, Math.max(2, Math.ceil(demand / fullUtilization)));
+        const essentialEndpoints = Math.ceil(requiredEndpoints * targetUtilization / fullUtilization);
         const serving = this.#countServing(service.name);
-        if (this.#lead.holder() === undefined || serving.size === 0) {
+        if (this.#lead.holder() === undefined || nowMs - this.#createdMs < observeMs) {
             this.#orders.clear();
             return;
         }
-        const plan = planEndpoints({ scaling, requiredEndpoints, essentialEndpoints, serving });
+        const isScarce = this.#noteScarcity(service.name, serving, nowMs);
+        const plan = planEndpoints({ scaling, requiredEndpoints, essentialEndpoints, serving, isScarce });
         for (const [domain, wanted] of plan) {
             const running = serving.get(domain) ?? { reclaimable: 0, onDemand: 0 };
             const failureDomain = brandAs<FailureDomainId>(domain);
             const common = { service: service.name, failureDomain };
-            const details = { demand: Math.round(demand * 100) / 100, requiredEndpoints, essentialEndpoints };
+            const details = { demand: Math.round(demand * 100) / 100, requiredEndpoints, essentialEndpoints, isScarce };
             await this.#order(
                 { ...common, count: wanted.reclaimable, isReclaimable: true },
                 running.reclaimable,
@@ -128,7 +133,7 @@
         order: EndpointOrder,
         running: number,
         scaling: Scaling,
-        details: Readonly<Record<string, number>>,
+        details: Readonly<Record<string, number | boolean>>,
     ): Promise<void> {
         const key = `${order.service}/${order.failureDomain}/${order.isReclaimable ? "reclaimable" : "onDemand"}`;
         const nowMs = this.#clock.monotonicMs();
@@ -169,6 +174,17 @@
         this.#orders.delete(key);
     }
 
+    /** Whether a failure domain has just lost its reclaimable endpoints, or an order of some was refused. */
+    #noteScarcity(service: string, serving: ReadonlyMap<string, DomainCounts>, nowMs: number): boolean {
+        const isReclaimed = this.#endpoints.ofService(service).some(endpoint =>
+            endpoint.isLeaving && endpoint.isReclaimable && (serving.get(endpoint.failureDomain)?.reclaimable ?? 0) === 0
+        );
+        if (isReclaimed || this.#refusals.excluded(nowMs).size > 0) {
+            this.#scarceUntilMs.set(service, nowMs + scarceMs);
+        }
+        return nowMs < (this.#scarceUntilMs.get(service) ?? -Infinity);
+    }
+
     #requiredOf(service: string, nowMs: number): RequiredEndpoints {
         const required = this.#required.get(service) ?? createRequiredEndpoints(requirement);
         this.#required.set(service, required);
--- a/packages/ingress/src/fleet/exchange.ts
+++ b/packages/ingress/src/fleet/exchange.ts
@@ -37,7 +37,7 @@
 });
 
 /** Shortest interval between two reports to the same peer. */
-const shortestIntervalMs = 150;
+const shortestIntervalMs = 200;
 /** Time per peer, which bounds the messages a host sends in a second whatever the size of the fleet. */
 const intervalPerPeerMs = 20;
 /** A call that takes longer than this is given up; peers are a few milliseconds apart. */
--- a/packages/ingress/src/request/task.ts
+++ b/packages/ingress/src/request/task.ts
@@ -78,6 +78,7 @@
         const endpoints = this.#context.endpoints.usable(service);
         const choice = this.#choose(endpoints);
         const endpoint = endpoints.find(({ endpointId }) => endpointId === choice?.endpointId);
+        this.#recordDemand(choice);
         if (choice === undefined || endpoint === undefined) {
             this.#giveUp("no endpoint", 503, briefRetryMs);
             return;
@@ -157,7 +158,6 @@
         if (description.prompt !== undefined && endpoint.hasPromptCache) {
             promptCaches.recordPrompt(endpoint.endpointId, description.prompt.parts);
         }
-        this.#recordDemand(choice);
         this.#frames.reader = new EventFrameReader();
         const attempt = new Attempt(this.#context, {
             requestId,
@@ -177,12 +177,13 @@
         });
     }
 
-    /** Counts the engine's time for the prompt and for the tokens that it will generate. */
-    #recordDemand(choice: EndpointChoice): void {
+    /** Counts the engine's time for the prompt and for the tokens that it will generate, also when the request is refused. */
+    #recordDemand(choice: EndpointChoice | undefined): void {
         const { timings, demand, clock } = this.#context;
         const { description: { prompt }, service } = this.#request;
         if (prompt !== undefined) {
-            const workMs = choice.tokensToCompute * timings.tokenMs(service) + prompt.outputTokens * outputTokenMs;
+            const tokensToCompute = choice?.tokensToCompute ?? prompt.inputTokens;
+            const workMs = tokensToCompute * timings.tokenMs(service) + prompt.outputTokens * outputTokenMs;
             demand.recordWork(service, workMs, clock.monotonicMs());
         }
     }
--- a/packages/policy/src/ingress/endpointplan.ts
+++ b/packages/policy/src/ingress/endpointplan.ts
@@ -17,6 +17,8 @@
     readonly essentialEndpoints: number;
     /** Endpoints that take requests now, by failure domain. */
     readonly serving: ReadonlyMap<string, DomainCounts>;
+    /** Reclaimable endpoints were reclaimed or refused lately, so that the next loss could not be made good by them. */
+    readonly isScarce: boolean;
 }
 
 /**
@@ -29,7 +31,9 @@
     const reclaimable = spreadReclaimable(scaling, input.requiredEndpoints, domains);
     const servingReclaimable = sum(domains.map(domain => serving.get(domain)?.reclaimable ?? 0));
     const fallback = scaling.reclaimablePriceRatio === undefined ? input.requiredEndpoints : input.essentialEndpoints;
-    let missing = Math.max(0, fallback - servingReclaimable);
+    // While replacements are refused, endpoints that stay have to cover the loss of one more failure domain.
+    const atRisk = input.isScarce ? Math.max(0, ...domains.map(domain => serving.get(domain)?.reclaimable ?? 0)) : 0;
+    let missing = Math.max(0, fallback - (servingReclaimable - atRisk));
     const counts = new Map<string, DomainCounts>();
     for (const domain of byPrice(domains, scaling)) {
         const wanted = reclaimable.get(domain) ?? 0;
