--- a/features/ingress.state.feature
+++ b/features/ingress.state.feature
@@ -19,6 +19,14 @@
     When the store forgets its history and a route is added
     Then a request on the added route is answered with 200
 
+  # Guards against keeping an engine in use that left while the store dropped its history.
+  Scenario: An engine that is gone when the history was dropped is not used any more
+    Given an ingress with a store stand-in and two engines of each service
+    When 3 s have passed
+    And the first engine's entries vanish together with the history after a quiet second
+    And a caller sends 4 "idempotent" requests one after the other
+    Then only the second engine got them
+
   # Guards against going back to an older configuration.
   Scenario: A configuration with a lower version is not applied
     Given an ingress with a store stand-in and two engines of each service
--- a/features/steps/ingress.endpoint.ts
+++ b/features/steps/ingress.endpoint.ts
@@ -46,8 +46,9 @@
     "no answer and a reset": (_, { reset }) => reset(),
     "bytes that are no answer": (_, { send }) => send("\u0000\u0001 no answer\r\n\r\n"),
     "an unframed body and a reset": (received, { send, reset }) => {
+        // The reset has to arrive together with the last bytes, as it does when an engine crashes.
         send(renderAnswer(received).replace(/Content-Length: .*\r\n/, ""));
-        setTimeout(reset, 20);
+        setImmediate(reset);
     },
     "an unframed body and an orderly end": (received, { send, close }) => {
         send(renderAnswer(received).replace(/Content-Length: .*\r\n/, ""));
--- a/features/steps/ingress.state.ts
+++ b/features/steps/ingress.state.ts
@@ -101,6 +101,20 @@
     assert.deepEqual(this.ingress.engines.map(engine => engine.requests.length), [0, this.answers.length]);
 });
 
+When("{int} s have passed", async function(seconds: number) {
+    await new Promise(resolve => setTimeout(resolve, seconds * 1_000));
+});
+
+When("the first engine's entries vanish together with the history after a quiet second", async function(this: StateWorld) {
+    this.ingress.store.isQuiet = true;
+    await new Promise(resolve => setTimeout(resolve, 1_000));
+    this.ingress.store.remove("servers/records-0");
+    this.ingress.store.remove("servers/assistant-0");
+    this.ingress.store.forgetHistory();
+    this.ingress.store.isQuiet = false;
+    await new Promise(resolve => setTimeout(resolve, 500));
+});
+
 When("entries that can't be read and entries with wrong fields are written beside the engines", async function(this: StateWorld) {
     this.ingress.store.put("servers/foreign-1", "\u0000 no JSON");
     this.ingress.store.put("servers/foreign-2", { backend: "records", address: 7, state: "resting" });
--- a/packages/ingress/src/endpoint/channel.ts
+++ b/packages/ingress/src/endpoint/channel.ts
@@ -41,6 +41,9 @@
 /** Methods whose requests state a length even when the body is empty. */
 const bodyMethods: ReadonlySet<string> = new Set(["POST", "PUT", "PATCH"]);
 
+/** An empty line, which receivers ignore between messages. */
+const endProbe = "\r\n";
+
 /** One connection to an endpoint; carries one request at a time. */
 export class EndpointChannel {
     readonly #clock: Clock;
@@ -80,6 +83,7 @@
             host: options.address.slice(0, separator),
             port: Number(options.address.slice(separator + 1)),
             noDelay: true,
+            allowHalfOpen: true,
         });
         this.#listen();
     }
@@ -167,6 +171,22 @@
 
     #receiveEnd(): void {
         this.#isReusable = false;
+        if (this.#current === undefined || !this.#parser.endsWithConnection) {
+            this.#completeAtEnd();
+            return;
+        }
+        // libuv reports a reset as an orderly end when it arrives together with data; a write tells the two apart.
+        this.#socket.write(endProbe, error => {
+            if (error === undefined || error === null) {
+                this.#completeAtEnd();
+            }
+            else {
+                this.#fail("truncated", `The connection was reset within an answer without a length: ${error.message}`);
+            }
+        });
+    }
+
+    #completeAtEnd(): void {
         const cutOff = this.#parser.finish();
         if (this.#isAnswered) {
             this.#finish();
--- a/packages/ingress/src/endpoint/responseparser.ts
+++ b/packages/ingress/src/endpoint/responseparser.ts
@@ -79,6 +79,11 @@
         return state === "RESPONSE_LINE" && line === "";
     }
 
+    /** Whether an answer has begun that only the end of the connection completes. */
+    get endsWithConnection(): boolean {
+        return (this.#parser as unknown as ParserInternals).state === "BODY_RAW";
+    }
+
     /** Notes the orderly end of the connection, which completes an answer without a length; gives the reason when it is cut off. */
     finish(): string | undefined {
         const finished = this.#parser.finish();
--- a/packages/ingress/src/state/mirror.ts
+++ b/packages/ingress/src/state/mirror.ts
@@ -41,6 +41,7 @@
     #answeredMs = -Infinity;
     #regainedMs = -Infinity;
     #isLost = true;
+    #failures = 0;
     #loop: Promise<void> | undefined;
 
     constructor(options: StoreMirrorOptions) {
@@ -122,22 +123,17 @@
     }
 
     async #run(): Promise<void> {
-        let retries = 0;
         while (!this.#stopped.signal.aborted) {
             const issue = this.#needsList ? await this.#readAll() : await this.#watch();
-            if (issue === undefined) {
-                retries = 0;
+            if (issue === undefined || issue.code === "store.historyGone") {
+                // A store that has dropped its history answers, so nothing has lapsed meanwhile.
+                this.#needsList ||= issue !== undefined;
                 this.#noteAnswer();
                 continue;
             }
             this.#noteIssue(issue);
-            if (issue.code === "store.historyGone") {
-                this.#needsList = true;
-            }
-            else {
-                await this.#pause(Math.min(longestRetryMs, firstRetryMs * 2 ** retries) * (0.5 + this.#options.draw()));
-                retries += 1;
-            }
+            const delayMs = Math.min(longestRetryMs, firstRetryMs * 2 ** (this.#failures - 1));
+            await this.#pause(delayMs * (0.5 + this.#options.draw()));
         }
     }
 
@@ -205,6 +201,7 @@
 
     #noteAnswer(): void {
         const { clock, log } = this.#options;
+        this.#failures = 0;
         if (this.#isLost) {
             this.#isLost = false;
             this.#regainedMs = clock.monotonicMs();
@@ -214,7 +211,9 @@
     }
 
     #noteIssue(issue: StoreIssue): void {
-        if (!this.#isLost && this.ageMs() > lostAfterMs) {
+        this.#failures += 1;
+        // A single watch may be cut, or answered late, by a store that serves everybody.
+        if (!this.#isLost && this.#failures > 1 && this.ageMs() > lostAfterMs) {
             this.#isLost = true;
             this.#options.log.write(events.storeLost, {
                 code: issue.code,
