--- a/features/client.feature
+++ b/features/client.feature
@@ -101,3 +101,9 @@
     Guards against pages that need a network and against markup from customers' names.
     When a result with markup in its names is rendered
     Then the page has no script, no reference to another file and no markup from the names
+
+  # Guards against an on-call engineer who has an id and logs but no way from one to the other.
+  Scenario: A request is explained from the logs of several hosts
+    Given logs of two hosts in which a request is sent twice and its first endpoint vanishes
+    When the request is explained from the logs
+    Then its lines come in order of time with the loss of the endpoint between them, and no other request's
--- a/features/ingress.state.feature
+++ b/features/ingress.state.feature
@@ -23,7 +23,7 @@
   Scenario: An engine that is gone when the history was dropped is not used any more
     Given an ingress with a store stand-in and two engines of each service
     When 3 s have passed
-    And the first engine's entries vanish together with the history after a quiet second
+    And the first engine's entries vanish together with the history while watches are quiet
     And a caller sends 4 "idempotent" requests one after the other
     Then only the second engine got them
 
--- a/features/steps/ingress.state.ts
+++ b/features/steps/ingress.state.ts
@@ -105,9 +105,9 @@
     await new Promise(resolve => setTimeout(resolve, seconds * 1_000));
 });
 
-When("the first engine's entries vanish together with the history after a quiet second", async function(this: StateWorld) {
+When("the first engine's entries vanish together with the history while watches are quiet", async function(this: StateWorld) {
     this.ingress.store.isQuiet = true;
-    await new Promise(resolve => setTimeout(resolve, 1_000));
+    await new Promise(resolve => setTimeout(resolve, 2_200));
     this.ingress.store.remove("servers/records-0");
     this.ingress.store.remove("servers/assistant-0");
     this.ingress.store.forgetHistory();
--- /dev/null
+++ b/features/support/random.ts
@@ -0,0 +1,8 @@
+/** A generator of numbers in [0, 1) that repeats itself for the same seed. */
+export function createRandom(seed: number): () => number {
+    let state = seed;
+    return () => {
+        state = (state * 1_664_525 + 1_013_904_223) % 4_294_967_296;
+        return state / 4_294_967_296;
+    };
+}
--- a/packages/client/src/command/explain.ts
+++ b/packages/client/src/command/explain.ts
@@ -2,12 +2,14 @@
 import { z } from "zod";
 import { ExitCode, failed } from "../exit.js";
 import type { CommandResult } from "../exit.js";
+import { explainFromLogs } from "../logs/explanation.js";
 import type { DaemonStatus, OperatorClient, OperatorIssue } from "../operator.js";
 import { askAny, daemonFailed, run, withDaemonOptions, withOperatorClient } from "./common.js";
 import type { DaemonArguments } from "./common.js";
 
 interface ExplainArguments extends DaemonArguments {
     readonly id: string;
+    readonly logs?: readonly string[] | undefined;
 }
 
 const explanationSchema = z.object({
@@ -17,14 +19,25 @@
 
 type Decision = z.infer<typeof explanationSchema>["decisions"][number] & { readonly hostId: string; };
 
-/** `explain ID`: shows the decisions about one request from all hosts that remember it. */
+/** `explain ID`: shows the decisions about one request, from the hosts that remember it or from their logs. */
 export const explainCommand: CommandModule<object, ExplainArguments> = {
     command: "explain <id>",
     describe: "Show why a request went where it went",
     builder: yargs =>
-        withDaemonOptions(yargs).positional("id", { type: "string", demandOption: true }) as unknown as Argv<ExplainArguments>,
-    handler: commandArguments =>
-        run(commandArguments, () => withOperatorClient(commandArguments, client => explain(client, commandArguments))),
+        withDaemonOptions(yargs)
+            .positional("id", { type: "string", demandOption: true })
+            .option("logs", {
+                type: "string",
+                array: true,
+                describe: "Log files of hosts; then no host is asked",
+            }) as unknown as Argv<ExplainArguments>,
+    handler: commandArguments => {
+        const { id, logs } = commandArguments;
+        return run(commandArguments, () =>
+            logs === undefined ?
+                withOperatorClient(commandArguments, client => explain(client, commandArguments)) :
+                Promise.resolve(explainFromLogs(id, logs)));
+    },
 };
 
 async function explain(client: OperatorClient, commandArguments: ExplainArguments): Promise<CommandResult> {
--- a/scripts/events.mjs
+++ b/scripts/events.mjs
@@ -3,6 +3,7 @@
 
 const { listEvents } = await import("@filbertrelay/kernel");
 await import("@filbertrelay/relay");
+await import("@filbertrelay/ingress");
 
 const ranges = [
     [1000, "Kernel and lifecycle"],
