--- a/features/kernel.feature
+++ b/features/kernel.feature
@@ -9,3 +9,14 @@
     Given a virtual clock
     When callbacks are scheduled after 30, 10, 20 and 10 ms and the one after 20 ms is cancelled
     Then after 30 ms the callbacks ran in the order "1,3,0"
+
+  # Guards against a flood of one event that hides the others or takes the process's time.
+  Scenario: Lines of an event above its budget are counted instead of written
+    Given an event log limited to 3 lines of an event in a second
+    When 10 lines of one event and 2 of another are written within a second, and one of each in the next
+    Then 3 and 2 lines are written, then a line that counts 7, then one of each
+
+  # Guards against a process that stops because nobody reads its log.
+  Scenario: A reader that stopped reading does not hold the process up
+    Given a process that writes 20 MB of log lines to a pipe that nobody reads
+    Then the process ends by itself within 20 s
--- a/packages/ingress/src/index.ts
+++ b/packages/ingress/src/index.ts
@@ -4,5 +4,6 @@
 export { Lead } from "./duty/lead.js";
 export { UsageDuty } from "./duty/usageduty.js";
 export { IngressLifecycle, lifecycleEvents as ingressLifecycleEvents } from "./lifecycle.js";
+export { requestEvents } from "./request/event.js";
 export * from "./settings.js";
 export { StoreMirror } from "./state/mirror.js";
--- a/packages/ingress/src/request/attempt.ts
+++ b/packages/ingress/src/request/attempt.ts
@@ -39,7 +39,7 @@
 }
 
 /** A request that must not be repeated is not sent on a connection that has been idle for longer, since it may be closing. */
-const freshIdleMs = 1_500;
+const freshIdleMs = 3_000;
 /** Longest answer that is kept in memory before it is passed on. */
 const answerLimitBytes = 8_388_608;
 /** Statuses by which an endpoint or this host promises that a request has not run. */
--- a/packages/ingress/src/state/mirror.ts
+++ b/packages/ingress/src/state/mirror.ts
@@ -17,6 +17,8 @@
 
 /** How long one watch waits for changes; an answer within this time shows that the connection is alive. */
 const watchWaitMs = 1_500;
+/** Changes often come several at a time; the next watch starts a little later, so that one call gets them all. */
+const batchMs = 60;
 /** Bounds of the delay before the store is tried again. */
 const firstRetryMs = 100;
 const longestRetryMs = 800;
@@ -165,6 +167,9 @@
         this.#noteAnswer();
         watched.value.changes.forEach(change => this.#apply(change));
         this.#revision = Math.max(this.#revision, watched.value.revision);
+        if (watched.value.changes.length > 0) {
+            await this.#pause(batchMs);
+        }
         return undefined;
     }
 
--- a/packages/kernel/src/index.ts
+++ b/packages/kernel/src/index.ts
@@ -4,6 +4,7 @@
 export * from "./event.js";
 export * from "./identifier.js";
 export * from "./kernel.js";
+export * from "./limitedlog.js";
 export * from "./linewriter.js";
 export * from "./logger.js";
 export * from "./mailbox.js";
