Repeat the duties' work by one task; set the gauge of reachable hosts

Read through the change: lead, usage duty and scaling duty each had the same loop, which is now RepeatedTask in the kernel; the check for a stream on a route without streams could never hold and is gone; the request as it is admitted has a file of its own. The gauge filbertrelay_reachable_hosts was documented but never set; it is set when the metrics are read. No decision changes.

--- a/packages/ingress/src/daemon.ts
+++ b/packages/ingress/src/daemon.ts
@@ -40,6 +40,8 @@
     /** Whether the host takes callers' requests. */
     readonly isReady: () => boolean;
     readonly directoryKeepMs: number;
+    /** Hosts with which use is exchanged, this one included. */
+    readonly reachableHosts: () => number;
 }
 
 /** Notes a call to an outside service and its result for the metrics. */
@@ -166,6 +168,7 @@
         metrics,
         isReady: () => configuration.current() !== undefined && !lifecycle.isStopAsked,
         directoryKeepMs: promises.directoryKeepSeconds * 1_000,
+        reachableHosts: () => exchange.reach().reachableHosts,
     };
     kernel.register("mirror", mirror);
     kernel.register("peers", peers);
@@ -196,7 +199,10 @@
         kernel.register("directory", new ControlServer({ address: directoryAddress, app: environment.createDirectoryApp(view) }));
     }
     if (metricsAddress !== undefined) {
-        const app = new Hono().get("/metrics", async context => context.text(await view.metrics.render()));
+        const app = new Hono().get("/metrics", async context => {
+            view.metrics.setReachableHosts(view.reachableHosts());
+            return context.text(await view.metrics.render());
+        });
         kernel.register("metrics", new ControlServer({ address: metricsAddress, app }));
     }
     if (readyAddress !== undefined) {
--- a/packages/ingress/src/duty/lead.ts
+++ b/packages/ingress/src/duty/lead.ts
@@ -1,4 +1,5 @@
 import type { Store } from "@filbertrelay/connectors";
+import { RepeatedTask } from "@filbertrelay/kernel";
 import type { Clock, EventLog, HostId, Incarnation, Service } from "@filbertrelay/kernel";
 import type { DutyHolder } from "../contract.js";
 import { fleetEvents as events } from "../fleet/event.js";
@@ -33,10 +34,9 @@
     readonly #incarnation: Incarnation;
     readonly #leaseMs: number;
     readonly #draw: () => number;
-    readonly #stopped = new AbortController();
+    readonly #task: RepeatedTask;
     #held: HeldLead | undefined;
     #pausedUntilMs: number;
-    #loop: Promise<void> | undefined;
 
     constructor(
         options: {
@@ -54,6 +54,7 @@
         this.#store = options.store;
         this.#mirror = options.mirror;
         this.#clock = options.clock;
+        this.#task = new RepeatedTask(options.clock, { pauseMs: tickMs, work: () => this.#run() });
         this.#log = options.log;
         this.#hostId = options.hostId;
         this.#incarnation = options.incarnation;
@@ -77,14 +78,13 @@
     }
 
     start(): Promise<void> {
-        this.#loop = this.#run();
+        this.#task.start();
         return Promise.resolve();
     }
 
     /** Releases the duties at once, so that another host takes them over without waiting for the lease to lapse. */
     async release(): Promise<void> {
-        this.#stopped.abort(new Error("The host stops."));
-        await this.#loop;
+        await this.#task.stop();
         const held = this.#held;
         if (held !== undefined) {
             this.#lose("released");
@@ -97,20 +97,12 @@
     }
 
     async #run(): Promise<void> {
-        while (!this.#stopped.signal.aborted) {
-            const held = this.#held;
-            if (held !== undefined) {
-                await this.#renew(held);
-            }
-            else if (this.#isFree()) {
-                await this.#contend();
-            }
-            try {
-                await this.#clock.sleep(tickMs, this.#stopped.signal);
-            }
-            catch {
-                return;
-            }
+        const held = this.#held;
+        if (held !== undefined) {
+            await this.#renew(held);
+        }
+        else if (this.#isFree()) {
+            await this.#contend();
         }
     }
 
@@ -138,7 +130,7 @@
 
     async #contend(): Promise<void> {
         await this.#clock.sleep(contendSpreadMs * this.#draw());
-        if (this.#stopped.signal.aborted || !this.#isFree()) {
+        if (this.#task.isStopped || !this.#isFree()) {
             return;
         }
         const startMs = this.#clock.monotonicMs();
--- a/packages/ingress/src/duty/scalingduty.ts
+++ b/packages/ingress/src/duty/scalingduty.ts
@@ -1,5 +1,5 @@
 import type { IngressService, Scaling } from "@filbertrelay/configuration";
-import { brandAs } from "@filbertrelay/kernel";
+import { brandAs, RepeatedTask } from "@filbertrelay/kernel";
 import type { Clock, EventLog, FailureDomainId, Service } from "@filbertrelay/kernel";
 import { createRequiredEndpoints, createStartBackoff, planEndpoints } from "@filbertrelay/policy";
 import type { DemandMeter, DomainCounts, RequiredEndpoints, StartBackoff } from "@filbertrelay/policy";
@@ -51,8 +51,7 @@
     readonly #orders = new Map<string, SentOrder>();
     readonly #scarceUntilMs = new Map<string, number>();
     readonly #createdMs: number;
-    readonly #stopped = new AbortController();
-    #loop: Promise<void> | undefined;
+    readonly #task: RepeatedTask;
 
     constructor(
         options: {
@@ -66,6 +65,7 @@
         },
     ) {
         this.#clock = options.clock;
+        this.#task = new RepeatedTask(options.clock, { pauseMs: tickMs, work: () => this.#run() });
         this.#log = options.log;
         this.#lead = options.lead;
         this.#duties = options.duties;
@@ -76,27 +76,18 @@
     }
 
     start(): Promise<void> {
-        this.#loop = this.#run();
+        this.#task.start();
         return Promise.resolve();
     }
 
     async stop(): Promise<void> {
-        this.#stopped.abort(new Error("The host stops."));
-        await this.#loop;
+        await this.#task.stop();
     }
 
     async #run(): Promise<void> {
-        while (!this.#stopped.signal.aborted) {
-            for (const service of this.#configuration.current()?.configuration.services ?? []) {
-                if (service.scaling !== undefined) {
-                    await this.#scale(service, service.scaling);
-                }
-            }
-            try {
-                await this.#clock.sleep(tickMs, this.#stopped.signal);
-            }
-            catch {
-                return;
+        for (const service of this.#configuration.current()?.configuration.services ?? []) {
+            if (service.scaling !== undefined) {
+                await this.#scale(service, service.scaling);
             }
         }
     }
--- a/packages/ingress/src/duty/usageduty.ts
+++ b/packages/ingress/src/duty/usageduty.ts
@@ -1,4 +1,5 @@
 import type { Store } from "@filbertrelay/connectors";
+import { RepeatedTask } from "@filbertrelay/kernel";
 import type { Clock, EventLog, Service } from "@filbertrelay/kernel";
 import type { CustomerCounts, UsageLedger } from "@filbertrelay/policy";
 import { z } from "zod";
@@ -39,8 +40,7 @@
     readonly #dueMs: number;
     readonly #reported = new Set<number>();
     readonly #startedWindow: number;
-    readonly #stopped = new AbortController();
-    #loop: Promise<void> | undefined;
+    readonly #task: RepeatedTask;
 
     constructor(
         options: {
@@ -58,6 +58,7 @@
         this.#store = options.store;
         this.#mirror = options.mirror;
         this.#clock = options.clock;
+        this.#task = new RepeatedTask(options.clock, { pauseMs: tickMs, work: () => this.#run() });
         this.#log = options.log;
         this.#lead = options.lead;
         this.#duties = options.duties;
@@ -68,27 +69,18 @@
     }
 
     start(): Promise<void> {
-        this.#loop = this.#run();
+        this.#task.start();
         return Promise.resolve();
     }
 
     async stop(): Promise<void> {
-        this.#stopped.abort(new Error("The host stops."));
-        await this.#loop;
+        await this.#task.stop();
     }
 
     async #run(): Promise<void> {
-        while (!this.#stopped.signal.aborted) {
-            this.#usage.forgetBefore(this.#usage.windowAt(this.#clock.now()) - windowsKept);
-            for (const window of this.#windowsDue()) {
-                await this.#report(window);
-            }
-            try {
-                await this.#clock.sleep(tickMs, this.#stopped.signal);
-            }
-            catch {
-                return;
-            }
+        this.#usage.forgetBefore(this.#usage.windowAt(this.#clock.now()) - windowsKept);
+        for (const window of this.#windowsDue()) {
+            await this.#report(window);
         }
     }
 
--- a/packages/ingress/src/request/task.ts
+++ b/packages/ingress/src/request/task.ts
@@ -1,17 +1,17 @@
-import type { IngressCustomer, IngressRoute } from "@filbertrelay/configuration";
 import type { EndpointId } from "@filbertrelay/kernel";
 import { chooseEndpointFor, decideStart, limitSilence } from "@filbertrelay/policy";
 import type { EndpointChoice } from "@filbertrelay/policy";
-import type { EndpointRecord, RequestDescription } from "../contract.js";
+import type { EndpointRecord } from "../contract.js";
 import { EventFrameReader } from "../endpoint/eventframe.js";
 import type { EventFrame } from "../endpoint/eventframe.js";
+import type { AdmittedRequest } from "./admitted.js";
 import { Attempt } from "./attempt.js";
 import type { AttemptEnd } from "./attempt.js";
 import type { RequestContext } from "./context.js";
 import { requestEvents as events } from "./event.js";
 import { renderOwnAnswer } from "./refusal.js";
 import type { OwnAnswer } from "./refusal.js";
-import type { CallerRequest, CallerResponder } from "./responder.js";
+import type { CallerResponder } from "./responder.js";
 
 /** Assumed until requests of a service have ended: the time that one occupies a place. */
 const defaultHoldMs = 700;
@@ -23,21 +23,6 @@
 /** A refused caller may come back at once when only a moment's change, such as a configuration, is missing. */
 const briefRetryMs = 250;
 
-/** The request with what the configuration says about it. */
-export interface AdmittedRequest {
-    readonly caller: CallerRequest;
-    readonly description: RequestDescription;
-    readonly requestId: string;
-    readonly route: IngressRoute;
-    readonly service: string;
-    readonly customer: IngressCustomer | undefined;
-    /** What the request took from its customer's limit. */
-    readonly takenUse: number;
-    readonly configurationVersion: number;
-    /** Monotonic time by which the caller has its final answer. */
-    readonly deadlineMs: number;
-}
-
 /** Carries one admitted request to endpoints until the caller has a final answer. */
 export class RequestTask {
     readonly #context: RequestContext;
@@ -133,7 +118,7 @@
     }
 
     #send(endpoint: EndpointRecord, choice: EndpointChoice, isStream: boolean): void {
-        const { caller, description, requestId, customer, deadlineMs, route } = this.#request;
+        const { caller, description, requestId, customer, deadlineMs } = this.#request;
         const { clock, dialect, log, promptCaches } = this.#context;
         const remainingMs = Math.max(1, Math.floor(deadlineMs - clock.monotonicMs()));
         this.#sends += 1;
@@ -172,7 +157,7 @@
         this.#attempt = attempt;
         this.#watchSilence(choice.expectedStartMs, false);
         attempt.start({
-            onStreamBytes: bytes => this.#receiveStream(attempt, bytes, route),
+            onStreamBytes: bytes => this.#receiveStream(attempt, bytes),
             onEnd: end => this.#finishAttempt(attempt, end),
         });
     }
@@ -188,7 +173,7 @@
         }
     }
 
-    #receiveStream(attempt: Attempt, bytes: Buffer, route: IngressRoute): void {
+    #receiveStream(attempt: Attempt, bytes: Buffer): void {
         const frames = this.#frames.reader.push(bytes);
         if (frames === undefined) {
             attempt.abandon("malformed", "An event is too long.");
@@ -203,9 +188,6 @@
             attempt.recordFirstEvent();
             this.#countUse(this.#context.clock.now());
         }
-        if (route.kind !== "stream") {
-            attempt.abandon("malformed", "A stream came on a route without streams.");
-        }
     }
 
     #forward(attempt: Attempt, frame: EventFrame): void {
--- a/packages/kernel/src/index.ts
+++ b/packages/kernel/src/index.ts
@@ -9,3 +9,4 @@
 export * from "./logger.js";
 export * from "./mailbox.js";
 export * from "./outcome.js";
+export * from "./repeated.js";
