Count usage by the median of the hosts' clocks

Cause: each host put the requests that began to run into windows by its own wall clock. Change: each exchanged report carries the sender's time; a host takes the median of the clocks, so a minority that is set wrong does not matter. Test: hosts agree on the time while 4 of 9 clocks are wrong (fails without).

--- a/features/ingress.policy.feature
+++ b/features/ingress.policy.feature
@@ -65,3 +65,9 @@
     Given a ledger with windows of 5 s
     When a peer reports 3 requests, then 5, and a restarted run of it 2
     Then the total of the window is 7
+
+  # Guards against usage windows that are counted at the wrong time by the hosts whose clocks are set forward or back.
+  Scenario: Hosts agree on the time while some of their clocks are wrong
+    Given 9 hosts that send each other their time every 200 ms
+    When the clocks of 4 hosts are set 3000 ms forward at 2 s and 5000 ms back at 6 s for 10 s
+    Then every host gives the time of the others within 20 ms from 1 s on
--- a/features/steps/ingress.state.ts
+++ b/features/steps/ingress.state.ts
@@ -5,7 +5,7 @@
 import type { Clock, HostId, Incarnation } from "@filbertrelay/kernel";
 import { createPlatformStore } from "@filbertrelay/platform";
 import { StandinStore } from "@filbertrelay/platform/standins";
-import { createUsageLedger } from "@filbertrelay/policy";
+import { createFleetClock, createUsageLedger } from "@filbertrelay/policy";
 import type { CustomerCounts } from "@filbertrelay/policy";
 import assert from "node:assert/strict";
 import { describeConfiguration, waitFor } from "../support/ingress.js";
@@ -267,6 +267,7 @@
                 lead: contender.lead,
                 duties,
                 usage,
+                fleetClock: createFleetClock({ clock: contender.clock }),
                 windowMs: usageWindowMs,
                 dueMs: 8_000,
             });
--- /dev/null
+++ b/features/steps/ingress.time.ts
@@ -0,0 +1,66 @@
+import { Given, Then, When } from "@cucumber/cucumber";
+import { createVirtualClock } from "@filbertrelay/kernel";
+import type { Clock } from "@filbertrelay/kernel";
+import * as policy from "@filbertrelay/policy";
+import assert from "node:assert/strict";
+
+const startedAt = new Date("2026-12-04T08:00:00Z");
+const exchangeMs = 200;
+
+interface TimedHost {
+    offsetMs: number;
+    readonly ownNow: () => Date;
+    readonly fleetClock: policy.FleetClock;
+}
+
+interface TimeWorld {
+    hosts: TimedHost[];
+    /** Largest difference between the time that a host gave and the true time. */
+    largestErrorMs: number;
+}
+
+Given("{int} hosts that send each other their time every 200 ms", function(this: TimeWorld, count: number) {
+    this.hosts = [];
+    this.largestErrorMs = 0;
+    for (let index = 0; index < count; index += 1) {
+        this.hosts.push(createHost());
+    }
+});
+
+let clock = createVirtualClock(startedAt);
+
+function createHost(): TimedHost {
+    const host = { offsetMs: 0, ownNow: () => new Date(clock.now().getTime() + host.offsetMs) };
+    const ownClock: Clock = {
+        now: host.ownNow,
+        monotonicMs: () => clock.monotonicMs(),
+        sleep: (ms, signal) => clock.sleep(ms, signal),
+        after: (ms, callback) => clock.after(ms, callback),
+    };
+    return Object.assign(host, { fleetClock: policy.createFleetClock({ clock: ownClock }) });
+}
+
+When(
+    "the clocks of {int} hosts are set {int} ms forward at 2 s and {int} ms back at 6 s for 10 s",
+    function(this: TimeWorld, wrong: number, forwardMs: number, backMs: number) {
+        clock = createVirtualClock(startedAt);
+        for (let atMs = 0; atMs < 20_000; atMs += exchangeMs) {
+            const offsetMs = atMs >= 6_000 && atMs < 16_000 ? -backMs : atMs >= 2_000 && atMs < 6_000 ? forwardMs : 0;
+            this.hosts.slice(0, wrong).forEach(host => host.offsetMs = offsetMs);
+            if (atMs >= 1_000) {
+                const errors = this.hosts.map(host => Math.abs(host.fleetClock.now().getTime() - clock.now().getTime()));
+                this.largestErrorMs = Math.max(this.largestErrorMs, ...errors);
+            }
+            this.hosts.forEach((sender, index) => {
+                this.hosts.filter(other => other !== sender).forEach(other => {
+                    other.fleetClock.recordPeerTime(`host-${index}`, sender.ownNow());
+                });
+            });
+            clock.advance(exchangeMs);
+        }
+    },
+);
+
+Then("every host gives the time of the others within {int} ms from 1 s on", function(this: TimeWorld, limitMs: number) {
+    assert.ok(this.largestErrorMs <= limitMs, `a host was ${this.largestErrorMs} ms off`);
+});
--- a/packages/ingress/src/daemon.ts
+++ b/packages/ingress/src/daemon.ts
@@ -4,6 +4,7 @@
 import {
     createDemandMeter,
     createEndpointHealth,
+    createFleetClock,
     createLoadBoard,
     createPromptCacheModel,
     createRepeatBudget,
@@ -91,6 +92,7 @@
     const endpoints = new EndpointTable({ mirror, decoder: environment.decoder, clock, log });
     const hosts = new HostTable({ mirror, clock, log });
     const quota = createUsageQuota({ windowMs: promises.quotaWindowSeconds * 1_000, tolerance: promises.quotaTolerance, nowMs });
+    const fleetClock = createFleetClock({ clock });
     const usage = createUsageLedger(promises.usageWindowSeconds * 1_000);
     const loads = createLoadBoard();
     const demand = createDemandMeter();
@@ -105,7 +107,20 @@
         keys: settings.cluster.keys,
         frameBytes: peerFrameBytes,
     });
-    const exchange = new PeerExchange({ clock, log, hostId, incarnation, peers, hosts, mirror, quota, usage, loads, demand });
+    const exchange = new PeerExchange({
+        clock,
+        log,
+        hostId,
+        incarnation,
+        peers,
+        hosts,
+        mirror,
+        quota,
+        usage,
+        loads,
+        demand,
+        fleetClock,
+    });
     const registration = new Registration({
         store,
         clock,
@@ -125,6 +140,7 @@
     });
     const context: RequestContext = {
         clock,
+        fleetClock,
         log,
         dialect: environment.dialect,
         homeDomain: failureDomain,
@@ -183,7 +199,7 @@
         if (settings.duties.usage) {
             const { usageWindowSeconds, usageDueSeconds } = promises;
             const windows = { windowMs: usageWindowSeconds * 1_000, dueMs: usageDueSeconds * 1_000 };
-            kernel.register("usageDuty", new UsageDuty({ ...common, ...windows, store, mirror, usage }));
+            kernel.register("usageDuty", new UsageDuty({ ...common, ...windows, store, mirror, usage, fleetClock }));
         }
         if (settings.duties.scaling) {
             kernel.register("scalingDuty", new ScalingDuty({ ...common, configuration, endpoints, demand }));
--- a/packages/ingress/src/duty/usageduty.ts
+++ b/packages/ingress/src/duty/usageduty.ts
@@ -1,7 +1,7 @@
 import type { Store } from "@filbertrelay/connectors";
 import { RepeatedTask } from "@filbertrelay/kernel";
 import type { Clock, EventLog, Service } from "@filbertrelay/kernel";
-import type { CustomerCounts, UsageLedger } from "@filbertrelay/policy";
+import type { CustomerCounts, FleetClock, UsageLedger } from "@filbertrelay/policy";
 import { z } from "zod";
 import type { DutyCalls } from "../contract.js";
 import { fleetEvents as events } from "../fleet/event.js";
@@ -31,7 +31,7 @@
 export class UsageDuty implements Service {
     readonly #store: Store;
     readonly #mirror: StoreMirror;
-    readonly #clock: Clock;
+    readonly #fleetClock: FleetClock;
     readonly #log: EventLog;
     readonly #lead: Lead;
     readonly #duties: DutyCalls;
@@ -51,13 +51,14 @@
             readonly lead: Lead;
             readonly duties: DutyCalls;
             readonly usage: UsageLedger;
+            readonly fleetClock: FleetClock;
             readonly windowMs: number;
             readonly dueMs: number;
         },
     ) {
         this.#store = options.store;
         this.#mirror = options.mirror;
-        this.#clock = options.clock;
+        this.#fleetClock = options.fleetClock;
         this.#task = new RepeatedTask(options.clock, { pauseMs: tickMs, work: () => this.#run() });
         this.#log = options.log;
         this.#lead = options.lead;
@@ -65,7 +66,7 @@
         this.#usage = options.usage;
         this.#windowMs = options.windowMs;
         this.#dueMs = options.dueMs;
-        this.#startedWindow = options.usage.windowAt(options.clock.now());
+        this.#startedWindow = options.usage.windowAt(options.fleetClock.now());
     }
 
     start(): Promise<void> {
@@ -78,7 +79,7 @@
     }
 
     async #run(): Promise<void> {
-        this.#usage.forgetBefore(this.#usage.windowAt(this.#clock.now()) - windowsKept);
+        this.#usage.forgetBefore(this.#usage.windowAt(this.#fleetClock.now()) - windowsKept);
         for (const window of this.#windowsDue()) {
             await this.#report(window);
         }
@@ -89,7 +90,7 @@
         if (this.#lead.holder() === undefined) {
             return [];
         }
-        const nowMs = this.#clock.now().getTime();
+        const nowMs = this.#fleetClock.now().getTime();
         const settledMs = nowMs - this.#dueMs * settleShare;
         const last = Math.floor(settledMs / this.#windowMs) - 1;
         const first = Math.max(Math.ceil((nowMs - this.#dueMs) / this.#windowMs) - 1, this.#firstKnownWindow());
@@ -160,7 +161,7 @@
 
     /** Counts of later windows that have ended; they survive when all hosts are killed before those are due. */
     #preliminary(window: number, stored: StoredWindows): StoredWindows {
-        const ended = this.#usage.windowAt(this.#clock.now()) - 1;
+        const ended = this.#usage.windowAt(this.#fleetClock.now()) - 1;
         const preliminary: StoredWindows = {};
         for (let later = window + 1; later <= ended; later += 1) {
             if (stored[later]?.isFinal !== true) {
--- a/packages/ingress/src/fleet/exchange.ts
+++ b/packages/ingress/src/fleet/exchange.ts
@@ -1,6 +1,6 @@
 import type { Clock, EventLog, HostId, Incarnation, Service } from "@filbertrelay/kernel";
 import { brandAs } from "@filbertrelay/kernel";
-import type { DemandMeter, FleetReach, LoadBoard, QuotaUse, UsageLedger, UsageQuota } from "@filbertrelay/policy";
+import type { DemandMeter, FleetClock, FleetReach, LoadBoard, QuotaUse, UsageLedger, UsageQuota } from "@filbertrelay/policy";
 import { declareTopic } from "@filbertrelay/wire";
 import type { TcpPeerNetwork } from "@filbertrelay/wire";
 import { z } from "zod";
@@ -11,6 +11,8 @@
 const countsSchema = z.record(z.string(), z.number());
 const reportSchema = z.object({
     incarnation: z.string(),
+    /** The sender's wall-clock time, in milliseconds since 1970. */
+    sentAtMs: z.number(),
     /** Revision of the store up to which the sender knows all changes. */
     revision: z.number(),
     quotaUse: z.object({
@@ -60,6 +62,7 @@
     readonly #usage: UsageLedger;
     readonly #loads: LoadBoard;
     readonly #demand: DemandMeter;
+    readonly #fleetClock: FleetClock;
     readonly #heardMs = new Map<HostId, number>();
     readonly #addresses = new Map<HostId, string>();
     #isAskingForChanges = false;
@@ -78,6 +81,7 @@
             readonly usage: UsageLedger;
             readonly loads: LoadBoard;
             readonly demand: DemandMeter;
+            readonly fleetClock: FleetClock;
         },
     ) {
         this.#clock = options.clock;
@@ -91,6 +95,7 @@
         this.#usage = options.usage;
         this.#loads = options.loads;
         this.#demand = options.demand;
+        this.#fleetClock = options.fleetClock;
     }
 
     start(): Promise<void> {
@@ -174,6 +179,7 @@
             this.#log.write(events.peerRegained, { peer, revision: report.revision });
         }
         this.#heardMs.set(peer, nowMs);
+        this.#fleetClock.recordPeerTime(peer, new Date(report.sentAtMs));
         this.#quota.recordPeerUse(peer, report.quotaUse, nowMs);
         this.#usage.recordPeerCounts(`${peer}/${report.incarnation}`, report.windowCounts);
         this.#demand.recordPeerDemand(peer, report.demand, nowMs);
@@ -206,6 +212,7 @@
     #report(): Report {
         return {
             incarnation: this.#incarnation,
+            sentAtMs: this.#clock.now().getTime(),
             revision: this.#mirror.revision,
             quotaUse: copyQuotaUse(this.#quota.ownUse(this.#clock.monotonicMs())),
             windowCounts: copyCounts(this.#usage.ownCounts()),
--- a/packages/ingress/src/request/attempt.ts
+++ b/packages/ingress/src/request/attempt.ts
@@ -79,7 +79,7 @@
         this.#outgoing = outgoing;
         this.#loadKey = `${options.requestId}#${options.number}`;
         this.#sentMs = context.clock.monotonicMs();
-        this.startedAt = context.clock.now();
+        this.startedAt = context.fleetClock.now();
     }
 
     get endpointId(): EndpointId {
--- a/packages/ingress/src/request/context.ts
+++ b/packages/ingress/src/request/context.ts
@@ -2,6 +2,7 @@
 import type {
     DemandMeter,
     EndpointHealth,
+    FleetClock,
     FleetReach,
     LoadBoard,
     PromptCacheModel,
@@ -19,6 +20,8 @@
 /** What requests share within one host. */
 export interface RequestContext {
     readonly clock: Clock;
+    /** Wall-clock time for counts that all hosts add up. */
+    readonly fleetClock: FleetClock;
     readonly log: EventLog;
     readonly dialect: Dialect;
     readonly homeDomain: FailureDomainId;
--- a/packages/ingress/src/request/task.ts
+++ b/packages/ingress/src/request/task.ts
@@ -186,7 +186,7 @@
             this.#watchSilence(0, true);
             this.#firstEventMs ??= this.#context.clock.monotonicMs();
             attempt.recordFirstEvent();
-            this.#countUse(this.#context.clock.now());
+            this.#countUse(this.#context.fleetClock.now());
         }
     }
 
