Exchange use in groups, and let three hosts watch the store for the fleet

Cause: all pairs exchanged their use, and every host watched the store. Change: above 12 hosts the fleet falls into groups by a hash of the host's name; a host exchanges with its group and asks one host of each other group for the sum of that group. Three hosts watch the store and pass changes on; the others watch it when what they hear is older than 1.5 s. Use since the last report is estimated from the rate before it, so limits hold with older reports. The host that starts first in a new installation takes the duties without waiting for a former holder, and orders endpoints after one second of observation. Tests: plans reach every host; limits hold over 72 hosts in groups; 16 hosts on loopback with at most three watches, changes known within 300 ms, and within 3 s after the watching hosts ended; the duties in a new installation.

--- a/features/ingress.state.feature
+++ b/features/ingress.state.feature
@@ -56,6 +56,13 @@
     Then both sent the same counts for the same window
 
   # Guards against two holders at once, and against a holder that was paused.
+  # Guards against paying for endpoints that nobody plans while the first host waits for a holder that never was.
+  Scenario: In a new installation the duties are taken at once, later only after the pause
+    Given a host with a pause of 3 s beside an empty store
+    Then it holds the duties after at least 0 ms and at most 1500 ms
+    When the host ends without a word and starts again
+    Then it holds the duties after at least 2900 ms and at most 6000 ms
+
   Scenario: One host holds the duties, and a paused one stops acting
     Given two hosts that contend for the duties
     Then exactly one of them holds the duties
--- /dev/null
+++ b/features/steps/ingress.fleet.ts
@@ -0,0 +1,195 @@
+import { After, Given, Then, When } from "@cucumber/cucumber";
+import type { Store } from "@filbertrelay/connectors";
+import { HostTable, PeerExchange, StoreMirror, StoreNews } from "@filbertrelay/ingress";
+import { brandAs, createSystemClock, silentEventLog } from "@filbertrelay/kernel";
+import type { EndpointId, HostId, Incarnation } from "@filbertrelay/kernel";
+import { createPlatformStore } from "@filbertrelay/platform";
+import { StandinStore } from "@filbertrelay/platform/standins";
+import * as policy from "@filbertrelay/policy";
+import { createPeerNetwork } from "@filbertrelay/wire";
+import fc from "fast-check";
+import assert from "node:assert/strict";
+import { findPort, waitFor } from "../support/ingress.js";
+
+// A failed property prints this seed with the counterexample.
+const seed = 20_261_204;
+const clock = createSystemClock();
+const watchedEndpoint = brandAs<EndpointId>("engine-1");
+
+interface FleetWorld {
+    plans: { readonly hosts: readonly HostId[]; readonly plans: ReadonlyMap<HostId, policy.ExchangePlan>; }[];
+    store: StandinStore;
+    fleet: FleetHost[];
+}
+
+function planAll(hosts: readonly HostId[]): ReadonlyMap<HostId, policy.ExchangePlan> {
+    return new Map(hosts.map(host => [host, policy.planExchange(host, hosts, { isAvoided: () => false })]));
+}
+
+function nameHosts(count: number, prefix: string): readonly HostId[] {
+    return Array.from({ length: count }, (_, index) => brandAs<HostId>(`${prefix}-${index}`));
+}
+
+When("exchanges are planned for fleets of random sizes and names", function(this: FleetWorld) {
+    const fleets = fc.record({ count: fc.integer({ min: 1, max: 400 }), prefix: fc.string({ maxLength: 12 }) });
+    this.plans = fc.sample(fleets, { numRuns: 30, seed }).map(({ count, prefix }) => {
+        const hosts = nameHosts(count, prefix);
+        return { hosts, plans: planAll(hosts) };
+    });
+});
+
+Then("every host has its group and one host of each other group to talk to", function(this: FleetWorld) {
+    for (const { hosts, plans } of this.plans) {
+        for (const [host, { mates, partners }] of plans) {
+            const reached = new Set([host, ...mates]);
+            for (const partner of partners.values()) {
+                [partner, ...plans.get(partner)!.mates].forEach(other => reached.add(other));
+            }
+            assert.equal(reached.size, hosts.length, `${host} of ${hosts.length} hosts`);
+        }
+    }
+});
+
+Then("a host has at most {int} times the square root of the hosts to talk to", function(this: FleetWorld, times: number) {
+    for (const { hosts, plans } of this.plans) {
+        for (const { mates, partners } of plans.values()) {
+            assert.ok(mates.length + partners.size <= times * Math.sqrt(hosts.length), `${hosts.length} hosts`);
+        }
+    }
+});
+
+Then("fleets of {int} and of {int} hosts put the same hosts into each group", (fewer: number, more: number) => {
+    const before = planAll(nameHosts(fewer, "edge"));
+    const after = planAll(nameHosts(more, "edge"));
+    for (const [host, { ownGroup }] of before) {
+        assert.equal(after.get(host)!.ownGroup, ownGroup);
+    }
+});
+
+/** A host with all that it shares, on loopback. */
+class FleetHost {
+    readonly loads = policy.createLoadBoard();
+    readonly mirror: StoreMirror;
+    watches = 0;
+    readonly #services: readonly { start(): Promise<void>; stop(deadlineMs: number): Promise<void>; }[];
+
+    constructor(readonly hostId: HostId, peerAddress: string, store: StandinStore) {
+        const client = this.#countWatches(
+            createPlatformStore({ address: store.address, clock, timeoutMs: 600, onCall: () => undefined }),
+        );
+        this.mirror = new StoreMirror({ store: client, clock, log: silentEventLog, draw: Math.random });
+        const hosts = new HostTable({ mirror: this.mirror, clock, log: silentEventLog });
+        const peers = createPeerNetwork({
+            clock,
+            log: silentEventLog,
+            hostId,
+            listenAddress: peerAddress,
+            keys: ["a-key-of-sixteen-characters"],
+            frameBytes: 1_048_576,
+        });
+        const exchange = new PeerExchange({
+            clock,
+            log: silentEventLog,
+            hostId,
+            incarnation: brandAs<Incarnation>("run-1"),
+            peers,
+            hosts,
+            counts: {
+                quota: policy.createUsageQuota({ windowMs: 8_000, tolerance: 0, nowMs: clock.monotonicMs() }),
+                usage: policy.createUsageLedger(5_000),
+                loads: this.loads,
+                demand: policy.createDemandMeter(),
+            },
+            fleetClock: policy.createFleetClock({ clock }),
+            dutyHolder: () => undefined,
+        });
+        const news = new StoreNews({ clock, hostId, peers, mirror: this.mirror, listHeard: () => exchange.listHeard() });
+        exchange.carry(news);
+        this.#services = [this.mirror, peers, news, exchange];
+    }
+
+    async start(): Promise<void> {
+        for (const service of this.#services) {
+            await service.start();
+        }
+    }
+
+    async stop(): Promise<void> {
+        for (const service of this.#services.toReversed()) {
+            await service.stop(clock.monotonicMs());
+        }
+    }
+
+    #countWatches(store: Store): Store {
+        return {
+            get: key => store.get(key),
+            list: prefix => store.list(prefix),
+            commit: transaction => store.commit(transaction),
+            grantLease: timeToLiveMs => store.grantLease(timeToLiveMs),
+            renewLease: leaseId => store.renewLease(leaseId),
+            endLease: leaseId => store.endLease(leaseId),
+            watch: (prefix, options) => {
+                this.watches += 1;
+                return store.watch(prefix, options);
+            },
+        };
+    }
+}
+
+Given("a fleet of {int} hosts beside a store stand-in", async function(this: FleetWorld, count: number) {
+    this.store = new StandinStore();
+    await this.store.start();
+    this.fleet = [];
+    for (const hostId of nameHosts(count, "edge")) {
+        const peerAddress = `127.0.0.1:${await findPort()}`;
+        const entry = { incarnation: "run-1", callerAddress: "127.0.0.1:1", peerAddress, failureDomain: "domain-1" };
+        this.store.put(`filbertrelay/hosts/${hostId}`, entry);
+        this.fleet.push(new FleetHost(hostId, peerAddress, this.store));
+    }
+    await Promise.all(this.fleet.map(host => host.start()));
+});
+
+When("the fleet has run for {int} s", async function(this: FleetWorld, seconds: number) {
+    await clock.sleep(seconds * 1_000);
+    this.fleet.forEach(host => host.watches = 0);
+    // A watch without changes is answered after 1.5 s.
+    await clock.sleep(1_700);
+});
+
+Then("at most {int} hosts watch the store", function(this: FleetWorld, count: number) {
+    const watching = this.fleet.filter(host => host.watches > 0);
+    assert.ok(watching.length > 0 && watching.length <= count, `${watching.length} hosts watch`);
+});
+
+Then("a change of the store reaches all hosts within {int} ms", async function(this: FleetWorld, limitMs: number) {
+    this.store.put("op/some-change", { version: 1 });
+    const startMs = clock.monotonicMs();
+    await waitFor(() => Promise.resolve(this.fleet.every(host => host.mirror.get("op/some-change") !== undefined)));
+    assert.ok(clock.monotonicMs() - startMs <= limitMs, `${clock.monotonicMs() - startMs} ms`);
+});
+
+Then(
+    "use of an endpoint that one host notes is known to all hosts, once, within {int} ms",
+    async function(this: FleetWorld, limitMs: number) {
+        const request = { requestId: "request-1", endpointId: watchedEndpoint, priority: 1, tokens: 500 };
+        this.fleet[0]!.loads.recordDispatch(request);
+        await clock.sleep(limitMs);
+        for (const { hostId, loads } of this.fleet) {
+            const { running, waitingTokens } = loads.estimate(watchedEndpoint, 1, clock.monotonicMs());
+            assert.deepEqual({ hostId, running, waitingTokens }, { hostId, running: 1, waitingTokens: 500 });
+        }
+    },
+);
+
+When("all hosts that watch the store end without a word", async function(this: FleetWorld) {
+    const watching = this.fleet.filter(host => host.watches > 0);
+    this.fleet = this.fleet.filter(host => host.watches === 0);
+    await Promise.all(watching.map(host => host.stop()));
+});
+
+After(async function(this: Partial<FleetWorld>) {
+    await Promise.all((this.fleet ?? []).map(host => host.stop()));
+    if (this.fleet !== undefined) {
+        this.store?.stop();
+    }
+});
--- a/features/steps/ingress.quota.ts
+++ b/features/steps/ingress.quota.ts
@@ -13,12 +13,15 @@
     hosts: QuotaHost[];
     taken: { readonly atMs: number; readonly amount: number; }[];
     durationMs: number;
+    exchangeMs: number;
     quota: policy.UsageQuota;
 }
 
 interface QuotaHost {
     quota: policy.UsageQuota;
     group: number;
+    /** The hosts of a group exchange all their use; other groups get the sum of the group. */
+    groupName: string;
     /** A host that was started again hears the others from the next exchange on. */
     isStarted: boolean;
 }
@@ -27,8 +30,22 @@
     this.hosts = Array.from({ length: count }, () => ({
         quota: policy.createUsageQuota({ windowMs, tolerance, nowMs: -20_000 }),
         group: 0,
+        groupName: "all",
         isStarted: true,
     }));
+    this.exchangeMs = 150;
+    this.taken = [];
+});
+
+Given("{int} hosts in groups that exchange their use every {int} ms", function(this: QuotaWorld, count: number, everyMs: number) {
+    const groups = policy.countExchangeGroups(count);
+    this.hosts = Array.from({ length: count }, (_, index) => ({
+        quota: policy.createUsageQuota({ windowMs, tolerance, nowMs: -20_000 }),
+        group: 0,
+        groupName: `group/${index % groups}`,
+        isStarted: true,
+    }));
+    this.exchangeMs = everyMs;
     this.taken = [];
 });
 
@@ -39,7 +56,7 @@
     world.durationMs = durationMs;
     for (let atMs = 0; atMs < durationMs; atMs += 5) {
         disturb(atMs);
-        if (atMs % 150 === 0) {
+        if (atMs % world.exchangeMs === 0) {
             exchange(world.hosts, atMs);
         }
         for (let sent = 0; sent < limit.perSecond * 5 * 0.005 / amount + random() - 0.5; sent += 1) {
@@ -65,10 +82,20 @@
     });
     hosts.forEach((from, index) => {
         const use = from.quota.ownUse(atMs);
-        hosts.filter(to => to !== from && areConnected(to, from)).forEach(to => to.quota.recordPeerUse(`h${index}`, use, atMs));
+        const mates = hosts.filter(to => to !== from && areConnected(to, from) && to.groupName === from.groupName);
+        mates.forEach(to => to.quota.recordPeerUse(`h${index}`, use, atMs));
     });
+    const answering = new Map(hosts.map(host => [host.groupName, host]));
+    for (const [name, host] of answering) {
+        const use = host.quota.groupUse(atMs);
+        hosts.filter(to => to.groupName !== name).forEach(to => to.quota.recordGroupUse(name, use, atMs));
+    }
 }
 
+When("a customer asks for five times its limit for {int} s", function(this: QuotaWorld, seconds: number) {
+    playCustomer(this, seconds * 1_000, () => undefined);
+});
+
 When(
     "a customer asks for five times its limit for {int} s and all hosts are killed at {int} s and at {int} s",
     function(this: QuotaWorld, seconds: number, firstKill: number, secondKill: number) {
--- a/features/steps/ingress.state.ts
+++ b/features/steps/ingress.state.ts
@@ -1,4 +1,4 @@
-import { Given, Then, When } from "@cucumber/cucumber";
+import { After, Given, Then, When } from "@cucumber/cucumber";
 import { Lead, StoreMirror, UsageDuty } from "@filbertrelay/ingress";
 import type { DutyCalls } from "@filbertrelay/ingress";
 import { brandAs, createSystemClock, failure, silentEventLog, success } from "@filbertrelay/kernel";
@@ -31,7 +31,11 @@
     #lagMs = 0;
     isPaused = false;
 
-    constructor(readonly store: StandinStore, readonly name: string, createDuty?: (contender: Contender) => UsageDuty) {
+    constructor(
+        readonly store: StandinStore,
+        readonly name: string,
+        options: { readonly pauseMs?: number; readonly createDuty?: (contender: Contender) => UsageDuty; } = {},
+    ) {
         const clock = this.clock;
         const client = this.client();
         this.#mirror = new StoreMirror({ store: client, clock, log: silentEventLog, draw: Math.random });
@@ -42,10 +46,10 @@
             log: silentEventLog,
             hostId: brandAs<HostId>(name),
             incarnation: brandAs<Incarnation>("run-1"),
-            leaseMs,
+            leaseMs: options.pauseMs ?? leaseMs,
             draw: Math.random,
         });
-        this.duty = createDuty?.(this);
+        this.duty = options.createDuty?.(this);
     }
 
     readonly duty: UsageDuty | undefined;
@@ -243,34 +247,36 @@
     await this.store.start();
     this.sent = [];
     const createContender = (name: string, count: number, isAnswered: boolean): Contender =>
-        new Contender(this.store, name, contender => {
-            const usage = createUsageLedger(usageWindowMs);
-            const duties: DutyCalls = {
-                reportUsage: (_, window, counts) => {
-                    this.sent.push({ window, counts });
-                    const lost = failure({ code: "duty.unavailable" as const, message: "The answer was lost." });
-                    return Promise.resolve(isAnswered ? success(undefined) : lost);
-                },
-                orderEndpoints: () => Promise.resolve(success(undefined)),
-            };
-            const now = new Date();
-            for (let request = 0; request < count; request += 1) {
-                for (let window = 0; window < 40; window += 1) {
-                    usage.record("crew", new Date(now.getTime() + window * usageWindowMs));
+        new Contender(this.store, name, {
+            createDuty: contender => {
+                const usage = createUsageLedger(usageWindowMs);
+                const duties: DutyCalls = {
+                    reportUsage: (_, window, counts) => {
+                        this.sent.push({ window, counts });
+                        const lost = failure({ code: "duty.unavailable" as const, message: "The answer was lost." });
+                        return Promise.resolve(isAnswered ? success(undefined) : lost);
+                    },
+                    orderEndpoints: () => Promise.resolve(success(undefined)),
+                };
+                const now = new Date();
+                for (let request = 0; request < count; request += 1) {
+                    for (let window = 0; window < 40; window += 1) {
+                        usage.record("crew", new Date(now.getTime() + window * usageWindowMs));
+                    }
                 }
-            }
-            return new UsageDuty({
-                store: contender.client(),
-                mirror: contender.mirror,
-                clock: contender.clock,
-                log: silentEventLog,
-                lead: contender.lead,
-                duties,
-                usage,
-                fleetClock: createFleetClock({ clock: contender.clock }),
-                windowMs: usageWindowMs,
-                dueMs: 8_000,
-            });
+                return new UsageDuty({
+                    store: contender.client(),
+                    mirror: contender.mirror,
+                    clock: contender.clock,
+                    log: silentEventLog,
+                    lead: contender.lead,
+                    duties,
+                    usage,
+                    fleetClock: createFleetClock({ clock: contender.clock }),
+                    windowMs: usageWindowMs,
+                    dueMs: 8_000,
+                });
+            },
         });
     this.contenders = [createContender("host-1", 3, false), createContender("host-2", 5, true)];
     await this.contenders[0]!.start();
@@ -296,3 +302,33 @@
     }
     assert.ok(this.sent.length > byWindow.size);
 });
+
+Given("a host with a pause of {int} s beside an empty store", async function(this: StateWorld, seconds: number) {
+    this.store = new StandinStore();
+    await this.store.start();
+    this.contenders = [new Contender(this.store, "host-1", { pauseMs: seconds * 1_000 })];
+    await this.contenders[0]!.start();
+});
+
+When("the host ends without a word and starts again", async function(this: StateWorld) {
+    this.contenders[0]!.isPaused = true;
+    this.store.remove("filbertrelay/lead");
+    const again = new Contender(this.store, "host-1", { pauseMs: 3_000 });
+    this.contenders.unshift(again);
+    await again.start();
+});
+
+Then(
+    "it holds the duties after at least {int} ms and at most {int} ms",
+    async function(this: StateWorld, leastMs: number, mostMs: number) {
+        const startMs = performance.now();
+        await waitFor(() => Promise.resolve(this.contenders[0]!.lead.holder() !== undefined));
+        const elapsedMs = performance.now() - startMs;
+        assert.ok(elapsedMs >= leastMs && elapsedMs <= mostMs, `${elapsedMs} ms`);
+    },
+);
+
+After(async function(this: Partial<StateWorld>) {
+    await Promise.all((this.contenders ?? []).map(contender => contender.stop()));
+    this.store?.stop();
+});
--- a/packages/ingress/src/daemon.ts
+++ b/packages/ingress/src/daemon.ts
@@ -17,7 +17,7 @@
 import { IngressServer } from "./caller/server.js";
 import type { Dialect, DutyCalls, StoreDecoder } from "./contract.js";
 import { ControlServer } from "./control/server.js";
-import { Lead } from "./duty/lead.js";
+import { Lead, readDutyHolder } from "./duty/lead.js";
 import { ScalingDuty } from "./duty/scalingduty.js";
 import { UsageDuty } from "./duty/usageduty.js";
 import { ChannelPool } from "./endpoint/channelpool.js";
@@ -25,6 +25,7 @@
 import { createIncarnation, PeerExchange } from "./fleet/exchange.js";
 import { HostTable } from "./fleet/hosts.js";
 import { Registration } from "./fleet/registration.js";
+import { StoreNews } from "./fleet/storenews.js";
 import { IngressLifecycle } from "./lifecycle.js";
 import type { RequestContext } from "./request/context.js";
 import { RequestPipeline } from "./request/pipeline.js";
@@ -114,13 +115,12 @@
         incarnation,
         peers,
         hosts,
-        mirror,
-        quota,
-        usage,
-        loads,
-        demand,
+        counts: { quota, usage, loads, demand },
         fleetClock,
+        dutyHolder: () => readDutyHolder(mirror),
     });
+    const news = new StoreNews({ clock, hostId, peers, mirror, listHeard: () => exchange.listHeard() });
+    exchange.carry(news);
     const registration = new Registration({
         store,
         clock,
@@ -188,6 +188,7 @@
     };
     kernel.register("mirror", mirror);
     kernel.register("peers", peers);
+    kernel.register("storeNews", news);
     kernel.register("exchange", exchange);
     kernel.register("callers", server);
     registerControl(kernel, settings, environment, view);
--- a/packages/ingress/src/duty/lead.ts
+++ b/packages/ingress/src/duty/lead.ts
@@ -1,6 +1,7 @@
 import type { Store } from "@filbertrelay/connectors";
-import { RepeatedTask } from "@filbertrelay/kernel";
+import { brandAs, RepeatedTask } from "@filbertrelay/kernel";
 import type { Clock, EventLog, HostId, Incarnation, Service } from "@filbertrelay/kernel";
+import { z } from "zod";
 import type { DutyHolder } from "../contract.js";
 import { fleetEvents as events } from "../fleet/event.js";
 import { ownPrefix } from "../fleet/hosts.js";
@@ -17,6 +18,22 @@
 /** Hosts that see the key vanish try at different times, so that most of them find it taken. */
 const contendSpreadMs = 250;
 
+const leadSchema = z.string().transform((value, context) => {
+    try {
+        return z.object({ hostId: z.string().min(1) }).parse(JSON.parse(value));
+    }
+    catch {
+        context.addIssue("The entry is not that of a holder.");
+        return z.NEVER;
+    }
+});
+
+/** The host that holds the duties according to the copy of the store. */
+export function readDutyHolder(mirror: StoreMirror): HostId | undefined {
+    const entry = leadSchema.safeParse(mirror.get(leadKey)?.value);
+    return entry.success ? brandAs<HostId>(entry.data.hostId) : undefined;
+}
+
 interface HeldLead {
     readonly leaseId: number;
     readonly term: number;
@@ -107,8 +124,10 @@
     }
 
     #isFree(): boolean {
-        return this.#clock.monotonicMs() >= this.#pausedUntilMs && this.#mirror.ageMs() < this.#leaseMs &&
-            this.#mirror.revision > 0 && this.#mirror.get(leadKey) === undefined;
+        // Where no term was ever recorded nobody has held the duties, so there is no former holder to wait for.
+        const mayContend = this.#clock.monotonicMs() >= this.#pausedUntilMs || this.#mirror.get(termKey) === undefined;
+        return mayContend && this.#mirror.ageMs() < this.#leaseMs && this.#mirror.revision > 0 &&
+            this.#mirror.get(leadKey) === undefined;
     }
 
     async #renew(held: HeldLead): Promise<void> {
--- a/packages/ingress/src/duty/scalingduty.ts
+++ b/packages/ingress/src/duty/scalingduty.ts
@@ -20,8 +20,10 @@
 /** How long a peak keeps its endpoints. */
 const peakHoldMs = 20_000;
 const requirement = { targetUtilization, minimum: leastEndpoints, holdMs: peakHoldMs };
-/** A host looks at what runs for this long after its start, which is before it may hold the duties. */
-const observeMs = 2_900;
+/** A host orders nothing before it has known endpoints of the service for this long: all of them appear within it. */
+const observeMs = 1_000;
+/** Without any endpoint of the service it orders after this time. */
+const observeNothingMs = 2_900;
 /** Part of the endpoints that is left when one of three failure domains loses its own. */
 const lossShare = 2 / 3;
 /** Beyond the time to start an endpoint, an order that shows no effect is repeated. */
@@ -50,6 +52,8 @@
     readonly #refusals: StartBackoff = createStartBackoff(refusalBackoff);
     readonly #orders = new Map<string, SentOrder>();
     readonly #scarceUntilMs = new Map<string, number>();
+    /** When endpoints of a service were first known. */
+    readonly #knownMs = new Map<string, number>();
     readonly #createdMs: number;
     readonly #task: RepeatedTask;
 
@@ -98,7 +102,7 @@
         const requiredEndpoints = this.#requiredOf(service.name, nowMs).update(demand, nowMs);
         const essentialEndpoints = Math.ceil(requiredEndpoints * targetUtilization / fullUtilization);
         const serving = this.#countServing(service.name);
-        if (this.#lead.holder() === undefined || nowMs - this.#createdMs < observeMs) {
+        if (this.#lead.holder() === undefined || this.#isObserving(service.name, nowMs)) {
             this.#orders.clear();
             return;
         }
@@ -179,13 +183,23 @@
     #requiredOf(service: string, nowMs: number): RequiredEndpoints {
         const required = this.#required.get(service) ?? createRequiredEndpoints(requirement);
         this.#required.set(service, required);
-        if (nowMs - this.#createdMs < observeMs) {
+        if (this.#isObserving(service, nowMs)) {
             // What runs at the start was chosen by somebody who knew the load, or by a host that measured it.
             required.assume(Math.ceil(this.#endpoints.usable(service).length * lossShare), nowMs);
         }
         return required;
     }
 
+    #isObserving(service: string, nowMs: number): boolean {
+        const isKnown = this.#endpoints.usable(service).length > 0;
+        const knownMs = this.#knownMs.get(service) ?? (isKnown ? nowMs : undefined);
+        if (knownMs === undefined) {
+            return nowMs - this.#createdMs < observeNothingMs;
+        }
+        this.#knownMs.set(service, knownMs);
+        return nowMs - knownMs < observeMs;
+    }
+
     #countServing(service: string): ReadonlyMap<string, DomainCounts> {
         const counts = new Map<string, DomainCounts>();
         for (const endpoint of this.#endpoints.usable(service)) {
--- a/packages/ingress/src/state/mirror.ts
+++ b/packages/ingress/src/state/mirror.ts
@@ -6,6 +6,19 @@
 /** Receives each change of the mirrored items; a removed item has no value. */
 export type MirrorListener = (change: StoreChange) => void;
 
+/** Whether a host watches the store for itself, for the whole fleet, or only when those that do so are not heard. */
+export type WatchRole = "own" | "fleet" | "standby";
+
+/** Changes that a peer passes on, and how old its knowledge is. */
+export interface PeerChanges {
+    /** Whether all items are given rather than those that changed. */
+    readonly isComplete: boolean;
+    readonly revision: number;
+    /** Time since the store had nothing newer. */
+    readonly ageMs: number;
+    readonly changes: readonly StoreChange[];
+}
+
 /** Options of `StoreMirror`. */
 export interface StoreMirrorOptions {
     readonly store: Store;
@@ -33,6 +46,14 @@
 const returnMs = 2_300;
 /** An endpoint that left must not get requests for two seconds after its entry vanished, also when this host learned of it late. */
 const longestGraceMs = 1_400;
+/** A watch for the fleet is answered sooner, so that what is passed on is younger than what the others trust. */
+const fleetWatchWaitMs = 800;
+/** A host that leaves the watch to others watches itself when what they know is older than this. */
+const trustedAgeMs = 1_500;
+/** How often a host that leaves the watch to others looks whether that still holds. */
+const idleCheckMs = 100;
+/** Delay of such a host before it tries the store again; those that watch for the fleet try sooner and pass on what they get. */
+const standbyRetryMs = 1_000;
 /** Changes kept for peers that can't reach the store. */
 const changesKept = 400;
 
@@ -51,6 +72,8 @@
     #isLost = true;
     #failures = 0;
     #loop: Promise<void> | undefined;
+    #watchRole: () => WatchRole = () => "own";
+    #onWatched: (afterRevision: number, changes: PeerChanges) => void = () => undefined;
 
     constructor(options: StoreMirrorOptions) {
         this.#options = options;
@@ -85,9 +108,15 @@
         this.#listeners.push({ prefix, listener });
     }
 
-    /** All items under a prefix. */
-    list(prefix: string): readonly StoreItem[] {
-        return [...this.#items.values()].filter(item => item.key.startsWith(prefix));
+    /** Says when this host leaves the watch to others, and who is told of changes that it got from the store itself. */
+    share(
+        options: {
+            readonly watchRole: () => WatchRole;
+            readonly onWatched: (afterRevision: number, changes: PeerChanges) => void;
+        },
+    ): void {
+        this.#watchRole = options.watchRole;
+        this.#onWatched = options.onWatched;
     }
 
     start(): Promise<void> {
@@ -101,20 +130,16 @@
     }
 
     /** Changes since a revision for a peer; all items when the changes are not kept that far back. */
-    changesSince(
-        revision: number,
-    ): { readonly isComplete: boolean; readonly revision: number; readonly changes: readonly StoreChange[]; } {
+    changesSince(revision: number): PeerChanges {
         const isComplete = revision < this.#recentFrom;
         const changes = isComplete ? [...this.#items.values()] : this.#recent.filter(change => change.revision > revision);
-        return { isComplete, revision: this.#revision, changes };
+        return { isComplete, revision: this.#revision, ageMs: this.ageMs(), changes };
     }
 
     /** Takes what a peer knows, when it is newer. */
-    mergeFromPeer(
-        peer: string,
-        received: { readonly isComplete: boolean; readonly revision: number; readonly changes: readonly StoreChange[]; },
-    ): void {
+    mergeFromPeer(peer: string, received: PeerChanges): void {
         if (received.revision <= this.#revision) {
+            this.noteKnown(received.revision, received.ageMs);
             return;
         }
         this.#options.log.write(events.mirroredFromPeer, {
@@ -132,10 +157,22 @@
             received.changes.forEach(change => this.#apply(change));
         }
         this.#revision = received.revision;
+        this.noteKnown(received.revision, received.ageMs);
+    }
+
+    /** Notes that a peer knew of nothing newer than a revision some time ago. */
+    noteKnown(revision: number, ageMs: number): void {
+        if (revision === this.#revision && !this.#needsList && ageMs < this.ageMs()) {
+            this.#noteAnswer(ageMs);
+        }
     }
 
     async #run(): Promise<void> {
         while (!this.#stopped.signal.aborted) {
+            if (!this.#needsList && this.#watchRole() === "standby" && this.ageMs() < trustedAgeMs) {
+                await this.#pause(idleCheckMs);
+                continue;
+            }
             const issue = this.#needsList ? await this.#readAll() : await this.#watch();
             if (issue === undefined || issue.code === "store.historyGone") {
                 // A store that has dropped its history answers, so nothing has lapsed meanwhile.
@@ -144,7 +181,9 @@
                 continue;
             }
             this.#noteIssue(issue);
-            const delayMs = Math.min(longestRetryMs, firstRetryMs * 2 ** (this.#failures - 1));
+            const delayMs = this.#watchRole() !== "standby" || this.#needsList ?
+                Math.min(longestRetryMs, firstRetryMs * 2 ** (this.#failures - 1)) :
+                standbyRetryMs;
             await this.#pause(delayMs * (0.5 + this.#options.draw()));
         }
     }
@@ -168,15 +207,20 @@
     async #watch(): Promise<StoreIssue | undefined> {
         const watched = await this.#options.store.watch("", {
             afterRevision: this.#revision,
-            waitMs: this.#failures > 0 ? probeWaitMs : watchWaitMs,
+            waitMs: this.#failures > 0 ? probeWaitMs : this.#watchRole() === "fleet" ? fleetWatchWaitMs : watchWaitMs,
             signal: this.#stopped.signal,
         });
         if (!watched.ok) {
             return watched.issue;
         }
         this.#noteAnswer();
+        const formerRevision = this.#revision;
         watched.value.changes.forEach(change => this.#apply(change));
         this.#revision = Math.max(this.#revision, watched.value.revision);
+        if (this.#revision > formerRevision && watched.value.changes.length > 0) {
+            const { changes } = watched.value;
+            this.#onWatched(formerRevision, { isComplete: false, revision: this.#revision, ageMs: 0, changes });
+        }
         if (watched.value.changes.length > 0) {
             await this.#pause(batchMs);
         }
@@ -214,21 +258,21 @@
         this.#recentFrom = Math.max(this.#revision, ...items.map(item => item.revision));
     }
 
-    #noteAnswer(): void {
+    #noteAnswer(ageMs = 0): void {
         const { clock, log } = this.#options;
         this.#failures = 0;
-        if (this.#isLost) {
+        if (this.#isLost && ageMs < lostAfterMs) {
             this.#isLost = false;
-            this.#regainedMs = clock.monotonicMs();
+            this.#regainedMs = clock.monotonicMs() - ageMs;
             log.write(events.storeRegained, { revision: this.#revision, ageMs: roundAge(this.ageMs()) });
         }
-        this.#answeredMs = clock.monotonicMs();
+        this.#answeredMs = Math.max(this.#answeredMs, clock.monotonicMs() - ageMs);
     }
 
     #noteIssue(issue: StoreIssue): void {
         this.#failures += 1;
-        // A single watch may be cut, or answered late, by a store that serves everybody.
-        if (!this.#isLost && this.#failures > 1 && this.ageMs() > lostAfterMs) {
+        // A single watch may be cut, or answered late, by a store that serves everybody; what the peers know is a second sign.
+        if (!this.#isLost && (this.#failures > 1 || this.#watchRole() === "standby") && this.ageMs() > lostAfterMs) {
             this.#isLost = true;
             this.#options.log.write(events.storeLost, {
                 code: issue.code,
--- a/packages/policy/src/ingress/demandmeter.ts
+++ b/packages/policy/src/ingress/demandmeter.ts
@@ -6,7 +6,11 @@
     recordWork(service: string, workMs: number, nowMs: number): void;
     /** Busy endpoints by service, caused by this host's requests; sent to the peers. */
     ownDemand(nowMs: number): Readonly<Record<string, number>>;
+    /** Busy endpoints by service of this host and its peers, without other groups; sent to hosts of other groups. */
+    groupDemand(nowMs: number): Readonly<Record<string, number>>;
     recordPeerDemand(peer: string, demand: Readonly<Record<string, number>>, nowMs: number): void;
+    /** Takes the demand of another group of hosts. */
+    recordGroupDemand(group: string, demand: Readonly<Record<string, number>>, nowMs: number): void;
     /** Busy endpoints of a service over all hosts. */
     demand(service: string, nowMs: number): number;
 }
@@ -18,27 +22,56 @@
 
 /** Creates a meter without demand. */
 export function createDemandMeter(): DemandMeter {
-    const own = new Map<string, SlidingWindow>();
-    const peers = new Map<string, { readonly demand: Readonly<Record<string, number>>; readonly receivedMs: number; }>();
-    return {
-        recordWork: (service, workMs, nowMs) => {
-            const window = own.get(service) ?? new SlidingWindow(spanMs, nowMs);
-            own.set(service, window);
-            window.add(workMs, nowMs);
-        },
-        ownDemand: nowMs => Object.fromEntries([...own].map(([service, window]) => [service, window.sum(nowMs) / spanMs])),
-        recordPeerDemand: (peer, demand, nowMs) => void peers.set(peer, { demand, receivedMs: nowMs }),
-        demand: (service, nowMs) => {
-            let sum = (own.get(service)?.sum(nowMs) ?? 0) / spanMs;
-            for (const [peer, { demand, receivedMs }] of peers) {
-                if (nowMs - receivedMs > peerReportLifeMs) {
-                    peers.delete(peer);
-                }
-                else {
-                    sum += demand[service] ?? 0;
-                }
-            }
-            return sum;
-        },
-    };
+    return new ExchangedDemandMeter();
+}
+
+type Demand = Readonly<Record<string, number>>;
+
+class ExchangedDemandMeter implements DemandMeter {
+    readonly #own = new Map<string, SlidingWindow>();
+    readonly #peers = new Map<string, { readonly demand: Demand; readonly receivedMs: number; }>();
+    readonly #groups = new Map<string, { readonly demand: Demand; readonly receivedMs: number; }>();
+
+    recordWork(service: string, workMs: number, nowMs: number): void {
+        const window = this.#own.get(service) ?? new SlidingWindow(spanMs, nowMs);
+        this.#own.set(service, window);
+        window.add(workMs, nowMs);
+    }
+
+    ownDemand(nowMs: number): Demand {
+        return Object.fromEntries([...this.#own].map(([service, window]) => [service, window.sum(nowMs) / spanMs]));
+    }
+
+    groupDemand(nowMs: number): Demand {
+        return addDemands([this.ownDemand(nowMs), ...live(this.#peers, nowMs)]);
+    }
+
+    recordPeerDemand(peer: string, demand: Demand, nowMs: number): void {
+        this.#peers.set(peer, { demand, receivedMs: nowMs });
+    }
+
+    recordGroupDemand(group: string, demand: Demand, nowMs: number): void {
+        this.#groups.set(group, { demand, receivedMs: nowMs });
+    }
+
+    demand(service: string, nowMs: number): number {
+        return addDemands([this.groupDemand(nowMs), ...live(this.#groups, nowMs)])[service] ?? 0;
+    }
+}
+
+function live(received: Map<string, { readonly demand: Demand; readonly receivedMs: number; }>, nowMs: number): Demand[] {
+    for (const [name, { receivedMs }] of received) {
+        if (nowMs - receivedMs > peerReportLifeMs) {
+            received.delete(name);
+        }
+    }
+    return [...received.values()].map(({ demand }) => demand);
+}
+
+function addDemands(demands: readonly Demand[]): Demand {
+    const sum: Record<string, number> = {};
+    for (const [service, busy] of demands.flatMap(demand => Object.entries(demand))) {
+        sum[service] = (sum[service] ?? 0) + busy;
+    }
+    return sum;
 }
--- a/packages/policy/src/ingress/index.ts
+++ b/packages/policy/src/ingress/index.ts
@@ -3,6 +3,7 @@
 export * from "./endpointhealth.js";
 export * from "./endpointplan.js";
 export * from "./enginechoice.js";
+export * from "./exchangegroups.js";
 export * from "./fleetclock.js";
 export * from "./loadboard.js";
 export * from "./promptcache.js";
--- a/packages/policy/src/ingress/loadboard.ts
+++ b/packages/policy/src/ingress/loadboard.ts
@@ -35,7 +35,11 @@
     recordEnd(requestId: string): void;
     /** This host's use by endpoint; sent to the peers. */
     ownUse(): Readonly<Record<string, EndpointUse>>;
+    /** Use by endpoint of this host and its peers, without other groups; sent to hosts of other groups. */
+    groupUse(nowMs: number): Readonly<Record<string, EndpointUse>>;
     recordPeerUse(peer: string, use: Readonly<Record<string, EndpointUse>>, nowMs: number): void;
+    /** Takes the use of another group of hosts. */
+    recordGroupUse(group: string, use: Readonly<Record<string, EndpointUse>>, nowMs: number): void;
     estimate(endpointId: EndpointId, priority: number, nowMs: number): EndpointLoad;
 }
 
@@ -47,9 +51,15 @@
     return new ExchangedLoadBoard();
 }
 
+interface ReceivedUse {
+    readonly use: Readonly<Record<string, EndpointUse>>;
+    readonly receivedMs: number;
+}
+
 class ExchangedLoadBoard implements LoadBoard {
     readonly #dispatched = new Map<string, DispatchedRequest & { isComputed: boolean; }>();
-    readonly #peers = new Map<string, { readonly use: Readonly<Record<string, EndpointUse>>; readonly receivedMs: number; }>();
+    readonly #peers = new Map<string, ReceivedUse>();
+    readonly #groups = new Map<string, ReceivedUse>();
 
     recordDispatch(request: DispatchedRequest): void {
         this.#dispatched.set(request.requestId, { ...request, isComputed: false });
@@ -67,6 +77,24 @@
     }
 
     ownUse(): Readonly<Record<string, EndpointUse>> {
+        return this.#ownUse();
+    }
+
+    groupUse(nowMs: number): Readonly<Record<string, EndpointUse>> {
+        const sum = this.#ownUse();
+        for (const use of liveUses(this.#peers, nowMs)) {
+            for (const [endpointId, { running, waitingTokens }] of Object.entries(use)) {
+                const entry = sum[endpointId] ??= { running: 0, waitingTokens: {} };
+                entry.running += running;
+                for (const [level, tokens] of Object.entries(waitingTokens)) {
+                    entry.waitingTokens[level] = (entry.waitingTokens[level] ?? 0) + tokens;
+                }
+            }
+        }
+        return sum;
+    }
+
+    #ownUse(): Record<string, { running: number; waitingTokens: Record<string, number>; }> {
         const use: Record<string, { running: number; waitingTokens: Record<string, number>; }> = {};
         for (const request of this.#dispatched.values()) {
             const entry = use[request.endpointId] ??= { running: 0, waitingTokens: {} };
@@ -82,6 +110,10 @@
         this.#peers.set(peer, { use, receivedMs: nowMs });
     }
 
+    recordGroupUse(group: string, use: Readonly<Record<string, EndpointUse>>, nowMs: number): void {
+        this.#groups.set(group, { use, receivedMs: nowMs });
+    }
+
     estimate(endpointId: EndpointId, priority: number, nowMs: number): EndpointLoad {
         let running = 0;
         let tokensAhead = 0;
@@ -102,14 +134,22 @@
                 }
             }
         }
-        for (const [peer, { use, receivedMs }] of this.#peers) {
-            if (nowMs - receivedMs > peerReportLifeMs) {
-                this.#peers.delete(peer);
-            }
-            else {
-                add(use[endpointId]);
-            }
-        }
+        liveUses(this.#peers, nowMs).forEach(use => add(use[endpointId]));
+        liveUses(this.#groups, nowMs).forEach(use => add(use[endpointId]));
         return { running, tokensAhead, waitingTokens };
     }
 }
+
+/** Reports that are recent enough to count; others are dropped. */
+function liveUses(received: Map<string, ReceivedUse>, nowMs: number): readonly Readonly<Record<string, EndpointUse>>[] {
+    const uses: Readonly<Record<string, EndpointUse>>[] = [];
+    for (const [name, { use, receivedMs }] of received) {
+        if (nowMs - receivedMs > peerReportLifeMs) {
+            received.delete(name);
+        }
+        else {
+            uses.push(use);
+        }
+    }
+    return uses;
+}
--- a/packages/policy/src/ingress/usagequota.ts
+++ b/packages/policy/src/ingress/usagequota.ts
@@ -13,9 +13,10 @@
 /** What was let through for a customer within the last quarter, half, three quarters and the whole of the window. */
 export type CustomerUsage = readonly number[];
 
-/** What a host let through, and since when it has been counting. */
+/** What a host, or a group of hosts, let through, and how much of the time it has not been counting. */
 export interface QuotaUse {
-    readonly ageMs: number;
+    /** For each part of the window, the time within it before the start of the host, added up over the hosts of a group. */
+    readonly missingMs: readonly number[];
     readonly customers: Readonly<Record<string, CustomerUsage>>;
 }
 
@@ -35,8 +36,14 @@
     giveBack(customer: string, amount: number, takenMs: number, nowMs: number): void;
     /** What this host let through; sent to the peers. */
     ownUse(nowMs: number): QuotaUse;
+    /** What this host and its peers let through, without other groups; sent to hosts of other groups. */
+    groupUse(nowMs: number): QuotaUse;
     /** Takes what a peer let through. */
     recordPeerUse(peer: string, use: QuotaUse, nowMs: number): void;
+    /** Takes what the hosts of another group let through. */
+    recordGroupUse(group: string, use: QuotaUse, nowMs: number): void;
+    /** Forgets peers and groups whose use is reported otherwise since the groups were arranged anew. */
+    forgetWhere(isOutdated: (name: string) => boolean): void;
 }
 
 /**
@@ -56,6 +63,13 @@
  * the hosts forget it.
  */
 const spanShares: readonly number[] = [0.25, 0.5, 0.75, 1];
+/** Use since a report is estimated from the rate before it for at most this long; a host that is silent for longer has ended. */
+const longestEstimateMs = 1_500;
+
+interface ReceivedUse {
+    readonly use: QuotaUse;
+    readonly receivedMs: number;
+}
 
 /** Creates the quota of one host. */
 export function createUsageQuota(options: UsageQuotaOptions): UsageQuota {
@@ -65,7 +79,8 @@
 class ExchangedQuota implements UsageQuota {
     readonly #options: UsageQuotaOptions;
     readonly #own = new Map<string, readonly SlidingWindow[]>();
-    readonly #peers = new Map<string, { readonly use: QuotaUse; readonly receivedMs: number; }>();
+    readonly #peers = new Map<string, ReceivedUse>();
+    readonly #groups = new Map<string, ReceivedUse>();
 
     constructor(options: UsageQuotaOptions) {
         this.#options = options;
@@ -78,7 +93,7 @@
         const excess = Math.max(...spanShares.map((spanShare, span) => {
             const spanMs = this.#options.windowMs * spanShare;
             const allowed = (limit.perSecond * spanMs / 1_000 + headroom) * share;
-            return this.#used(customer, limit, span, spanMs, reach, nowMs) + amount - allowed;
+            return this.#used(customer, limit, span, reach, nowMs) + amount - allowed;
         }));
         if (excess > 0) {
             const retryAfterMs = 1_000 * excess / limit.perSecond;
@@ -100,42 +115,85 @@
                 customers[customer] = usage;
             }
         }
-        return { ageMs: nowMs - this.#options.nowMs, customers };
+        const ageMs = nowMs - this.#options.nowMs;
+        return { missingMs: spanShares.map((_, span) => Math.max(0, this.#spanMs(span) - ageMs)), customers };
+    }
+
+    groupUse(nowMs: number): QuotaUse {
+        const own = this.ownUse(nowMs);
+        const received = [...this.#peers.values()];
+        const names = new Set([own, ...received.map(({ use }) => use)].flatMap(use => Object.keys(use.customers)));
+        const customers: Record<string, CustomerUsage> = {};
+        for (const name of names) {
+            customers[name] = spanShares.map((_, span) =>
+                (own.customers[name]?.[span] ?? 0) + this.#receivedUse(received, name, span, nowMs)
+            );
+        }
+        return { missingMs: spanShares.map((_, span) => this.#missingMs(received, span, nowMs)), customers };
     }
 
     recordPeerUse(peer: string, use: QuotaUse, nowMs: number): void {
         this.#peers.set(peer, { use, receivedMs: nowMs });
     }
 
+    recordGroupUse(group: string, use: QuotaUse, nowMs: number): void {
+        this.#groups.set(group, { use, receivedMs: nowMs });
+    }
+
+    forgetWhere(isOutdated: (name: string) => boolean): void {
+        for (const received of [this.#peers, this.#groups]) {
+            [...received.keys()].filter(isOutdated).forEach(name => received.delete(name));
+        }
+    }
+
+    #spanMs(span: number): number {
+        return this.#options.windowMs * (spanShares[span] ?? 1);
+    }
+
+    #received(nowMs: number): readonly ReceivedUse[] {
+        for (const received of [this.#peers, this.#groups]) {
+            for (const [name, { receivedMs }] of received) {
+                if (nowMs - receivedMs > this.#options.windowMs) {
+                    received.delete(name);
+                }
+            }
+        }
+        return [...this.#peers.values(), ...this.#groups.values()];
+    }
+
     #headroom(limit: UsageLimit, nowMs: number): number {
         const headroom = limit.burst * usedBurstShare + this.#options.tolerance * usedToleranceShare;
         return nowMs - this.#options.nowMs < this.#options.windowMs ? headroom * startHeadroomShare : headroom;
     }
 
-    #used(customer: string, limit: UsageLimit, span: number, spanMs: number, reach: FleetReach, nowMs: number): number {
+    #used(customer: string, limit: UsageLimit, span: number, reach: FleetReach, nowMs: number): number {
         const own = this.#own.get(customer)?.[span]?.sum(nowMs) ?? 0;
-        return own + this.#unknownUse(limit, spanMs, reach, nowMs) + this.#peerUse(customer, span, spanMs, nowMs);
+        const received = this.#received(nowMs);
+        // A host that has just started took a part in the former use of the limit that nobody knows; it is assumed to be an even one.
+        const missingMs = this.#missingMs(received, span, nowMs);
+        const unknown = limit.perSecond * missingMs / 1_000 / Math.max(1, reach.knownHosts);
+        return own + unknown + this.#receivedUse(received, customer, span, nowMs);
     }
 
-    /** A host that has just started took a part in the former use of the limit that nobody knows; it is assumed to be an even one. */
-    #unknownUse(limit: UsageLimit, spanMs: number, reach: FleetReach, nowMs: number): number {
-        const ages = [
-            nowMs - this.#options.nowMs,
-            ...[...this.#peers.values()].map(({ use, receivedMs }) => use.ageMs + nowMs - receivedMs),
-        ];
-        const missingMs = ages.reduce((sum, ageMs) => sum + Math.max(0, spanMs - ageMs), 0);
-        return limit.perSecond * missingMs / 1_000 / Math.max(1, reach.knownHosts);
+    /** Time within a part of the window that this host and the others have not been counting. */
+    #missingMs(received: readonly ReceivedUse[], span: number, nowMs: number): number {
+        const ownMs = Math.max(0, this.#spanMs(span) - (nowMs - this.#options.nowMs));
+        return received.reduce(
+            (sum, { use, receivedMs }) => sum + Math.max(0, (use.missingMs[span] ?? 0) - (nowMs - receivedMs)),
+            ownMs,
+        );
     }
 
-    #peerUse(customer: string, span: number, spanMs: number, nowMs: number): number {
+    #receivedUse(received: readonly ReceivedUse[], customer: string, span: number, nowMs: number): number {
+        const spanMs = this.#spanMs(span);
         let sum = 0;
-        for (const [peer, { use, receivedMs }] of this.#peers) {
+        for (const { use, receivedMs } of received) {
             const ageMs = nowMs - receivedMs;
-            if (ageMs > this.#options.windowMs) {
-                this.#peers.delete(peer);
-            }
-            // The use of a peer that stopped reporting leaves the window as time passes.
-            sum += (use.customers[customer]?.[span] ?? 0) * Math.max(0, 1 - ageMs / spanMs);
+            const usage = use.customers[customer];
+            // Use leaves the window as time passes; until the next report the others go on at the rate of the shortest span.
+            const rate = (usage?.[0] ?? 0) / this.#spanMs(0);
+            const since = ageMs < longestEstimateMs ? rate * ageMs : 0;
+            sum += (usage?.[span] ?? 0) * Math.max(0, 1 - ageMs / spanMs) + since;
         }
         return sum;
     }
