Know the load at the start of the traffic

The plan took two thirds of the endpoints that it found, which is right only for those that it had ordered itself with a margin; and the demand was averaged over 8 s although counting had just begun, so that after 2 s it showed a quarter of the load. Change: endpoints that stay and are found at the start stand for 1.3 times as many; a host that has begun to count averages over the time since then, 3 s at least. Test: a load that has just begun is measured at its size from 3 s on.

--- a/features/ingress.policy.feature
+++ b/features/ingress.policy.feature
@@ -71,3 +71,9 @@
     Given 9 hosts that send each other their time every 200 ms
     When the clocks of 4 hosts are set 3000 ms forward at 2 s and 5000 ms back at 6 s for 10 s
     Then every host gives the time of the others within 20 ms from 1 s on
+
+  # Guards against ordering too few endpoints in the first seconds of the traffic, or after all hosts were started again.
+  Scenario: A load that has just begun is measured at its size
+    When work for 5 endpoints begins and is measured every 500 ms for 12 s
+    Then from 3 s on the measured demand is between 4 and 6
+    And no measurement is above 6
--- a/features/steps/ingress.time.ts
+++ b/features/steps/ingress.time.ts
@@ -15,6 +15,7 @@
 
 interface TimeWorld {
     hosts: TimedHost[];
+    measured: { readonly atMs: number; readonly demand: number; }[];
     /** Largest difference between the time that a host gave and the true time. */
     largestErrorMs: number;
 }
@@ -64,3 +65,30 @@
 Then("every host gives the time of the others within {int} ms from 1 s on", function(this: TimeWorld, limitMs: number) {
     assert.ok(this.largestErrorMs <= limitMs, `a host was ${this.largestErrorMs} ms off`);
 });
+
+When(
+    "work for {int} endpoints begins and is measured every {int} ms for {int} s",
+    function(this: TimeWorld, endpoints: number, everyMs: number, seconds: number) {
+        const meter = policy.createDemandMeter();
+        const stepMs = 50;
+        this.measured = [];
+        for (let atMs = stepMs; atMs <= seconds * 1_000; atMs += stepMs) {
+            meter.recordWork("assistant", endpoints * stepMs, atMs);
+            if (atMs % everyMs === 0) {
+                this.measured.push({ atMs, demand: meter.demand("assistant", atMs) });
+            }
+        }
+    },
+);
+
+Then(
+    "from {int} s on the measured demand is between {int} and {int}",
+    function(this: TimeWorld, seconds: number, least: number, most: number) {
+        const late = this.measured.filter(({ atMs }) => atMs >= seconds * 1_000);
+        assert.ok(late.every(({ demand }) => demand >= least && demand <= most), JSON.stringify(late));
+    },
+);
+
+Then("no measurement is above {int}", function(this: TimeWorld, most: number) {
+    assert.ok(this.measured.every(({ demand }) => demand <= most), JSON.stringify(this.measured));
+});
--- a/packages/ingress/src/duty/scalingduty.ts
+++ b/packages/ingress/src/duty/scalingduty.ts
@@ -21,11 +21,16 @@
 const peakHoldMs = 20_000;
 const requirement = { targetUtilization, minimum: leastEndpoints, holdMs: peakHoldMs };
 /** A host orders nothing before it has known endpoints of the service for this long: all of them appear within it. */
-const observeMs = 1_000;
+const observeMs = 1_600;
 /** Without any endpoint of the service it orders after this time. */
 const observeNothingMs = 2_900;
 /** Part of the endpoints that is left when one of three failure domains loses its own. */
 const lossShare = 2 / 3;
+/**
+ * Endpoints needed for each one that stays and was found at the start. The users start with as many as their load keeps busy for 0.7
+ * of the time (21 for a demand of 15, 7 for 5); with margin for a lower load it is 0.65, of which `targetUtilization` asks for half.
+ */
+const foundShare = 0.65 / targetUtilization;
 /** Beyond the time to start an endpoint, an order that shows no effect is repeated. */
 const orderMarginMs = 2_500;
 /** Delays after a refused order of reclaimable endpoints. */
@@ -185,7 +190,10 @@
         this.#required.set(service, required);
         if (this.#isObserving(service, nowMs)) {
             // What runs at the start was chosen by somebody who knew the load, or by a host that measured it.
-            required.assume(Math.ceil(this.#endpoints.usable(service).length * lossShare), nowMs);
+            // Reclaimable ones were ordered by this product, with a margin for the loss of a failure domain.
+            const usable = this.#endpoints.usable(service);
+            const reclaimable = usable.filter(({ isReclaimable }) => isReclaimable).length;
+            required.assume(Math.ceil((usable.length - reclaimable) * foundShare + reclaimable * lossShare), nowMs);
         }
         return required;
     }
--- a/packages/policy/src/ingress/demandmeter.ts
+++ b/packages/policy/src/ingress/demandmeter.ts
@@ -17,6 +17,8 @@
 
 /** Span over which demand is averaged: requests come in bunches of a few seconds, and an endpoint takes as long to start. */
 const spanMs = 8_000;
+/** A host that has begun to count averages over the time since then, but not over less: a single bunch would look like much more. */
+const shortestSpanMs = 3_000;
 /** Reports of hosts that have ended leave the sum after this time. */
 const peerReportLifeMs = 3_000;
 
@@ -28,18 +30,21 @@
 type Demand = Readonly<Record<string, number>>;
 
 class ExchangedDemandMeter implements DemandMeter {
-    readonly #own = new Map<string, SlidingWindow>();
+    readonly #own = new Map<string, { readonly window: SlidingWindow; readonly startedMs: number; }>();
     readonly #peers = new Map<string, { readonly demand: Demand; readonly receivedMs: number; }>();
     readonly #groups = new Map<string, { readonly demand: Demand; readonly receivedMs: number; }>();
 
     recordWork(service: string, workMs: number, nowMs: number): void {
-        const window = this.#own.get(service) ?? new SlidingWindow(spanMs, nowMs);
-        this.#own.set(service, window);
-        window.add(workMs, nowMs);
+        const own = this.#own.get(service) ?? { window: new SlidingWindow(spanMs, nowMs), startedMs: nowMs };
+        this.#own.set(service, own);
+        own.window.add(workMs, nowMs);
     }
 
     ownDemand(nowMs: number): Demand {
-        return Object.fromEntries([...this.#own].map(([service, window]) => [service, window.sum(nowMs) / spanMs]));
+        return Object.fromEntries([...this.#own].map(([service, { window, startedMs }]) => {
+            const countedMs = Math.min(spanMs, Math.max(shortestSpanMs, nowMs - startedMs));
+            return [service, window.sum(nowMs) / countedMs];
+        }));
     }
 
     groupDemand(nowMs: number): Demand {
