--- a/packages/ingress/src/daemon.ts
+++ b/packages/ingress/src/daemon.ts
@@ -71,7 +71,7 @@
     readonly environment: Environment;
 }
 
-/** Tokens that one engine is taken to keep for this host's prompts until the size of the fleet is known. */
+/** Tokens that one engine is taken to keep for this host's prompts; an engine's memory is shared by all hosts and running requests. */
 const assumedCacheTokens = 60_000;
 /** Largest message between hosts: a whole copy of the store's items. */
 const peerFrameBytes = 8_388_608;
--- a/packages/ingress/src/fleet/hosts.ts
+++ b/packages/ingress/src/fleet/hosts.ts
@@ -36,7 +36,6 @@
     readonly #log: EventLog;
     readonly #mirror: StoreMirror;
     readonly #records = new Map<HostId, HostRecord>();
-    readonly #listeners: (() => void)[] = [];
 
     constructor(options: { readonly mirror: StoreMirror; readonly clock: Clock; readonly log: EventLog; }) {
         this.#clock = options.clock;
@@ -53,11 +52,6 @@
         return this.#records.get(hostId);
     }
 
-    /** Calls back after each change. */
-    listen(listener: () => void): void {
-        this.#listeners.push(listener);
-    }
-
     #apply(change: StoreChange): void {
         const hostId = brandAs<HostId>(change.key.slice(hostPrefix.length));
         if (change.value === undefined) {
@@ -94,7 +88,6 @@
 
     #note(hostId: HostId, state: string, revision: number | undefined): void {
         this.#log.write(events.hostChanged, { peer: hostId, state, revision, hosts: this.#records.size });
-        this.#listeners.forEach(listener => listener());
     }
 }
 
--- a/packages/policy/src/ingress/promptcache.ts
+++ b/packages/policy/src/ingress/promptcache.ts
@@ -12,8 +12,6 @@
     recordPrompt(endpointId: EndpointId, parts: readonly PromptPart[]): void;
     /** Tokens of the leading parts that the engine keeps. */
     cachedTokens(endpointId: EndpointId, parts: readonly PromptPart[]): number;
-    /** Sets how many of an engine's tokens this host's prompts are taken to fill. */
-    setCapacity(tokens: number): void;
     /** Forgets an engine that has ended or was started again. */
     forget(endpointId: EndpointId): void;
 }
@@ -21,7 +19,6 @@
 /** Creates a model that drops the least recently used parts of an engine above its capacity. */
 export function createPromptCacheModel(capacityTokens: number): PromptCacheModel {
     const engines = new Map<EndpointId, { readonly parts: Map<string, number>; tokens: number; }>();
-    let capacity = capacityTokens;
     return {
         recordPrompt: (endpointId, parts) => {
             const engine = engines.get(endpointId) ?? { parts: new Map<string, number>(), tokens: 0 };
@@ -33,7 +30,7 @@
                 engine.parts.set(part.id, part.tokens);
             }
             for (const [id, tokens] of engine.parts) {
-                if (engine.tokens <= capacity) {
+                if (engine.tokens <= capacityTokens) {
                     break;
                 }
                 engine.parts.delete(id);
@@ -51,9 +48,6 @@
             }
             return tokens;
         },
-        setCapacity: tokens => {
-            capacity = tokens;
-        },
         forget: endpointId => void engines.delete(endpointId),
     };
 }
