Don't pass on requests of callers that have left before they were read

A host with 0.12 of a core read a request and the caller's close together and sent the request on before it saw the close. Change: a request is passed on two turns of the loop after it was read, unless the caller has left by then. A host that leaves the watch of the store to others also notices an outage by its end, so that entries that only lapsed are kept. Tests: a request and the close behind it, read late, reach no engine; the grace of such a host after 1 s and 3 s of silence.

--- a/features/ingress.endpoint.feature
+++ b/features/ingress.endpoint.feature
@@ -80,6 +80,11 @@
     When a caller sends a "nonIdempotent" request and leaves
     Then the engine's connection is closed within half a second
 
+  # Guards against working for callers that have left: a host that lags behind reads their requests late.
+  Scenario: A request whose caller has left before it was read is not passed on
+    When a caller sends a "nonIdempotent" request and leaves while the host is busy for 100 ms
+    Then no engine got a request
+
   # Guards against pieces of two runs being joined, doubled or lost.
   Scenario: A resumable stream goes on at another engine within one answer
     Given engines of which the first breaks a stream off within its third event
--- a/features/ingress.state.feature
+++ b/features/ingress.state.feature
@@ -27,6 +27,12 @@
     And a caller sends 4 "idempotent" requests one after the other
     Then only the second engine got them
 
+  # Guards against dropping entries that only lapsed: a host that leaves the watch to others sees the outage only by its peers.
+  Scenario: A host that leaves the watch to others keeps lapsed entries for a while after an outage
+    Given a copy of a store that a host leaves to others to watch
+    Then it has no grace after its peers were silent about the store for 1 s
+    And it has a grace after its peers were silent about the store for 3 s
+
   # Guards against both sides of the grace after an outage: entries that come back, and engines that really left.
   Scenario: Entries that vanished in an outage stay in use for a moment and no longer
     Given a copy of a store that was silent for 6 s
--- a/features/steps/ingress.endpoint.ts
+++ b/features/steps/ingress.endpoint.ts
@@ -278,3 +278,11 @@
 Then("there are at most {int} parts", function(this: IngressWorld, count: number) {
     assert.ok(this.answers[0]!.partsMs.length <= count, `${this.answers[0]!.partsMs.length} parts`);
 });
+
+When(
+    "a caller sends a {string} request and leaves while the host is busy for {int} ms",
+    async function(this: IngressWorld, route: string, busyMs: number) {
+        await this.ingress.sendAndLeave(route, busyMs);
+        await new Promise(resolve => setTimeout(resolve, 300));
+    },
+);
--- a/features/steps/ingress.fleet.ts
+++ b/features/steps/ingress.fleet.ts
@@ -18,8 +18,8 @@
 
 interface FleetWorld {
     plans: { readonly hosts: readonly HostId[]; readonly plans: ReadonlyMap<HostId, policy.ExchangePlan>; }[];
-    store: StandinStore;
-    fleet: FleetHost[];
+    ingressStore: StandinStore;
+    ingressHosts: FleetHost[];
 }
 
 function planAll(hosts: readonly HostId[]): ReadonlyMap<HostId, policy.ExchangePlan> {
@@ -137,34 +137,34 @@
 }
 
 Given("a fleet of {int} hosts beside a store stand-in", async function(this: FleetWorld, count: number) {
-    this.store = new StandinStore();
-    await this.store.start();
-    this.fleet = [];
+    this.ingressStore = new StandinStore();
+    await this.ingressStore.start();
+    this.ingressHosts = [];
     for (const hostId of nameHosts(count, "edge")) {
         const peerAddress = `127.0.0.1:${await findPort()}`;
         const entry = { incarnation: "run-1", callerAddress: "127.0.0.1:1", peerAddress, failureDomain: "domain-1" };
-        this.store.put(`filbertrelay/hosts/${hostId}`, entry);
-        this.fleet.push(new FleetHost(hostId, peerAddress, this.store));
+        this.ingressStore.put(`filbertrelay/hosts/${hostId}`, entry);
+        this.ingressHosts.push(new FleetHost(hostId, peerAddress, this.ingressStore));
     }
-    await Promise.all(this.fleet.map(host => host.start()));
+    await Promise.all(this.ingressHosts.map(host => host.start()));
 });
 
 When("the fleet has run for {int} s", async function(this: FleetWorld, seconds: number) {
     await clock.sleep(seconds * 1_000);
-    this.fleet.forEach(host => host.watches = 0);
+    this.ingressHosts.forEach(host => host.watches = 0);
     // A watch without changes is answered after 1.5 s.
     await clock.sleep(1_700);
 });
 
 Then("at most {int} hosts watch the store", function(this: FleetWorld, count: number) {
-    const watching = this.fleet.filter(host => host.watches > 0);
+    const watching = this.ingressHosts.filter(host => host.watches > 0);
     assert.ok(watching.length > 0 && watching.length <= count, `${watching.length} hosts watch`);
 });
 
 Then("a change of the store reaches all hosts within {int} ms", async function(this: FleetWorld, limitMs: number) {
-    this.store.put("op/some-change", { version: 1 });
+    this.ingressStore.put("op/some-change", { version: 1 });
     const startMs = clock.monotonicMs();
-    await waitFor(() => Promise.resolve(this.fleet.every(host => host.mirror.get("op/some-change") !== undefined)));
+    await waitFor(() => Promise.resolve(this.ingressHosts.every(host => host.mirror.get("op/some-change") !== undefined)));
     assert.ok(clock.monotonicMs() - startMs <= limitMs, `${clock.monotonicMs() - startMs} ms`);
 });
 
@@ -172,9 +172,9 @@
     "use of an endpoint that one host notes is known to all hosts, once, within {int} ms",
     async function(this: FleetWorld, limitMs: number) {
         const request = { requestId: "request-1", endpointId: watchedEndpoint, priority: 1, tokens: 500 };
-        this.fleet[0]!.loads.recordDispatch(request);
+        this.ingressHosts[0]!.loads.recordDispatch(request);
         await clock.sleep(limitMs);
-        for (const { hostId, loads } of this.fleet) {
+        for (const { hostId, loads } of this.ingressHosts) {
             const { running, waitingTokens } = loads.estimate(watchedEndpoint, 1, clock.monotonicMs());
             assert.deepEqual({ hostId, running, waitingTokens }, { hostId, running: 1, waitingTokens: 500 });
         }
@@ -182,14 +182,14 @@
 );
 
 When("all hosts that watch the store end without a word", async function(this: FleetWorld) {
-    const watching = this.fleet.filter(host => host.watches > 0);
-    this.fleet = this.fleet.filter(host => host.watches === 0);
+    const watching = this.ingressHosts.filter(host => host.watches > 0);
+    this.ingressHosts = this.ingressHosts.filter(host => host.watches === 0);
     await Promise.all(watching.map(host => host.stop()));
 });
 
 After(async function(this: Partial<FleetWorld>) {
-    await Promise.all((this.fleet ?? []).map(host => host.stop()));
-    if (this.fleet !== undefined) {
-        this.store?.stop();
+    await Promise.all((this.ingressHosts ?? []).map(host => host.stop()));
+    if (this.ingressHosts !== undefined) {
+        this.ingressStore?.stop();
     }
 });
--- a/features/steps/ingress.state.ts
+++ b/features/steps/ingress.state.ts
@@ -328,7 +328,33 @@
     },
 );
 
+Given("a copy of a store that a host leaves to others to watch", async function(this: StateWorld) {
+    this.store = new StandinStore();
+    await this.store.start();
+    const contender = new Contender(this.store, "host-1");
+    this.contenders = [contender];
+    contender.mirror.share({ watchRole: () => "standby", onWatched: () => undefined });
+    await contender.mirror.start();
+    // The first read counts as a return of the store.
+    await waitFor(() => Promise.resolve(contender.mirror.revision > 0 && contender.mirror.returnGraceMs() === 0));
+    // The store answers nobody from here on; what the host knows comes from its peers.
+    this.store.fault = "silent";
+});
+
+Then(
+    /^it has (no|a) grace after its peers were silent about the store for (\d+) s$/,
+    async function(this: StateWorld, expected: string, seconds: string) {
+        const { mirror } = this.contenders[0]!;
+        mirror.noteKnown(mirror.revision, 0);
+        await new Promise(resolve => setTimeout(resolve, Number(seconds) * 1_000));
+        mirror.noteKnown(mirror.revision, 0);
+        assert.equal(mirror.returnGraceMs() > 0, expected === "a");
+    },
+);
+
 After(async function(this: Partial<StateWorld>) {
-    await Promise.all((this.contenders ?? []).map(contender => contender.stop()));
-    this.store?.stop();
+    if (this.contenders !== undefined) {
+        await Promise.all(this.contenders.map(contender => contender.stop()));
+        this.store?.stop();
+    }
 });
--- a/features/support/ingress.ts
+++ b/features/support/ingress.ts
@@ -14,7 +14,7 @@
 import assert from "node:assert/strict";
 import { Agent, request } from "node:http";
 import type { IncomingMessage } from "node:http";
-import { createServer } from "node:net";
+import { connect, createServer } from "node:net";
 import type { AddressInfo } from "node:net";
 
 /** Route prefix, whether requests may be repeated, and the service behind it. */
@@ -153,6 +153,27 @@
         });
     }
 
+    /** Sends a request and closes the connection; the host, in the same process, reads both only after the given time. */
+    async sendAndLeave(route: string, busyMs: number): Promise<void> {
+        const socket = connect(this.#ports[0]!, "127.0.0.1");
+        await new Promise(resolve => socket.once("connect", resolve));
+        // The host has to accept the connection before it becomes busy.
+        await new Promise(resolve => setTimeout(resolve, 20));
+        const headers = `Host: shop.example\r\nX-Filbertrelay-Attempt-Id: left-1\r\nAuthorization: Bearer ${customerKey}\r\n`;
+        socket.end(`POST /${route}/item HTTP/1.1\r\n${headers}Content-Length: 5\r\n\r\norder`);
+        // `end` is written at the end of this turn; the loop is blocked right after it.
+        await new Promise<void>(resolve =>
+            setImmediate(() => {
+                const untilMs = performance.now() + busyMs;
+                while (performance.now() < untilMs) {
+                    // Blocks the event loop, as a host without processor time would.
+                }
+                resolve();
+            })
+        );
+        socket.destroy();
+    }
+
     async readiness(): Promise<number> {
         return (await fetch(`http://127.0.0.1:${this.#ports[3]}/readyz`)).status;
     }
--- a/packages/ingress/src/caller/server.ts
+++ b/packages/ingress/src/caller/server.ts
@@ -102,18 +102,38 @@
                 responder.answer(413, headers, body);
                 return;
             }
-            this.#pipeline.accept({
+            const accepted = {
                 method: request.method ?? "GET",
                 target: request.url ?? "/",
                 hostname: request.headers.host ?? "",
                 headers: toPairs(request.rawHeaders),
                 body: Buffer.concat(chunks),
                 arrivedMs,
-            }, responder);
+            };
+            afterReading(() => {
+                if (hasLeft(request, response)) {
+                    response.destroy();
+                }
+                else {
+                    this.#pipeline.accept(accepted, responder);
+                }
+            });
         });
     }
 }
 
+/**
+ * Calls back after what has arrived on the connections has been read. On a host that lags behind, a caller's leaving may have
+ * arrived together with its request.
+ */
+function afterReading(callback: () => void): void {
+    setImmediate(() => setImmediate(callback));
+}
+
+function hasLeft(request: IncomingMessage, response: ServerResponse): boolean {
+    return response.destroyed || request.socket.destroyed || request.socket.readableEnded;
+}
+
 function createResponder(response: ServerResponse): CallerResponder {
     return {
         onGone: callback =>
--- a/packages/ingress/src/state/mirror.ts
+++ b/packages/ingress/src/state/mirror.ts
@@ -261,12 +261,15 @@
     #noteAnswer(ageMs = 0): void {
         const { clock, log } = this.#options;
         this.#failures = 0;
-        if (this.#isLost && ageMs < lostAfterMs) {
+        const answeredMs = clock.monotonicMs() - ageMs;
+        // A host that does not watch itself may learn of an outage only from its end.
+        const wasSilent = this.#watchRole() === "standby" && answeredMs - this.#answeredMs > lostAfterMs;
+        if ((this.#isLost || wasSilent) && ageMs < lostAfterMs) {
             this.#isLost = false;
-            this.#regainedMs = clock.monotonicMs() - ageMs;
+            this.#regainedMs = answeredMs;
             log.write(events.storeRegained, { revision: this.#revision, ageMs: roundAge(this.ageMs()) });
         }
-        this.#answeredMs = Math.max(this.#answeredMs, clock.monotonicMs() - ageMs);
+        this.#answeredMs = Math.max(this.#answeredMs, answeredMs);
     }
 
     #noteIssue(issue: StoreIssue): void {
