Give the hosts of a tested fleet addresses of their own

Sixteen ports of 127.0.0.1 that were found free were released before the hosts listened, and features run beside each other took one of them. Each test process now has its own loopback addresses.

--- a/features/steps/ingress.fleet.ts
+++ b/features/steps/ingress.fleet.ts
@@ -9,11 +9,12 @@
 import { createPeerNetwork } from "@filbertrelay/wire";
 import fc from "fast-check";
 import assert from "node:assert/strict";
-import { findPort, waitFor } from "../support/ingress.js";
+import { waitFor } from "../support/ingress.js";
 
 // A failed property prints this seed with the counterexample.
 const seed = 20_261_204;
 const clock = createSystemClock();
+const peerPort = 7_400;
 const watchedEndpoint = brandAs<EndpointId>("engine-1");
 
 interface FleetWorld {
@@ -140,8 +141,9 @@
     this.ingressStore = new StandinStore();
     await this.ingressStore.start();
     this.ingressHosts = [];
-    for (const hostId of nameHosts(count, "edge")) {
-        const peerAddress = `127.0.0.1:${await findPort()}`;
+    for (const [index, hostId] of nameHosts(count, "edge").entries()) {
+        // Addresses of this process alone: ports of 127.0.0.1 that were found free may be taken by the features beside this one.
+        const peerAddress = `127.${process.pid >> 8 & 255}.${process.pid & 255}.${index + 1}:${peerPort}`;
         const entry = { incarnation: "run-1", callerAddress: "127.0.0.1:1", peerAddress, failureDomain: "domain-1" };
         this.ingressStore.put(`filbertrelay/hosts/${hostId}`, entry);
         this.ingressHosts.push(new FleetHost(hostId, peerAddress, this.ingressStore));
--- a/features/support/ingress.ts
+++ b/features/support/ingress.ts
@@ -261,8 +261,7 @@
     }
 }
 
-/** A port on which nothing listens. */
-export async function findPort(): Promise<number> {
+async function findPort(): Promise<number> {
     const server = createServer();
     await new Promise<void>(resolve => server.listen(0, "127.0.0.1", resolve));
     const { port } = server.address() as AddressInfo;
