Check the settings of both programs by one function

Cause: the ingress had its own copy of the relay's parsing of a settings file, with the same issues and the same pattern of an address. Change: checkSettings and hostAndPortSchema in the configuration package serve both. What is printed and logged about bad settings stays the same.

--- a/packages/configuration/src/index.ts
+++ b/packages/configuration/src/index.ts
@@ -6,3 +6,4 @@
 export * from "./generation.js";
 export * from "./head.js";
 export * from "./ingress.js";
+export * from "./settings.js";
--- a/packages/ingress/src/settings.ts
+++ b/packages/ingress/src/settings.ts
@@ -1,12 +1,8 @@
-import type { Issue, Outcome } from "@filbertrelay/kernel";
-import { failure, success } from "@filbertrelay/kernel";
-import { parse } from "smol-toml";
+import { checkSettings, hostAndPortSchema } from "@filbertrelay/configuration";
+import type { SettingsIssue } from "@filbertrelay/configuration";
+import type { Outcome } from "@filbertrelay/kernel";
 import { z } from "zod";
 
-const hostAndPort = z.string().regex(
-    /^\d{1,3}(\.\d{1,3}){3}:\d{1,5}$/,
-    "Expected an IPv4 address and a port, such as '10.0.0.5:7700'.",
-);
 const seconds = z.number().positive();
 
 /** The settings file of an ingress host, in TOML; fields that are not known are ignored. */
@@ -15,25 +11,26 @@
         id: z.string().min(1),
         failureDomain: z.string().min(1),
         /** Where callers connect. */
-        callerAddress: hostAndPort,
+        callerAddress: hostAndPortSchema,
         /** Where other hosts connect. */
-        peerAddress: hostAndPort,
+        peerAddress: hostAndPortSchema,
         /** Where callers ask which hosts to use; absent on hosts that do not answer that. */
-        directoryAddress: hostAndPort.optional(),
+        directoryAddress: hostAndPortSchema.optional(),
         /** Where readiness is answered. */
-        readyAddress: hostAndPort.optional(),
+        readyAddress: hostAndPortSchema.optional(),
         /** Where metrics are served. */
-        metricsAddress: hostAndPort.optional(),
+        metricsAddress: hostAndPortSchema.optional(),
     }),
     cluster: z.object({ keys: z.array(z.string().min(16)).min(1) }),
     store: z.object({
-        address: hostAndPort,
+        address: hostAndPortSchema,
         /** Calls that all hosts together may make. */
         readsPerSecond: z.number().positive(),
         writesPerSecond: z.number().positive(),
     }),
     /** Absent where no duties are due. */
-    duties: z.object({ address: hostAndPort, usage: z.boolean().default(true), scaling: z.boolean().default(true) }).optional(),
+    duties: z.object({ address: hostAndPortSchema, usage: z.boolean().default(true), scaling: z.boolean().default(true) })
+        .optional(),
     promises: z.object({
         /** Length of the window in which customers' limits hold. */
         quotaWindowSeconds: seconds.default(8),
@@ -59,34 +56,7 @@
 /** The checked settings of an ingress host. */
 export type IngressSettings = z.infer<typeof ingressSettingsSchema>;
 
-/** Why settings are not accepted; `issues` holds every fault with its path. */
-export interface SettingsIssue extends Issue {
-    readonly code: "settings.syntax" | "settings.invalid";
-    readonly issues: readonly Issue[];
-}
-
 /** Parses and checks a settings file. */
 export function parseIngressSettings(text: string): Outcome<IngressSettings, SettingsIssue> {
-    let document: unknown;
-    try {
-        document = parse(text);
-    }
-    catch (error) {
-        const message = error instanceof Error ? error.message : String(error);
-        return failure({
-            code: "settings.syntax",
-            message: "The settings are not valid TOML.",
-            issues: [{ code: "settings.syntax", message }],
-        });
-    }
-    const checked = ingressSettingsSchema.safeParse(document);
-    if (checked.success) {
-        return success(checked.data);
-    }
-    const issues = checked.error.issues.map(issue => ({
-        code: `settings.${issue.code}`,
-        message: issue.message,
-        path: issue.path.map(part => typeof part === "symbol" ? String(part) : part),
-    }));
-    return failure({ code: "settings.invalid", message: `The settings have ${issues.length} faults.`, issues });
+    return checkSettings(text, ingressSettingsSchema);
 }
