--- a/packages/client/src/caller/stream.ts
+++ b/packages/client/src/caller/stream.ts
@@ -1,3 +1,4 @@
+import { parseJson } from "@filbertrelay/kernel";
 import { createParser } from "eventsource-parser";
 import type { EventSourceMessage } from "eventsource-parser";
 import { z } from "zod";
@@ -86,12 +87,3 @@
         this.#onToken();
     }
 }
-
-function parseJson(text: string): unknown {
-    try {
-        return JSON.parse(text);
-    }
-    catch {
-        return undefined;
-    }
-}
--- a/packages/client/src/command/report.ts
+++ b/packages/client/src/command/report.ts
@@ -1,3 +1,4 @@
+import { parseJson } from "@filbertrelay/kernel";
 import { writeFileSync } from "node:fs";
 import type { Argv, CommandModule } from "yargs";
 import { resultSchema } from "../demo/record.js";
@@ -54,12 +55,3 @@
         lines: [`The report was written to '${file}'.`],
     };
 }
-
-function parseJson(text: string): unknown {
-    try {
-        return JSON.parse(text);
-    }
-    catch {
-        return undefined;
-    }
-}
--- a/packages/client/src/demo/player.ts
+++ b/packages/client/src/demo/player.ts
@@ -1,6 +1,7 @@
 import type { Configuration } from "@filbertrelay/configuration";
 import { expandMessages } from "@filbertrelay/emulator";
 import type { ModelEntry, ServiceEntry, Trace, TraceEntry } from "@filbertrelay/emulator";
+import { parseJson } from "@filbertrelay/kernel";
 import type { Clock } from "@filbertrelay/kernel";
 import { createHash } from "node:crypto";
 import { Agent } from "undici";
@@ -241,12 +242,3 @@
     const bodySha256 = createHash("sha256").update(call.body ?? "").digest("hex");
     return echo?.method === call.method && echo.path === call.path && echo.bodySha256 === bodySha256;
 }
-
-function parseJson(text: string): unknown {
-    try {
-        return JSON.parse(text);
-    }
-    catch {
-        return undefined;
-    }
-}
--- a/packages/client/src/logs/explanation.ts
+++ b/packages/client/src/logs/explanation.ts
@@ -1,3 +1,4 @@
+import { parseJson } from "@filbertrelay/kernel";
 import { readFileSync } from "node:fs";
 import { z } from "zod";
 import { ExitCode, failed } from "../exit.js";
@@ -48,14 +49,9 @@
     if (start === -1) {
         return [];
     }
-    try {
-        const parsed = lineSchema.safeParse(JSON.parse(text.slice(start)));
-        return parsed.success ? [parsed.data] : [];
-    }
-    catch {
-        // A line that was cut off, or that is no log line.
-        return [];
-    }
+    // A line may have been cut off, or be no log line.
+    const parsed = lineSchema.safeParse(parseJson(text.slice(start)));
+    return parsed.success ? [parsed.data] : [];
 }
 
 function findContext(own: readonly LogLine[], lines: readonly LogLine[]): readonly LogLine[] {
--- a/packages/configuration/src/head.ts
+++ b/packages/configuration/src/head.ts
@@ -1,5 +1,5 @@
 import type { Issue, Outcome } from "@filbertrelay/kernel";
-import { failure, success } from "@filbertrelay/kernel";
+import { failure, parseJson, success } from "@filbertrelay/kernel";
 import type { Answers } from "./answers.js";
 import { configurationHeadSchema } from "./configuration.js";
 import type { ConfigurationHead } from "./configuration.js";
@@ -45,15 +45,6 @@
         failure({ code: "head.digest", message: "The digest of the stored configuration does not match it." });
 }
 
-function parseJson(text: string): unknown {
-    try {
-        return JSON.parse(text);
-    }
-    catch {
-        return undefined;
-    }
-}
-
 /** Finds why a configuration must not follow another; the number of shards changes only with a new generation. */
 export function findTransitionIssues(
     before: ConfigurationHead["configuration"],
--- a/packages/endpoints/src/enginedriver.ts
+++ b/packages/endpoints/src/enginedriver.ts
@@ -1,4 +1,4 @@
-import { failure, success } from "@filbertrelay/kernel";
+import { failure, parseJson, success } from "@filbertrelay/kernel";
 import type { Clock, Outcome, RequestId } from "@filbertrelay/kernel";
 import { z } from "zod";
 import { EndpointConnections, failedAttempt, isDeclaredNotRun, readBody } from "./connection.js";
@@ -249,12 +249,3 @@
     const message = `The engine's answer has an unexpected shape: ${checked.error.issues[0]?.message ?? ""}`;
     return failure({ code: "endpoint.invalid", executed: "unknown", message });
 }
-
-function parseJson(text: string): unknown {
-    try {
-        return JSON.parse(text);
-    }
-    catch {
-        return undefined;
-    }
-}
--- a/packages/endpoints/src/probe.ts
+++ b/packages/endpoints/src/probe.ts
@@ -1,3 +1,4 @@
+import { splitAddress } from "@filbertrelay/kernel";
 import type { Clock } from "@filbertrelay/kernel";
 import { connect } from "node:net";
 
@@ -19,8 +20,7 @@
 }
 
 function probe(address: string, clock: Clock): Promise<"refused" | "open" | "lost" | "unreachable"> {
-    const separator = address.lastIndexOf(":");
-    const socket = connect({ host: address.slice(0, separator), port: Number(address.slice(separator + 1)) });
+    const socket = connect(splitAddress(address));
     return new Promise(resolve => {
         const finish = (result: "refused" | "open" | "lost" | "unreachable"): void => {
             cancel();
--- a/packages/ingress/src/caller/server.ts
+++ b/packages/ingress/src/caller/server.ts
@@ -1,3 +1,4 @@
+import { listenOn } from "@filbertrelay/kernel";
 import type { Clock, Service } from "@filbertrelay/kernel";
 import { createServer } from "node:http";
 import type { IncomingMessage, Server, ServerResponse } from "node:http";
@@ -55,12 +56,8 @@
         return this.#inProgress;
     }
 
-    async start(): Promise<void> {
-        const separator = this.#address.lastIndexOf(":");
-        await new Promise<void>((resolve, reject) => {
-            this.#server.once("error", reject);
-            this.#server.listen(Number(this.#address.slice(separator + 1)), this.#address.slice(0, separator), resolve);
-        });
+    start(): Promise<void> {
+        return listenOn(this.#server, this.#address);
     }
 
     /** Asks callers to close their connections after the next answer. */
--- a/packages/ingress/src/control/server.ts
+++ b/packages/ingress/src/control/server.ts
@@ -1,3 +1,4 @@
+import { listenOn } from "@filbertrelay/kernel";
 import type { Service } from "@filbertrelay/kernel";
 import { createAdaptorServer } from "@hono/node-server";
 import type { ServerType } from "@hono/node-server";
@@ -13,12 +14,8 @@
         this.#server = createAdaptorServer({ fetch: options.app.fetch });
     }
 
-    async start(): Promise<void> {
-        const separator = this.#address.lastIndexOf(":");
-        await new Promise<void>((resolve, reject) => {
-            this.#server.once("error", reject);
-            this.#server.listen(Number(this.#address.slice(separator + 1)), this.#address.slice(0, separator), resolve);
-        });
+    start(): Promise<void> {
+        return listenOn(this.#server, this.#address);
     }
 
     stop(): Promise<void> {
--- a/packages/ingress/src/duty/lead.ts
+++ b/packages/ingress/src/duty/lead.ts
@@ -1,5 +1,5 @@
 import type { Store } from "@filbertrelay/connectors";
-import { brandAs, RepeatedTask } from "@filbertrelay/kernel";
+import { brandAs, parseJson, RepeatedTask } from "@filbertrelay/kernel";
 import type { Clock, EventLog, HostId, Incarnation, Service } from "@filbertrelay/kernel";
 import { z } from "zod";
 import type { DutyHolder } from "../contract.js";
@@ -18,19 +18,11 @@
 /** Hosts that see the key vanish try at different times, so that most of them find it taken. */
 const contendSpreadMs = 250;
 
-const leadSchema = z.string().transform((value, context) => {
-    try {
-        return z.object({ hostId: z.string().min(1) }).parse(JSON.parse(value));
-    }
-    catch {
-        context.addIssue("The entry is not that of a holder.");
-        return z.NEVER;
-    }
-});
+const leadSchema = z.object({ hostId: z.string().min(1) });
 
 /** The host that holds the duties according to the copy of the store. */
 export function readDutyHolder(mirror: StoreMirror): HostId | undefined {
-    const entry = leadSchema.safeParse(mirror.get(leadKey)?.value);
+    const entry = leadSchema.safeParse(parseJson(mirror.get(leadKey)?.value ?? ""));
     return entry.success ? brandAs<HostId>(entry.data.hostId) : undefined;
 }
 
--- a/packages/ingress/src/endpoint/channel.ts
+++ b/packages/ingress/src/endpoint/channel.ts
@@ -1,3 +1,4 @@
+import { splitAddress } from "@filbertrelay/kernel";
 import type { Clock } from "@filbertrelay/kernel";
 import { connect } from "node:net";
 import type { Socket } from "node:net";
@@ -78,13 +79,7 @@
             onBody: chunk => this.#receiveBody(chunk),
             onComplete: () => this.#receiveComplete(),
         }, () => this.#current?.request.method === "HEAD");
-        const separator = options.address.lastIndexOf(":");
-        this.#socket = connect({
-            host: options.address.slice(0, separator),
-            port: Number(options.address.slice(separator + 1)),
-            noDelay: true,
-            allowHalfOpen: true,
-        });
+        this.#socket = connect({ ...splitAddress(options.address), noDelay: true, allowHalfOpen: true });
         this.#listen();
     }
 
--- a/packages/ingress/src/fleet/hosts.ts
+++ b/packages/ingress/src/fleet/hosts.ts
@@ -1,5 +1,5 @@
 import type { StoreChange } from "@filbertrelay/connectors";
-import { brandAs } from "@filbertrelay/kernel";
+import { brandAs, parseJson } from "@filbertrelay/kernel";
 import type { Clock, EventLog, FailureDomainId, HostId, Incarnation } from "@filbertrelay/kernel";
 import { z } from "zod";
 import { stateEvents } from "../state/event.js";
@@ -92,18 +92,13 @@
 }
 
 function readHost(hostId: HostId, value: string): HostRecord | undefined {
-    try {
-        const entry = hostEntrySchema.safeParse(JSON.parse(value));
-        return entry.success ?
-            {
-                ...entry.data,
-                hostId,
-                incarnation: brandAs<Incarnation>(entry.data.incarnation),
-                failureDomain: brandAs<FailureDomainId>(entry.data.failureDomain),
-            } :
-            undefined;
-    }
-    catch {
-        return undefined;
-    }
+    const entry = hostEntrySchema.safeParse(parseJson(value));
+    return entry.success ?
+        {
+            ...entry.data,
+            hostId,
+            incarnation: brandAs<Incarnation>(entry.data.incarnation),
+            failureDomain: brandAs<FailureDomainId>(entry.data.failureDomain),
+        } :
+        undefined;
 }
--- a/packages/kernel/src/index.ts
+++ b/packages/kernel/src/index.ts
@@ -1,8 +1,10 @@
 /** Service registry, mailboxes, time, outcomes, ids and numbered log events. */
+export * from "./address.js";
 export * from "./clock.js";
 export * from "./error.js";
 export * from "./event.js";
 export * from "./identifier.js";
+export * from "./json.js";
 export * from "./kernel.js";
 export * from "./limitedlog.js";
 export * from "./linewriter.js";
--- /dev/null
+++ b/packages/kernel/src/json.ts
@@ -0,0 +1,9 @@
+/** Parses JSON text; `undefined` when it is malformed. */
+export function parseJson(text: string): unknown {
+    try {
+        return JSON.parse(text);
+    }
+    catch {
+        return undefined;
+    }
+}
--- a/packages/relay/src/caller/chat.ts
+++ b/packages/relay/src/caller/chat.ts
@@ -1,3 +1,4 @@
+import { parseJson } from "@filbertrelay/kernel";
 import { RESPONSE_ALREADY_SENT } from "@hono/node-server/utils/response";
 import { match } from "ts-pattern";
 import type { z } from "zod";
@@ -24,7 +25,7 @@
     if (!body.ok) {
         return issueResponse(body.issue);
     }
-    const chat = chatRequestSchema.safeParse(parseJson(body.value));
+    const chat = chatRequestSchema.safeParse(parseJson(Buffer.from(body.value).toString("utf8")));
     if (!chat.success) {
         return issueResponse(invalidBody(chat.error));
     }
@@ -76,15 +77,6 @@
     };
 }
 
-function parseJson(body: Uint8Array): unknown {
-    try {
-        return JSON.parse(Buffer.from(body).toString("utf8"));
-    }
-    catch {
-        return undefined;
-    }
-}
-
 function invalidBody(error: z.ZodError): CallerIssue {
     const first = error.issues[0];
     const path = ["body", ...(first?.path ?? []).map(part => typeof part === "symbol" ? String(part) : part)];
--- a/packages/relay/src/planner/intent.ts
+++ b/packages/relay/src/planner/intent.ts
@@ -1,4 +1,5 @@
 import type { KeyValueClient } from "@filbertrelay/connectors";
+import { parseJson } from "@filbertrelay/kernel";
 import { z } from "zod";
 
 /** The key of the planner's desired state. */
@@ -46,12 +47,3 @@
     });
     return written.ok;
 }
-
-function parseJson(text: string): unknown {
-    try {
-        return JSON.parse(text);
-    }
-    catch {
-        return undefined;
-    }
-}
--- a/packages/relay/src/shards/store.ts
+++ b/packages/relay/src/shards/store.ts
@@ -1,4 +1,5 @@
 import type { KeyValueIssue, StoredValue } from "@filbertrelay/connectors";
+import { parseJson } from "@filbertrelay/kernel";
 import type { Outcome } from "@filbertrelay/kernel";
 import type { ShardValue, VersionedValue } from "@filbertrelay/policy";
 import { z } from "zod";
@@ -115,12 +116,3 @@
     const parsed = segmentSchema.safeParse(parseJson(text));
     return parsed.success ? parsed.data : undefined;
 }
-
-function parseJson(text: string): unknown {
-    try {
-        return JSON.parse(text);
-    }
-    catch {
-        return undefined;
-    }
-}
--- a/packages/standins/src/proxyroute.ts
+++ b/packages/standins/src/proxyroute.ts
@@ -1,6 +1,6 @@
+import { listenOn, splitAddress } from "@filbertrelay/kernel";
 import { connect, createServer } from "node:net";
 import type { AddressInfo, Server, Socket } from "node:net";
-import { parseAddress } from "./server.js";
 
 /** Faults of one route; absent ones stay as they are. */
 export interface RouteFaults {
@@ -67,11 +67,8 @@
     }
 
     async listen(address: string): Promise<void> {
-        const { host, port } = parseAddress(address);
-        await new Promise<void>((resolve, reject) => {
-            this.#server.once("error", reject);
-            this.#server.listen(port, host, resolve);
-        });
+        const { host } = splitAddress(address);
+        await listenOn(this.#server, address);
         this.#listen = `${host}:${(this.#server.address() as AddressInfo).port}`;
     }
 
@@ -151,7 +148,7 @@
     }
 
     #link(client: Socket): void {
-        const target = connect({ ...parseAddress(this.target), noDelay: true, allowHalfOpen: true });
+        const target = connect({ ...splitAddress(this.target), noDelay: true, allowHalfOpen: true });
         const link: Link = { client, target, isBlackHoled: false, isReplyDoomed: false };
         this.#links.add(link);
         this.#forward(link, client, target);
--- a/packages/standins/src/proxyrule.ts
+++ b/packages/standins/src/proxyrule.ts
@@ -1,3 +1,4 @@
+import { splitAddress } from "@filbertrelay/kernel";
 import assert from "node:assert/strict";
 import { once } from "node:events";
 import { connect, createServer } from "node:net";
@@ -6,7 +7,6 @@
 import { z } from "zod";
 import { call } from "./rule.js";
 import type { Rule, RuleOptions } from "./rule.js";
-import { parseAddress } from "./server.js";
 
 const routeSchema = z.object({ id: z.string(), listen: z.string() });
 const silenceMs = 300;
@@ -153,7 +153,7 @@
     readonly #chunks: Buffer[] = [];
 
     constructor(address: string) {
-        this.socket = connect(parseAddress(address));
+        this.socket = connect(splitAddress(address));
         this.socket.on("data", (data: Buffer) => this.#chunks.push(data));
         this.socket.on("error", () => undefined);
         // 'once' of node:events would reject on the reset that a check waits for.
--- a/packages/standins/src/rule.ts
+++ b/packages/standins/src/rule.ts
@@ -1,3 +1,4 @@
+import { parseJson } from "@filbertrelay/kernel";
 import { randomUUID } from "node:crypto";
 import { request } from "undici";
 import type { Dispatcher } from "undici";
@@ -47,19 +48,10 @@
         signal: AbortSignal.timeout(callTimeoutMs),
     });
     const text = await response.body.text();
-    return { status: response.statusCode, headers: response.headers, text, body: parse(text) };
+    return { status: response.statusCode, headers: response.headers, text, body: parseJson(text) };
 }
 
 /** A name that no earlier check used. */
 export function uniqueName(start: string): string {
     return `${start}-${randomUUID()}`;
 }
-
-function parse(text: string): unknown {
-    try {
-        return JSON.parse(text);
-    }
-    catch {
-        return undefined;
-    }
-}
--- a/packages/standins/src/server.ts
+++ b/packages/standins/src/server.ts
@@ -1,3 +1,4 @@
+import { splitAddress } from "@filbertrelay/kernel";
 import { createAdaptorServer } from "@hono/node-server";
 import type { HttpBindings } from "@hono/node-server";
 import type { Hono } from "hono";
@@ -23,12 +24,6 @@
     close(): Promise<void>;
 }
 
-/** Splits `127.0.0.1:0` into host and port. */
-export function parseAddress(address: string): { readonly host: string; readonly port: number; } {
-    const separator = address.lastIndexOf(":");
-    return { host: address.slice(0, separator), port: Number(address.slice(separator + 1)) };
-}
-
 /** Serves a stand-in's routes together with the faults that all stand-ins share. */
 export async function serveStandIn(standIn: StandIn, listen: string): Promise<RunningStandIn> {
     const faults = createFaults();
@@ -37,7 +32,7 @@
             faults.apply(request, environment as HttpBindings, () => standIn.app.fetch(request, environment as HttpBindings)),
         serverOptions: { keepAliveTimeout: 60_000, requestTimeout: 0 },
     }) as Server;
-    const { host, port } = parseAddress(listen);
+    const { host, port } = splitAddress(listen);
     await new Promise<void>((resolve, reject) => {
         server.once("error", reject);
         server.listen(port, host, 4_096, resolve);
--- a/packages/wire/src/tcpnetwork.ts
+++ b/packages/wire/src/tcpnetwork.ts
@@ -1,5 +1,5 @@
 import type { Clock, EventLog, HostId, Outcome, Service } from "@filbertrelay/kernel";
-import { declareEvents, failure, success } from "@filbertrelay/kernel";
+import { declareEvents, failure, listenOn, splitAddress, success } from "@filbertrelay/kernel";
 import { createServer, Socket } from "node:net";
 import type { AddressInfo, Server } from "node:net";
 import { z } from "zod";
@@ -104,11 +104,7 @@
     }
 
     async start(): Promise<void> {
-        const { host, port } = splitAddress(this.#options.listenAddress);
-        await new Promise<void>((resolve, reject) => {
-            this.#server.once("error", reject);
-            this.#server.listen(port, host, resolve);
-        });
+        await listenOn(this.#server, this.#options.listenAddress);
         this.#scheduleSweep();
     }
 
@@ -338,8 +334,3 @@
         socket.connect(port, host, resolve);
     });
 }
-
-function splitAddress(address: string): { readonly host: string; readonly port: number; } {
-    const separator = address.lastIndexOf(":");
-    return { host: address.slice(0, separator), port: Number(address.slice(separator + 1)) };
-}
