Keep received reports in one class

Cause: the limits, the load board, the demand meter and the fleet clock each kept the last report of every peer with its age and dropped old ones by a loop of their own; the limits also did it four times for each request, once for each part of the window, and described own use and a group's use by two copies of one loop. Change: ReceivedReports serves all four; a request reads the reports once, and own use is described as that of a group without others.

--- a/packages/policy/src/ingress/demandmeter.ts
+++ b/packages/policy/src/ingress/demandmeter.ts
@@ -1,3 +1,4 @@
+import { ReceivedReports } from "./receivedreports.js";
 import { SlidingWindow } from "./slidingwindow.js";
 
 /** Measures how many endpoints the work of a service keeps busy. */
@@ -31,8 +32,8 @@
 
 class ExchangedDemandMeter implements DemandMeter {
     readonly #own = new Map<string, { readonly window: SlidingWindow; readonly startedMs: number; }>();
-    readonly #peers = new Map<string, { readonly demand: Demand; readonly receivedMs: number; }>();
-    readonly #groups = new Map<string, { readonly demand: Demand; readonly receivedMs: number; }>();
+    readonly #peers = new ReceivedReports<Demand>(peerReportLifeMs);
+    readonly #groups = new ReceivedReports<Demand>(peerReportLifeMs);
 
     recordWork(service: string, workMs: number, nowMs: number): void {
         const own = this.#own.get(service) ?? { window: new SlidingWindow(spanMs, nowMs), startedMs: nowMs };
@@ -48,31 +49,23 @@
     }
 
     groupDemand(nowMs: number): Demand {
-        return addDemands([this.ownDemand(nowMs), ...live(this.#peers, nowMs)]);
+        return addDemands([this.ownDemand(nowMs), ...this.#peers.live(nowMs).map(({ report }) => report)]);
     }
 
     recordPeerDemand(peer: string, demand: Demand, nowMs: number): void {
-        this.#peers.set(peer, { demand, receivedMs: nowMs });
+        this.#peers.record(peer, demand, nowMs);
     }
 
     recordGroupDemand(group: string, demand: Demand, nowMs: number): void {
-        this.#groups.set(group, { demand, receivedMs: nowMs });
+        this.#groups.record(group, demand, nowMs);
     }
 
     demand(service: string, nowMs: number): number {
-        return addDemands([this.groupDemand(nowMs), ...live(this.#groups, nowMs)])[service] ?? 0;
+        const groups = this.#groups.live(nowMs).map(({ report }) => report);
+        return addDemands([this.groupDemand(nowMs), ...groups])[service] ?? 0;
     }
 }
 
-function live(received: Map<string, { readonly demand: Demand; readonly receivedMs: number; }>, nowMs: number): Demand[] {
-    for (const [name, { receivedMs }] of received) {
-        if (nowMs - receivedMs > peerReportLifeMs) {
-            received.delete(name);
-        }
-    }
-    return [...received.values()].map(({ demand }) => demand);
-}
-
 function addDemands(demands: readonly Demand[]): Demand {
     const sum: Record<string, number> = {};
     for (const [service, busy] of demands.flatMap(demand => Object.entries(demand))) {
--- a/packages/policy/src/ingress/fleetclock.ts
+++ b/packages/policy/src/ingress/fleetclock.ts
@@ -1,4 +1,5 @@
 import type { Clock } from "@filbertrelay/kernel";
+import { ReceivedReports } from "./receivedreports.js";
 
 /** Wall-clock time on which most hosts agree; a host whose own clock is set wrong for a while still gives it. */
 export interface FleetClock {
@@ -18,7 +19,7 @@
 class MedianClock implements FleetClock {
     readonly #clock: Clock;
     /** Wall-clock time of the peers at the origin of this host's monotonic time. */
-    readonly #peers = new Map<string, { readonly originMs: number; readonly receivedMs: number; }>();
+    readonly #peers = new ReceivedReports<number>(peerTimeLifeMs);
 
     constructor(clock: Clock) {
         this.#clock = clock;
@@ -27,21 +28,13 @@
     now(): Date {
         const monotonicMs = this.#clock.monotonicMs();
         const ownMs = this.#clock.now().getTime() - monotonicMs;
-        const origins = [ownMs];
-        for (const [peer, { originMs, receivedMs }] of this.#peers) {
-            if (monotonicMs - receivedMs > peerTimeLifeMs) {
-                this.#peers.delete(peer);
-            }
-            else {
-                origins.push(originMs);
-            }
-        }
+        const origins = [ownMs, ...this.#peers.live(monotonicMs).map(({ report }) => report)];
         return new Date(medianNear(origins, ownMs) + monotonicMs);
     }
 
     recordPeerTime(peer: string, at: Date): void {
         const receivedMs = this.#clock.monotonicMs();
-        this.#peers.set(peer, { originMs: at.getTime() - receivedMs, receivedMs });
+        this.#peers.record(peer, at.getTime() - receivedMs, receivedMs);
     }
 }
 
--- a/packages/policy/src/ingress/loadboard.ts
+++ b/packages/policy/src/ingress/loadboard.ts
@@ -1,4 +1,5 @@
 import type { EndpointId } from "@filbertrelay/kernel";
+import { ReceivedReports } from "./receivedreports.js";
 
 /** A request as the load board counts it. */
 export interface DispatchedRequest {
@@ -51,15 +52,12 @@
     return new ExchangedLoadBoard();
 }
 
-interface ReceivedUse {
-    readonly use: Readonly<Record<string, EndpointUse>>;
-    readonly receivedMs: number;
-}
+type UseByEndpoint = Readonly<Record<string, EndpointUse>>;
 
 class ExchangedLoadBoard implements LoadBoard {
     readonly #dispatched = new Map<string, DispatchedRequest & { isComputed: boolean; }>();
-    readonly #peers = new Map<string, ReceivedUse>();
-    readonly #groups = new Map<string, ReceivedUse>();
+    readonly #peers = new ReceivedReports<UseByEndpoint>(peerReportLifeMs);
+    readonly #groups = new ReceivedReports<UseByEndpoint>(peerReportLifeMs);
 
     recordDispatch(request: DispatchedRequest): void {
         this.#dispatched.set(request.requestId, { ...request, isComputed: false });
@@ -76,14 +74,10 @@
         this.#dispatched.delete(requestId);
     }
 
-    ownUse(): Readonly<Record<string, EndpointUse>> {
-        return this.#ownUse();
-    }
-
     groupUse(nowMs: number): Readonly<Record<string, EndpointUse>> {
-        const sum = this.#ownUse();
-        for (const use of liveUses(this.#peers, nowMs)) {
-            for (const [endpointId, { running, waitingTokens }] of Object.entries(use)) {
+        const sum = this.ownUse();
+        for (const { report } of this.#peers.live(nowMs)) {
+            for (const [endpointId, { running, waitingTokens }] of Object.entries(report)) {
                 const entry = sum[endpointId] ??= { running: 0, waitingTokens: {} };
                 entry.running += running;
                 for (const [level, tokens] of Object.entries(waitingTokens)) {
@@ -94,7 +88,7 @@
         return sum;
     }
 
-    #ownUse(): Record<string, { running: number; waitingTokens: Record<string, number>; }> {
+    ownUse(): Record<string, { running: number; waitingTokens: Record<string, number>; }> {
         const use: Record<string, { running: number; waitingTokens: Record<string, number>; }> = {};
         for (const request of this.#dispatched.values()) {
             const entry = use[request.endpointId] ??= { running: 0, waitingTokens: {} };
@@ -107,11 +101,11 @@
     }
 
     recordPeerUse(peer: string, use: Readonly<Record<string, EndpointUse>>, nowMs: number): void {
-        this.#peers.set(peer, { use, receivedMs: nowMs });
+        this.#peers.record(peer, use, nowMs);
     }
 
     recordGroupUse(group: string, use: Readonly<Record<string, EndpointUse>>, nowMs: number): void {
-        this.#groups.set(group, { use, receivedMs: nowMs });
+        this.#groups.record(group, use, nowMs);
     }
 
     estimate(endpointId: EndpointId, priority: number, nowMs: number): EndpointLoad {
@@ -134,22 +128,8 @@
                 }
             }
         }
-        liveUses(this.#peers, nowMs).forEach(use => add(use[endpointId]));
-        liveUses(this.#groups, nowMs).forEach(use => add(use[endpointId]));
+        this.#peers.live(nowMs).forEach(({ report }) => add(report[endpointId]));
+        this.#groups.live(nowMs).forEach(({ report }) => add(report[endpointId]));
         return { running, tokensAhead, waitingTokens };
     }
 }
-
-/** Reports that are recent enough to count; others are dropped. */
-function liveUses(received: Map<string, ReceivedUse>, nowMs: number): readonly Readonly<Record<string, EndpointUse>>[] {
-    const uses: Readonly<Record<string, EndpointUse>>[] = [];
-    for (const [name, { use, receivedMs }] of received) {
-        if (nowMs - receivedMs > peerReportLifeMs) {
-            received.delete(name);
-        }
-        else {
-            uses.push(use);
-        }
-    }
-    return uses;
-}
--- a/packages/policy/src/ingress/usagequota.ts
+++ b/packages/policy/src/ingress/usagequota.ts
@@ -1,4 +1,6 @@
 import type { UsageLimit } from "@filbertrelay/configuration";
+import { ReceivedReports } from "./receivedreports.js";
+import type { ReceivedReport } from "./receivedreports.js";
 import { SlidingWindow } from "./slidingwindow.js";
 
 /** How many hosts share the limits, and with how many of them (this host included) use is being exchanged. */
@@ -66,10 +68,7 @@
 /** Use since a report is estimated from the rate before it for at most this long; a host that is silent for longer has ended. */
 const longestEstimateMs = 1_500;
 
-interface ReceivedUse {
-    readonly use: QuotaUse;
-    readonly receivedMs: number;
-}
+type ReceivedUse = ReceivedReport<QuotaUse>;
 
 /** Creates the quota of one host. */
 export function createUsageQuota(options: UsageQuotaOptions): UsageQuota {
@@ -79,21 +78,26 @@
 class ExchangedQuota implements UsageQuota {
     readonly #options: UsageQuotaOptions;
     readonly #own = new Map<string, readonly SlidingWindow[]>();
-    readonly #peers = new Map<string, ReceivedUse>();
-    readonly #groups = new Map<string, ReceivedUse>();
+    readonly #peers: ReceivedReports<QuotaUse>;
+    readonly #groups: ReceivedReports<QuotaUse>;
 
     constructor(options: UsageQuotaOptions) {
         this.#options = options;
+        this.#peers = new ReceivedReports(options.windowMs);
+        this.#groups = new ReceivedReports(options.windowMs);
     }
 
     tryTake(customer: string, limit: UsageLimit, amount: number, reach: FleetReach, nowMs: number): QuotaDecision {
         // Hosts that can't be heard keep their part of the limit.
         const share = Math.min(1, reach.reachableHosts / Math.max(1, reach.knownHosts));
         const headroom = this.#headroom(limit, nowMs);
-        const excess = Math.max(...spanShares.map((spanShare, span) => {
-            const spanMs = this.#options.windowMs * spanShare;
-            const allowed = (limit.perSecond * spanMs / 1_000 + headroom) * share;
-            return this.#used(customer, limit, span, reach, nowMs) + amount - allowed;
+        const received = [...this.#peers.live(nowMs), ...this.#groups.live(nowMs)];
+        const excess = Math.max(...spanShares.map((_, span) => {
+            const allowed = (limit.perSecond * this.#spanMs(span) / 1_000 + headroom) * share;
+            // A host that has just started took a part in the former use that nobody knows; it is assumed to be an even one.
+            const missingMs = this.#missingMs(received, span, nowMs);
+            const unknown = limit.perSecond * missingMs / 1_000 / Math.max(1, reach.knownHosts);
+            return this.#used(received, customer, span, nowMs) + unknown + amount - allowed;
         }));
         if (excess > 0) {
             const retryAfterMs = 1_000 * excess / limit.perSecond;
@@ -108,88 +112,64 @@
     }
 
     ownUse(nowMs: number): QuotaUse {
-        const customers: Record<string, CustomerUsage> = {};
-        for (const [customer, windows] of this.#own) {
-            const usage = windows.map(window => window.sum(nowMs));
-            if (usage.some(sum => sum > 0)) {
-                customers[customer] = usage;
-            }
-        }
-        const ageMs = nowMs - this.#options.nowMs;
-        return { missingMs: spanShares.map((_, span) => Math.max(0, this.#spanMs(span) - ageMs)), customers };
+        return this.#describe([], nowMs);
     }
 
     groupUse(nowMs: number): QuotaUse {
-        const own = this.ownUse(nowMs);
-        const received = [...this.#peers.values()];
-        const names = new Set([own, ...received.map(({ use }) => use)].flatMap(use => Object.keys(use.customers)));
-        const customers: Record<string, CustomerUsage> = {};
-        for (const name of names) {
-            customers[name] = spanShares.map((_, span) =>
-                (own.customers[name]?.[span] ?? 0) + this.#receivedUse(received, name, span, nowMs)
-            );
-        }
-        return { missingMs: spanShares.map((_, span) => this.#missingMs(received, span, nowMs)), customers };
+        return this.#describe(this.#peers.live(nowMs), nowMs);
     }
 
     recordPeerUse(peer: string, use: QuotaUse, nowMs: number): void {
-        this.#peers.set(peer, { use, receivedMs: nowMs });
+        this.#peers.record(peer, use, nowMs);
     }
 
     recordGroupUse(group: string, use: QuotaUse, nowMs: number): void {
-        this.#groups.set(group, { use, receivedMs: nowMs });
+        this.#groups.record(group, use, nowMs);
     }
 
     forgetWhere(isOutdated: (name: string) => boolean): void {
-        for (const received of [this.#peers, this.#groups]) {
-            [...received.keys()].filter(isOutdated).forEach(name => received.delete(name));
+        this.#peers.forgetWhere(isOutdated);
+        this.#groups.forgetWhere(isOutdated);
+    }
+
+    /** What this host let through together with what was received from others. */
+    #describe(received: readonly ReceivedUse[], nowMs: number): QuotaUse {
+        const names = new Set([...this.#own.keys(), ...received.flatMap(({ report }) => Object.keys(report.customers))]);
+        const customers: Record<string, CustomerUsage> = {};
+        for (const name of names) {
+            const usage = spanShares.map((_, span) => this.#used(received, name, span, nowMs));
+            if (usage.some(sum => sum > 0)) {
+                customers[name] = usage;
+            }
         }
+        return { missingMs: spanShares.map((_, span) => this.#missingMs(received, span, nowMs)), customers };
     }
 
     #spanMs(span: number): number {
         return this.#options.windowMs * (spanShares[span] ?? 1);
     }
 
-    #received(nowMs: number): readonly ReceivedUse[] {
-        for (const received of [this.#peers, this.#groups]) {
-            for (const [name, { receivedMs }] of received) {
-                if (nowMs - receivedMs > this.#options.windowMs) {
-                    received.delete(name);
-                }
-            }
-        }
-        return [...this.#peers.values(), ...this.#groups.values()];
-    }
-
     #headroom(limit: UsageLimit, nowMs: number): number {
         const headroom = limit.burst * usedBurstShare + this.#options.tolerance * usedToleranceShare;
         return nowMs - this.#options.nowMs < this.#options.windowMs ? headroom * startHeadroomShare : headroom;
     }
 
-    #used(customer: string, limit: UsageLimit, span: number, reach: FleetReach, nowMs: number): number {
-        const own = this.#own.get(customer)?.[span]?.sum(nowMs) ?? 0;
-        const received = this.#received(nowMs);
-        // A host that has just started took a part in the former use of the limit that nobody knows; it is assumed to be an even one.
-        const missingMs = this.#missingMs(received, span, nowMs);
-        const unknown = limit.perSecond * missingMs / 1_000 / Math.max(1, reach.knownHosts);
-        return own + unknown + this.#receivedUse(received, customer, span, nowMs);
-    }
-
     /** Time within a part of the window that this host and the others have not been counting. */
     #missingMs(received: readonly ReceivedUse[], span: number, nowMs: number): number {
         const ownMs = Math.max(0, this.#spanMs(span) - (nowMs - this.#options.nowMs));
         return received.reduce(
-            (sum, { use, receivedMs }) => sum + Math.max(0, (use.missingMs[span] ?? 0) - (nowMs - receivedMs)),
+            (sum, { report, receivedMs }) => sum + Math.max(0, (report.missingMs[span] ?? 0) - (nowMs - receivedMs)),
             ownMs,
         );
     }
 
-    #receivedUse(received: readonly ReceivedUse[], customer: string, span: number, nowMs: number): number {
+    /** What this host let through and what the received reports tell of others. */
+    #used(received: readonly ReceivedUse[], customer: string, span: number, nowMs: number): number {
         const spanMs = this.#spanMs(span);
-        let sum = 0;
-        for (const { use, receivedMs } of received) {
+        let sum = this.#own.get(customer)?.[span]?.sum(nowMs) ?? 0;
+        for (const { report, receivedMs } of received) {
             const ageMs = nowMs - receivedMs;
-            const usage = use.customers[customer];
+            const usage = report.customers[customer];
             // Use leaves the window as time passes; until the next report the others go on at the rate of the shortest span.
             const rate = (usage?.[0] ?? 0) / this.#spanMs(0);
             const since = ageMs < longestEstimateMs ? rate * ageMs : 0;
