List the headers of a connection once; describe an answer's head once

The channel asked whether a head belongs to the request and then handed over the same head, so that each answer's headers were read twice. Change: the common names stand in the kernel package, each direction adds its own; onHead says whether the answer is that to the request. The same headers are dropped as before.

--- a/packages/endpoints/src/servicedriver.ts
+++ b/packages/endpoints/src/servicedriver.ts
@@ -1,4 +1,4 @@
-import { failure, success } from "@filbertrelay/kernel";
+import { connectionHeaders, failure, success } from "@filbertrelay/kernel";
 import type { Clock, IdempotencyKey, Outcome } from "@filbertrelay/kernel";
 import { z } from "zod";
 import { EndpointConnections, failedAttempt, isDeclaredNotRun, readBody } from "./connection.js";
@@ -133,20 +133,13 @@
     }
 }
 
-// Headers that describe one connection (RFC 9110, section 7.6.1) or that the library sets itself.
-const connectionHeaders: ReadonlySet<string> = new Set([
-    "connection",
-    "content-length",
+/** Headers that are not passed on in either direction; the library sets some of them itself. */
+const droppedHeaders: ReadonlySet<string> = new Set([
+    ...connectionHeaders,
     "expect",
     "host",
-    "keep-alive",
     "proxy-authenticate",
     "proxy-authorization",
-    "proxy-connection",
-    "te",
-    "trailer",
-    "transfer-encoding",
-    "upgrade",
 ]);
 
 function requestHeaders(request: Omit<ServiceRequest, "requestId"> & { readonly requestId?: string; }): Record<string, string> {
@@ -168,7 +161,7 @@
 
 function withoutConnectionHeaders(entries: readonly [string, string][]): Record<string, string> {
     const lowerCase = entries.map(([name, value]): [string, string] => [name.toLowerCase(), value]);
-    return Object.fromEntries(lowerCase.filter(([name]) => !connectionHeaders.has(name)));
+    return Object.fromEntries(lowerCase.filter(([name]) => !droppedHeaders.has(name)));
 }
 
 function foreignReply(address: string, requestId: string, answeredId: string): EndpointIssue {
--- a/packages/ingress/src/endpoint/channel.ts
+++ b/packages/ingress/src/endpoint/channel.ts
@@ -12,8 +12,6 @@
     readonly target: string;
     readonly headers: HeaderList;
     readonly body: Buffer;
-    /** Whether an answer's headers belong to this request; answers to earlier ones are skipped. */
-    readonly isAnswer: (head: ResponseHead) => boolean;
 }
 
 /** Why no complete answer came. */
@@ -26,7 +24,8 @@
 
 /** Receives an answer while it arrives; ends with exactly one call of `onComplete` or `onFailure`. */
 export interface AnswerHandler {
-    onHead(head: ResponseHead): void;
+    /** Says whether the answer belongs to the request; answers to earlier ones are skipped. */
+    onHead(head: ResponseHead): boolean;
     onBody(chunk: Buffer): void;
     onComplete(): void;
     onFailure(failure: ChannelFailure): void;
@@ -201,10 +200,9 @@
             return;
         }
         this.#isReusable &&= head.isReusable;
-        this.#isSkipping = !current.request.isAnswer(head);
+        this.#isSkipping = !current.handler.onHead(head);
         if (!this.#isSkipping) {
             this.#idleLimitMs = readIdleLimit(head.headers);
-            current.handler.onHead(head);
         }
     }
 
--- a/packages/ingress/src/request/attempt.ts
+++ b/packages/ingress/src/request/attempt.ts
@@ -1,7 +1,8 @@
+import { connectionHeaders } from "@filbertrelay/kernel";
 import type { EndpointId } from "@filbertrelay/kernel";
 import type { AttemptFailure } from "@filbertrelay/policy";
 import type { EndpointRecord, HeaderList, ResponseDescription } from "../contract.js";
-import type { AnswerHandler, ChannelFailure, EndpointChannel } from "../endpoint/channel.js";
+import type { AnswerHandler, ChannelFailure, ChannelRequest, EndpointChannel } from "../endpoint/channel.js";
 import type { ResponseHead } from "../endpoint/responseparser.js";
 import type { RequestContext } from "./context.js";
 
@@ -30,14 +31,6 @@
     onEnd(end: AttemptEnd): void;
 }
 
-/** The outgoing message of an attempt. */
-export interface OutgoingRequest {
-    readonly method: string;
-    readonly target: string;
-    readonly headers: HeaderList;
-    readonly body: Buffer;
-}
-
 /**
  * Events behind the first one are passed on at most this often. Each write costs a small host about 0.2 ms of its processor; the
  * users accept 200 ms between an engine and a caller.
@@ -49,25 +42,15 @@
 const answerLimitBytes = 8_388_608;
 /** Statuses by which an endpoint or this host promises that a request has not run. */
 const promiseStatuses: ReadonlySet<number> = new Set([408, 421, 429, 503]);
-/** Headers that concern one connection, or that follow from the way in which the body is passed on. */
-const connectionHeaders: ReadonlySet<string> = new Set([
-    "connection",
-    "keep-alive",
-    "proxy-authenticate",
-    "proxy-connection",
-    "te",
-    "trailer",
-    "transfer-encoding",
-    "upgrade",
-    "content-length",
-]);
+/** Headers of an answer that are not passed on. */
+const droppedHeaders: ReadonlySet<string> = new Set([...connectionHeaders, "proxy-authenticate"]);
 
 /** One sending of a request to one endpoint. */
 export class Attempt implements AnswerHandler {
     readonly startedAt: Date;
     readonly #context: RequestContext;
     readonly #options: AttemptOptions;
-    readonly #outgoing: OutgoingRequest;
+    readonly #outgoing: ChannelRequest;
     readonly #loadKey: string;
     readonly #sentMs: number;
     #handler: AttemptHandler | undefined;
@@ -80,7 +63,7 @@
     #gathered: Buffer[] = [];
     #cancelGathering: () => void = () => undefined;
 
-    constructor(context: RequestContext, options: AttemptOptions, outgoing: OutgoingRequest) {
+    constructor(context: RequestContext, options: AttemptOptions, outgoing: ChannelRequest) {
         this.#context = context;
         this.#options = options;
         this.#outgoing = outgoing;
@@ -99,7 +82,7 @@
 
     /** The answer's headers without those of the connection. */
     get responseHeaders(): HeaderList {
-        return (this.#head?.headers ?? []).filter(([name]) => !connectionHeaders.has(name.toLowerCase()));
+        return (this.#head?.headers ?? []).filter(([name]) => !droppedHeaders.has(name.toLowerCase()));
     }
 
     start(handler: AttemptHandler): void {
@@ -108,7 +91,7 @@
         this.#handler = handler;
         loads.recordDispatch({ requestId: this.#loadKey, endpointId: endpoint.endpointId, priority, tokens });
         this.#channel = channels.take(endpoint, isRepeatable ? Infinity : freshIdleMs);
-        this.#channel.send({ ...this.#outgoing, isAnswer: head => this.#isAnswer(head) }, this);
+        this.#channel.send(this.#outgoing, this);
     }
 
     /** Notes that the first event has arrived, so that the prompt is computed. */
@@ -149,9 +132,16 @@
         this.#channel?.resume();
     }
 
-    onHead(head: ResponseHead): void {
-        this.#head = head;
-        this.#description = this.#context.dialect.describeResponse(head.status, head.headers);
+    /** An answer that names another request is an endpoint's late second one. */
+    onHead(head: ResponseHead): boolean {
+        const description = this.#context.dialect.describeResponse(head.status, head.headers);
+        const { requestId } = description;
+        const isOwn = requestId === undefined ? head.status < 200 || head.status >= 300 : requestId === this.#options.requestId;
+        if (isOwn) {
+            this.#head = head;
+            this.#description = description;
+        }
+        return isOwn;
     }
 
     onBody(chunk: Buffer): void {
@@ -248,10 +238,4 @@
     #isEncoded(): boolean {
         return this.#head?.headers.some(([name]) => name.toLowerCase() === "content-encoding") === true;
     }
-
-    /** An answer that names another request is an endpoint's late second one. */
-    #isAnswer(head: ResponseHead): boolean {
-        const { requestId } = this.#context.dialect.describeResponse(head.status, head.headers);
-        return requestId === undefined ? head.status < 200 || head.status >= 300 : requestId === this.#options.requestId;
-    }
 }
--- a/packages/kernel/src/index.ts
+++ b/packages/kernel/src/index.ts
@@ -3,6 +3,7 @@
 export * from "./clock.js";
 export * from "./error.js";
 export * from "./event.js";
+export * from "./header.js";
 export * from "./identifier.js";
 export * from "./json.js";
 export * from "./kernel.js";
