Send own answers by one function

Cause: the callers' server, the pipeline and the task each rendered an own answer and passed its parts to the responder. Change: sendOwnAnswer does both. No answer changes.

--- a/packages/ingress/src/caller/server.ts
+++ b/packages/ingress/src/caller/server.ts
@@ -4,7 +4,7 @@
 import type { IncomingMessage, Server, ServerResponse } from "node:http";
 import type { HeaderList } from "../contract.js";
 import type { RequestPipeline } from "../request/pipeline.js";
-import { renderOwnAnswer } from "../request/refusal.js";
+import { sendOwnAnswer } from "../request/refusal.js";
 import type { CallerResponder } from "../request/responder.js";
 import type { ConfigurationState } from "../state/configuration.js";
 
@@ -95,8 +95,7 @@
         request.on("end", () => {
             if (bytes > limitBytes) {
                 const message = `The body is longer than ${limitBytes} bytes.`;
-                const { headers, body } = renderOwnAnswer({ status: 413, code: "body.tooLarge", message, executed: "no" });
-                responder.answer(413, headers, body);
+                sendOwnAnswer(responder, { status: 413, code: "body.tooLarge", message, executed: "no" });
                 return;
             }
             const accepted = {
--- a/packages/ingress/src/request/pipeline.ts
+++ b/packages/ingress/src/request/pipeline.ts
@@ -4,7 +4,7 @@
 import type { ActiveConfiguration } from "../state/configuration.js";
 import type { RequestContext } from "./context.js";
 import { requestEvents as events } from "./event.js";
-import { renderOwnAnswer } from "./refusal.js";
+import { sendOwnAnswer } from "./refusal.js";
 import type { OwnAnswer } from "./refusal.js";
 import type { CallerRequest, CallerResponder } from "./responder.js";
 import { RequestTask } from "./task.js";
@@ -111,8 +111,7 @@
     }
 
     #refuse(caller: CallerRequest, responder: CallerResponder, answer: OwnAnswer, description?: RequestDescription): void {
-        const { headers, body } = renderOwnAnswer(answer);
-        responder.answer(answer.status, headers, body);
+        sendOwnAnswer(responder, answer);
         this.#context.metrics.recordRefusal(answer.code);
         this.#context.log.write(events.requestRefused, {
             requestId: description?.requestId,
--- a/packages/ingress/src/request/refusal.ts
+++ b/packages/ingress/src/request/refusal.ts
@@ -1,4 +1,5 @@
 import type { HeaderList } from "../contract.js";
+import type { CallerResponder } from "./responder.js";
 
 /** An answer that the ingress gives itself. */
 export interface OwnAnswer {
@@ -10,14 +11,13 @@
     readonly retryAfterMs?: number;
 }
 
-/** Builds the headers and body of an own answer. */
-export function renderOwnAnswer(answer: OwnAnswer): { readonly headers: HeaderList; readonly body: Buffer; } {
-    const { code, message, executed, retryAfterMs } = answer;
+/** Sends an own answer. */
+export function sendOwnAnswer(responder: CallerResponder, answer: OwnAnswer): void {
+    const { status, code, message, executed, retryAfterMs } = answer;
     const error = { code, message, executed, ...(retryAfterMs === undefined ? {} : { retryAfterMs: Math.round(retryAfterMs) }) };
-    const body = Buffer.from(JSON.stringify({ error }));
-    const headers: [string, string][] = [["Content-Type", "application/json"]];
-    if (retryAfterMs !== undefined) {
-        headers.push(["Retry-After", (retryAfterMs / 1_000).toFixed(3)]);
-    }
-    return { headers, body };
+    const headers: HeaderList = [
+        ["Content-Type", "application/json"],
+        ...(retryAfterMs === undefined ? [] : [["Retry-After", (retryAfterMs / 1_000).toFixed(3)] as const]),
+    ];
+    responder.answer(status, headers, Buffer.from(JSON.stringify({ error })));
 }
--- a/packages/ingress/src/request/task.ts
+++ b/packages/ingress/src/request/task.ts
@@ -9,8 +9,7 @@
 import type { AttemptEnd } from "./attempt.js";
 import type { RequestContext } from "./context.js";
 import { requestEvents as events } from "./event.js";
-import { renderOwnAnswer } from "./refusal.js";
-import type { OwnAnswer } from "./refusal.js";
+import { sendOwnAnswer } from "./refusal.js";
 import type { CallerResponder } from "./responder.js";
 
 /** Assumed until requests of a service have ended: the time that one occupies a place. */
@@ -312,7 +311,7 @@
         }
         else if (mayHaveRun) {
             const code = status === 504 ? "request.timeLimit" : "request.failed";
-            this.#answerOwn({
+            sendOwnAnswer(this.#responder, {
                 status: status === 503 ? 502 : status,
                 code,
                 message: `No complete answer: ${reason}.`,
@@ -327,7 +326,7 @@
 
     #refuse(reason: string, retryAfterMs: number): void {
         const { requestId, service, route } = this.#request;
-        this.#answerOwn({
+        sendOwnAnswer(this.#responder, {
             status: 503,
             code: "request.refused",
             message: `The request was not run: ${reason}.`,
@@ -345,11 +344,6 @@
         this.#end("refused", reason);
     }
 
-    #answerOwn(answer: OwnAnswer): void {
-        const { headers, body } = renderOwnAnswer(answer);
-        this.#responder.answer(answer.status, headers, body);
-    }
-
     #countUse(startedAt: Date): void {
         if (!this.#isCounted && this.#request.customer !== undefined) {
             this.#isCounted = true;
