--- a/packages/ingress/src/endpoint/channelpool.ts
+++ b/packages/ingress/src/endpoint/channelpool.ts
@@ -10,7 +10,6 @@
     readonly address: string;
     /** Most recently used last. */
     readonly idle: EndpointChannel[];
-    readonly open: Set<EndpointChannel>;
 }
 
 /** Counts connections that were opened, by service. */
@@ -46,14 +45,12 @@
                 }
             },
             onClosed: channel => {
-                channels.open.delete(channel);
                 const index = channels.idle.indexOf(channel);
                 if (index !== -1) {
                     channels.idle.splice(index, 1);
                 }
             },
         });
-        channels.open.add(opened);
         this.#onOpened(endpoint.service);
         return opened;
     }
@@ -67,16 +64,6 @@
         }
     }
 
-    /** Closes all connections. */
-    closeAll(): void {
-        for (const channels of this.#endpoints.values()) {
-            for (const channel of [...channels.open]) {
-                channel.close("This host stops.");
-            }
-        }
-        this.#endpoints.clear();
-    }
-
     #channelsOf(endpoint: EndpointRecord): EndpointChannels {
         const known = this.#endpoints.get(endpoint.endpointId);
         if (known?.startedAtMs === endpoint.startedAtMs && known.address === endpoint.address) {
@@ -87,7 +74,6 @@
             startedAtMs: endpoint.startedAtMs,
             address: endpoint.address,
             idle: [],
-            open: new Set<EndpointChannel>(),
         };
         this.#endpoints.set(endpoint.endpointId, created);
         return created;
--- a/packages/ingress/src/telemetry/metrics.ts
+++ b/packages/ingress/src/telemetry/metrics.ts
@@ -1,4 +1,4 @@
-import { collectDefaultMetrics, Counter, Gauge, Histogram, Registry } from "prom-client";
+import { Counter, Gauge, Histogram, Registry } from "prom-client";
 
 /** Upper bounds of the latency histograms, in seconds. */
 const latencyBounds = [0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.8, 1.2, 2, 5, 15];
@@ -24,13 +24,6 @@
     readonly #configuration = this.#gauge("configuration_version", "Version of the configuration in force");
     readonly #hosts = this.#gauge("reachable_hosts", "Hosts with which use is exchanged, this one included");
 
-    /** With `collectsProcess`, memory and processor time of the process are included. */
-    constructor(options: { readonly collectsProcess?: boolean; } = {}) {
-        if (options.collectsProcess === true) {
-            collectDefaultMetrics({ register: this.#registry, prefix: "filbertrelay_" });
-        }
-    }
-
     recordRequest(service: string, outcome: string, elapsedMs: number): void {
         this.#requests.inc({ service, outcome });
         this.#latency.observe({ service, outcome }, elapsedMs / 1_000);
