Use the repeated task for the registration, and one grace for vanished entries

Cause: the registration had a loop of its own because its pause depends on the result of a run. The tables of hosts and of endpoints each delayed the removal of an entry that vanished while the store was away. Change: a repeated task computes its pause from the result; the copy of the store calls back when a key counts as gone. No time or order changes.

--- a/features/steps/ingress.fleet.ts
+++ b/features/steps/ingress.fleet.ts
@@ -79,7 +79,7 @@
             createPlatformStore({ address: store.address, clock, timeoutMs: 600, onCall: () => undefined }),
         );
         this.mirror = new StoreMirror({ store: client, clock, log: silentEventLog, draw: Math.random });
-        const hosts = new HostTable({ mirror: this.mirror, clock, log: silentEventLog });
+        const hosts = new HostTable({ mirror: this.mirror, log: silentEventLog });
         const peers = createPeerNetwork({
             clock,
             log: silentEventLog,
--- a/packages/ingress/src/daemon.ts
+++ b/packages/ingress/src/daemon.ts
@@ -90,8 +90,8 @@
     const store = environment.createStore((kind, result) => metrics.recordStoreCall(kind, result));
     const mirror = new StoreMirror({ store, clock, log, draw });
     const configuration = new ConfigurationState({ mirror, decoder: environment.decoder, log, metrics });
-    const endpoints = new EndpointTable({ mirror, decoder: environment.decoder, clock, log });
-    const hosts = new HostTable({ mirror, clock, log });
+    const endpoints = new EndpointTable({ mirror, decoder: environment.decoder, log });
+    const hosts = new HostTable({ mirror, log });
     const quota = createUsageQuota({ windowMs: promises.quotaWindowSeconds * 1_000, tolerance: promises.quotaTolerance, nowMs });
     const fleetClock = createFleetClock({ clock });
     const usage = createUsageLedger(promises.usageWindowSeconds * 1_000);
--- a/packages/ingress/src/duty/lead.ts
+++ b/packages/ingress/src/duty/lead.ts
@@ -63,7 +63,7 @@
         this.#store = options.store;
         this.#mirror = options.mirror;
         this.#clock = options.clock;
-        this.#task = new RepeatedTask(options.clock, { pauseMs: tickMs, work: () => this.#run() });
+        this.#task = new RepeatedTask(options.clock, { work: () => this.#run(), pauseMs: () => tickMs });
         this.#log = options.log;
         this.#hostId = options.hostId;
         this.#incarnation = options.incarnation;
--- a/packages/ingress/src/duty/scalingduty.ts
+++ b/packages/ingress/src/duty/scalingduty.ts
@@ -74,7 +74,7 @@
         },
     ) {
         this.#clock = options.clock;
-        this.#task = new RepeatedTask(options.clock, { pauseMs: tickMs, work: () => this.#run() });
+        this.#task = new RepeatedTask(options.clock, { work: () => this.#run(), pauseMs: () => tickMs });
         this.#log = options.log;
         this.#lead = options.lead;
         this.#duties = options.duties;
--- a/packages/ingress/src/duty/usageduty.ts
+++ b/packages/ingress/src/duty/usageduty.ts
@@ -59,7 +59,7 @@
         this.#store = options.store;
         this.#mirror = options.mirror;
         this.#fleetClock = options.fleetClock;
-        this.#task = new RepeatedTask(options.clock, { pauseMs: tickMs, work: () => this.#run() });
+        this.#task = new RepeatedTask(options.clock, { work: () => this.#run(), pauseMs: () => tickMs });
         this.#log = options.log;
         this.#lead = options.lead;
         this.#duties = options.duties;
--- a/packages/ingress/src/fleet/exchange.ts
+++ b/packages/ingress/src/fleet/exchange.ts
@@ -88,8 +88,7 @@
 
     /** How many hosts are known and how many of them are heard. */
     reach(): FleetReach {
-        const others = this.#others();
-        return { knownHosts: others.length + 1, reachableHosts: 1 + others.filter(hostId => this.isHeard(hostId)).length };
+        return { knownHosts: this.#others().length + 1, reachableHosts: this.listHeard().length };
     }
 
     /** Whether a host was heard lately, by this one or by another one that answers for its group. */
--- a/packages/ingress/src/fleet/hosts.ts
+++ b/packages/ingress/src/fleet/hosts.ts
@@ -1,6 +1,6 @@
 import type { StoreChange } from "@filbertrelay/connectors";
 import { brandAs, parseJson } from "@filbertrelay/kernel";
-import type { Clock, EventLog, FailureDomainId, HostId, Incarnation } from "@filbertrelay/kernel";
+import type { EventLog, FailureDomainId, HostId, Incarnation } from "@filbertrelay/kernel";
 import { z } from "zod";
 import { stateEvents } from "../state/event.js";
 import type { StoreMirror } from "../state/mirror.js";
@@ -32,13 +32,11 @@
 
 /** The hosts that registered themselves in the store, this one included. */
 export class HostTable {
-    readonly #clock: Clock;
     readonly #log: EventLog;
     readonly #mirror: StoreMirror;
     readonly #records = new Map<HostId, HostRecord>();
 
-    constructor(options: { readonly mirror: StoreMirror; readonly clock: Clock; readonly log: EventLog; }) {
-        this.#clock = options.clock;
+    constructor(options: { readonly mirror: StoreMirror; readonly log: EventLog; }) {
         this.#log = options.log;
         this.#mirror = options.mirror;
         options.mirror.listen(hostPrefix, change => this.#apply(change));
@@ -55,7 +53,11 @@
     #apply(change: StoreChange): void {
         const hostId = brandAs<HostId>(change.key.slice(hostPrefix.length));
         if (change.value === undefined) {
-            this.#remove(hostId, change.key);
+            this.#mirror.whenGone(change.key, () => {
+                if (this.#records.delete(hostId)) {
+                    this.#note(hostId, "gone", undefined);
+                }
+            });
             return;
         }
         const record = readHost(hostId, change.value);
@@ -71,21 +73,6 @@
         this.#note(hostId, "ready", change.revision);
     }
 
-    #remove(hostId: HostId, key: string): void {
-        const graceMs = this.#mirror.returnGraceMs();
-        const drop = (): void => {
-            if (this.#mirror.get(key) === undefined && this.#records.delete(hostId)) {
-                this.#note(hostId, "gone", undefined);
-            }
-        };
-        if (graceMs > 0) {
-            this.#clock.after(graceMs, drop);
-        }
-        else {
-            drop();
-        }
-    }
-
     #note(hostId: HostId, state: string, revision: number | undefined): void {
         this.#log.write(events.hostChanged, { peer: hostId, state, revision, hosts: this.#records.size });
     }
--- a/packages/ingress/src/fleet/registration.ts
+++ b/packages/ingress/src/fleet/registration.ts
@@ -1,4 +1,5 @@
 import type { Store } from "@filbertrelay/connectors";
+import { RepeatedTask } from "@filbertrelay/kernel";
 import type { Clock, EventLog, HostId, Service } from "@filbertrelay/kernel";
 import { fleetEvents as events } from "./event.js";
 import { hostPrefix } from "./hosts.js";
@@ -14,13 +15,11 @@
 /** Keeps this host's entry in the store, under a lease. */
 export class Registration implements Service {
     readonly #store: Store;
-    readonly #clock: Clock;
     readonly #log: EventLog;
     readonly #key: string;
-    readonly #stopped = new AbortController();
     readonly #entry: HostEntry;
+    readonly #task: RepeatedTask<boolean>;
     #leaseId: number | undefined;
-    #loop: Promise<void> | undefined;
 
     constructor(
         options: {
@@ -32,21 +31,23 @@
         },
     ) {
         this.#store = options.store;
-        this.#clock = options.clock;
         this.#log = options.log;
         this.#key = `${hostPrefix}${options.hostId}`;
         this.#entry = options.entry;
+        this.#task = new RepeatedTask(options.clock, {
+            work: () => this.#leaseId === undefined ? this.#register() : this.#renew(this.#leaseId),
+            pauseMs: isDone => isDone ? renewalMs : retryMs,
+        });
     }
 
     start(): Promise<void> {
-        this.#loop = this.#run();
+        this.#task.start();
         return Promise.resolve();
     }
 
     /** Takes this host out of the directory; resolves when the store has it or did not answer. */
     async leave(): Promise<void> {
-        this.#stopped.abort(new Error("The host leaves."));
-        await this.#loop;
+        await this.#task.stop();
         if (this.#leaseId !== undefined) {
             await this.#store.endLease(this.#leaseId);
             this.#leaseId = undefined;
@@ -57,18 +58,6 @@
         await this.leave();
     }
 
-    async #run(): Promise<void> {
-        while (!this.#stopped.signal.aborted) {
-            const isDone = this.#leaseId === undefined ? await this.#register() : await this.#renew(this.#leaseId);
-            try {
-                await this.#clock.sleep(isDone ? renewalMs : retryMs, this.#stopped.signal);
-            }
-            catch {
-                return;
-            }
-        }
-    }
-
     async #register(): Promise<boolean> {
         const lease = await this.#store.grantLease(timeToLiveMs);
         if (!lease.ok) {
--- a/packages/ingress/src/state/endpoints.ts
+++ b/packages/ingress/src/state/endpoints.ts
@@ -1,5 +1,5 @@
 import type { StoreChange } from "@filbertrelay/connectors";
-import type { Clock, EndpointId, EventLog } from "@filbertrelay/kernel";
+import type { EndpointId, EventLog } from "@filbertrelay/kernel";
 import type { EndpointRecord, StoreDecoder } from "../contract.js";
 import { stateEvents as events } from "./event.js";
 import type { StoreMirror } from "./mirror.js";
@@ -9,7 +9,6 @@
 
 /** The endpoints that registered themselves in the store. */
 export class EndpointTable {
-    readonly #clock: Clock;
     readonly #log: EventLog;
     readonly #mirror: StoreMirror;
     readonly #decoder: StoreDecoder;
@@ -17,9 +16,8 @@
     readonly #ended: EndpointEndedListener[] = [];
 
     constructor(
-        options: { readonly mirror: StoreMirror; readonly decoder: StoreDecoder; readonly clock: Clock; readonly log: EventLog; },
+        options: { readonly mirror: StoreMirror; readonly decoder: StoreDecoder; readonly log: EventLog; },
     ) {
-        this.#clock = options.clock;
         this.#log = options.log;
         this.#mirror = options.mirror;
         this.#decoder = options.decoder;
@@ -45,7 +43,7 @@
         const known = this.#records.get(change.key);
         const decoded = change.value === undefined ? undefined : this.#decoder.readEndpoint(change.key, change.value);
         if (decoded === undefined) {
-            this.#remove(change.key);
+            this.#mirror.whenGone(change.key, () => this.#drop(change.key));
             return;
         }
         if (!decoded.ok) {
@@ -68,19 +66,6 @@
         });
     }
 
-    #remove(key: string): void {
-        const graceMs = this.#mirror.returnGraceMs();
-        if (graceMs === 0) {
-            this.#drop(key);
-            return;
-        }
-        this.#clock.after(graceMs, () => {
-            if (this.#mirror.get(key) === undefined) {
-                this.#drop(key);
-            }
-        });
-    }
-
     #drop(key: string): void {
         const record = this.#records.get(key);
         if (record !== undefined) {
--- a/packages/ingress/src/state/mirror.ts
+++ b/packages/ingress/src/state/mirror.ts
@@ -98,6 +98,20 @@
         return Math.max(0, Math.min(returnMs - sinceRegainedMs, longestGraceMs));
     }
 
+    /** Calls back when a key that has vanished counts as gone: at once, or after the grace if it has not come back by then. */
+    whenGone(key: string, callback: () => void): void {
+        const graceMs = this.returnGraceMs();
+        if (graceMs === 0) {
+            callback();
+            return;
+        }
+        this.#options.clock.after(graceMs, () => {
+            if (this.get(key) === undefined) {
+                callback();
+            }
+        });
+    }
+
     /** The mirrored item of a key. */
     get(key: string): StoreItem | undefined {
         return this.#items.get(key);
--- a/packages/kernel/src/repeated.ts
+++ b/packages/kernel/src/repeated.ts
@@ -1,14 +1,18 @@
 import type { Clock } from "./clock.js";
 
 /** Work that is repeated with a pause between its runs, until it is stopped. */
-export class RepeatedTask {
+export class RepeatedTask<Result = void> {
     readonly #clock: Clock;
-    readonly #pauseMs: number;
-    readonly #work: () => Promise<void>;
+    readonly #work: () => Promise<Result>;
+    readonly #pauseMs: (result: Result) => number;
     readonly #stopped = new AbortController();
     #loop: Promise<void> | undefined;
 
-    constructor(clock: Clock, options: { readonly pauseMs: number; readonly work: () => Promise<void>; }) {
+    /** `pauseMs` gives the pause after a run from its result. */
+    constructor(
+        clock: Clock,
+        options: { readonly work: () => Promise<Result>; readonly pauseMs: (result: Result) => number; },
+    ) {
         this.#clock = clock;
         this.#pauseMs = options.pauseMs;
         this.#work = options.work;
@@ -30,9 +34,9 @@
 
     async #run(): Promise<void> {
         while (!this.isStopped) {
-            await this.#work();
+            const result = await this.#work();
             try {
-                await this.#clock.sleep(this.#pauseMs, this.#stopped.signal);
+                await this.#clock.sleep(this.#pauseMs(result), this.#stopped.signal);
             }
             catch {
                 return;
--- a/scripts/measure-exchange.mjs
+++ b/scripts/measure-exchange.mjs
@@ -55,7 +55,7 @@
 async function startHost(clock, store, { hostId, peerAddress }) {
     const client = createPlatformStore({ address: store.address, clock, timeoutMs: 600, onCall: () => undefined });
     const mirror = new StoreMirror({ store: client, clock, log: silentEventLog, draw: Math.random });
-    const table = new HostTable({ mirror, clock, log: silentEventLog });
+    const table = new HostTable({ mirror, log: silentEventLog });
     const peers = createPeerNetwork({
         clock,
         log: silentEventLog,
