Deliver a result once it is recorded

Cause: a result was given to its caller before it was stored. A successor acknowledges a settled result only after recording it, and keeps asking while its own attempt runs. Check: the model checker has a new invariant (a result given in time is not answered 'unknown' by the newest owner afterwards).

--- a/features/shards.feature
+++ b/features/shards.feature
@@ -99,7 +99,7 @@
     And the endpoint ran the key "k1" 1 time
 
   Scenario: No generated schedule of faults breaks an invariant
-    Guards against a second run, a lost accepted key, a false "not run" and a shard that never answers again.
+    Guards against a second run, a lost accepted key, a false "not run", a result lost after it was told and a shard that never answers again.
     When the checker runs 20000 schedules from seed 1
     Then no schedule broke an invariant
 
@@ -121,3 +121,4 @@
       | survivingStandby       |
       | agreedPromise          |
       | queryAllHosts          |
+      | recordedDelivery       |
--- a/packages/policy/src/shards/check/model.ts
+++ b/packages/policy/src/shards/check/model.ts
@@ -65,6 +65,9 @@
     readonly key: string;
     readonly fingerprint: string;
     readonly runsAtArrival: number;
+    readonly deadlineMs: number;
+    /** A caller had been given the key's result, in time, when this submission was made. */
+    readonly isResultKnown: boolean;
     answer: string | undefined;
     code: string | undefined;
 }
@@ -74,15 +77,18 @@
     readonly calls: CallRecord[] = [];
     readonly #endpoints: EndpointModel;
     readonly #results = new Map<string, { readonly text: string; readonly fingerprint: string; }>();
+    readonly #given = new Set<string>();
 
     constructor(endpoints: EndpointModel) {
         this.#endpoints = endpoints;
     }
 
     /** Registers a submission and gives its number. */
-    submit(key: string, fingerprint: string): number {
+    submit(key: string, fingerprint: string, deadlineMs: number): number {
         const runsAtArrival = this.#endpoints.runs.get(key) ?? 0;
-        return this.calls.push({ key, fingerprint, runsAtArrival, answer: undefined, code: undefined }) - 1;
+        const isResultKnown = this.#given.has(key);
+        const record = { key, fingerprint, runsAtArrival, deadlineMs, isResultKnown, answer: undefined, code: undefined };
+        return this.calls.push(record) - 1;
     }
 
     /** Checks that every run is owed to a submission that was not told `executed: no`. */
@@ -97,15 +103,26 @@
     }
 
     /** Checks an answer against what happened at the endpoints. */
-    answer(call: number, answer: { readonly ok: boolean; readonly text: string; readonly code: string; }): void {
+    answer(
+        call: number,
+        answer: { readonly ok: boolean; readonly text: string; readonly code: string; },
+        { nowMs, mayLoseResults }: { readonly nowMs: number; readonly mayLoseResults: boolean; },
+    ): void {
         const record = this.calls[call];
         if (record === undefined || record.answer !== undefined) {
             throw new Violation("A caller was answered twice.");
         }
         record.answer = answer.ok ? "ok" : answer.text;
         record.code = answer.code;
+        const isInTime = nowMs < record.deadlineMs;
         if (answer.ok) {
             this.#checkResult(record, answer.text);
+            if (isInTime) {
+                this.#given.add(record.key);
+            }
+        }
+        else if (answer.code === "shard.unknown" && record.isResultKnown && isInTime && !mayLoseResults) {
+            throw new Violation(`The result of the key '${record.key}' was lost after a caller had been given it.`);
         }
         else if (answer.text === "no" && answer.code !== "shard.keyReused") {
             this.#checkRefusal(record);
--- a/packages/policy/src/shards/check/world.ts
+++ b/packages/policy/src/shards/check/world.ts
@@ -10,6 +10,7 @@
     ShardInput,
     VersionedValue,
 } from "../index.js";
+import { isNewerSet } from "../value.js";
 import { CallerModel, EndpointModel, KeyValueModel } from "./model.js";
 import { NodeModel, resultRetentionMs } from "./node.js";
 import type { Random } from "./random.js";
@@ -132,7 +133,7 @@
 
     /** Submits a key at a node. */
     submit(node: NodeModel, key: string, fingerprint: string, waitMs: number): number {
-        const call = this.callers.submit(key, fingerprint);
+        const call = this.callers.submit(key, fingerprint, this.nowMs + waitMs);
         this.feed(node, {
             type: "submit",
             call,
@@ -167,7 +168,17 @@
         const outcome = answer.ok ?
             { ok: true, text: answer.response.body, code: "" } :
             { ok: false, text: answer.executed, code: answer.code };
-        this.callers.answer(call, outcome);
+        const mayLoseResults = this.keyValue.hasLostCopies || !this.#isNewestOwner(node);
+        this.callers.answer(call, outcome, { nowMs: this.nowMs, mayLoseResults });
+    }
+
+    /** A former owner that hasn't heard of its successor can't know what the successor was told. */
+    #isNewestOwner(node: NodeModel): boolean {
+        const stored = this.keyValue.read();
+        const { owner } = node.state;
+        const sets = this.nodes.filter(other => other.isRunning).flatMap(other => other.state.owner ?? []);
+        return owner !== undefined && !(stored !== "missing" && isNewerSet(stored.value, owner)) &&
+            !sets.some(set => isNewerSet(set, owner));
     }
 
     /** Queues an event that needs the present process of a node. */
--- a/packages/policy/src/shards/claim.ts
+++ b/packages/policy/src/shards/claim.ts
@@ -71,6 +71,7 @@
         version,
         sequence: value.sequence,
         storedSequence,
+        recordedSequence: storedSequence,
         entries: adoptEntries(state, value.entries),
         sealed: new Map(),
         hasSegments: false,
--- a/packages/policy/src/shards/commit.ts
+++ b/packages/policy/src/shards/commit.ts
@@ -1,3 +1,4 @@
+import { noteRecorded } from "./delivery.js";
 import { refuseWaiters, settleLater, startAttempts } from "./entry.js";
 import type { Candidate } from "./message.js";
 import { chooseStandbys } from "./placement.js";
@@ -14,7 +15,7 @@
     }
     refill(state, owner);
     const successor = owner.successor ?? (state.isLeaving ? chooseSuccessor(state, owner) : undefined);
-    const isUrgent = hasUncommitted(owner) || successor !== undefined;
+    const isUrgent = hasUncommitted(owner) || state.held.size > 0 || successor !== undefined;
     const dueMs = (owner.dirtySinceMs ?? state.nowMs) + state.options.batchIntervalMs;
     if (!isUrgent && owner.dirtySinceMs === undefined && !needsStandbys(state, owner)) {
         return;
@@ -154,6 +155,7 @@
     owner.mode = "store";
     state.confirmed = Math.max(state.confirmed, write.issued);
     owner.storedSequence = Math.max(owner.storedSequence, write.value.sequence);
+    noteRecorded(owner, write.value.sequence);
     startAttempts(step, owner, write.value.sequence);
     forgetClosed(owner);
     if (isSameHolder(write.value.owner, state.options.self)) {
--- a/packages/policy/src/shards/entry.ts
+++ b/packages/policy/src/shards/entry.ts
@@ -1,3 +1,4 @@
+import { deliverRecorded, hurryDelivery } from "./delivery.js";
 import type { AttemptOutcome, ShardAnswer, SubmitInput } from "./message.js";
 import { answer, isInForce, isServing, nextToken, wake } from "./state.js";
 import type { OwnerState, ShardState, Step, Waiter } from "./state.js";
@@ -22,7 +23,7 @@
     else if (entry === undefined || entry.state === "notRun") {
         acceptKey(step, owner, input, waiter);
     }
-    else if (entry.state === "done") {
+    else if (entry.state === "done" && !step.state.held.has(input.key)) {
         answer(step, input.call, answerOf(entry));
     }
     else if (entry.state === "unknown") {
@@ -143,7 +144,9 @@
 export function refuseWaiters(step: Step, entry: ShardEntry, code: RefusalCode): void {
     const waiters = step.state.waiting.get(entry.key) ?? [];
     step.state.waiting.delete(entry.key);
-    waiters.forEach(waiter => entry.isRepeat === true ? answer(step, waiter.call, unknownAnswer) : refuse(step, waiter, code));
+    // The caller of a repeat is sent on to the successor, which may know the result.
+    const repeated: ShardAnswer = code === "shard.notOwned" ? { ok: false, code, executed: "unknown" } : unknownAnswer;
+    waiters.forEach(waiter => entry.isRepeat === true ? answer(step, waiter.call, repeated) : refuse(step, waiter, code));
 }
 
 function sendNext(step: Step, intent: string): boolean {
@@ -183,20 +186,19 @@
         refuseWaiters(step, finished, "endpoint.refused");
         return;
     }
-    answerWaiters(step, finished.key, outcomeAnswer(finished, outcome));
+    const outcomeAnswer = outcome.type === "response" ? { ok: true as const, response: outcome.response } : answerOf(finished);
+    if (state === "done") {
+        deliverRecorded(step, finished, outcomeAnswer);
+    }
+    else {
+        answerWaiters(step, finished.key, outcomeAnswer);
+    }
 }
 
 function limitResult(response: StoredResponse): StoredResponse | undefined {
     return response.body.length > singleResultLimit ? undefined : response;
 }
 
-function outcomeAnswer(entry: ShardEntry, outcome: AttemptOutcome): ShardAnswer {
-    if (outcome.type === "response") {
-        return { ok: true, response: outcome.response };
-    }
-    return answerOf(entry);
-}
-
 /** The answer that an entry gives to a caller. */
 export function answerOf(entry: ShardEntry): ShardAnswer {
     if (entry.state === "done") {
@@ -257,7 +259,7 @@
         return;
     }
     const done = changeEntry(step, owner, { ...entry, state: "done", result: response, sinceMs: step.state.nowMs });
-    answerWaiters(step, key, answerOf(done));
+    deliverRecorded(step, done, answerOf(done));
 }
 
 const unknownAnswer: ShardAnswer = { ok: false, code: "shard.unknown", executed: "unknown" };
@@ -278,6 +280,11 @@
         if (late.length === 0) {
             continue;
         }
+        const held = step.state.held.get(key);
+        if (held !== undefined) {
+            hurryDelivery(step, key, held);
+            continue;
+        }
         const rest = waiters.filter(waiter => !late.includes(waiter));
         if (rest.length > 0) {
             step.state.waiting.set(key, rest);
--- a/packages/policy/src/shards/machine.ts
+++ b/packages/policy/src/shards/machine.ts
@@ -1,5 +1,6 @@
 import { handleTakeoverWritten } from "./claim.js";
 import { flushStore, handleRead, handleWritten } from "./commit.js";
+import { deliverHeld } from "./delivery.js";
 import { drainQueue, expireWaiters, handleQueried, handleSent, submitToOwner } from "./entry.js";
 import type { PeerReply, PeerRequest, ShardInput, SubmitInput } from "./message.js";
 import { handleSegments, handleSegmentWritten, loadSegments, sealFinished } from "./retention.js";
@@ -183,6 +184,7 @@
     }
     retryActivation(step);
     settleResults(step);
+    deliverHeld(step);
 }
 
 function retryActivation(step: Step): void {
--- a/packages/policy/src/shards/standby.ts
+++ b/packages/policy/src/shards/standby.ts
@@ -1,5 +1,6 @@
 import { createOwner } from "./claim.js";
 import { loseOwnership } from "./commit.js";
+import { deliverRecorded } from "./delivery.js";
 import { answerOf, answerWaiters, changeEntry, drainQueue, settles } from "./entry.js";
 import type { PeerReply, PeerRequest } from "./message.js";
 import { actingSet, isInForce, wake } from "./state.js";
@@ -165,17 +166,27 @@
     return reply(state, true, [...heldEntries(state), ...own]);
 }
 
+/** Takes over an outcome. The former owner asks again until a result is recorded: its callers wait for that. */
 function settle(step: Step, request: RequestOf<"settle">): PeerReply {
     const { owner } = step.state;
     if (owner === undefined) {
         return reply(step.state, false);
     }
     const entry = owner.entries.get(request.key);
-    if (settles(entry, request.entry) && !isOwnAttempt(step.state, entry)) {
-        const settled = changeEntry(step, owner, request.entry);
+    if (isOwnAttempt(step.state, entry)) {
+        // An attempt that ends without a result leaves the key to this outcome.
+        return reply(step.state, false);
+    }
+    if (!settles(entry, request.entry)) {
+        return reply(step.state, entry === undefined || entry.revision <= owner.recordedSequence);
+    }
+    const settled = changeEntry(step, owner, request.entry);
+    if (settled.state !== "done") {
         answerWaiters(step, request.key, answerOf(settled));
+        return reply(step.state, true);
     }
-    return reply(step.state, true);
+    deliverRecorded(step, settled, answerOf(settled));
+    return reply(step.state, false);
 }
 
 function isOwnAttempt(state: ShardState, entry: ShardEntry | undefined): boolean {
--- a/packages/policy/src/shards/state.ts
+++ b/packages/policy/src/shards/state.ts
@@ -13,7 +13,8 @@
     | "agreementOfHolders"
     | "survivingStandby"
     | "agreedPromise"
-    | "queryAllHosts";
+    | "queryAllHosts"
+    | "recordedDelivery";
 
 /** Parameters of a shard machine. */
 export interface ShardOptions {
@@ -79,6 +80,8 @@
     version: number;
     sequence: number;
     storedSequence: number;
+    /** Entries up to this revision are in the key-value service or at every standby that must acknowledge. */
+    recordedSequence: number;
     entries: Map<string, ShardEntry>;
     sealed: Map<string, number>;
     hasSegments: boolean;
@@ -132,6 +135,14 @@
     readonly deadlineMs: number;
 }
 
+/** A result whose callers wait until it is recorded. */
+export interface HeldResult {
+    readonly intent: string | undefined;
+    readonly answer: ShardAnswer;
+    /** Set once a caller's deadline has passed: the time at which the result is delivered even if it isn't recorded. */
+    readonly deliverAtMs: number | undefined;
+}
+
 /** Everything that one process knows about one shard. */
 export interface ShardState {
     readonly options: ShardOptions;
@@ -159,6 +170,8 @@
     activation: { readonly set: HolderSet; readonly retryAtMs: number; } | undefined;
     /** Results that the present owner has not acknowledged yet, by intent. */
     unsettled: Map<string, { readonly request: Extract<PeerRequest, { type: "settle"; }>; readonly retryAtMs: number; }>;
+    /** Results that are not recorded yet, by key. */
+    held: Map<string, HeldResult>;
     /** The last step whose start is proven to precede a moment of undisputed ownership. */
     confirmed: number;
 }
@@ -203,6 +216,7 @@
         attempts: new Map(),
         activation: undefined,
         unsettled: new Map(),
+        held: new Map(),
         confirmed: 0,
     };
 }
@@ -218,6 +232,7 @@
         waiting: copyMap(state.waiting),
         attempts: copyMap(state.attempts),
         unsettled: copyMap(state.unsettled),
+        held: copyMap(state.held),
     };
 }
 
--- a/packages/policy/src/shards/witness.ts
+++ b/packages/policy/src/shards/witness.ts
@@ -8,6 +8,7 @@
     readBack,
     refreshStandbys,
 } from "./commit.js";
+import { noteRecorded } from "./delivery.js";
 import { startAttempts } from "./entry.js";
 import type { PeerReply, PeerRequest } from "./message.js";
 import { actingSet, isInForce, wake } from "./state.js";
@@ -142,7 +143,9 @@
     }
     const sequences = required.map(standby => owner.acknowledgements.get(holderKey(standby))?.sequence ?? owner.storedSequence);
     const isAllNeeded = isInForce(step.state, "allAcknowledgements");
-    startAttempts(step, owner, isAllNeeded ? Math.min(...sequences) : Math.max(...sequences));
+    const sequence = isAllNeeded ? Math.min(...sequences) : Math.max(...sequences);
+    noteRecorded(owner, sequence);
+    startAttempts(step, owner, sequence);
 }
 
 /** Proposes a successor when this host leaves, or other standbys when some are gone or leaving. */
