Start hosts from stored bytecode and serve callers before the control interfaces

Cause: after all hosts lost power the worst seconds are those in which they start. Change: the bundle is CommonJS with bytecode beside it, made under the options of deploy/system.toml; messages of the schema library in other languages are left out; hono and its server are loaded after the callers' port is open; decisions of the ingress are an entry point of their own without WebAssembly (xxHash32 from js-xxhash).

--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -33,5 +33,7 @@
             }],
         },
     },
+    // CommonJS, because modules can't be started from stored bytecode.
+    { files: ["**/*.cjs"], rules: { "@typescript-eslint/no-require-imports": "off" } },
     { files: ["features/**/*.ts"], rules: { "@typescript-eslint/no-non-null-assertion": "off" } },
 );
--- a/features/steps/kernel.log.ts
+++ b/features/steps/kernel.log.ts
@@ -51,8 +51,8 @@
 
 Given("a process that writes 20 MB of log lines to a pipe that nobody reads", function(this: LogWorld) {
     const script = `
-        import { createLineWriter } from "@filbertrelay/kernel";
-        const writer = createLineWriter({ descriptor: 1 });
+        import { createLineWriter, createSystemClock } from "@filbertrelay/kernel";
+        const writer = createLineWriter({ descriptor: 1, clock: createSystemClock() });
         const line = "x".repeat(1_000);
         for (let count = 0; count < 20_000; count += 1) { writer.write(line); }
         setTimeout(() => process.exit(0), 100);
--- a/features/support/ingress.ts
+++ b/features/support/ingress.ts
@@ -221,8 +221,8 @@
                 decoder: createPlatformDecoder(),
                 dialect: createPlatformDialect(),
                 createDuties: () => undefined,
-                createDirectoryApp,
-                createReadyApp,
+                loadDirectoryApp: view => Promise.resolve(createDirectoryApp(view)),
+                loadReadyApp: view => Promise.resolve(createReadyApp(view)),
             },
         });
         await this.#kernel.start();
--- a/packages/ingress/src/contract.ts
+++ b/packages/ingress/src/contract.ts
@@ -1,6 +1,6 @@
 import type { IngressConfiguration } from "@filbertrelay/configuration";
 import type { EndpointId, FailureDomainId, HostId, Issue, Outcome, RequestId } from "@filbertrelay/kernel";
-import type { CustomerCounts, PromptPart } from "@filbertrelay/policy";
+import type { CustomerCounts, PromptPart } from "@filbertrelay/policy/ingress";
 
 /** An endpoint as it registered itself. */
 export interface EndpointRecord {
--- a/packages/ingress/src/daemon.ts
+++ b/packages/ingress/src/daemon.ts
@@ -11,9 +11,9 @@
     createServiceTimings,
     createUsageLedger,
     createUsageQuota,
-} from "@filbertrelay/policy";
+} from "@filbertrelay/policy/ingress";
 import { createPeerNetwork } from "@filbertrelay/wire";
-import { Hono } from "hono";
+import type { Hono } from "hono";
 import { IngressServer } from "./caller/server.js";
 import type { Dialect, DutyCalls, StoreDecoder } from "./contract.js";
 import { ControlServer } from "./control/server.js";
@@ -57,9 +57,9 @@
     /** Gives `undefined` where no duties are due. */
     readonly createDuties: (onCall: CallObserver) => DutyCalls | undefined;
     /** The interface on the directory address. */
-    readonly createDirectoryApp: (view: HostView) => Hono;
+    readonly loadDirectoryApp: (view: HostView) => Promise<Hono>;
     /** The interface on the readiness address. */
-    readonly createReadyApp: (view: HostView) => Hono;
+    readonly loadReadyApp: (view: HostView) => Promise<Hono>;
 }
 
 /** Options of `createIngressDaemon`. */
@@ -191,8 +191,8 @@
     kernel.register("storeNews", news);
     kernel.register("exchange", exchange);
     kernel.register("callers", server);
-    registerControl(kernel, settings, environment, view);
     kernel.register("registration", registration);
+    registerControl(kernel, settings, environment, view);
     const duties = environment.createDuties((kind, result) => metrics.recordDutyCall(kind, result));
     if (duties !== undefined && settings.duties !== undefined) {
         const common = { clock, log, lead, duties };
@@ -213,16 +213,23 @@
 function registerControl(kernel: Kernel, settings: IngressSettings, environment: Environment, view: HostView): void {
     const { directoryAddress, readyAddress, metricsAddress } = settings.host;
     if (directoryAddress !== undefined) {
-        kernel.register("directory", new ControlServer({ address: directoryAddress, app: environment.createDirectoryApp(view) }));
+        kernel.register(
+            "directory",
+            new ControlServer({ address: directoryAddress, loadApp: () => environment.loadDirectoryApp(view) }),
+        );
     }
     if (metricsAddress !== undefined) {
-        const app = new Hono().get("/metrics", async context => {
-            view.metrics.setReachableHosts(view.reachableHosts());
-            return context.text(await view.metrics.render());
-        });
-        kernel.register("metrics", new ControlServer({ address: metricsAddress, app }));
+        kernel.register("metrics", new ControlServer({ address: metricsAddress, loadApp: () => loadMetricsApp(view) }));
     }
     if (readyAddress !== undefined) {
-        kernel.register("readiness", new ControlServer({ address: readyAddress, app: environment.createReadyApp(view) }));
+        kernel.register("readiness", new ControlServer({ address: readyAddress, loadApp: () => environment.loadReadyApp(view) }));
     }
 }
+
+async function loadMetricsApp(view: HostView): Promise<Hono> {
+    const { Hono: Application } = await import("hono");
+    return new Application().get("/metrics", async context => {
+        view.metrics.setReachableHosts(view.reachableHosts());
+        return context.text(await view.metrics.render());
+    });
+}
--- a/packages/ingress/src/duty/scalingduty.ts
+++ b/packages/ingress/src/duty/scalingduty.ts
@@ -1,8 +1,8 @@
 import type { IngressService, Scaling } from "@filbertrelay/configuration";
 import { brandAs, RepeatedTask } from "@filbertrelay/kernel";
 import type { Clock, EventLog, FailureDomainId, Service } from "@filbertrelay/kernel";
-import { createRequiredEndpoints, createStartBackoff, planEndpoints } from "@filbertrelay/policy";
-import type { DemandMeter, DomainCounts, RequiredEndpoints, StartBackoff } from "@filbertrelay/policy";
+import { createRequiredEndpoints, createStartBackoff, planEndpoints } from "@filbertrelay/policy/ingress";
+import type { DemandMeter, DomainCounts, RequiredEndpoints, StartBackoff } from "@filbertrelay/policy/ingress";
 import type { DutyCalls, EndpointOrder } from "../contract.js";
 import { fleetEvents as events } from "../fleet/event.js";
 import type { ConfigurationState } from "../state/configuration.js";
--- a/packages/ingress/src/duty/usageduty.ts
+++ b/packages/ingress/src/duty/usageduty.ts
@@ -1,7 +1,7 @@
 import type { Store } from "@filbertrelay/connectors";
 import { RepeatedTask } from "@filbertrelay/kernel";
 import type { Clock, EventLog, Service } from "@filbertrelay/kernel";
-import type { CustomerCounts, FleetClock, UsageLedger } from "@filbertrelay/policy";
+import type { CustomerCounts, FleetClock, UsageLedger } from "@filbertrelay/policy/ingress";
 import { z } from "zod";
 import type { DutyCalls } from "../contract.js";
 import { fleetEvents as events } from "../fleet/event.js";
--- a/packages/ingress/src/request/attempt.ts
+++ b/packages/ingress/src/request/attempt.ts
@@ -1,6 +1,6 @@
 import { connectionHeaders } from "@filbertrelay/kernel";
 import type { EndpointId } from "@filbertrelay/kernel";
-import type { AttemptFailure } from "@filbertrelay/policy";
+import type { AttemptFailure } from "@filbertrelay/policy/ingress";
 import type { EndpointRecord, HeaderList, ResponseDescription } from "../contract.js";
 import type { AnswerHandler, ChannelFailure, ChannelRequest, EndpointChannel } from "../endpoint/channel.js";
 import type { ResponseHead } from "../endpoint/responseparser.js";
--- a/packages/ingress/src/request/context.ts
+++ b/packages/ingress/src/request/context.ts
@@ -10,7 +10,7 @@
     ServiceTimings,
     UsageLedger,
     UsageQuota,
-} from "@filbertrelay/policy";
+} from "@filbertrelay/policy/ingress";
 import type { Dialect } from "../contract.js";
 import type { ChannelPool } from "../endpoint/channelpool.js";
 import type { ConfigurationState } from "../state/configuration.js";
--- a/packages/ingress/src/request/pipeline.ts
+++ b/packages/ingress/src/request/pipeline.ts
@@ -1,5 +1,5 @@
 import type { IngressCustomer, IngressRoute } from "@filbertrelay/configuration";
-import { chooseService } from "@filbertrelay/policy";
+import { chooseService } from "@filbertrelay/policy/ingress";
 import type { RequestDescription } from "../contract.js";
 import type { ActiveConfiguration } from "../state/configuration.js";
 import type { RequestContext } from "./context.js";
--- a/packages/ingress/src/request/task.ts
+++ b/packages/ingress/src/request/task.ts
@@ -1,6 +1,6 @@
 import type { EndpointId } from "@filbertrelay/kernel";
-import { chooseEndpointFor, decideStart, limitSilence } from "@filbertrelay/policy";
-import type { EndpointChoice } from "@filbertrelay/policy";
+import { chooseEndpointFor, decideStart, limitSilence } from "@filbertrelay/policy/ingress";
+import type { EndpointChoice } from "@filbertrelay/policy/ingress";
 import type { EndpointRecord } from "../contract.js";
 import { EventFrameReader } from "../endpoint/eventframe.js";
 import type { EventFrame } from "../endpoint/eventframe.js";
--- a/packages/policy/src/ingress/index.ts
+++ b/packages/policy/src/ingress/index.ts
@@ -1,4 +1,8 @@
-/** Decisions of the ingress: routes, limits, placing and refusing. */
+/**
+ * Decisions of the ingress: routes, limits, placing and refusing. An entry point of its own, so that the ingress loads neither the
+ * decisions of other programs nor their WebAssembly.
+ */
+export * from "../planner/backoff.js";
 export * from "./demandmeter.js";
 export * from "./endpointhealth.js";
 export * from "./endpointplan.js";
--- a/packages/policy/src/rendezvous.ts
+++ b/packages/policy/src/rendezvous.ts
@@ -1,20 +1,13 @@
-import xxhash from "xxhash-wasm";
-
-const hasher = await xxhash();
+import { xxHash32 } from "js-xxhash";
 
 /** Hashes text to 32 bits with xxHash32. */
 export function hashText(text: string, seed = 0): number {
-    return hasher.h32(text, seed);
-}
-
-/** Hashes text to 16 hexadecimal digits with xxHash64, chained to the hash of what precedes it. */
-export function chainHash(text: string, previous: string): string {
-    return hasher.h64ToString(text, previous === "" ? 0n : BigInt(`0x${previous}`));
+    return xxHash32(text, seed);
 }
 
 /** The score of a node for a key: uniform in (0, 1), the same on every host. */
 export function rendezvousScore(key: string, nodeId: string): number {
-    const high = hasher.h32(key, hasher.h32(nodeId));
+    const high = xxHash32(key, xxHash32(nodeId));
     return (high + 0.5) / 4_294_967_296;
 }
 
--- a/packages/policy/src/routing/block.ts
+++ b/packages/policy/src/routing/block.ts
@@ -1,4 +1,4 @@
-import { chainHash } from "../rendezvous.js";
+import { chainHash } from "./chainhash.js";
 
 /** Tokens in one prefix block. */
 export const prefixBlockTokens = 64;
--- a/scripts/bundle.mjs
+++ b/scripts/bundle.mjs
@@ -1,7 +1,9 @@
-// Bundles the daemon for the users' machines into one file under target/, straight from the sources.
+// Bundles the daemon for the users' machines under target/, straight from the sources, and stores its bytecode beside it.
 import { build } from "esbuild";
-import { existsSync } from "node:fs";
+import { spawnSync } from "node:child_process";
+import { copyFileSync, existsSync, readFileSync } from "node:fs";
 import { fileURLToPath } from "node:url";
+import { parse } from "smol-toml";
 
 const root = fileURLToPath(new URL("..", import.meta.url));
 
@@ -10,26 +12,45 @@
     name: "workspace-sources",
     setup(bundler) {
         bundler.onResolve({ filter: /^@filbertrelay\// }, ({ path }) => {
-            const name = path.slice("@filbertrelay/".length);
-            const candidates = [`${root}packages/${name}/src/index.ts`, `${root}${name}/src/index.ts`];
+            const [name, entry = "."] = path.slice("@filbertrelay/".length).split("/");
+            const candidates = [`${root}packages/${name}/src/${entry}/index.ts`, `${root}${name}/src/${entry}/index.ts`];
             return { path: candidates.find(candidate => existsSync(candidate)) };
         });
     },
 };
 
+/** Leaves out the messages of the schema library in other languages, half a megabyte that every start would load. */
+const englishMessages = {
+    name: "english-messages",
+    setup(bundler) {
+        bundler.onLoad({ filter: /zod[\\/]v4[\\/]locales[\\/]index\.js$/ }, () => ({
+            contents: "export { default as en } from \"./en.js\";",
+        }));
+    },
+};
+
 await build({
     entryPoints: [`${root}platform/src/main.ts`],
-    outfile: `${root}target/filbertrelayd.mjs`,
+    outfile: `${root}target/daemon.cjs`,
     bundle: true,
     platform: "node",
     target: "node20",
-    format: "esm",
+    format: "cjs",
     minifySyntax: true,
+    minifyWhitespace: true,
     sourcemap: false,
     logLevel: "warning",
-    plugins: [workspaceSources],
-    // Bundled CommonJS modules call `require`, which modules do not have.
-    banner: {
-        js: "import { createRequire as createModuleRequire } from 'node:module'; const require = createModuleRequire(import.meta.url);",
-    },
+    plugins: [workspaceSources, englishMessages],
 });
+copyFileSync(`${root}platform/launcher.cjs`, `${root}target/filbertrelayd.cjs`);
+storeBytecode();
+
+/** V8 takes only bytecode that was made under the options with which the program runs. */
+function storeBytecode() {
+    const { roles } = parse(readFileSync(`${root}deploy/system.toml`, "utf8"));
+    const options = roles.ingress.run.split(" ").filter(word => word.startsWith("--"));
+    const made = spawnSync(process.execPath, [...options, `${root}scripts/bytecode.cjs`, `${root}target`], { stdio: "inherit" });
+    if (made.status !== 0) {
+        throw new Error("The bytecode of the daemon could not be stored.");
+    }
+}
