Don't pass heartbeats of endpoints on between hosts

Cause: 42 engines write about 38 heartbeats a second; three hosts passed each on to every other one, and each host decoded, checked and logged it. That was most of the work of an idle host. Change: a listener of the mirror tells a material change from a heartbeat; only material ones are passed on, kept for peers and logged. Reports say up to which revision there was nothing else. After heartbeats alone the next watch starts 200 ms later.

--- a/features/ingress.fleet.feature
+++ b/features/ingress.fleet.feature
@@ -24,6 +24,16 @@
     And a change of the store reaches all hosts within 300 ms
     And use of an endpoint that one host notes is known to all hosts, once, within 1500 ms
 
+  # Guards against spending most of an idle host's processor on heartbeats of endpoints that say nothing new.
+  Scenario: Heartbeats of endpoints are neither passed on nor logged, and what they change is
+    Given a fleet of 16 hosts beside a store stand-in
+    And 20 endpoints that write a heartbeat every 500 ms
+    When the fleet has run for 3 s
+    Then no host took a change from a peer or logged an endpoint meanwhile
+    And each host that watches the store asked it at most 12 times
+    And an endpoint that leaves is known to all hosts within 1000 ms
+    And an endpoint that vanishes and comes back unchanged is in use at all hosts
+
   Scenario: Others watch the store when those that did so have ended
     Given a fleet of 16 hosts beside a store stand-in
     When the fleet has run for 2 s
--- a/features/steps/ingress.fleet.ts
+++ b/features/steps/ingress.fleet.ts
@@ -1,10 +1,10 @@
 import { After, Given, Then, When } from "@cucumber/cucumber";
 import type { Store } from "@filbertrelay/connectors";
-import { HostTable, PeerExchange, StoreMirror, StoreNews } from "@filbertrelay/ingress";
+import { EndpointTable, HostTable, PeerExchange, stateEvents, StoreMirror, StoreNews } from "@filbertrelay/ingress";
 import { brandAs, createSystemClock, silentEventLog } from "@filbertrelay/kernel";
-import type { EndpointId, HostId, Incarnation } from "@filbertrelay/kernel";
-import { createPlatformStore } from "@filbertrelay/platform";
-import { StandinStore } from "@filbertrelay/platform/standins";
+import type { EndpointId, EventLog, HostId, Incarnation } from "@filbertrelay/kernel";
+import { createPlatformDecoder, createPlatformStore } from "@filbertrelay/platform";
+import { describeEngine, StandinStore } from "@filbertrelay/platform/standins";
 import * as policy from "@filbertrelay/policy";
 import { createPeerNetwork } from "@filbertrelay/wire";
 import fc from "fast-check";
@@ -21,6 +21,11 @@
     plans: { readonly hosts: readonly HostId[]; readonly plans: ReadonlyMap<HostId, policy.ExchangePlan>; }[];
     ingressStore: StandinStore;
     ingressHosts: FleetHost[];
+    stopHeartbeats?: () => void;
+}
+
+function describeEntry(state: string, sequence: number): Record<string, unknown> {
+    return { ...describeEngine({ address: "127.0.0.1:1" }, { service: "assistant", state, isModel: true }), sequence };
 }
 
 function planAll(hosts: readonly HostId[]): ReadonlyMap<HostId, policy.ExchangePlan> {
@@ -71,14 +76,19 @@
 class FleetHost {
     readonly loads = policy.createLoadBoard();
     readonly mirror: StoreMirror;
+    readonly endpoints: EndpointTable;
     watches = 0;
+    /** Numbers of the events logged. */
+    logged: number[] = [];
     readonly #services: readonly { start(): Promise<void>; stop(deadlineMs: number): Promise<void>; }[];
 
     constructor(readonly hostId: HostId, peerAddress: string, store: StandinStore) {
         const client = this.#countWatches(
             createPlatformStore({ address: store.address, clock, timeoutMs: 600, onCall: () => undefined }),
         );
-        this.mirror = new StoreMirror({ store: client, clock, log: silentEventLog, draw: Math.random });
+        const log: EventLog = { write: ({ number }) => void this.logged.push(number) };
+        this.mirror = new StoreMirror({ store: client, clock, log, draw: Math.random });
+        this.endpoints = new EndpointTable({ mirror: this.mirror, decoder: createPlatformDecoder(), log });
         const hosts = new HostTable({ mirror: this.mirror, log: silentEventLog });
         const peers = createPeerNetwork({
             clock,
@@ -153,7 +163,10 @@
 
 When("the fleet has run for {int} s", async function(this: FleetWorld, seconds: number) {
     await clock.sleep(seconds * 1_000);
-    this.ingressHosts.forEach(host => host.watches = 0);
+    this.ingressHosts.forEach(host => {
+        host.watches = 0;
+        host.logged = [];
+    });
     // A watch without changes is answered after 1.5 s.
     await clock.sleep(1_700);
 });
@@ -183,6 +196,45 @@
     },
 );
 
+Given("{int} endpoints that write a heartbeat every {int} ms", function(this: FleetWorld, count: number, intervalMs: number) {
+    let sequence = 0;
+    const write = (): void => {
+        sequence += 1;
+        for (let index = 0; index < count; index += 1) {
+            this.ingressStore.put(`servers/engine-${index}`, describeEntry("ready", sequence));
+        }
+    };
+    write();
+    const timer = setInterval(write, intervalMs);
+    this.stopHeartbeats = () => clearInterval(timer);
+});
+
+Then("no host took a change from a peer or logged an endpoint meanwhile", function(this: FleetWorld) {
+    const unwanted = new Set<number>([stateEvents.mirroredFromPeer.number, stateEvents.endpointChanged.number]);
+    assert.deepEqual(this.ingressHosts.flatMap(host => host.logged.filter(number => unwanted.has(number))), []);
+    assert.ok(this.ingressHosts.every(host => host.endpoints.usable("assistant").length === 20));
+});
+
+Then("each host that watches the store asked it at most {int} times", function(this: FleetWorld, limit: number) {
+    const watches = this.ingressHosts.map(host => host.watches);
+    assert.ok(watches.every(count => count <= limit), watches.join(" "));
+});
+
+Then("an endpoint that leaves is known to all hosts within {int} ms", async function(this: FleetWorld, limitMs: number) {
+    this.stopHeartbeats?.();
+    this.ingressStore.put("servers/engine-0", describeEntry("draining", 1_000));
+    const startMs = clock.monotonicMs();
+    await waitFor(() => Promise.resolve(this.ingressHosts.every(host => host.endpoints.usable("assistant").length === 19)));
+    assert.ok(clock.monotonicMs() - startMs <= limitMs, `${clock.monotonicMs() - startMs} ms`);
+});
+
+Then("an endpoint that vanishes and comes back unchanged is in use at all hosts", async function(this: FleetWorld) {
+    this.ingressStore.remove("servers/engine-1");
+    await waitFor(() => Promise.resolve(this.ingressHosts.every(host => host.mirror.get("servers/engine-1") === undefined)));
+    this.ingressStore.put("servers/engine-1", describeEntry("ready", 1_001));
+    await waitFor(() => Promise.resolve(this.ingressHosts.every(host => host.endpoints.usable("assistant").length === 19)));
+});
+
 When("all hosts that watch the store end without a word", async function(this: FleetWorld) {
     const watching = this.ingressHosts.filter(host => host.watches > 0);
     this.ingressHosts = this.ingressHosts.filter(host => host.watches === 0);
@@ -190,6 +242,7 @@
 });
 
 After(async function(this: Partial<FleetWorld>) {
+    this.stopHeartbeats?.();
     await Promise.all((this.ingressHosts ?? []).map(host => host.stop()));
     if (this.ingressHosts !== undefined) {
         this.ingressStore?.stop();
--- a/packages/ingress/src/fleet/exchange.ts
+++ b/packages/ingress/src/fleet/exchange.ts
@@ -1,7 +1,7 @@
 import type { Clock, EventLog, HostId, Incarnation, Service } from "@filbertrelay/kernel";
 import { brandAs } from "@filbertrelay/kernel";
-import { planExchange } from "@filbertrelay/policy";
-import type { ExchangePlan, FleetClock, FleetReach } from "@filbertrelay/policy";
+import { planExchange } from "@filbertrelay/policy/ingress";
+import type { ExchangePlan, FleetClock, FleetReach } from "@filbertrelay/policy/ingress";
 import { declareTopic } from "@filbertrelay/wire";
 import type { TcpPeerNetwork } from "@filbertrelay/wire";
 import { z } from "zod";
@@ -256,7 +256,7 @@
         return {
             incarnation: this.#options.incarnation,
             sentAtMs: this.#options.clock.now().getTime(),
-            knowledge: this.#news?.knowledge() ?? { revision: 0 },
+            knowledge: this.#news?.knowledge() ?? { revision: 0, materialRevision: 0 },
             use: describeOwnUse(this.#options.counts, this.#nowMs()),
             windowCounts: describeWindowCounts(this.#options.counts),
         };
@@ -272,7 +272,7 @@
             groups: this.#plan.groups,
             group: this.#plan.ownGroup,
             members: Object.fromEntries([[this.#options.hostId, 0], ...heard]),
-            knowledge: this.#news?.knowledge() ?? { revision: 0 },
+            knowledge: this.#news?.knowledge() ?? { revision: 0, materialRevision: 0 },
             use: describeGroupUse(this.#options.counts, nowMs),
         };
     }
--- a/packages/ingress/src/fleet/hosts.ts
+++ b/packages/ingress/src/fleet/hosts.ts
@@ -39,7 +39,10 @@
     constructor(options: { readonly mirror: StoreMirror; readonly log: EventLog; }) {
         this.#log = options.log;
         this.#mirror = options.mirror;
-        options.mirror.listen(hostPrefix, change => this.#apply(change));
+        options.mirror.listen(hostPrefix, change => {
+            this.#apply(change);
+            return "material";
+        });
     }
 
     list(): readonly HostRecord[] {
--- a/packages/ingress/src/fleet/report.ts
+++ b/packages/ingress/src/fleet/report.ts
@@ -1,4 +1,4 @@
-import type { DemandMeter, LoadBoard, QuotaUse, UsageLedger, UsageQuota } from "@filbertrelay/policy";
+import type { DemandMeter, LoadBoard, QuotaUse, UsageLedger, UsageQuota } from "@filbertrelay/policy/ingress";
 import { z } from "zod";
 
 const countsSchema = z.record(z.string(), z.number());
@@ -18,6 +18,8 @@
 const storeKnowledgeSchema = z.object({
     /** Revision of the store up to which the sender knows all changes. */
     revision: z.number(),
+    /** Revision of the last of these that was more than a heartbeat. */
+    materialRevision: z.number(),
     /** Time since the store had nothing newer; absent before the first read. */
     storeAgeMs: z.number().optional(),
 });
--- a/packages/ingress/src/fleet/storenews.ts
+++ b/packages/ingress/src/fleet/storenews.ts
@@ -1,5 +1,5 @@
 import type { Clock, HostId, Service } from "@filbertrelay/kernel";
-import { chooseWatchers } from "@filbertrelay/policy";
+import { chooseWatchers } from "@filbertrelay/policy/ingress";
 import { declareTopic } from "@filbertrelay/wire";
 import type { TcpPeerNetwork } from "@filbertrelay/wire";
 import { z } from "zod";
@@ -87,16 +87,22 @@
     /** What this host knows of the store; sent with its reports. */
     knowledge(): StoreKnowledge {
         const ageMs = this.#mirror.ageMs();
-        return { revision: this.#mirror.revision, ...(Number.isFinite(ageMs) ? { storeAgeMs: Math.round(ageMs) } : {}) };
+        const { revision, materialRevision } = this.#mirror;
+        return { revision, materialRevision, ...(Number.isFinite(ageMs) ? { storeAgeMs: Math.round(ageMs) } : {}) };
     }
 
     /** Takes what a peer knows of the store; fetches what it has beyond this host. */
-    learn(peer: HostId, { revision, storeAgeMs }: StoreKnowledge): void {
+    learn(peer: HostId, { revision, materialRevision, storeAgeMs }: StoreKnowledge): void {
         if (storeAgeMs === undefined) {
             return;
         }
+        if (materialRevision <= this.#mirror.revision) {
+            this.#mirror.noteHeartbeats(revision);
+        }
         this.#mirror.noteKnown(revision, storeAgeMs);
-        if (revision > this.#mirror.revision && (this.#watchRole() === "standby" || this.#mirror.ageMs() > ownWatchAgeMs)) {
+        if (
+            materialRevision > this.#mirror.revision && (this.#watchRole() === "standby" || this.#mirror.ageMs() > ownWatchAgeMs)
+        ) {
             void this.#ask(peer);
         }
     }
--- a/packages/ingress/src/index.ts
+++ b/packages/ingress/src/index.ts
@@ -9,4 +9,6 @@
 export { IngressLifecycle, lifecycleEvents as ingressLifecycleEvents } from "./lifecycle.js";
 export { requestEvents } from "./request/event.js";
 export * from "./settings.js";
+export { EndpointTable } from "./state/endpoints.js";
+export { stateEvents } from "./state/event.js";
 export { StoreMirror } from "./state/mirror.js";
--- a/packages/ingress/src/state/configuration.ts
+++ b/packages/ingress/src/state/configuration.ts
@@ -1,7 +1,7 @@
 import type { IngressConfiguration, IngressCustomer, IngressService } from "@filbertrelay/configuration";
 import type { EventLog } from "@filbertrelay/kernel";
-import { createRouteTable } from "@filbertrelay/policy";
-import type { RouteTable } from "@filbertrelay/policy";
+import { createRouteTable } from "@filbertrelay/policy/ingress";
+import type { RouteTable } from "@filbertrelay/policy/ingress";
 import type { StoreDecoder } from "../contract.js";
 import type { IngressMetrics } from "../telemetry/metrics.js";
 import { stateEvents as events } from "./event.js";
@@ -35,7 +35,7 @@
         this.#metrics = options.metrics;
         options.mirror.listen(options.decoder.configurationPrefix, change => {
             if (change.value === undefined) {
-                return;
+                return "material";
             }
             const decoded = options.decoder.readConfiguration(change.value);
             if (decoded.ok) {
@@ -48,6 +48,7 @@
                     message: decoded.issue.message,
                 });
             }
+            return "material";
         });
     }
 
--- a/packages/ingress/src/state/endpoints.ts
+++ b/packages/ingress/src/state/endpoints.ts
@@ -1,5 +1,6 @@
 import type { StoreChange } from "@filbertrelay/connectors";
 import type { EndpointId, EventLog } from "@filbertrelay/kernel";
+import { isDeepStrictEqual } from "node:util";
 import type { EndpointRecord, StoreDecoder } from "../contract.js";
 import { stateEvents as events } from "./event.js";
 import type { StoreMirror } from "./mirror.js";
@@ -39,19 +40,22 @@
         this.#ended.push(listener);
     }
 
-    #apply(change: StoreChange): void {
+    #apply(change: StoreChange): "material" | "heartbeat" {
         const known = this.#records.get(change.key);
         const decoded = change.value === undefined ? undefined : this.#decoder.readEndpoint(change.key, change.value);
         if (decoded === undefined) {
             this.#mirror.whenGone(change.key, () => this.#drop(change.key));
-            return;
+            return "material";
         }
         if (!decoded.ok) {
             this.#log.write(events.entrySkipped, { key: change.key, code: decoded.issue.code, message: decoded.issue.message });
             this.#drop(change.key);
-            return;
+            return "material";
         }
         const record = decoded.value;
+        if (isDeepStrictEqual(known, record)) {
+            return "heartbeat";
+        }
         this.#records.set(change.key, record);
         if (known !== undefined && known.startedAtMs !== record.startedAtMs) {
             this.#ended.forEach(listener => listener(record.endpointId));
@@ -64,6 +68,7 @@
             isReclaimable: record.isReclaimable,
             revision: change.revision,
         });
+        return "material";
     }
 
     #drop(key: string): void {
--- a/packages/ingress/src/state/mirror.ts
+++ b/packages/ingress/src/state/mirror.ts
@@ -3,8 +3,8 @@
 import type { Clock, EventLog, Service } from "@filbertrelay/kernel";
 import { stateEvents as events } from "./event.js";
 
-/** Receives each change of the mirrored items; a removed item has no value. */
-export type MirrorListener = (change: StoreChange) => void;
+/** Receives each change of the mirrored items; a removed item has no value. Tells a material change from a mere heartbeat. */
+export type MirrorListener = (change: StoreChange) => "material" | "heartbeat";
 
 /** Whether a host watches the store for itself, for the whole fleet, or only when those that do so are not heard. */
 export type WatchRole = "own" | "fleet" | "standby";
@@ -34,6 +34,11 @@
 const probeWaitMs = 200;
 /** Changes often come several at a time; the next watch starts a little later, so that one call gets them all. */
 const batchMs = 60;
+/**
+ * The same after heartbeats alone. Tens of endpoints write theirs every second or so; a tenth of the shortest time in which hosts
+ * have to know of a leaving endpoint (2 s) is spent on answering them together.
+ */
+const heartbeatBatchMs = 200;
 /** Bounds of the delay before the store is tried again. */
 const firstRetryMs = 100;
 const longestRetryMs = 400;
@@ -65,6 +70,7 @@
     readonly #recent: StoreChange[] = [];
     readonly #stopped = new AbortController();
     #revision = 0;
+    #materialRevision = 0;
     #recentFrom = 0;
     #needsList = true;
     #answeredMs = -Infinity;
@@ -84,6 +90,11 @@
         return this.#revision;
     }
 
+    /** Revision of the last known change that was more than a heartbeat. */
+    get materialRevision(): number {
+        return this.#materialRevision;
+    }
+
     /** Time since the store answered, directly or through a peer. */
     ageMs(): number {
         return this.#options.clock.monotonicMs() - this.#answeredMs;
@@ -143,7 +154,7 @@
         await this.#loop;
     }
 
-    /** Changes since a revision for a peer; all items when the changes are not kept that far back. */
+    /** Material changes since a revision for a peer; all items when the changes are not kept that far back. */
     changesSince(revision: number): PeerChanges {
         const isComplete = revision < this.#recentFrom;
         const changes = isComplete ? [...this.#items.values()] : this.#recent.filter(change => change.revision > revision);
@@ -168,12 +179,19 @@
             );
         }
         else {
-            received.changes.forEach(change => this.#apply(change));
+            this.#applyAll(received.changes);
         }
         this.#revision = received.revision;
         this.noteKnown(received.revision, received.ageMs);
     }
 
+    /** Notes that up to a revision there was nothing but heartbeats since the revision known here. */
+    noteHeartbeats(revision: number): void {
+        if (!this.#needsList) {
+            this.#revision = Math.max(this.#revision, revision);
+        }
+    }
+
     /** Notes that a peer knew of nothing newer than a revision some time ago. */
     noteKnown(revision: number, ageMs: number): void {
         if (revision === this.#revision && !this.#needsList && ageMs < this.ageMs()) {
@@ -228,23 +246,30 @@
             return watched.issue;
         }
         this.#noteAnswer();
-        const formerRevision = this.#revision;
-        watched.value.changes.forEach(change => this.#apply(change));
+        const formerRevision = this.#materialRevision;
+        const changes = this.#applyAll(watched.value.changes);
         this.#revision = Math.max(this.#revision, watched.value.revision);
-        if (this.#revision > formerRevision && watched.value.changes.length > 0) {
-            const { changes } = watched.value;
+        if (changes.length > 0) {
             this.#onWatched(formerRevision, { isComplete: false, revision: this.#revision, ageMs: 0, changes });
         }
         if (watched.value.changes.length > 0) {
-            await this.#pause(batchMs);
+            await this.#pause(changes.length > 0 ? batchMs : heartbeatBatchMs);
         }
         return undefined;
     }
 
-    #apply(change: StoreChange): void {
+    /** Applies changes and gives those that are material. */
+    #applyAll(changes: readonly StoreChange[]): readonly StoreChange[] {
+        const material = changes.filter(change => this.#apply(change) === "material");
+        this.#materialRevision = Math.max(this.#materialRevision, ...material.map(change => Math.ceil(change.revision)));
+        return material;
+    }
+
+    /** Applies a change that is not known yet; a change that is known counts as a heartbeat. */
+    #apply(change: StoreChange): "material" | "heartbeat" {
         const known = this.#items.get(change.key);
         if (known !== undefined && known.revision >= change.revision) {
-            return;
+            return "heartbeat";
         }
         if (change.value === undefined) {
             this.#items.delete(change.key);
@@ -252,22 +277,24 @@
         else {
             this.#items.set(change.key, { key: change.key, value: change.value, revision: change.revision });
         }
+        const kinds = this.#listeners.filter(({ prefix }) => change.key.startsWith(prefix)).map(({ listener }) =>
+            listener(change)
+        );
+        // An entry that has come back is news to peers that saw it vanish, even if it says what it said before.
+        if (known !== undefined && kinds.length > 0 && kinds.every(kind => kind === "heartbeat")) {
+            return "heartbeat";
+        }
         this.#recent.push(change);
         if (this.#recent.length > changesKept) {
             this.#recentFrom = this.#recent.shift()?.revision ?? this.#recentFrom;
         }
-        for (const { prefix, listener } of this.#listeners) {
-            if (change.key.startsWith(prefix)) {
-                listener(change);
-            }
-        }
+        return "material";
     }
 
     #replaceAll(items: readonly StoreItem[]): void {
         const listed = new Set(items.map(item => item.key));
         const removed = [...this.#items.values()].filter(item => !listed.has(item.key));
-        removed.forEach(item => this.#apply({ key: item.key, revision: item.revision + 0.5 }));
-        items.forEach(item => this.#apply(item));
+        this.#applyAll([...removed.map(({ key, revision }) => ({ key, revision: revision + 0.5 })), ...items]);
         this.#recent.length = 0;
         this.#recentFrom = Math.max(this.#revision, ...items.map(item => item.revision));
     }
