Don't end at once when a second signal asks for the same stop

Cause: a second SIGTERM found the host stopping, so its drain resolved at once and the process exited with answers in progress. Change: repeated stops wait for the same drain. The scenario fails without it.

--- a/features/ingress.state.feature
+++ b/features/ingress.state.feature
@@ -82,3 +82,11 @@
     When the host is asked to stop while a request is in progress
     Then the request is answered with 200
     And the host is not ready and its entry in the store is gone
+
+  # Guards against ending at once when a second signal asks for the same stop, which cut the answers in progress.
+  Scenario: A host that is asked to stop twice finishes what is in progress
+    Given an ingress with a store stand-in and two engines of each service
+    And engines that answer after 400 ms
+    When the host is asked to stop while a request is in progress
+    And the host is asked to stop again
+    Then neither stop ends before the request is answered with 200
--- a/features/steps/ingress.state.ts
+++ b/features/steps/ingress.state.ts
@@ -15,6 +15,7 @@
 interface StateWorld extends IngressWorld {
     pending: Promise<CallerAnswer>;
     stopped: Promise<void>;
+    stoppedAgain?: Promise<void>;
     store: StandinStore;
     contenders: Contender[];
     sent: { readonly window: number; readonly counts: CustomerCounts; }[];
@@ -162,6 +163,21 @@
     assert.equal(await this.ingress.readiness(), 200);
 });
 
+When("the host is asked to stop again", function(this: StateWorld) {
+    this.stoppedAgain = this.ingress.lifecycle.drain("test");
+});
+
+Then("neither stop ends before the request is answered with {int}", async function(this: StateWorld, status: number) {
+    const order: string[] = [];
+    const note = (name: string) => (): void => void order.push(name);
+    void this.stopped.then(note("stop"));
+    void this.stoppedAgain!.then(note("stop"));
+    assert.equal((await this.pending).status, status);
+    note("answer")();
+    await Promise.all([this.stopped, this.stoppedAgain]);
+    assert.deepEqual(order, ["answer", "stop", "stop"]);
+});
+
 When("the host is asked to stop while a request is in progress", async function(this: StateWorld) {
     this.pending = this.ingress.send("nonIdempotent", { body: "order" });
     await waitFor(() => Promise.resolve(this.ingress.received().length === 1));
--- a/packages/emulator/src/index.ts
+++ b/packages/emulator/src/index.ts
@@ -7,6 +7,7 @@
 export * from "./experiment/routing.js";
 export * from "./experiment/streams.js";
 export * from "./experiment/suspects.js";
+export * from "./random.js";
 export * from "./replay/replay.js";
 export * from "./replay/request.js";
 export * from "./replay/router.js";
--- a/packages/ingress/src/lifecycle.ts
+++ b/packages/ingress/src/lifecycle.ts
@@ -43,6 +43,7 @@
     readonly #stopLimitMs: number;
     readonly #directoryKeepMs: number;
     #stopAskedMs: number | undefined;
+    #drained: Promise<void> | undefined;
 
     constructor(
         kernel: Kernel,
@@ -72,11 +73,13 @@
         return this.#stopAskedMs !== undefined && this.#clock.monotonicMs() - this.#stopAskedMs > this.#stopLimitMs * acceptShare;
     }
 
-    /** Leaves the directory, lets callers move and requests finish, then resolves. */
-    async drain(reason: string): Promise<void> {
-        if (this.#stopAskedMs !== undefined) {
-            return;
-        }
+    /** Leaves the directory, lets callers move and requests finish, then resolves; a repeated call waits for the same end. */
+    drain(reason: string): Promise<void> {
+        this.#drained ??= this.#drain(reason);
+        return this.#drained;
+    }
+
+    async #drain(reason: string): Promise<void> {
         const startMs = this.#clock.monotonicMs();
         this.#stopAskedMs = startMs;
         this.#log.write(lifecycleEvents.hostStopping, { reason, inProgress: this.#server.inProgress });
