Bound endless answers and bodies, doubt unnamed answers on reused connections, and keep slow streams

Found by scenarios that failed first (features/ingress.trouble.feature): - A refusal that names no request, arriving a second time on a connection in use again, was taken for the answer to the next request: that one ran and its caller was told that it had not. Answers without an id on a reused connection now count as unknown. - A sound stream with pauses was cut when the budget of repeats was used up, because the silent attempt was left before a repeat was sure. The repeat is taken first; without one, or without another endpoint, the stream is waited for. - A stalled stream that sent comments now and then never moved to another engine; comments are no progress any more. - A chunk extension or trailers without end filled the memory; lines are limited to 32 KB and trailers to 100. - A caller whose body never ended got no answer; it gets 413 at the limit and its connection closes.

--- /dev/null
+++ b/features/steps/ingress.trouble.ts
@@ -0,0 +1,174 @@
+import { Given, Then, When } from "@cucumber/cucumber";
+import { notExecutedAnswer, renderAnswer, renderEvent, renderStreamHead, streamEnd } from "@filbertrelay/platform/standins";
+import type { EngineBehaviour } from "@filbertrelay/platform/standins";
+import assert from "node:assert/strict";
+import { connect } from "node:net";
+import { customerKey, IngressFixture } from "../support/ingress.js";
+import type { CallerAnswer } from "../support/ingress.js";
+import type { IngressWorld } from "./ingress.endpoint.js";
+
+interface TroubleWorld extends IngressWorld {
+    /** Ids of the requests that engines ran. */
+    ran: string[];
+    endless: { readonly status: number; readonly elapsedMs: number; };
+    memoryBefore: number;
+    stopping: readonly { readonly answer: CallerAnswer; readonly sentMs: number; }[];
+    stoppedMs: number;
+}
+
+Given(
+    "engines whose refusal of one request arrives a second time before the answer to the next",
+    function(this: TroubleWorld) {
+        this.ran = [];
+        const refused = new Set<unknown>();
+        this.ingress.behave((received, { send }) => {
+            if (!refused.has(send)) {
+                refused.add(send);
+                send(notExecutedAnswer);
+                return;
+            }
+            this.ran.push(received.headers["x-filbertrelay-attempt-id"] ?? "");
+            send(notExecutedAnswer);
+            setTimeout(() => send(renderAnswer(received)), 5);
+        });
+    },
+);
+
+Then("no request ran twice and none that ran was called not run", function(this: TroubleWorld) {
+    assert.ok(this.ran.length > 0);
+    assert.equal(new Set(this.ran).size, this.ran.length, this.ran.join());
+    for (const { requestId, status } of this.answers) {
+        assert.ok(status !== 503 || !this.ran.includes(requestId), `${requestId} ran and got ${status}`);
+    }
+});
+
+Given("an ingress whose budget of repeats is used up", async function(this: TroubleWorld) {
+    await this.ingress.stop();
+    this.ingress = new IngressFixture();
+    await this.ingress.start({ hasConfiguration: true, promises: "repeatRatio = 0\nrepeatExtra = 0" });
+    // One repeat is always allowed within the window.
+    this.ingress.behave((_, { reset }) => reset());
+    await this.ingress.send("slowStream", { body: "order" });
+    assert.equal(this.ingress.received().length, 2);
+    await new Promise(resolve => setTimeout(resolve, 1_000));
+});
+
+const stalls: Readonly<Record<string, string>> = {
+    "comments": ":\n\n",
+    "parts of an event": "data: t",
+};
+
+Given(
+    /^engines of which the first sends (.+) every (\d+) ms behind its second event$/,
+    function(this: TroubleWorld, kind: string, everyMs: number) {
+        const bytes = stalls[kind];
+        assert.ok(bytes !== undefined, `No stall is called '${kind}'.`);
+        let isFirst = true;
+        this.ingress.behave((received, { send, onClosed }) => {
+            if (!isFirst) {
+                const from = Number(received.headers["last-event-id"] ?? 0) + 1;
+                const events = Array.from({ length: 6 - from }, (_, index) => renderEvent(from + index));
+                send(renderStreamHead(received) + events.join("") + streamEnd);
+                return;
+            }
+            isFirst = false;
+            send(renderStreamHead(received) + renderEvent(1) + renderEvent(2));
+            const timer = setInterval(() => send(`${bytes.length.toString(16)}\r\n${bytes}\r\n`), Number(everyMs));
+            onClosed(() => clearInterval(timer));
+        });
+    },
+);
+
+const block = "x".repeat(65_536);
+const endlessBytes: Readonly<
+    Record<string, (received: Parameters<EngineBehaviour>[0]) => { readonly start: string; readonly rest: string; }>
+> = {
+    "a head line": () => ({ start: "HTTP/1.1 200 OK\r\nX-Long: ", rest: block }),
+    "head lines": () => ({ start: "HTTP/1.1 200 OK\r\n", rest: `X-Line: ${"y".repeat(80)}\r\n`.repeat(700) }),
+    "a body": received => ({
+        start: renderAnswer(received).replace(/Content-Length: .*/, "Content-Length: 999999999999"),
+        rest: block,
+    }),
+    "trailers": received => ({
+        start: `${renderStreamHead(received)}4\r\ndone\r\n0\r\n`,
+        rest: `X-Line: ${"y".repeat(80)}\r\n`.repeat(700),
+    }),
+    "a chunk extension": received => ({ start: `${renderStreamHead(received)}4;`, rest: block }),
+};
+
+Given(/^engines that send (.+) without end$/, function(this: TroubleWorld, kind: string) {
+    const describe = endlessBytes[kind];
+    assert.ok(describe !== undefined, `No bytes are called '${kind}'.`);
+    this.memoryBefore = process.memoryUsage().rss;
+    this.ingress.behave((received, { send, onClosed }) => {
+        const { start, rest } = describe(received);
+        send(start);
+        const timer = setInterval(() => send(rest), 1);
+        onClosed(() => {
+            clearInterval(timer);
+            this.closedAfterMs = performance.now();
+        });
+    });
+});
+
+Then("the host has used less than {int} MB more", function(this: TroubleWorld, limitMb: number) {
+    const usedMb = (process.memoryUsage().rss - this.memoryBefore) / 1_048_576;
+    assert.ok(usedMb < limitMb, `${usedMb} MB`);
+});
+
+When("a caller sends a {string} request whose body never ends", async function(this: TroubleWorld, route: string) {
+    const [host, port] = this.ingress.callerAddress.split(":");
+    const startMs = performance.now();
+    this.endless = await new Promise(resolve => {
+        const socket = connect(Number(port), host);
+        const headers = `Host: shop.example\r\nX-Filbertrelay-Attempt-Id: endless-1\r\nAuthorization: Bearer ${customerKey}\r\n`;
+        socket.write(`POST /${route}/item HTTP/1.1\r\n${headers}Transfer-Encoding: chunked\r\n\r\n`);
+        const timer = setInterval(() => socket.write(`${block.length.toString(16)}\r\n${block}\r\n`), 5);
+        let received = "";
+        socket.on("data", bytes => received += bytes.toString("latin1"));
+        socket.on("error", () => undefined);
+        const giveUp = setTimeout(() => socket.destroy(), 5_000);
+        socket.on("close", () => {
+            clearInterval(timer);
+            clearTimeout(giveUp);
+            resolve({ status: Number(/^HTTP\/1\.1 (\d+)/.exec(received)?.[1] ?? 0), elapsedMs: performance.now() - startMs });
+        });
+    });
+});
+
+Then("it gets {int} within {int} ms and its connection is closed", function(this: TroubleWorld, status: number, limitMs: number) {
+    assert.equal(this.endless.status, status);
+    assert.ok(this.endless.elapsedMs <= limitMs, `${this.endless.elapsedMs} ms`);
+});
+
+When(
+    "the host is asked to stop and requests are sent every {int} ms until it refuses",
+    async function(this: TroubleWorld, everyMs: number) {
+        const drained = this.ingress.lifecycle.drain("test").then(() => {
+            this.stoppedMs = performance.now();
+        });
+        const sent: Promise<{ answer: CallerAnswer; sentMs: number; }>[] = [];
+        let isRefused = false;
+        while (!isRefused) {
+            const sentMs = performance.now();
+            sent.push(
+                this.ingress.send("nonIdempotent", { body: "order" }).then(answer => {
+                    isRefused ||= answer.status === 503;
+                    return { answer, sentMs };
+                }),
+            );
+            await new Promise(resolve => setTimeout(resolve, everyMs));
+        }
+        await drained;
+        this.stopping = await Promise.all(sent);
+    },
+);
+
+Then("every request that was not refused is answered before the host has stopped", function(this: TroubleWorld) {
+    const accepted = this.stopping.filter(({ answer }) => answer.status !== 503);
+    assert.ok(accepted.length > 0);
+    for (const { answer, sentMs } of accepted) {
+        assert.equal(answer.status, 200);
+        assert.ok(sentMs + answer.elapsedMs <= this.stoppedMs + 5);
+    }
+});
--- a/features/support/ingress.ts
+++ b/features/support/ingress.ts
@@ -22,6 +22,15 @@
     { name: "idempotent", routeType: "idempotent", backend: "records", maxAttempts: 2 },
     { name: "nonIdempotent", routeType: "non_idempotent", backend: "records", maxAttempts: 1 },
     { name: "stream", routeType: "streaming", backend: "assistant", maxAttempts: 2, streamResume: true, itlTargetMs: 600 },
+    {
+        name: "slowStream",
+        routeType: "streaming",
+        backend: "assistant",
+        maxAttempts: 2,
+        streamResume: true,
+        itlTargetMs: 600,
+        timeoutMs: 6_000,
+    },
     { name: "plainStream", routeType: "streaming", backend: "assistant", maxAttempts: 1, streamResume: false, itlTargetMs: 600 },
 ];
 
@@ -51,7 +60,8 @@
     #ports: number[] = [];
     #nextId = 1;
 
-    async start(options: { readonly hasConfiguration: boolean; }): Promise<void> {
+    /** `promises` are further lines of the settings' section of that name. */
+    async start(options: { readonly hasConfiguration: boolean; readonly promises?: string; }): Promise<void> {
         await this.store.start();
         for (let index = 0; index < 2; index += 1) {
             const engine = new StandinEngine(answerWhole);
@@ -63,7 +73,7 @@
         }
         this.engines.forEach((engine, index) => this.registerEngine(engine, index, "ready"));
         this.#ports = await Promise.all([findPort(), findPort(), findPort(), findPort()]);
-        await this.#startHost();
+        await this.#startHost(options.promises ?? "");
         if (options.hasConfiguration) {
             await waitFor(async () => (await this.readiness()) === 200);
         }
@@ -190,7 +200,7 @@
         this.store.stop();
     }
 
-    async #startHost(): Promise<void> {
+    async #startHost(promises: string): Promise<void> {
         const [callers, peers, directory, ready] = this.#ports;
         const settings = parseIngressSettings(`
 [host]
@@ -209,6 +219,7 @@
 [promises]
 stopLimitSeconds = 3
 directoryKeepSeconds = 0.5
+${promises}
 `);
         assert.ok(settings.ok);
         const clock = createSystemClock();
@@ -241,7 +252,7 @@
             ...route,
             hostname: "shop.example",
             prefix: `/${route.name}/`,
-            timeoutMs: routeTimeLimitMs,
+            timeoutMs: "timeoutMs" in route ? route.timeoutMs : routeTimeLimitMs,
             targetLatencyMs: 1_000,
             priority: 1,
             public: false,
--- a/packages/ingress/src/caller/server.ts
+++ b/packages/ingress/src/caller/server.ts
@@ -90,12 +90,16 @@
             if (bytes <= limitBytes) {
                 chunks.push(chunk);
             }
+            else if (!response.headersSent) {
+                // The rest of the body may never end, so the connection closes behind the answer.
+                response.shouldKeepAlive = false;
+                const message = `The body is longer than ${limitBytes} bytes.`;
+                sendOwnAnswer(responder, { status: 413, code: "body.tooLarge", message, executed: "no" });
+            }
         });
         request.on("error", () => undefined);
         request.on("end", () => {
             if (bytes > limitBytes) {
-                const message = `The body is longer than ${limitBytes} bytes.`;
-                sendOwnAnswer(responder, { status: 413, code: "body.tooLarge", message, executed: "no" });
                 return;
             }
             const accepted = {
--- a/packages/ingress/src/endpoint/channel.ts
+++ b/packages/ingress/src/endpoint/channel.ts
@@ -52,6 +52,7 @@
     readonly #onIdle: (channel: EndpointChannel) => void;
     readonly #onClosed: (channel: EndpointChannel) => void;
     #current: { readonly request: ChannelRequest; readonly handler: AnswerHandler; } | undefined;
+    #requests = 0;
     #isConnected = false;
     #isSent = false;
     #isSkipping = false;
@@ -82,6 +83,11 @@
         this.#listen();
     }
 
+    /** Whether the connection has carried a request before the present one, so that an answer to that one may still come. */
+    get isReused(): boolean {
+        return this.#requests > 1;
+    }
+
     /** Whether the connection can take a request that must not meet a connection that is being closed. */
     isFresh(maximumIdleMs: number): boolean {
         const idleMs = this.#clock.monotonicMs() - this.#idleSinceMs;
@@ -91,6 +97,7 @@
     /** Sends a request; the answer goes to the handler. */
     send(request: ChannelRequest, handler: AnswerHandler): void {
         this.#current = { request, handler };
+        this.#requests += 1;
         this.#isSent = false;
         this.#isAnswered = false;
         this.#isSkipping = false;
--- a/packages/ingress/src/endpoint/eventframe.ts
+++ b/packages/ingress/src/endpoint/eventframe.ts
@@ -3,6 +3,8 @@
     readonly bytes: Buffer;
     /** The event's id; absent for comments and events without one. */
     readonly id?: string;
+    /** Whether it has nothing but comments, by which an engine that makes no progress may keep a connection open. */
+    readonly isComment: boolean;
 }
 
 /** Longest event that is accepted; a longer one means that the bytes are no event stream. */
@@ -23,8 +25,9 @@
         const frames: EventFrame[] = [];
         for (let end = findEventEnd(rest); end !== -1; end = findEventEnd(rest)) {
             const bytes = rest.subarray(0, end);
-            const id = /^id:[ ]?(.*?)\r?$/m.exec(bytes.toString("latin1"))?.[1];
-            frames.push(id === undefined ? { bytes } : { bytes, id });
+            const text = bytes.toString("latin1");
+            const id = /^id:[ ]?(.*?)\r?$/m.exec(text)?.[1];
+            frames.push({ bytes, isComment: !/^[^:\r\n]/m.test(text), ...(id === undefined ? {} : { id }) });
             rest = rest.subarray(end);
         }
         this.#pending = Buffer.from(rest);
--- a/packages/ingress/src/endpoint/responseparser.ts
+++ b/packages/ingress/src/endpoint/responseparser.ts
@@ -24,11 +24,16 @@
     consumeLine(): string | undefined;
 }
 
+/** Longest line of an answer's head, of the size of a chunk or of a trailer. */
+const lineLimit = 32_768;
+/** Most lines behind the last chunk; the library limits only those of the head. */
+const trailerLinesLimit = 100;
+
 const chunkSizePattern = /^[0-9a-f]{1,8}[ \t]*(;.*)?$/i;
 
 /**
- * Parses the answers on one connection. The library accepts any text as the size of a last chunk and any text as a length;
- * both would make a damaged answer look complete, so they are rejected.
+ * Parses the answers on one connection. The library accepts any text as the size of a last chunk and any text as a length, which
+ * would make a damaged answer look complete, and lines without end, which would fill the memory; all are rejected.
  */
 export class ResponseParser {
     readonly #parser = new HTTPParser(HTTPParser.RESPONSE);
@@ -38,8 +43,16 @@
         const parser = this.#parser;
         const internals = parser as unknown as ParserInternals;
         const consumeLine = internals.consumeLine.bind(parser);
+        let trailerLines = 0;
         internals.consumeLine = () => {
             const line = consumeLine();
+            if ((line ?? internals.line).length > lineLimit) {
+                throw new Error(`A line is longer than ${lineLimit} characters.`);
+            }
+            trailerLines = internals.state === "BODY_CHUNKTRAILERS" ? trailerLines + Number(line !== undefined) : 0;
+            if (trailerLines > trailerLinesLimit) {
+                throw new Error(`The answer has more than ${trailerLinesLimit} trailers.`);
+            }
             if (line !== undefined && internals.state === "BODY_CHUNKHEAD" && !chunkSizePattern.test(line)) {
                 throw new Error("The size of a chunk is malformed.");
             }
--- a/packages/ingress/src/request/attempt.ts
+++ b/packages/ingress/src/request/attempt.ts
@@ -160,12 +160,16 @@
         this.#passOnGathered();
         const { status } = this;
         const description = this.#description;
-        if (description?.isNotExecuted === true) {
+        if (this.#isDoubtful()) {
+            this.#finish(
+                { type: "failed", detail: `Status ${status} names no request on a connection that was in use before.` },
+                "broken",
+            );
+        }
+        else if (description?.isNotExecuted === true) {
             this.#finish({ type: "notRun", hasArrived: true, detail: `The endpoint refused with status ${status}.` }, undefined);
-            return;
         }
-        const isSuccess = status >= 200 && status < 300;
-        if (isSuccess && (description?.isSigned !== true || this.#isEncoded())) {
+        else if (this.#isSuccess() && (description?.isSigned !== true || this.#isEncoded())) {
             this.#finish({ type: "failed", detail: "A success is not signed or is encoded." }, "broken");
         }
         else if (promiseStatuses.has(status)) {
@@ -230,8 +234,20 @@
         }
     }
 
+    #isSuccess(): boolean {
+        return this.status >= 200 && this.status < 300;
+    }
+
+    /**
+     * Whether the answer may be a late second copy of the answer to an earlier request. Taken for this one's, a refusal would have
+     * it run again elsewhere.
+     */
+    #isDoubtful(): boolean {
+        return this.#description?.requestId === undefined && this.#channel?.isReused === true;
+    }
+
     #isLiveStream(): boolean {
-        return this.#options.isStream && this.status >= 200 && this.status < 300 && this.#description?.isSigned === true &&
+        return this.#options.isStream && this.#isSuccess() && this.#description?.isSigned === true &&
             !this.#isEncoded();
     }
 
--- a/packages/ingress/src/request/task.ts
+++ b/packages/ingress/src/request/task.ts
@@ -35,6 +35,8 @@
     #isBegun = false;
     #isEnded = false;
     #isCounted = false;
+    /** A repeat was taken from the budget before the silent attempt was left. */
+    #isRepeatTaken = false;
     #cancelDeadline: () => void = () => undefined;
     #cancelSilence: () => void = () => undefined;
     #firstEventMs: number | undefined;
@@ -178,8 +180,7 @@
             attempt.abandon("malformed", "An event is too long.");
             return;
         }
-        this.#forward(attempt, frames);
-        if (frames.length > 0) {
+        if (this.#forward(attempt, frames)) {
             this.#watchSilence(0, true);
             this.#firstEventMs ??= this.#context.clock.monotonicMs();
             attempt.recordFirstEvent();
@@ -187,17 +188,19 @@
         }
     }
 
-    /** Writes the events that the caller does not have yet. */
-    #forward(attempt: Attempt, frames: readonly EventFrame[]): void {
+    /** Writes the events that the caller does not have yet; tells whether there were any besides comments. */
+    #forward(attempt: Attempt, frames: readonly EventFrame[]): boolean {
         const added: Buffer[] = [];
-        for (const { id, bytes } of frames) {
+        let hasProgress = false;
+        for (const { id, bytes, isComment } of frames) {
             if (id === undefined || isBehind(id, this.#frames.lastId)) {
                 added.push(bytes);
+                hasProgress ||= !isComment;
                 this.#frames.lastId = id ?? this.#frames.lastId;
             }
         }
         if (added.length === 0) {
-            return;
+            return false;
         }
         if (!this.#isBegun) {
             this.#isBegun = true;
@@ -207,6 +210,7 @@
         if (!this.#responder.write(Buffer.concat(added))) {
             attempt.pause();
         }
+        return hasProgress;
     }
 
     #finishAttempt(attempt: Attempt, end: AttemptEnd): void {
@@ -221,7 +225,9 @@
         const isFinal = end.type === "answered" && (end.isStream || end.status < 500);
         // An attempt that never reached an endpoint costs no repeat.
         const isFree = end.type === "notRun" && !end.hasArrived;
-        const isRepeated = !isFinal && (end.type === "notRun" || this.#mayRepeat()) && (isFree || this.#takeRepeat());
+        const isRepeated = !isFinal && (end.type === "notRun" || this.#mayRepeat()) &&
+            (isFree || this.#isRepeatTaken || this.#takeRepeat());
+        this.#isRepeatTaken = false;
         if (end.type === "answered" && !isRepeated) {
             this.#deliver(attempt, end);
             return;
@@ -292,10 +298,24 @@
             hasStarted,
         });
         if (limitMs !== undefined) {
-            this.#cancelSilence = this.#context.clock.after(limitMs, () => {
-                this.#attempt?.abandon("silent", `The endpoint was silent for ${Math.round(limitMs)} ms.`);
-            });
+            this.#cancelSilence = this.#context.clock.after(
+                limitMs,
+                () => this.#endSilence(limitMs, expectedStartMs, hasStarted),
+            );
+        }
+    }
+
+    /** Leaves a silent endpoint for another one; without another one it may still answer, and is waited for. */
+    #endSilence(limitMs: number, expectedStartMs: number, hasStarted: boolean): void {
+        const hasOther = this.#context.endpoints.usable(this.#request.service).some(({ endpointId }) =>
+            !this.#tried.has(endpointId)
+        );
+        if (!hasOther || !this.#takeRepeat()) {
+            this.#watchSilence(expectedStartMs, hasStarted);
+            return;
         }
+        this.#isRepeatTaken = true;
+        this.#attempt?.abandon("silent", `The endpoint was silent for ${Math.round(limitMs)} ms.`);
     }
 
     #expire(): void {
