Send callers to a serving set of strong hosts; the others report to one that serves

Cause: at 195 hosts every host exchanged with 27 others, took 3 requests a second and knew the others' choices late; the directory gave the first 64 hosts of a list whatever their strength, and every change of the store was pushed to all. Serving hosts exchange among themselves, every other one reports to one of them every 500 ms and learns set and store from it. Leases of hosts in larger fleets live for 12 s; free duties go to hosts that do not serve. The scenario of store changes within 300 ms now runs with a load that keeps all hosts serving; hosts outside of the set have a bound of their own (1500 ms of the 2000 that the users allow).

--- a/features/ingress.fleet.feature
+++ b/features/ingress.fleet.feature
@@ -19,6 +19,7 @@
   # Guards against calls to the store that grow with the fleet, and against hosts that learn of changes late or not at all.
   Scenario: Few hosts watch the store and the others learn of changes from them
     Given a fleet of 16 hosts beside a store stand-in
+    And requests that keep all hosts serving
     When the fleet has run for 2 s
     Then at most 3 hosts watch the store
     And a change of the store reaches all hosts within 300 ms
--- a/features/steps/ingress.fleet.ts
+++ b/features/steps/ingress.fleet.ts
@@ -1,6 +1,7 @@
 import { After, Given, Then, When } from "@cucumber/cucumber";
 import type { Store } from "@filbertrelay/connectors";
 import { EndpointTable, HostTable, PeerExchange, stateEvents, StoreMirror, StoreNews } from "@filbertrelay/ingress";
+import type { ServingHosts } from "@filbertrelay/ingress";
 import { brandAs, createSystemClock, silentEventLog } from "@filbertrelay/kernel";
 import type { EndpointId, EventLog, HostId, Incarnation } from "@filbertrelay/kernel";
 import { createPlatformDecoder, createPlatformStore } from "@filbertrelay/platform";
@@ -21,7 +22,11 @@
     plans: { readonly hosts: readonly HostId[]; readonly plans: ReadonlyMap<HostId, policy.ExchangePlan>; }[];
     ingressStore: StandinStore;
     ingressHosts: FleetHost[];
+    /** Hosts that should know of a noted use; the first one noted it. */
+    witnesses: FleetHost[];
+    endedHosts: readonly HostId[];
     stopHeartbeats?: () => void;
+    stopTimers?: (() => void)[];
 }
 
 function describeEntry(state: string, sequence: number): Record<string, unknown> {
@@ -77,6 +82,8 @@
     readonly loads = policy.createLoadBoard();
     readonly mirror: StoreMirror;
     readonly endpoints: EndpointTable;
+    readonly callerWork = policy.createDemandMeter({ spanMs: 3_000, shortestSpanMs: 1_000 });
+    readonly serving: ServingHosts;
     watches = 0;
     /** Numbers of the events logged. */
     logged: number[] = [];
@@ -87,7 +94,7 @@
             createPlatformStore({ address: store.address, clock, timeoutMs: 600, onCall: () => undefined }),
         );
         const log: EventLog = { write: ({ number }) => void this.logged.push(number) };
-        this.mirror = new StoreMirror({ store: client, clock, log, draw: Math.random });
+        this.mirror = new StoreMirror({ store: client, clock, log, draw: Math.random, applyMs: 2_000 });
         this.endpoints = new EndpointTable({ mirror: this.mirror, decoder: createPlatformDecoder(), log });
         const hosts = new HostTable({ mirror: this.mirror, log: silentEventLog });
         const peers = createPeerNetwork({
@@ -110,11 +117,20 @@
                 usage: policy.createUsageLedger(5_000),
                 loads: this.loads,
                 demand: policy.createDemandMeter(),
+                callerWork: this.callerWork,
             },
             fleetClock: policy.createFleetClock({ clock }),
             dutyHolder: () => undefined,
         });
-        const news = new StoreNews({ clock, hostId, peers, mirror: this.mirror, listHeard: () => exchange.listHeard() });
+        this.serving = exchange.serving;
+        const news = new StoreNews({
+            clock,
+            hostId,
+            peers,
+            mirror: this.mirror,
+            listHeard: () => exchange.listHeard(),
+            serving: exchange.serving,
+        });
         exchange.carry(news);
         this.#services = [this.mirror, peers, news, exchange];
     }
@@ -161,6 +177,12 @@
     await Promise.all(this.ingressHosts.map(host => host.start()));
 });
 
+Given("requests that keep all hosts serving", function(this: FleetWorld) {
+    const { callerWork } = this.ingressHosts[0]!;
+    const timer = setInterval(() => callerWork.recordWork("callers", 1_000, clock.monotonicMs()), 100);
+    this.stopTimers = [...this.stopTimers ?? [], () => clearInterval(timer)];
+});
+
 When("the fleet has run for {int} s", async function(this: FleetWorld, seconds: number) {
     await clock.sleep(seconds * 1_000);
     this.ingressHosts.forEach(host => {
@@ -235,6 +257,76 @@
     await waitFor(() => Promise.resolve(this.ingressHosts.every(host => host.endpoints.usable("assistant").length === 19)));
 });
 
+function nameServing(host: FleetHost): readonly HostId[] {
+    host.serving.refresh();
+    return host.serving.serving.map(({ hostId }) => hostId).toSorted();
+}
+
+function haveSameServing(hosts: readonly FleetHost[], isWanted: (serving: readonly HostId[]) => boolean): boolean {
+    const sets = hosts.map(nameServing);
+    return isWanted(sets[0]!) && sets.every(set => set.join() === sets[0]!.join());
+}
+
+Then("all hosts name the same {int} hosts as serving", async function(this: FleetWorld, count: number) {
+    await waitFor(() => Promise.resolve(haveSameServing(this.ingressHosts, serving => serving.length === count)));
+});
+
+When("a host outside of the serving set notes use of an endpoint", function(this: FleetWorld) {
+    const serving = new Set(nameServing(this.ingressHosts[0]!));
+    const outside = this.ingressHosts.find(({ hostId }) => !serving.has(hostId))!;
+    outside.loads.recordDispatch({ requestId: "request-1", endpointId: watchedEndpoint, priority: 1, tokens: 500 });
+    this.witnesses = [outside, ...this.ingressHosts.filter(({ hostId }) => serving.has(hostId))];
+});
+
+Then("the serving hosts and that host know it once within {int} ms", async function(this: FleetWorld, limitMs: number) {
+    const isKnown = ({ loads }: FleetHost): boolean => {
+        const { running, waitingTokens } = loads.estimate(watchedEndpoint, 1, clock.monotonicMs());
+        return running >= 1 && waitingTokens >= 500;
+    };
+    const startMs = clock.monotonicMs();
+    const [outside, ...serving] = this.witnesses;
+    await waitFor(() => Promise.resolve(serving.every(isKnown)));
+    assert.ok(clock.monotonicMs() - startMs <= limitMs, `${clock.monotonicMs() - startMs} ms`);
+    for (const { hostId, loads } of serving) {
+        assert.equal(loads.estimate(watchedEndpoint, 1, clock.monotonicMs()).running, 1, hostId);
+    }
+    assert.ok(isKnown(outside!));
+});
+
+When("the requests of a serving host take {int} processors", function(this: FleetWorld, work: number) {
+    const [first] = nameServing(this.ingressHosts[0]!);
+    this.ingressHosts.find(({ hostId }) => hostId === first)!.callerWork.recordWork("callers", work * 3_000, clock.monotonicMs());
+});
+
+Then(
+    "within {int} ms all hosts name at least {int} hosts as serving",
+    async function(this: FleetWorld, limitMs: number, count: number) {
+        const startMs = clock.monotonicMs();
+        await waitFor(() => Promise.resolve(this.ingressHosts.every(host => nameServing(host).length >= count)));
+        assert.ok(clock.monotonicMs() - startMs <= limitMs, `${clock.monotonicMs() - startMs} ms`);
+    },
+);
+
+When("half of the serving hosts end without a word", async function(this: FleetWorld) {
+    const ended = nameServing(this.ingressHosts[0]!).slice(0, 3);
+    const isEnded = ({ hostId }: FleetHost): boolean => ended.includes(hostId);
+    const ending = this.ingressHosts.filter(isEnded);
+    this.endedHosts = ended;
+    this.ingressHosts = this.ingressHosts.filter(host => !isEnded(host));
+    await Promise.all(ending.map(host => host.stop()));
+});
+
+Then(
+    "within {int} ms all hosts name {int} hosts as serving, none of them ended",
+    async function(this: FleetWorld, limitMs: number, count: number) {
+        const startMs = clock.monotonicMs();
+        const isWanted = (serving: readonly HostId[]): boolean =>
+            serving.length === count && !serving.some(hostId => this.endedHosts.includes(hostId));
+        await waitFor(() => Promise.resolve(this.ingressHosts.every(host => isWanted(nameServing(host)))));
+        assert.ok(clock.monotonicMs() - startMs <= limitMs, `${clock.monotonicMs() - startMs} ms`);
+    },
+);
+
 When("all hosts that watch the store end without a word", async function(this: FleetWorld) {
     const watching = this.ingressHosts.filter(host => host.watches > 0);
     this.ingressHosts = this.ingressHosts.filter(host => host.watches === 0);
@@ -243,6 +335,7 @@
 
 After(async function(this: Partial<FleetWorld>) {
     this.stopHeartbeats?.();
+    this.stopTimers?.forEach(stop => stop());
     await Promise.all((this.ingressHosts ?? []).map(host => host.stop()));
     if (this.ingressHosts !== undefined) {
         this.ingressStore?.stop();
--- a/features/steps/ingress.state.ts
+++ b/features/steps/ingress.state.ts
@@ -39,7 +39,7 @@
     ) {
         const clock = this.clock;
         const client = this.client();
-        this.#mirror = new StoreMirror({ store: client, clock, log: silentEventLog, draw: Math.random });
+        this.#mirror = new StoreMirror({ store: client, clock, log: silentEventLog, draw: Math.random, applyMs: 2_000 });
         this.lead = new Lead({
             store: client,
             mirror: this.#mirror,
--- a/packages/ingress/src/daemon.ts
+++ b/packages/ingress/src/daemon.ts
@@ -17,6 +17,7 @@
 import { IngressServer } from "./caller/server.js";
 import type { Dialect, DutyCalls, StoreDecoder } from "./contract.js";
 import { ControlServer } from "./control/server.js";
+import { chooseContendDelay } from "./duty/contention.js";
 import { Lead, readDutyHolder } from "./duty/lead.js";
 import { ScalingDuty } from "./duty/scalingduty.js";
 import { UsageDuty } from "./duty/usageduty.js";
@@ -76,6 +77,11 @@
 /** Largest message between hosts: a whole copy of the store's items. */
 const peerFrameBytes = 8_388_608;
 
+/** Callers' work is averaged over less time than the demand for engines: a serving host is ready at once. */
+const callerWorkSpan = { spanMs: 3_000, shortestSpanMs: 1_000 };
+/** Peers exchange reports several times a second, so that a silent connection shows by its calls; heartbeats only add to that. */
+const peerHeartbeatMs = 2_000;
+
 /** Registers all services of an ingress host in the order in which they start. */
 export function createIngressDaemon(settings: IngressSettings, options: IngressDaemonOptions): Kernel {
     const { clock, log, draw, environment } = options;
@@ -88,7 +94,8 @@
 
     const metrics = new IngressMetrics();
     const store = environment.createStore((kind, result) => metrics.recordStoreCall(kind, result));
-    const mirror = new StoreMirror({ store, clock, log, draw });
+    const applyMs = Math.min(promises.endpointLeaveMs, promises.configurationApplyMs);
+    const mirror = new StoreMirror({ store, clock, log, draw, applyMs });
     const configuration = new ConfigurationState({ mirror, decoder: environment.decoder, log, metrics });
     const endpoints = new EndpointTable({ mirror, decoder: environment.decoder, log });
     const hosts = new HostTable({ mirror, log });
@@ -97,6 +104,7 @@
     const usage = createUsageLedger(promises.usageWindowSeconds * 1_000);
     const loads = createLoadBoard();
     const demand = createDemandMeter();
+    const callerWork = createDemandMeter(callerWorkSpan);
     const health = createEndpointHealth();
     const promptCaches = createPromptCacheModel(assumedCacheTokens);
     const channels = new ChannelPool(clock, { onOpened: service => metrics.recordChannel(service) });
@@ -107,6 +115,7 @@
         listenAddress: settings.host.peerAddress,
         keys: settings.cluster.keys,
         frameBytes: peerFrameBytes,
+        heartbeatMs: peerHeartbeatMs,
     });
     const exchange = new PeerExchange({
         clock,
@@ -115,11 +124,19 @@
         incarnation,
         peers,
         hosts,
-        counts: { quota, usage, loads, demand },
+        counts: { quota, usage, loads, demand, callerWork },
         fleetClock,
         dutyHolder: () => readDutyHolder(mirror),
     });
-    const news = new StoreNews({ clock, hostId, peers, mirror, listHeard: () => exchange.listHeard() });
+    const { serving } = exchange;
+    const news = new StoreNews({
+        clock,
+        hostId,
+        peers,
+        mirror,
+        listHeard: () => exchange.listHeard(),
+        serving,
+    });
     exchange.carry(news);
     const registration = new Registration({
         store,
@@ -131,7 +148,9 @@
             callerAddress: settings.host.callerAddress,
             peerAddress: settings.host.peerAddress,
             failureDomain,
+            strength: settings.host.processorShare * settings.host.processorSpeed,
         },
+        countHosts: () => mirror.revision > 0 ? hosts.list().length : undefined,
     });
     endpoints.onEnded(endpointId => {
         channels.forget(endpointId);
@@ -160,6 +179,7 @@
         usage,
         timings: createServiceTimings(),
         demand,
+        callerWork,
         metrics,
         reach: () => exchange.reach(),
         isStopping: () => lifecycle.isRefusing(),
@@ -171,7 +191,17 @@
         configuration,
         pipeline: new RequestPipeline(context),
     });
-    const lead = new Lead({ store, mirror, clock, log, hostId, incarnation, leaseMs: promises.leadPauseMs, draw });
+    const lead = new Lead({
+        store,
+        mirror,
+        clock,
+        log,
+        hostId,
+        incarnation,
+        leaseMs: promises.leadPauseMs,
+        draw,
+        contendDelayMs: () => chooseContendDelay(hostId, { hosts: hosts.list(), serving }),
+    });
     const lifecycle = new IngressLifecycle(kernel, {
         registration,
         lead,
@@ -180,7 +210,7 @@
         directoryKeepMs: promises.directoryKeepSeconds * 1_000,
     });
     const view: HostView = {
-        directory: new HostDirectory({ hosts, exchange, hostId }),
+        directory: new HostDirectory({ clock, serving, hostId }),
         metrics,
         isReady: () => configuration.current() !== undefined && !lifecycle.isStopAsked,
         directoryKeepMs: promises.directoryKeepSeconds * 1_000,
--- a/packages/ingress/src/duty/lead.ts
+++ b/packages/ingress/src/duty/lead.ts
@@ -43,6 +43,7 @@
     readonly #incarnation: Incarnation;
     readonly #leaseMs: number;
     readonly #draw: () => number;
+    readonly #contendDelayMs: () => number;
     readonly #task: RepeatedTask;
     #held: HeldLead | undefined;
     #pausedUntilMs: number;
@@ -58,6 +59,8 @@
             /** Life of the lease, and how long a former holder leaves the duties to others. */
             readonly leaseMs: number;
             readonly draw: () => number;
+            /** How long this host leaves a free lead to hosts that should rather take it; none by default. */
+            readonly contendDelayMs?: () => number;
         },
     ) {
         this.#store = options.store;
@@ -69,6 +72,7 @@
         this.#incarnation = options.incarnation;
         this.#leaseMs = options.leaseMs;
         this.#draw = options.draw;
+        this.#contendDelayMs = options.contendDelayMs ?? (() => 0);
         // A former run of this host may have held the duties until just now.
         this.#pausedUntilMs = options.clock.monotonicMs() + options.leaseMs;
     }
@@ -140,7 +144,7 @@
     }
 
     async #contend(): Promise<void> {
-        await this.#clock.sleep(contendSpreadMs * this.#draw());
+        await this.#clock.sleep(this.#contendDelayMs() + contendSpreadMs * this.#draw());
         if (this.#task.isStopped || !this.#isFree()) {
             return;
         }
--- /dev/null
+++ b/packages/ingress/src/fleet/attachment.ts
@@ -0,0 +1,177 @@
+import type { Clock, HostId, Incarnation } from "@filbertrelay/kernel";
+import { brandAs } from "@filbertrelay/kernel";
+import { rankByRendezvous, ReceivedReports } from "@filbertrelay/policy/ingress";
+import type { FleetClock } from "@filbertrelay/policy/ingress";
+import { declareTopic } from "@filbertrelay/wire";
+import type { TcpPeerNetwork } from "@filbertrelay/wire";
+import {
+    attachReplySchema,
+    attachReportSchema,
+    describeOwnUse,
+    describeWindowCounts,
+    isUsed,
+    recordGroupUse,
+    recordPeerUse,
+    subtractUse,
+} from "./report.js";
+import type { AttachReply, AttachReport, SharedCounts, SharedUse } from "./report.js";
+import type { ServingHosts } from "./servinghosts.js";
+import type { StoreNews } from "./storenews.js";
+
+const attachTopic = declareTopic("ingress.attach", { request: attachReportSchema, reply: attachReplySchema });
+
+/** Name under which the fleet's use is kept on a host outside of the serving set. */
+export const fleetUseName = "fleet";
+
+/** A call that takes longer than this is given up; peers are a few milliseconds apart. */
+const callTimeoutMs = 600;
+/** A host that did not answer is passed over for this long. */
+const avoidMs = 2_000;
+/** Use of a host that has not reported for this long is over or unknown. */
+const attachedLifeMs = 2_500;
+/** The fleet's use is known for this long after it was told. */
+const fleetUseLifeMs = 1_500;
+
+/** Options of `Attachment`. */
+export interface AttachmentOptions {
+    readonly clock: Clock;
+    readonly hostId: HostId;
+    readonly incarnation: Incarnation;
+    readonly peers: TcpPeerNetwork;
+    readonly serving: ServingHosts;
+    readonly counts: SharedCounts;
+    readonly fleetClock: FleetClock;
+    /** Notes that a host was heard some time ago, in milliseconds. */
+    readonly noteHeard: (hostId: HostId, ageMs: number) => void;
+    /** Time since a host was heard, in milliseconds. */
+    readonly heardAgeMs: (hostId: HostId) => number;
+    readonly news: () => StoreNews | undefined;
+    /** Use of all hosts that this one knows of. */
+    readonly fleetUse: () => SharedUse;
+}
+
+/**
+ * Connects a host outside of the serving set to one that serves: it learns the set and the store's changes there and reports its
+ * use, if it has any. The serving host adds that use to its own.
+ */
+export class Attachment {
+    readonly #options: AttachmentOptions;
+    readonly #attached = new ReceivedReports<SharedUse | undefined>(attachedLifeMs);
+    readonly #avoidedUntilMs = new Map<HostId, number>();
+    #fleetUseMs = -Infinity;
+    #isCalling = false;
+
+    constructor(options: AttachmentOptions) {
+        this.#options = options;
+    }
+
+    start(): void {
+        this.#options.peers.handle(attachTopic, (report, { from }) => Promise.resolve(this.#answer(from, report)));
+    }
+
+    /** Whether this host knows the use of the whole fleet through a serving one. */
+    get isFleetUseKnown(): boolean {
+        return this.#nowMs() - this.#fleetUseMs < fleetUseLifeMs;
+    }
+
+    /** Reports to a serving host. */
+    async report(): Promise<void> {
+        const contact = this.#chooseContact();
+        if (contact === undefined || this.#isCalling) {
+            return;
+        }
+        this.#isCalling = true;
+        const { peers, fleetClock, counts, noteHeard, serving, news } = this.#options;
+        const reply = await peers.call(contact, attachTopic, this.#describe(), { timeoutMs: callTimeoutMs, isRepeatable: true });
+        this.#isCalling = false;
+        const nowMs = this.#nowMs();
+        if (!reply.ok) {
+            this.#avoidedUntilMs.set(contact, nowMs + avoidMs);
+            return;
+        }
+        const { sentAtMs, knowledge, use, setAgeMs, servingWork } = reply.value;
+        const told = Object.entries(reply.value.serving).map(([hostId, ageMs]) => ({ hostId: brandAs<HostId>(hostId), ageMs }));
+        noteHeard(contact, 0);
+        told.forEach(({ hostId, ageMs }) => noteHeard(hostId, ageMs));
+        fleetClock.recordPeerTime(contact, new Date(sentAtMs));
+        serving.noteWork(servingWork);
+        serving.adopt(told.map(({ hostId }) => hostId), setAgeMs);
+        news()?.learn(contact, knowledge);
+        if (use !== undefined) {
+            recordGroupUse(counts, fleetUseName, use, nowMs);
+            this.#fleetUseMs = nowMs;
+        }
+    }
+
+    /** Whether a host reports to this one. */
+    isAttached(hostId: HostId): boolean {
+        return this.#attached.senders(this.#nowMs()).some(([sender]) => sender === hostId);
+    }
+
+    /** Hosts that report to this one, with the time since each was heard, in milliseconds. */
+    ages(): Record<string, number> {
+        const nowMs = this.#nowMs();
+        return Object.fromEntries(
+            this.#attached.senders(nowMs).map(([hostId, { receivedMs }]) => [hostId, Math.round(nowMs - receivedMs)]),
+        );
+    }
+
+    /** Use of the hosts that report to this one; those that serve report theirs to all others by themselves. */
+    uses(): readonly SharedUse[] {
+        const { serving } = this.#options;
+        return this.#attached.senders(this.#nowMs()).flatMap(([hostId, { report }]) =>
+            report === undefined || serving.isServing(brandAs<HostId>(hostId)) ? [] : [report]
+        );
+    }
+
+    #nowMs(): number {
+        return this.#options.clock.monotonicMs();
+    }
+
+    #chooseContact(): HostId | undefined {
+        const { hostId: self, serving } = this.#options;
+        const nowMs = this.#nowMs();
+        const candidates = serving.serving.map(({ hostId }) => hostId).filter(hostId => hostId !== self);
+        const ranked = rankByRendezvous(self, candidates, hostId => hostId);
+        return ranked.find(hostId => (this.#avoidedUntilMs.get(hostId) ?? -Infinity) <= nowMs) ?? ranked[0];
+    }
+
+    #describe(): AttachReport {
+        const { clock, incarnation, counts, news } = this.#options;
+        const use = describeOwnUse(counts, this.#nowMs());
+        return {
+            incarnation,
+            sentAtMs: clock.now().getTime(),
+            knowledge: news()?.knowledge() ?? { revision: 0, materialRevision: 0 },
+            ...(isUsed(use) ? { use } : {}),
+            windowCounts: describeWindowCounts(counts),
+        };
+    }
+
+    #answer(from: HostId, report: AttachReport): AttachReply {
+        const { clock, counts, fleetClock, noteHeard, heardAgeMs, serving, news, fleetUse } = this.#options;
+        const nowMs = this.#nowMs();
+        noteHeard(from, 0);
+        fleetClock.recordPeerTime(from, new Date(report.sentAtMs));
+        counts.usage.recordPeerCounts(`${from}/${report.incarnation}`, report.windowCounts);
+        const use = report.use === undefined ? undefined : withoutMissingTime(report.use);
+        this.#attached.record(from, use, nowMs);
+        if (use !== undefined) {
+            recordPeerUse(counts, from, use, nowMs);
+        }
+        news()?.learn(from, report.knowledge);
+        return {
+            sentAtMs: clock.now().getTime(),
+            knowledge: news()?.knowledge() ?? { revision: 0, materialRevision: 0 },
+            serving: Object.fromEntries(serving.serving.map(({ hostId }) => [hostId, heardAgeMs(hostId)])),
+            setAgeMs: serving.setAgeMs,
+            servingWork: serving.work,
+            ...(use === undefined ? {} : { use: subtractUse(fleetUse(), use) }),
+        };
+    }
+}
+
+/** Time in which such a host has not been counting is not assumed to hold use: it was not given to callers. */
+function withoutMissingTime(use: SharedUse): SharedUse {
+    return { ...use, quotaUse: { ...use.quotaUse, missingMs: use.quotaUse.missingMs.map(() => 0) } };
+}
--- a/packages/ingress/src/fleet/directory.ts
+++ b/packages/ingress/src/fleet/directory.ts
@@ -1,33 +1,29 @@
-import type { FailureDomainId, HostId } from "@filbertrelay/kernel";
-import type { PeerExchange } from "./exchange.js";
-import type { HostTable } from "./hosts.js";
+import type { Clock, FailureDomainId, HostId } from "@filbertrelay/kernel";
+import { chooseForCaller } from "@filbertrelay/policy/ingress";
+import type { ServingHosts } from "./servinghosts.js";
 
 /** Callers are given at most this many addresses. */
 const addressLimit = 64;
+/** Answers stay the same for this long, because callers leave the connections to hosts that a new answer does not name. */
+const answerLifeMs = 20_000;
 
 /** Says which hosts callers should use. */
 export class HostDirectory {
-    readonly #hosts: HostTable;
-    readonly #exchange: PeerExchange;
+    readonly #clock: Clock;
+    readonly #serving: ServingHosts;
     readonly #hostId: HostId;
 
-    constructor(options: { readonly hosts: HostTable; readonly exchange: PeerExchange; readonly hostId: HostId; }) {
-        this.#hosts = options.hosts;
-        this.#exchange = options.exchange;
+    constructor(options: { readonly clock: Clock; readonly serving: ServingHosts; readonly hostId: HostId; }) {
+        this.#clock = options.clock;
+        this.#serving = options.serving;
         this.#hostId = options.hostId;
     }
 
-    /**
-     * Addresses for callers, those of the caller's failure domain first. Hosts that this one does not hear are left out while
-     * others are left: their entries lapse later than they fail.
-     */
+    /** Addresses for callers, those of the caller's failure domain first. */
     addresses(failureDomain: FailureDomainId | undefined): readonly string[] {
-        const known = this.#hosts.list();
-        const heard = known.filter(host => host.hostId === this.#hostId || this.#exchange.isHeard(host.hostId));
-        const listed = heard.length * 2 > known.length ? heard : known;
-        const ordered = [...listed].sort((left, right) =>
-            Number(right.failureDomain === failureDomain) - Number(left.failureDomain === failureDomain)
-        );
-        return ordered.slice(0, addressLimit).map(host => host.callerAddress);
+        this.#serving.refresh();
+        const key = `${this.#hostId}/${Math.floor(this.#clock.monotonicMs() / answerLifeMs)}`;
+        const chosen = chooseForCaller(this.#serving.serving, { failureDomain, limit: addressLimit, key });
+        return chosen.map(host => host.callerAddress);
     }
 }
--- a/packages/ingress/src/fleet/exchange.ts
+++ b/packages/ingress/src/fleet/exchange.ts
@@ -1,14 +1,27 @@
 import type { Clock, EventLog, HostId, Incarnation, Service } from "@filbertrelay/kernel";
 import { brandAs } from "@filbertrelay/kernel";
-import { planExchange } from "@filbertrelay/policy/ingress";
+import { planExchange, ReceivedReports } from "@filbertrelay/policy/ingress";
 import type { ExchangePlan, FleetClock, FleetReach } from "@filbertrelay/policy/ingress";
 import { declareTopic } from "@filbertrelay/wire";
 import type { TcpPeerNetwork } from "@filbertrelay/wire";
 import { z } from "zod";
+import { Attachment, fleetUseName } from "./attachment.js";
 import { fleetEvents as events } from "./event.js";
 import type { HostTable } from "./hosts.js";
-import { describeGroupUse, describeOwnUse, describeWindowCounts, groupReportSchema, hostReportSchema } from "./report.js";
-import type { GroupReport, HostReport, SharedCounts } from "./report.js";
+import {
+    addUses,
+    callersKey,
+    describeGroupUse,
+    describeOwnUse,
+    describeWindowCounts,
+    forgetUseWhere,
+    groupReportSchema,
+    hostReportSchema,
+    recordGroupUse,
+    recordPeerUse,
+} from "./report.js";
+import type { GroupReport, HostReport, SharedCounts, SharedUse } from "./report.js";
+import { ServingHosts } from "./servinghosts.js";
 import type { StoreNews } from "./storenews.js";
 
 const exchangeTopic = declareTopic("ingress.exchange", { request: hostReportSchema, reply: hostReportSchema });
@@ -22,14 +35,21 @@
 const intervalPerPeerMs = 20;
 /** A call that takes longer than this is given up; peers are a few milliseconds apart. */
 const callTimeoutMs = 600;
-/** A host that was not heard for this many intervals is not counted as reachable. */
-const reachableIntervals = 6;
+/** A host that was not heard for this many intervals, and at least for the given time, is not counted as reachable. */
+const reachableIntervals = 4;
+const shortestSilenceMs = 1_200;
 /** A report is used for several peers within this time: making one costs more than sending it. */
 const reportLifeMs = 80;
 /** Every how many intervals a host reports to the holder of the duties, which needs everybody's counts within seconds. */
 const holderIntervals = 4;
 /** A host that did not answer for its group is passed over for this long. */
 const avoidMs = 2_000;
+/** How often a host outside of the serving set reports to one that serves. */
+const attachIntervalMs = 500;
+/** Every how many intervals a host that serves asks another one whether it is counted in. */
+const confirmIntervals = 4;
+/** Use of a group that has not reported for this long is not told to others any more. */
+const groupUseLifeMs = 2_500;
 
 /** Options of `PeerExchange`. */
 export interface PeerExchangeOptions {
@@ -45,9 +65,18 @@
     readonly dutyHolder: () => HostId | undefined;
 }
 
-/** Exchanges what shared limits and placing need: between all hosts of a group, and between one host of each two groups. */
+/**
+ * Exchanges what shared limits and placing need between the hosts that serve callers: between all of a group, and between one host
+ * of each two groups. The other hosts report to one that serves.
+ */
 export class PeerExchange implements Service {
     readonly #options: PeerExchangeOptions;
+    /** Which hosts serve callers. */
+    readonly serving: ServingHosts;
+    readonly #attachment: Attachment;
+    /** Hosts outside of the exchange that the mates hear, with their ages. */
+    readonly #attachedToMates = new ReceivedReports<Readonly<Record<string, number>>>(groupUseLifeMs);
+    readonly #groupUses = new ReceivedReports<SharedUse>(groupUseLifeMs);
     readonly #heardMs = new Map<HostId, number>();
     readonly #addresses = new Map<HostId, string>();
     readonly #avoidedUntilMs = new Map<HostId, number>();
@@ -59,7 +88,29 @@
 
     constructor(options: PeerExchangeOptions) {
         this.#options = options;
-        this.#plan = planExchange(options.hostId, [], { isAvoided: () => false });
+        const { clock, hostId, incarnation, peers, hosts, counts, fleetClock, dutyHolder } = options;
+        this.#plan = planExchange(hostId, [], { isAvoided: () => false });
+        this.serving = new ServingHosts({
+            clock,
+            hostId,
+            hosts,
+            isHeard: other => this.isHeard(other),
+            work: () => counts.callerWork.demand(callersKey, this.#nowMs()),
+            dutyHolder,
+        });
+        this.#attachment = new Attachment({
+            clock,
+            hostId,
+            incarnation,
+            peers,
+            counts,
+            fleetClock,
+            serving: this.serving,
+            noteHeard: (other, ageMs) => this.#noteHeard(other, this.#nowMs() - ageMs),
+            heardAgeMs: other => this.#heardAgeMs(other),
+            news: () => this.#news,
+            fleetUse: () => this.#describeFleetUse(),
+        });
     }
 
     start(): Promise<void> {
@@ -72,6 +123,7 @@
             this.#noteHeard(from, this.#nowMs());
             return Promise.resolve(this.#groupReport());
         });
+        this.#attachment.start();
         this.#tick();
         return Promise.resolve();
     }
@@ -86,20 +138,37 @@
         this.#news = news;
     }
 
-    /** How many hosts are known and how many of them are heard. */
+    /** How many hosts share the limits and with how many of them use is being exchanged, this one included. */
     reach(): FleetReach {
-        return { knownHosts: this.#others().length + 1, reachableHosts: this.listHeard().length };
+        if (this.serving.isParticipant) {
+            const { sharers } = this.serving;
+            const reachable = sharers.filter(hostId => hostId === this.#options.hostId || this.isHeard(hostId)).length;
+            return { knownHosts: Math.max(1, sharers.length), reachableHosts: Math.max(1, reachable) };
+        }
+        const knownHosts = Math.max(1, this.#options.hosts.list().length);
+        return { knownHosts, reachableHosts: this.#attachment.isFleetUseKnown ? knownHosts : 1 };
     }
 
     /** Whether a host was heard lately, by this one or by another one that answers for its group. */
     isHeard(hostId: HostId): boolean {
         const heardMs = this.#heardMs.get(hostId);
-        return heardMs !== undefined && this.#nowMs() - heardMs < reachableIntervals * this.#intervalMs();
+        return heardMs !== undefined && this.#nowMs() - heardMs < this.#silenceMs();
+    }
+
+    /** Time since a host was heard; the longest that counts for one that never was. */
+    #heardAgeMs(hostId: HostId): number {
+        const heardMs = hostId === this.#options.hostId ? this.#nowMs() : this.#heardMs.get(hostId);
+        return heardMs === undefined ? this.#silenceMs() : Math.round(this.#nowMs() - heardMs);
+    }
+
+    /** Silence after which a host is not counted as reachable. */
+    #silenceMs(): number {
+        return Math.max(shortestSilenceMs, reachableIntervals * this.#intervalMs());
     }
 
-    /** The hosts that are heard, this one included. */
+    /** The hosts of the exchange that are heard, this one included where it takes part. */
     listHeard(): readonly HostId[] {
-        return [this.#options.hostId, ...this.#others().filter(hostId => this.isHeard(hostId))];
+        return this.serving.participants.filter(hostId => hostId === this.#options.hostId || this.isHeard(hostId));
     }
 
     #nowMs(): number {
@@ -112,14 +181,32 @@
 
     #intervalMs(): number {
         const { groups, mates, partners } = this.#plan;
+        if (!this.serving.isParticipant) {
+            return attachIntervalMs;
+        }
         const shortestMs = groups === 1 ? shortestIntervalMs : shortestGroupIntervalMs;
         return Math.max(shortestMs, intervalPerPeerMs * (mates.length + partners.size));
     }
 
     #tick(): void {
-        const others = this.#others();
         this.#learnAddresses();
-        this.#arrange(others);
+        this.serving.refresh();
+        const { isParticipant, participants } = this.serving;
+        this.#arrange(isParticipant ? participants.filter(hostId => hostId !== this.#options.hostId) : []);
+        if (isParticipant) {
+            this.#exchange();
+        }
+        if (!isParticipant || (!this.serving.isFullFleet && this.#tickCount % confirmIntervals === 0)) {
+            void this.#attachment.report();
+        }
+        this.#reportToHolder();
+        this.#others().forEach(peer => this.#noteSilence(peer));
+        this.#tickCount += 1;
+        this.#cancelTick();
+        this.#cancelTick = this.#options.clock.after(this.#intervalMs(), () => this.#tick());
+    }
+
+    #exchange(): void {
         const { mates, partners } = this.#plan;
         for (const peer of mates) {
             // One call carries the reports of both sides, so that only one of two hosts calls.
@@ -130,34 +217,47 @@
         for (const peer of partners.values()) {
             void this.#askForGroup(peer);
         }
-        const holder = this.#options.dutyHolder();
-        if (
-            holder !== undefined && this.#tickCount % holderIntervals === 0 && others.includes(holder) && !mates.includes(holder)
-        ) {
+    }
+
+    #reportToHolder(): void {
+        const { dutyHolder, hosts, hostId } = this.#options;
+        const holder = dutyHolder();
+        const isDue = holder !== undefined && holder !== hostId && this.#tickCount % holderIntervals === 0;
+        if (isDue && hosts.get(holder) !== undefined && !this.#plan.mates.includes(holder) && this.#hasCounts()) {
             void this.#exchangeWith(holder);
         }
-        others.forEach(peer => this.#noteSilence(peer));
-        this.#tickCount += 1;
-        this.#cancelTick();
-        this.#cancelTick = this.#options.clock.after(this.#intervalMs(), () => this.#tick());
+    }
+
+    /** Whether this host has counted requests in a window that is still open. */
+    #hasCounts(): boolean {
+        return this.serving.isParticipant || Object.keys(this.#options.counts.usage.ownCounts()).length > 0;
     }
 
     #arrange(others: readonly HostId[]): void {
         const { clock, hostId, counts } = this.#options;
-        const former = this.#plan.groups;
+        const former = this.#plan;
         const isAvoided = (peer: HostId): boolean => (this.#avoidedUntilMs.get(peer) ?? -Infinity) > this.#nowMs();
         const plan = planExchange(hostId, [hostId, ...others], { isAvoided });
         this.#plan = plan;
-        if (plan.groups !== former) {
+        const formerMates = new Set(former.mates);
+        if (plan.groups !== former.groups || plan.mates.some(mate => !formerMates.has(mate))) {
             // Until the new groups have reported, use that is counted twice does less harm than use that is not counted.
-            clock.after(2 * this.#intervalMs(), () => {
-                const known = new Set<string>(this.#others());
-                const mates = new Set<string>(this.#plan.mates);
-                counts.quota.forgetWhere(name =>
-                    isGroupName(name) ? !name.startsWith(groupPrefix(this.#plan.groups)) : known.has(name) && !mates.has(name)
-                );
-            });
+            clock.after(2 * this.#intervalMs(), () => forgetUseWhere(counts, name => this.#isReportedOtherwise(name)));
+        }
+    }
+
+    /** Whether the use that is kept under a name is part of another report now. */
+    #isReportedOtherwise(name: string): boolean {
+        if (name === fleetUseName) {
+            return this.serving.isParticipant;
+        }
+        if (isGroupName(name)) {
+            return !name.startsWith(groupPrefix(this.#plan.groups));
         }
+        // The use of a host that has ended stays until it has left the window.
+        const hostId = brandAs<HostId>(name);
+        return this.#options.hosts.get(hostId) !== undefined && !this.#plan.mates.includes(hostId) &&
+            !this.#attachment.isAttached(hostId);
     }
 
     #learnAddresses(): void {
@@ -206,9 +306,12 @@
         counts.usage.recordPeerCounts(`${peer}/${report.incarnation}`, report.windowCounts);
         // The holder of the duties hears hosts whose use it learns from their groups.
         if (this.#plan.mates.includes(peer)) {
-            counts.quota.recordPeerUse(peer, report.use.quotaUse, nowMs);
-            counts.demand.recordPeerDemand(peer, report.use.demand, nowMs);
-            counts.loads.recordPeerUse(peer, report.use.endpointUse, nowMs);
+            recordPeerUse(counts, peer, report.use, nowMs);
+            this.serving.noteWork(report.servingWork);
+            this.#attachedToMates.record(peer, report.attached, nowMs);
+            for (const [attached, ageMs] of Object.entries(report.attached)) {
+                this.#noteHeard(brandAs<HostId>(attached), nowMs - ageMs);
+            }
         }
         this.#news?.learn(peer, report.knowledge);
     }
@@ -218,6 +321,7 @@
         const nowMs = this.#nowMs();
         this.#noteHeard(peer, nowMs);
         this.#news?.learn(peer, report.knowledge);
+        this.serving.noteWork(report.servingWork);
         if (report.groups !== this.#plan.groups || report.group === this.#plan.ownGroup) {
             return;
         }
@@ -227,9 +331,15 @@
             }
         }
         const name = `${groupPrefix(report.groups)}${report.group}`;
-        counts.quota.recordGroupUse(name, report.use.quotaUse, nowMs);
-        counts.demand.recordGroupDemand(name, report.use.demand, nowMs);
-        counts.loads.recordGroupUse(name, report.use.endpointUse, nowMs);
+        recordGroupUse(counts, name, report.use, nowMs);
+        this.#groupUses.record(name, report.use, nowMs);
+    }
+
+    #describeFleetUse(): SharedUse {
+        const nowMs = this.#nowMs();
+        const prefix = groupPrefix(this.#plan.groups);
+        const groups = this.#groupUses.senders(nowMs).filter(([name]) => name.startsWith(prefix)).map(([, { report }]) => report);
+        return addUses([describeGroupUse(this.#options.counts, nowMs), ...groups]);
     }
 
     /** The report of this host, made anew when it is older than what a peer would notice. */
@@ -257,8 +367,10 @@
             incarnation: this.#options.incarnation,
             sentAtMs: this.#options.clock.now().getTime(),
             knowledge: this.#news?.knowledge() ?? { revision: 0, materialRevision: 0 },
-            use: describeOwnUse(this.#options.counts, this.#nowMs()),
+            use: addUses([describeOwnUse(this.#options.counts, this.#nowMs()), ...this.#attachment.uses()]),
             windowCounts: describeWindowCounts(this.#options.counts),
+            servingWork: this.serving.work,
+            attached: this.#attachment.ages(),
         };
     }
 
@@ -271,12 +383,22 @@
         return {
             groups: this.#plan.groups,
             group: this.#plan.ownGroup,
-            members: Object.fromEntries([[this.#options.hostId, 0], ...heard]),
+            members: {
+                ...this.#attachment.ages(),
+                ...Object.fromEntries([[this.#options.hostId, 0], ...heard, ...this.#listAttachedToMates(nowMs)]),
+            },
+            servingWork: this.serving.work,
             knowledge: this.#news?.knowledge() ?? { revision: 0, materialRevision: 0 },
             use: describeGroupUse(this.#options.counts, nowMs),
         };
     }
 
+    #listAttachedToMates(nowMs: number): readonly (readonly [string, number])[] {
+        return this.#attachedToMates.live(nowMs).flatMap(({ report, receivedMs }) =>
+            Object.entries(report).map(([hostId, ageMs]) => [hostId, Math.round(ageMs + nowMs - receivedMs)] as const)
+        );
+    }
+
     #noteHeard(peer: HostId, heardMs: number): void {
         const isSilent = !this.isHeard(peer);
         this.#heardMs.set(peer, Math.max(heardMs, this.#heardMs.get(peer) ?? -Infinity));
--- a/packages/ingress/src/fleet/hosts.ts
+++ b/packages/ingress/src/fleet/hosts.ts
@@ -16,6 +16,8 @@
     callerAddress: z.string().min(1),
     peerAddress: z.string().min(1),
     failureDomain: z.string().min(1),
+    /** Processor time in seconds a second; entries of former versions don't have it. */
+    strength: z.number().positive().default(1),
 });
 
 /** What a host writes about itself. */
@@ -28,6 +30,8 @@
     readonly callerAddress: string;
     readonly peerAddress: string;
     readonly failureDomain: FailureDomainId;
+    /** Processor time that the host has, in seconds a second. */
+    readonly strength: number;
 }
 
 /** The hosts that registered themselves in the store, this one included. */
--- a/packages/ingress/src/fleet/registration.ts
+++ b/packages/ingress/src/fleet/registration.ts
@@ -1,14 +1,22 @@
 import type { Store } from "@filbertrelay/connectors";
 import { RepeatedTask } from "@filbertrelay/kernel";
 import type { Clock, EventLog, HostId, Service } from "@filbertrelay/kernel";
+import { largestFullFleet } from "@filbertrelay/policy/ingress";
 import { fleetEvents as events } from "./event.js";
 import { hostPrefix } from "./hosts.js";
 import type { HostEntry } from "./hosts.js";
 
-/** An entry of a killed host lapses after this time; callers that were given its address fail over by themselves. */
-const timeToLiveMs = 3_000;
-/** Two renewals may be lost before the entry lapses. */
-const renewalMs = 1_000;
+/**
+ * How long the entry of a killed host stays. Where every host serves, its part of customers' limits is kept free until then; in
+ * larger fleets only hosts that are heard serve, and each renewal of each host is a call that the users pay for.
+ */
+const timeToLiveMs = { fullFleet: 3_000, largeFleet: 12_000 };
+/** Two renewals may be lost before an entry lapses. */
+const renewalsPerLife = 3;
+/** A host that can't read the store registers itself after this time without knowing the size of the fleet. */
+const longestWaitMs = 500;
+/** How often a host that waits for its first read looks again. */
+const waitMs = 20;
 /** Delay before a failed call is repeated. */
 const retryMs = 300;
 
@@ -18,7 +26,11 @@
     readonly #log: EventLog;
     readonly #key: string;
     readonly #entry: HostEntry;
-    readonly #task: RepeatedTask<boolean>;
+    readonly #clock: Clock;
+    readonly #countHosts: () => number | undefined;
+    readonly #task: RepeatedTask<number>;
+    #startedMs = 0;
+    #timeToLiveMs = timeToLiveMs.fullFleet;
     #leaseId: number | undefined;
 
     constructor(
@@ -28,19 +40,24 @@
             readonly log: EventLog;
             readonly hostId: HostId;
             readonly entry: HostEntry;
+            /** Hosts of the fleet that are known; `undefined` before the first read of the store. */
+            readonly countHosts: () => number | undefined;
         },
     ) {
+        this.#clock = options.clock;
+        this.#countHosts = options.countHosts;
         this.#store = options.store;
         this.#log = options.log;
         this.#key = `${hostPrefix}${options.hostId}`;
         this.#entry = options.entry;
         this.#task = new RepeatedTask(options.clock, {
-            work: () => this.#leaseId === undefined ? this.#register() : this.#renew(this.#leaseId),
-            pauseMs: isDone => isDone ? renewalMs : retryMs,
+            work: () => this.#run(),
+            pauseMs: ms => ms,
         });
     }
 
     start(): Promise<void> {
+        this.#startedMs = this.#clock.monotonicMs();
         this.#task.start();
         return Promise.resolve();
     }
@@ -58,8 +75,21 @@
         await this.leave();
     }
 
-    async #register(): Promise<boolean> {
-        const lease = await this.#store.grantLease(timeToLiveMs);
+    /** Registers this host or renews its entry; gives the time until the next run. */
+    async #run(): Promise<number> {
+        const hosts = this.#countHosts();
+        if (hosts === undefined && this.#clock.monotonicMs() - this.#startedMs < longestWaitMs) {
+            return waitMs;
+        }
+        const wantedMs = (hosts ?? 0) > largestFullFleet ? timeToLiveMs.largeFleet : timeToLiveMs.fullFleet;
+        const isDone = this.#leaseId === undefined || wantedMs > this.#timeToLiveMs ?
+            await this.#register(wantedMs) :
+            await this.#renew(this.#leaseId);
+        return isDone ? this.#timeToLiveMs / renewalsPerLife : retryMs;
+    }
+
+    async #register(ttlMs: number): Promise<boolean> {
+        const lease = await this.#store.grantLease(ttlMs);
         if (!lease.ok) {
             return false;
         }
@@ -72,6 +102,7 @@
             return false;
         }
         this.#leaseId = lease.value;
+        this.#timeToLiveMs = ttlMs;
         this.#log.write(events.registered, { key: this.#key, revision: written.value });
         return true;
     }
--- a/packages/ingress/src/fleet/storenews.ts
+++ b/packages/ingress/src/fleet/storenews.ts
@@ -5,6 +5,7 @@
 import { z } from "zod";
 import type { PeerChanges, StoreMirror, WatchRole } from "../state/mirror.js";
 import type { StoreKnowledge } from "./report.js";
+import type { ServingHosts } from "./servinghosts.js";
 
 const changesSchema = z.object({
     isComplete: z.boolean(),
@@ -39,6 +40,7 @@
     readonly #peers: TcpPeerNetwork;
     readonly #mirror: StoreMirror;
     readonly #listHeard: () => readonly HostId[];
+    readonly #serving: ServingHosts;
     #isAsking = false;
     #role: { readonly atMs: number; readonly value: WatchRole; } | undefined;
 
@@ -48,8 +50,9 @@
             readonly hostId: HostId;
             readonly peers: TcpPeerNetwork;
             readonly mirror: StoreMirror;
-            /** Hosts that are heard, this one included. */
+            /** Hosts of the exchange that are heard, this one included where it takes part. */
             readonly listHeard: () => readonly HostId[];
+            readonly serving: ServingHosts;
         },
     ) {
         this.#clock = options.clock;
@@ -57,6 +60,7 @@
         this.#peers = options.peers;
         this.#mirror = options.mirror;
         this.#listHeard = options.listHeard;
+        this.#serving = options.serving;
     }
 
     start(): Promise<void> {
@@ -111,14 +115,19 @@
         const nowMs = this.#clock.monotonicMs();
         // Ranking all hosts at each look would cost more than it saves.
         if (this.#role === undefined || nowMs - this.#role.atMs > roleLifeMs) {
-            const heard = this.#listHeard();
-            const watchers = chooseWatchers(heard, watcherCount);
-            const value = watchers.length === heard.length ? "own" : watchers.includes(this.#hostId) ? "fleet" : "standby";
-            this.#role = { atMs: nowMs, value };
+            this.#role = { atMs: nowMs, value: this.#chooseRole() };
         }
         return this.#role.value;
     }
 
+    #chooseRole(): WatchRole {
+        if (this.#serving.isFullFleet) {
+            return "own";
+        }
+        const serving = this.#serving.serving.map(({ hostId }) => hostId);
+        return chooseWatchers(serving, watcherCount).includes(this.#hostId) ? "fleet" : "standby";
+    }
+
     async #ask(peer: HostId): Promise<void> {
         if (this.#isAsking) {
             return;
--- a/packages/ingress/src/request/context.ts
+++ b/packages/ingress/src/request/context.ts
@@ -36,6 +36,8 @@
     readonly usage: UsageLedger;
     readonly timings: ServiceTimings;
     readonly demand: DemandMeter;
+    /** Processor time that callers' requests take. */
+    readonly callerWork: DemandMeter;
     readonly metrics: IngressMetrics;
     /** How much of the fleet this host exchanges its use with. */
     readonly reach: () => FleetReach;
--- a/packages/ingress/src/request/pipeline.ts
+++ b/packages/ingress/src/request/pipeline.ts
@@ -1,6 +1,7 @@
 import type { IngressCustomer, IngressRoute } from "@filbertrelay/configuration";
 import { chooseService } from "@filbertrelay/policy/ingress";
 import type { RequestDescription } from "../contract.js";
+import { callersKey } from "../fleet/report.js";
 import type { ActiveConfiguration } from "../state/configuration.js";
 import type { RequestContext } from "./context.js";
 import { requestEvents as events } from "./event.js";
@@ -11,6 +12,8 @@
 
 /** A host without a configuration gets one within this time when the store or a peer answers. */
 const noConfigurationRetryMs = 300;
+/** Processor time of a request with its answer: 5 ms were measured for a stream of ten events, with the start of a process's life. */
+const requestWorkMs = 6;
 /** Another host takes the request at once. */
 const stoppingRetryMs = 20;
 
@@ -28,7 +31,9 @@
 
     /** Takes a request whose body has arrived; the responder gets exactly one final answer. */
     accept(caller: CallerRequest, responder: CallerResponder): void {
-        const active = this.#context.configuration.current();
+        const { configuration, callerWork, clock } = this.#context;
+        callerWork.recordWork(callersKey, requestWorkMs, clock.monotonicMs());
+        const active = configuration.current();
         if (active === undefined) {
             this.#refuse(
                 caller,
--- a/packages/ingress/src/settings.ts
+++ b/packages/ingress/src/settings.ts
@@ -20,6 +20,9 @@
         readyAddress: hostAndPortSchema.optional(),
         /** Where metrics are served. */
         metricsAddress: hostAndPortSchema.optional(),
+        /** Part of a processor core that the host may use, and the speed of that core relative to the slowest class of hosts. */
+        processorShare: z.number().positive().default(1),
+        processorSpeed: z.number().positive().default(1),
     }),
     cluster: z.object({ keys: z.array(z.string().min(16)).min(1) }),
     store: z.object({
@@ -47,6 +50,9 @@
         stopLimitSeconds: seconds.default(30),
         /** How long a host that has lost the duties must not take them again. */
         leadPauseMs: z.number().positive().default(3_000),
+        /** Time within which a host has to know of an endpoint that leaves, and of a new configuration. */
+        endpointLeaveMs: z.number().positive().default(2_000),
+        configurationApplyMs: z.number().positive().default(2_000),
         /** How long callers may keep the directory's answer. */
         directoryKeepSeconds: seconds.default(2),
     }).prefault({}),
--- a/packages/ingress/src/state/mirror.ts
+++ b/packages/ingress/src/state/mirror.ts
@@ -26,6 +26,8 @@
     readonly log: EventLog;
     /** Uniform in [0, 1); spreads the retries of the hosts. */
     readonly draw: () => number;
+    /** Time within which a host has to know of a change. */
+    readonly applyMs: number;
 }
 
 /** How long one watch waits for changes; an answer within this time shows that the connection is alive. */
@@ -51,12 +53,17 @@
 const returnMs = 2_300;
 /** An endpoint that left must not get requests for two seconds after its entry vanished, also when this host learned of it late. */
 const longestGraceMs = 1_400;
-/** A watch for the fleet is answered sooner, so that what is passed on is younger than what the others trust. */
-const fleetWatchWaitMs = 800;
-/** A host that leaves the watch to others watches itself when what they know is older than this. */
-const trustedAgeMs = 1_500;
-/** How often a host that leaves the watch to others looks whether that still holds. */
+/** The same part for the longest wait of a watch for the fleet, so that what is passed on is younger than what the others trust. */
+const fleetWatchShare = 0.2;
+/**
+ * A host that leaves the watch to others watches itself when what they know is older than this part of the time in which it has to
+ * know of a leaving endpoint; the rest covers its own call.
+ */
+const trustedShare = 0.75;
+/** Shortest pause before a host that leaves the watch to others looks whether that still holds. */
 const idleCheckMs = 100;
+/** Longest such pause: the host may be chosen to watch meanwhile. */
+const longestIdleCheckMs = 500;
 /** Delay of such a host before it tries the store again; those that watch for the fleet try sooner and pass on what they get. */
 const standbyRetryMs = 1_000;
 /** Changes kept for peers that can't reach the store. */
@@ -201,8 +208,9 @@
 
     async #run(): Promise<void> {
         while (!this.#stopped.signal.aborted) {
-            if (!this.#needsList && this.#watchRole() === "standby" && this.ageMs() < trustedAgeMs) {
-                await this.#pause(idleCheckMs);
+            const trustedMs = this.#options.applyMs * trustedShare - this.ageMs();
+            if (!this.#needsList && this.#watchRole() === "standby" && trustedMs > 0) {
+                await this.#pause(Math.min(longestIdleCheckMs, Math.max(idleCheckMs, trustedMs)));
                 continue;
             }
             const issue = this.#needsList ? await this.#readAll() : await this.#watch();
@@ -239,7 +247,11 @@
     async #watch(): Promise<StoreIssue | undefined> {
         const watched = await this.#options.store.watch("", {
             afterRevision: this.#revision,
-            waitMs: this.#failures > 0 ? probeWaitMs : this.#watchRole() === "fleet" ? fleetWatchWaitMs : watchWaitMs,
+            waitMs: this.#failures > 0 ?
+                probeWaitMs :
+                this.#watchRole() === "fleet" ?
+                this.#options.applyMs * fleetWatchShare :
+                watchWaitMs,
             signal: this.#stopped.signal,
         });
         if (!watched.ok) {
--- a/packages/policy/src/ingress/exchangegroups.ts
+++ b/packages/policy/src/ingress/exchangegroups.ts
@@ -1,8 +1,8 @@
 import type { HostId } from "@filbertrelay/kernel";
 import { hashText, rankByRendezvous } from "../rendezvous.js";
 
-/** Fleets up to this size exchange between all pairs; in larger ones a host exchanges with its group and one host of each other. */
-const largestSingleGroup = 12;
+/** Up to this many hosts exchange between all pairs; of more, each exchanges with its group and one host of each other group. */
+const largestSingleGroup = 24;
 
 /** With whom a host exchanges its use. */
 export interface ExchangePlan {
@@ -53,7 +53,7 @@
     return hashText(hostId) % groups;
 }
 
-/** The hosts that watch the store for the whole fleet, from those that are heard; every host watches in a small fleet. */
+/** The hosts that watch the store for the whole fleet, from those that are heard. */
 export function chooseWatchers(hosts: readonly HostId[], count: number): readonly HostId[] {
-    return hosts.length <= largestSingleGroup ? hosts : rankByRendezvous("store", hosts, hostId => hostId).slice(0, count);
+    return rankByRendezvous("store", hosts, hostId => hostId).slice(0, count);
 }
--- a/packages/policy/src/ingress/loadboard.ts
+++ b/packages/policy/src/ingress/loadboard.ts
@@ -42,6 +42,8 @@
     /** Takes the use of another group of hosts. */
     recordGroupUse(group: string, use: Readonly<Record<string, EndpointUse>>, nowMs: number): void;
     estimate(endpointId: EndpointId, priority: number, nowMs: number): EndpointLoad;
+    /** Forgets peers and groups whose use is part of other reports now. */
+    forgetWhere(isOutdated: (name: string) => boolean): void;
 }
 
 /** A peer that has not reported for this long has stopped or can't be reached; its requests are over or unknown. */
@@ -108,6 +110,11 @@
         this.#groups.record(group, use, nowMs);
     }
 
+    forgetWhere(isOutdated: (name: string) => boolean): void {
+        this.#peers.forgetWhere(isOutdated);
+        this.#groups.forgetWhere(isOutdated);
+    }
+
     estimate(endpointId: EndpointId, priority: number, nowMs: number): EndpointLoad {
         let running = 0;
         let tokensAhead = 0;
--- a/packages/policy/src/ingress/receivedreports.ts
+++ b/packages/policy/src/ingress/receivedreports.ts
@@ -24,11 +24,16 @@
 
     /** The reports that count; drops the others. */
     live(nowMs: number): readonly ReceivedReport<Report>[] {
+        return this.senders(nowMs).map(([, report]) => report);
+    }
+
+    /** The reports that count, with their senders; drops the others. */
+    senders(nowMs: number): readonly (readonly [string, ReceivedReport<Report>])[] {
         for (const [sender, { receivedMs }] of this.#reports) {
             if (nowMs - receivedMs > this.#lifeMs) {
                 this.#reports.delete(sender);
             }
         }
-        return [...this.#reports.values()];
+        return [...this.#reports];
     }
 }
