Count use of serving hosts once

Cause: a host of the exchange that asked whether it is counted in was told the fleet's use and added it to what it hears from its mates. The asker says that it takes part and gets no use; others get what limits their first requests. The scenario fails without the change.

--- a/features/ingress.serving.feature
+++ b/features/ingress.serving.feature
@@ -58,3 +58,10 @@
     When the fleet has run for 4 s
     And half of the serving hosts end without a word
     Then within 4000 ms all hosts name 6 hosts as serving, none of them ended
+
+  # Guards against use that a serving host hears from its mates and once more when it asks whether it is counted in.
+  Scenario: Use of serving hosts counts once at all that serve
+    Given a fleet of 24 hosts beside a store stand-in
+    When the fleet has run for 4 s
+    And two serving hosts note use of an endpoint
+    Then the serving hosts know it once each for 4 s
--- a/features/steps/ingress.fleet.ts
+++ b/features/steps/ingress.fleet.ts
@@ -293,6 +293,24 @@
     assert.ok(isKnown(outside!));
 });
 
+When("two serving hosts note use of an endpoint", function(this: FleetWorld) {
+    const serving = new Set(nameServing(this.ingressHosts[0]!));
+    this.witnesses = this.ingressHosts.filter(({ hostId }) => serving.has(hostId));
+    this.witnesses.slice(0, 2).forEach(({ loads }, index) =>
+        loads.recordDispatch({ requestId: `request-${index}`, endpointId: watchedEndpoint, priority: 1, tokens: 500 })
+    );
+});
+
+Then("the serving hosts know it once each for {int} s", async function(this: FleetWorld, seconds: number) {
+    await clock.sleep(1_000);
+    for (let check = 0; check < seconds * 10; check += 1) {
+        for (const { hostId, loads } of this.witnesses) {
+            assert.equal(loads.estimate(watchedEndpoint, 1, clock.monotonicMs()).running, 2, hostId);
+        }
+        await clock.sleep(100);
+    }
+});
+
 When("the requests of a serving host take {int} processors", function(this: FleetWorld, work: number) {
     const [first] = nameServing(this.ingressHosts[0]!);
     this.ingressHosts.find(({ hostId }) => hostId === first)!.callerWork.recordWork("callers", work * 3_000, clock.monotonicMs());
--- a/packages/ingress/src/fleet/attachment.ts
+++ b/packages/ingress/src/fleet/attachment.ts
@@ -29,6 +29,8 @@
 const avoidMs = 2_000;
 /** Use of a host that has not reported for this long is over or unknown. */
 const attachedLifeMs = 2_500;
+/** The fleet's use is added up once for the hosts that ask within this time. */
+const fleetUseCacheMs = 100;
 /** The fleet's use is known for this long after it was told. */
 const fleetUseLifeMs = 1_500;
 
@@ -59,6 +61,7 @@
     readonly #attached = new ReceivedReports<SharedUse | undefined>(attachedLifeMs);
     readonly #avoidedUntilMs = new Map<HostId, number>();
     #fleetUseMs = -Infinity;
+    #fleetUse: { readonly use: SharedUse; readonly atMs: number; } | undefined;
     #isCalling = false;
 
     constructor(options: AttachmentOptions) {
@@ -97,7 +100,7 @@
         serving.noteWork(servingWork);
         serving.adopt(told.map(({ hostId }) => hostId), setAgeMs);
         news()?.learn(contact, knowledge);
-        if (use !== undefined) {
+        if (use !== undefined && !serving.isParticipant) {
             recordGroupUse(counts, fleetUseName, use, nowMs);
             this.#fleetUseMs = nowMs;
         }
@@ -137,19 +140,20 @@
     }
 
     #describe(): AttachReport {
-        const { clock, incarnation, counts, news } = this.#options;
+        const { clock, incarnation, counts, news, serving } = this.#options;
         const use = describeOwnUse(counts, this.#nowMs());
         return {
             incarnation,
             sentAtMs: clock.now().getTime(),
             knowledge: news()?.knowledge() ?? { revision: 0, materialRevision: 0 },
-            ...(isUsed(use) ? { use } : {}),
+            isParticipant: serving.isParticipant,
+            ...(isUsed(use) && !serving.isParticipant ? { use } : {}),
             windowCounts: describeWindowCounts(counts),
         };
     }
 
     #answer(from: HostId, report: AttachReport): AttachReply {
-        const { clock, counts, fleetClock, noteHeard, heardAgeMs, serving, news, fleetUse } = this.#options;
+        const { clock, counts, fleetClock, noteHeard, heardAgeMs, serving, news } = this.#options;
         const nowMs = this.#nowMs();
         noteHeard(from, 0);
         fleetClock.recordPeerTime(from, new Date(report.sentAtMs));
@@ -166,9 +170,19 @@
             serving: Object.fromEntries(serving.serving.map(({ hostId }) => [hostId, heardAgeMs(hostId)])),
             setAgeMs: serving.setAgeMs,
             servingWork: serving.work,
-            ...(use === undefined ? {} : { use: subtractUse(fleetUse(), use) }),
+            ...(report.isParticipant ? {} : { use: this.#describeForAsker(use) }),
         };
     }
+
+    /** The fleet's use without the asker's own; one without requests needs only what limits its first ones. */
+    #describeForAsker(own: SharedUse | undefined): SharedUse {
+        const nowMs = this.#nowMs();
+        if (this.#fleetUse === undefined || nowMs - this.#fleetUse.atMs > fleetUseCacheMs) {
+            this.#fleetUse = { use: this.#options.fleetUse(), atMs: nowMs };
+        }
+        const { use } = this.#fleetUse;
+        return own === undefined ? { ...use, endpointUse: {}, demand: {}, callerWork: {} } : subtractUse(use, own);
+    }
 }
 
 /** Time in which such a host has not been counting is not assumed to hold use: it was not given to callers. */
--- a/packages/ingress/src/fleet/report.ts
+++ b/packages/ingress/src/fleet/report.ts
@@ -47,6 +47,8 @@
     /** The sender's wall-clock time, in milliseconds since 1970. */
     sentAtMs: z.number(),
     knowledge: storeKnowledgeSchema,
+    /** Whether the sender exchanges its use with all that serve, and asks only whether it is counted in. */
+    isParticipant: z.boolean(),
     /** Absent while the sender has let nothing through lately. */
     use: sharedUseSchema.optional(),
     windowCounts: z.record(z.string(), countsSchema),
@@ -61,7 +63,7 @@
     /** Time since a host that serves chose this set, in milliseconds; older sets must not be told in a circle. */
     setAgeMs: z.number(),
     servingWork: z.number(),
-    /** Use of all hosts that the sender knows of, for an asker that has use of its own. */
+    /** Use of all hosts that the sender knows of, for an asker outside of the exchange. */
     use: sharedUseSchema.optional(),
 });
 
