Keep rights from late answers and late calls: own connections, calls bounded by the lease

Found by scenarios that failed first: - A late second copy of a store's answer was taken for the answer to the next call on the connection: a renewal of an ended lease looked accepted. Calls go through Lead.act, which checks the right at that moment; a release waits for them, and they are given up before the lease ends. This matters where the platform does not check the fencing number.

--- a/features/ingress.trouble.feature
+++ b/features/ingress.trouble.feature
@@ -54,3 +54,25 @@
     Given engines that answer after 1000 ms
     When the host is asked to stop and requests are sent every 50 ms until it refuses
     Then every request that was not refused is answered before the host has stopped
+
+  # Guards against a host that takes another call's answer for the right to act.
+  Scenario: A late second copy of a store's answer does not make a refused change look accepted
+    Given a store that sends each answer again when the next call comes on its connection
+    When a change is accepted and a second one conflicts with it
+    Then the second change is not accepted
+    And a lease that has ended is not renewed, whatever was answered before
+
+  # Guards against memory that a store in trouble fills.
+  Scenario: A store that sends bodies without end is left
+    Given a store that sends bodies without end
+    When a host reads it
+    Then the read fails within 2000 ms
+    And the host has used less than 64 MB more
+
+  # Guards against orders of two holders at once around a hand-over: one released while its order is under way, one whose connection
+  # opens after its lease.
+  Scenario: Duties are handed over only when no call of the former holder can arrive any more
+    Given a holder of the duties whose order takes 600 ms
+    When it releases the duties while the order is under way
+    Then the duties become free only after the order has ended
+    And an order that is begun late in the lease is given up before the lease ends
--- a/features/steps/ingress.trouble.ts
+++ b/features/steps/ingress.trouble.ts
@@ -1,12 +1,20 @@
 import { Given, Then, When } from "@cucumber/cucumber";
+import type { Store } from "@filbertrelay/connectors";
+import { Lead, StoreMirror } from "@filbertrelay/ingress";
+import { brandAs, createSystemClock, silentEventLog } from "@filbertrelay/kernel";
+import type { FailureDomainId, HostId, Incarnation } from "@filbertrelay/kernel";
+import { createPlatformDuties, createPlatformStore } from "@filbertrelay/platform";
 import { notExecutedAnswer, renderAnswer, renderEvent, renderStreamHead, streamEnd } from "@filbertrelay/platform/standins";
 import type { EngineBehaviour } from "@filbertrelay/platform/standins";
 import assert from "node:assert/strict";
-import { connect } from "node:net";
-import { customerKey, IngressFixture } from "../support/ingress.js";
+import { connect, createServer } from "node:net";
+import type { AddressInfo } from "node:net";
+import { customerKey, IngressFixture, waitFor } from "../support/ingress.js";
 import type { CallerAnswer } from "../support/ingress.js";
 import type { IngressWorld } from "./ingress.endpoint.js";
 
+const clock = createSystemClock();
+
 interface TroubleWorld extends IngressWorld {
     /** Ids of the requests that engines ran. */
     ran: string[];
@@ -14,6 +22,12 @@
     memoryBefore: number;
     stopping: readonly { readonly answer: CallerAnswer; readonly sentMs: number; }[];
     stoppedMs: number;
+    client: Store;
+    commits: readonly { readonly ok: boolean; }[];
+    lead: Lead;
+    stopMirror: () => Promise<void>;
+    order: { readonly ms: number; endedMs: number; };
+    releasedMs: number;
 }
 
 Given(
@@ -172,3 +186,92 @@
         assert.ok(sentMs + answer.elapsedMs <= this.stoppedMs + 5);
     }
 });
+
+function connectStore(world: TroubleWorld): Store {
+    return createPlatformStore({ address: world.ingress.store.address, clock, timeoutMs: 700, onCall: () => undefined });
+}
+
+Given("a store that sends each answer again when the next call comes on its connection", function(this: TroubleWorld) {
+    this.ingress.store.fault = "secondCopies";
+    this.client = connectStore(this);
+});
+
+When("a change is accepted and a second one conflicts with it", async function(this: TroubleWorld) {
+    const change = { expected: [{ key: "filbertrelay/test", revision: 0 }], writes: [{ key: "filbertrelay/test", value: "x" }] };
+    this.commits = [await this.client.commit(change), await this.client.commit(change)];
+});
+
+Then("the second change is not accepted", function(this: TroubleWorld) {
+    assert.deepEqual(this.commits.map(({ ok }) => ok), [true, false]);
+});
+
+Then("a lease that has ended is not renewed, whatever was answered before", async function(this: TroubleWorld) {
+    const lease = await this.client.grantLease(5_000);
+    assert.ok(lease.ok);
+    assert.ok((await this.client.renewLease(lease.value)).ok);
+    await this.client.endLease(lease.value);
+    assert.equal((await this.client.renewLease(lease.value)).ok, false);
+});
+
+Given("a store that sends bodies without end", function(this: TroubleWorld) {
+    this.ingress.store.fault = "endless";
+    this.client = connectStore(this);
+    this.memoryBefore = process.memoryUsage().rss;
+});
+
+When("a host reads it", async function(this: TroubleWorld) {
+    const startMs = performance.now();
+    const listed = await this.client.list("");
+    this.endless = { status: listed.ok ? 200 : 0, elapsedMs: performance.now() - startMs };
+});
+
+Then("the read fails within {int} ms", function(this: TroubleWorld, limitMs: number) {
+    assert.equal(this.endless.status, 0);
+    assert.ok(this.endless.elapsedMs <= limitMs, `${this.endless.elapsedMs} ms`);
+});
+
+const leaseMs = 1_000;
+
+Given("a holder of the duties whose order takes {int} ms", async function(this: TroubleWorld, orderMs: number) {
+    const store = connectStore(this);
+    const mirror = new StoreMirror({ store, clock, log: silentEventLog, draw: Math.random, applyMs: 2_000 });
+    await mirror.start();
+    const hostId = brandAs<HostId>("host-9");
+    const incarnation = brandAs<Incarnation>("run-1");
+    this.lead = new Lead({ store, mirror, clock, log: silentEventLog, hostId, incarnation, leaseMs, draw: Math.random });
+    this.stopMirror = () => mirror.stop();
+    await this.lead.start();
+    await waitFor(() => Promise.resolve(this.lead.holder() !== undefined));
+    this.order = { ms: orderMs, endedMs: Infinity };
+});
+
+When("it releases the duties while the order is under way", async function(this: TroubleWorld) {
+    const order = this.lead.act(async () => {
+        await clock.sleep(this.order.ms);
+        this.order.endedMs = performance.now();
+    });
+    await this.lead.release();
+    this.releasedMs = performance.now();
+    await order;
+});
+
+Then("the duties become free only after the order has ended", async function(this: TroubleWorld) {
+    assert.ok(this.releasedMs >= this.order.endedMs, `${this.releasedMs} before ${this.order.endedMs}`);
+    assert.equal(this.lead.holder(), undefined);
+    assert.equal(await this.lead.act(() => Promise.resolve("made")), undefined);
+    await this.stopMirror();
+});
+
+Then("an order that is begun late in the lease is given up before the lease ends", async function(this: TroubleWorld) {
+    // Accepts connections and never answers.
+    const silent = createServer(() => undefined);
+    await new Promise<void>(resolve => silent.listen(0, "127.0.0.1", resolve));
+    const address = `127.0.0.1:${(silent.address() as AddressInfo).port}`;
+    const duties = createPlatformDuties({ address, clock, timeoutMs: 1_500, onCall: () => undefined });
+    const startMs = performance.now();
+    const order = { service: "assistant", failureDomain: brandAs<FailureDomainId>("zone-a"), count: 1, isReclaimable: false };
+    const ordered = await duties.orderEndpoints({ hostId: brandAs<HostId>("host-9"), fencingToken: 1, validMs: 200 }, order);
+    assert.equal(ordered.ok, false);
+    assert.ok(performance.now() - startMs < 400, `${performance.now() - startMs} ms`);
+    silent.close();
+});
--- a/packages/connectors/src/http.ts
+++ b/packages/connectors/src/http.ts
@@ -11,6 +11,8 @@
     readonly clock: Clock;
     /** How long one call may take; long polls wait for their own time in addition. */
     readonly timeoutMs?: number;
+    /** Longest answer that is read, in bytes; bytes of a service in trouble may never end. */
+    readonly replyLimitBytes?: number;
 }
 
 /** One HTTP call with a JSON body and a JSON answer. */
@@ -21,6 +23,13 @@
     readonly headers?: Readonly<Record<string, string>>;
     /** Time a long poll may wait before the ordinary timeout starts. */
     readonly waitMs?: number;
+    /**
+     * Sends the call on a connection of its own. On a shared one, a late second copy of an earlier answer would be taken for this
+     * call's, which must not happen where the answer gives a right.
+     */
+    readonly isAlone?: boolean;
+    /** Time after which the call must not reach the service any more, where it is shorter than the ordinary timeout. */
+    readonly limitMs?: number;
     readonly signal?: AbortSignal | undefined;
 }
 
@@ -37,13 +46,14 @@
 
 const defaultTimeoutMs = 2_000;
 // Larger than any legal answer: a list of the 64 shard values of 1 MB each.
-const replyLimitBytes = 80_000_000;
+const defaultReplyLimitBytes = 80_000_000;
 
 /** Sends JSON calls over pooled connections; never repeats a call. */
 export class JsonCaller {
     readonly #origin: string;
     readonly #clock: Clock;
     readonly #timeoutMs: number;
+    readonly #replyLimitBytes: number;
     readonly #retired = new Set<Agent>();
     #agent = createAgent();
 
@@ -51,12 +61,13 @@
         this.#origin = options.url.replace(/\/+$/, "");
         this.#clock = options.clock;
         this.#timeoutMs = options.timeoutMs ?? defaultTimeoutMs;
+        this.#replyLimitBytes = options.replyLimitBytes ?? defaultReplyLimitBytes;
     }
 
     async call(call: JsonCall): Promise<Outcome<JsonReply, NoAnswer>> {
         const controller = new AbortController();
-        const limitMs = this.#timeoutMs + (call.waitMs ?? 0);
-        const agent = this.#agent;
+        const limitMs = Math.min(this.#timeoutMs + (call.waitMs ?? 0), call.limitMs ?? Infinity);
+        const agent = call.isAlone === true ? createAgent() : this.#agent;
         const cancel = this.#clock.after(limitMs, () => {
             this.#retire(agent);
             controller.abort(new Error(`No answer came within ${limitMs} ms.`));
@@ -79,9 +90,17 @@
         finally {
             cancel();
             call.signal?.removeEventListener("abort", abort);
+            if (call.isAlone === true) {
+                await agent.destroy();
+            }
         }
     }
 
+    /** Uses no open connection again, because an answer on one of them did not fit its call. */
+    distrustConnections(): void {
+        this.#retire(this.#agent);
+    }
+
     /** Closes the pooled connections; calls in progress end without an answer. */
     async close(): Promise<void> {
         await Promise.all([this.#agent, ...this.#retired].map(agent => agent.destroy()));
@@ -106,7 +125,7 @@
             headers: { ...call.headers, ...(call.body === undefined ? {} : { "content-type": "application/json" }) },
             ...(call.body === undefined ? {} : { body: JSON.stringify(call.body) }),
         });
-        const text = await readText(response.body);
+        const text = await readText(response.body, this.#replyLimitBytes);
         return { status: response.statusCode, body: parseJson(text) };
     }
 }
@@ -115,13 +134,13 @@
     return new Agent({ pipelining: 1, headersTimeout: 0, bodyTimeout: 0, connect: { timeout: 2_000 } });
 }
 
-async function readText(body: AsyncIterable<Buffer>): Promise<string> {
+async function readText(body: AsyncIterable<Buffer>, limitBytes: number): Promise<string> {
     const chunks: Buffer[] = [];
     let bytes = 0;
     for await (const chunk of body) {
         bytes += chunk.length;
-        if (bytes > replyLimitBytes) {
-            throw new Error(`The answer is longer than ${replyLimitBytes} bytes.`);
+        if (bytes > limitBytes) {
+            throw new Error(`The answer is longer than ${limitBytes} bytes.`);
         }
         chunks.push(chunk);
     }
--- a/packages/ingress/src/contract.ts
+++ b/packages/ingress/src/contract.ts
@@ -83,6 +83,8 @@
 export interface DutyHolder {
     readonly hostId: HostId;
     readonly fencingToken: number;
+    /** Time for which the host surely holds the duties, in milliseconds; a call that it begins must not arrive later. */
+    readonly validMs: number;
 }
 
 /** How many endpoints of a kind should run in a failure domain. */
--- a/packages/ingress/src/duty/lead.ts
+++ b/packages/ingress/src/duty/lead.ts
@@ -15,6 +15,8 @@
 const tickMs = 500;
 /** Part of the lease in which the holder acts after a renewal; the rest covers slow calls and clocks. */
 const actingShare = 0.6;
+/** Part of the lease after a renewal in which a call may still arrive; the rest covers the time that it is under way. */
+const arrivingShare = 0.9;
 /** Hosts that see the key vanish try at different times, so that most of them find it taken. */
 const contendSpreadMs = 250;
 
@@ -45,6 +47,8 @@
     readonly #draw: () => number;
     readonly #contendDelayMs: () => number;
     readonly #task: RepeatedTask;
+    /** Calls of duties that have not ended yet. */
+    readonly #acting = new Set<Promise<unknown>>();
     #held: HeldLead | undefined;
     #pausedUntilMs: number;
 
@@ -80,11 +84,31 @@
     /** This host as the holder, while it may act; asks for the time anew at each call, since the process may have been paused. */
     holder(): DutyHolder | undefined {
         const held = this.#held;
-        return held !== undefined && this.#sinceRenewalMs(held) < this.#leaseMs * actingShare ?
-            { hostId: this.#hostId, fencingToken: held.term } :
+        const sinceMs = held === undefined ? Infinity : this.#sinceRenewalMs(held);
+        return held !== undefined && sinceMs < this.#leaseMs * actingShare ?
+            { hostId: this.#hostId, fencingToken: held.term, validMs: this.#leaseMs * arrivingShare - sinceMs } :
             undefined;
     }
 
+    /**
+     * Makes a call of a duty if this host holds it at this moment; gives `undefined` without a call otherwise. The duties are not
+     * released to another host before the call has ended.
+     */
+    async act<Result>(call: (holder: DutyHolder) => Promise<Result>): Promise<Result | undefined> {
+        const holder = this.holder();
+        if (holder === undefined) {
+            return undefined;
+        }
+        const result = call(holder);
+        this.#acting.add(result);
+        try {
+            return await result;
+        }
+        finally {
+            this.#acting.delete(result);
+        }
+    }
+
     /** Gives the duties up because the platform knows a later holder. */
     yieldTo(reason: string): void {
         this.#lose(reason);
@@ -101,6 +125,7 @@
         const held = this.#held;
         if (held !== undefined) {
             this.#lose("released");
+            await Promise.allSettled(this.#acting);
             await this.#store.endLease(held.leaseId);
         }
     }
--- a/packages/ingress/src/duty/scalingduty.ts
+++ b/packages/ingress/src/duty/scalingduty.ts
@@ -149,7 +149,11 @@
             return;
         }
         this.#orders.set(key, { count: order.count, sentMs: nowMs });
-        const ordered = await this.#duties.orderEndpoints(holder, order);
+        const ordered = await this.#lead.act(current => this.#duties.orderEndpoints(current, order));
+        if (ordered === undefined) {
+            this.#orders.delete(key);
+            return;
+        }
         const fields = {
             service: order.service,
             failureDomain: order.failureDomain,
--- a/packages/ingress/src/duty/usageduty.ts
+++ b/packages/ingress/src/duty/usageduty.ts
@@ -110,14 +110,15 @@
 
     async #report(window: number): Promise<void> {
         const counts = await this.#fixCounts(window);
-        const holder = this.#lead.holder();
-        if (counts === undefined || holder === undefined) {
+        const reported = counts === undefined ?
+            undefined :
+            await this.#lead.act(holder => this.#duties.reportUsage(holder, window, counts));
+        if (counts === undefined || reported === undefined) {
             return;
         }
-        const reported = await this.#duties.reportUsage(holder, window, counts);
         if (reported.ok) {
             this.#reported.add(window);
-            this.#log.write(events.usageReported, { window, term: holder.fencingToken, customers: Object.keys(counts).length });
+            this.#log.write(events.usageReported, { window, customers: Object.keys(counts).length });
             return;
         }
         this.#log.write(events.usageFailed, { window, code: reported.issue.code, message: reported.issue.message });
