Refuse what a stopping host can't finish; derive watch pauses and reserves from bounds and failure domains

Cause: a stopping host took new requests for 45% of its time, so that one of 1.6 s begun just before was cut off at the end (scenario that failed first). It takes them for 35%, and only if one and a half times the service's mean duration fits into the rest. Fitted figures replaced: the pause behind heartbeats is a tenth of the time in which a change must be known (200 ms at 2,000, 400 at 4,000), and the reserve of reclaimable endpoints found at the start follows the number of failure domains instead of three.

--- a/features/ingress.policy.feature
+++ b/features/ingress.policy.feature
@@ -44,6 +44,18 @@
     When 9 endpoints are assumed at 0 s and the demand stays at 1
     Then 9 endpoints are required at 19 s and 4 at 21 s
 
+  # Guards against a reserve that fits three failure domains only: with five, the same endpoints carry more load.
+  Scenario Outline: Endpoints found at the start stand for the load that they are spread for
+    Then <reclaimable> reclaimable and <onDemand> other endpoints in <domains> failure domains stand for <required> required ones
+
+    Examples:
+      | reclaimable | onDemand | domains | required |
+      | 9           | 0        | 3       | 6        |
+      | 10          | 0        | 5       | 8        |
+      | 4           | 0        | 1       | 4        |
+      | 0           | 21       | 3       | 28       |
+      | 0           | 0        | 3       | 0        |
+
   # Guards against prompts of one session being computed at several engines.
   Scenario: Hosts without a common view choose the same engine for a session
     When 200 sessions are placed by two hosts over 6 idle engines
--- a/features/ingress.trouble.feature
+++ b/features/ingress.trouble.feature
@@ -51,8 +51,9 @@
 
   # Guards against requests that are accepted during a stop and then cut off at its end.
   Scenario: A stopping host takes no request that could last beyond its end
-    Given engines that answer after 1000 ms
-    When the host is asked to stop and requests are sent every 50 ms until it refuses
+    Given engines that answer after 1600 ms
+    When a caller sends a "slowOrder" request with the body "order"
+    And the host is asked to stop and requests are sent every 50 ms until it refuses
     Then every request that was not refused is answered before the host has stopped
 
   # Guards against a host that takes another call's answer for the right to act.
--- a/features/steps/ingress.policy.ts
+++ b/features/steps/ingress.policy.ts
@@ -344,3 +344,11 @@
 Then("the total of the window is {int}", function(this: IngressPolicyWorld, total: number) {
     assert.equal(this.ledger.total(2)["large"], total);
 });
+
+Then(
+    "{int} reclaimable and {int} other endpoints in {int} failure domains stand for {int} required ones",
+    (reclaimable: number, onDemand: number, failureDomains: number, required: number) => {
+        const found = { reclaimable, onDemand, failureDomains, targetUtilization: 0.5 };
+        assert.equal(policy.assumeRequired(found), required);
+    },
+);
--- a/features/steps/ingress.trouble.ts
+++ b/features/steps/ingress.trouble.ts
@@ -166,7 +166,7 @@
         while (!isRefused) {
             const sentMs = performance.now();
             sent.push(
-                this.ingress.send("nonIdempotent", { body: "order" }).then(answer => {
+                this.ingress.send("slowOrder", { body: "order" }).then(answer => {
                     isRefused ||= answer.status === 503;
                     return { answer, sentMs };
                 }),
--- a/features/support/ingress.ts
+++ b/features/support/ingress.ts
@@ -31,6 +31,14 @@
         itlTargetMs: 600,
         timeoutMs: 6_000,
     },
+    {
+        name: "slowOrder",
+        routeType: "non_idempotent",
+        backend: "records",
+        maxAttempts: 1,
+        timeoutMs: 6_000,
+        targetLatencyMs: 6_000,
+    },
     { name: "plainStream", routeType: "streaming", backend: "assistant", maxAttempts: 1, streamResume: false, itlTargetMs: 600 },
 ];
 
@@ -253,7 +261,7 @@
             hostname: "shop.example",
             prefix: `/${route.name}/`,
             timeoutMs: "timeoutMs" in route ? route.timeoutMs : routeTimeLimitMs,
-            targetLatencyMs: 1_000,
+            targetLatencyMs: "targetLatencyMs" in route ? route.targetLatencyMs : 1_000,
             priority: 1,
             public: false,
         })),
--- a/packages/ingress/src/daemon.ts
+++ b/packages/ingress/src/daemon.ts
@@ -182,7 +182,7 @@
         callerWork,
         metrics,
         reach: () => exchange.reach(),
-        isStopping: () => lifecycle.isRefusing(),
+        isStopping: durationMs => lifecycle.isRefusing(durationMs),
         draw,
     };
     const server = new IngressServer({
--- a/packages/ingress/src/duty/scalingduty.ts
+++ b/packages/ingress/src/duty/scalingduty.ts
@@ -1,7 +1,7 @@
 import type { IngressService, Scaling } from "@filbertrelay/configuration";
 import { brandAs, RepeatedTask } from "@filbertrelay/kernel";
 import type { Clock, EventLog, FailureDomainId, Service } from "@filbertrelay/kernel";
-import { createRequiredEndpoints, createStartBackoff, planEndpoints } from "@filbertrelay/policy/ingress";
+import { assumeRequired, createRequiredEndpoints, createStartBackoff, planEndpoints } from "@filbertrelay/policy/ingress";
 import type { DemandMeter, DomainCounts, RequiredEndpoints, StartBackoff } from "@filbertrelay/policy/ingress";
 import type { DutyCalls, EndpointOrder } from "../contract.js";
 import { fleetEvents as events } from "../fleet/event.js";
@@ -24,13 +24,6 @@
 const observeMs = 1_600;
 /** Without any endpoint of the service it orders after this time. */
 const observeNothingMs = 2_900;
-/** Part of the endpoints that is left when one of three failure domains loses its own. */
-const lossShare = 2 / 3;
-/**
- * Endpoints needed for each one that stays and was found at the start. The users start with as many as their load keeps busy for 0.7
- * of the time (21 for a demand of 15, 7 for 5); with margin for a lower load it is 0.65, of which `targetUtilization` asks for half.
- */
-const foundShare = 0.65 / targetUtilization;
 /** Beyond the time to start an endpoint, an order that shows no effect is repeated. */
 const orderMarginMs = 2_500;
 /** Delays after a refused order of reclaimable endpoints. */
@@ -104,7 +97,8 @@
     async #scale(service: IngressService, scaling: Scaling): Promise<void> {
         const nowMs = this.#clock.monotonicMs();
         const demand = this.#demand.demand(service.name, nowMs);
-        const requiredEndpoints = this.#requiredOf(service.name, nowMs).update(demand, nowMs);
+        const failureDomains = Object.keys(scaling.domainPrices).length;
+        const requiredEndpoints = this.#requiredOf(service.name, failureDomains, nowMs).update(demand, nowMs);
         const essentialEndpoints = Math.ceil(requiredEndpoints * targetUtilization / fullUtilization);
         const serving = this.#countServing(service.name);
         if (this.#lead.holder() === undefined || this.#isObserving(service.name, nowMs)) {
@@ -189,15 +183,14 @@
         return nowMs < (this.#scarceUntilMs.get(service) ?? -Infinity);
     }
 
-    #requiredOf(service: string, nowMs: number): RequiredEndpoints {
+    #requiredOf(service: string, failureDomains: number, nowMs: number): RequiredEndpoints {
         const required = this.#required.get(service) ?? createRequiredEndpoints(requirement);
         this.#required.set(service, required);
         if (this.#isObserving(service, nowMs)) {
-            // What runs at the start was chosen by somebody who knew the load, or by a host that measured it.
-            // Reclaimable ones were ordered by this product, with a margin for the loss of a failure domain.
             const usable = this.#endpoints.usable(service);
             const reclaimable = usable.filter(({ isReclaimable }) => isReclaimable).length;
-            required.assume(Math.ceil((usable.length - reclaimable) * foundShare + reclaimable * lossShare), nowMs);
+            const found = { onDemand: usable.length - reclaimable, reclaimable, failureDomains, targetUtilization };
+            required.assume(assumeRequired(found), nowMs);
         }
         return required;
     }
--- a/packages/ingress/src/lifecycle.ts
+++ b/packages/ingress/src/lifecycle.ts
@@ -26,8 +26,10 @@
 
 /** Callers may keep the directory's answer this many times longer than they were told. */
 const directoryKeepFactor = 1.5;
-/** Part of the time to stop after which new requests are refused, since they might not finish. */
-const acceptShare = 0.45;
+/** Part of the time to stop after which all new requests are refused; the users expect those sent before to be answered. */
+const acceptShare = 0.35;
+/** A request is taken only if this many times the mean duration of its service fits into the time that is left. */
+const durationFactor = 1.5;
 /** Part of the time to stop after which the process ends whatever is in progress. */
 const endShare = 0.93;
 /** How often a stopping host looks whether requests are in progress. */
@@ -68,9 +70,14 @@
         return this.#stopAskedMs !== undefined;
     }
 
-    /** Whether new requests are refused because they might not finish before the end. */
-    isRefusing(): boolean {
-        return this.#stopAskedMs !== undefined && this.#clock.monotonicMs() - this.#stopAskedMs > this.#stopLimitMs * acceptShare;
+    /** Whether a new request that takes this long on average is refused, because it might not finish before the end. */
+    isRefusing(durationMs: number): boolean {
+        if (this.#stopAskedMs === undefined) {
+            return false;
+        }
+        const elapsedMs = this.#clock.monotonicMs() - this.#stopAskedMs;
+        return elapsedMs > this.#stopLimitMs * acceptShare ||
+            elapsedMs + durationMs * durationFactor > this.#stopLimitMs * endShare;
     }
 
     /** Leaves the directory, lets callers move and requests finish, then resolves; a repeated call waits for the same end. */
--- a/packages/ingress/src/request/context.ts
+++ b/packages/ingress/src/request/context.ts
@@ -41,8 +41,8 @@
     readonly metrics: IngressMetrics;
     /** How much of the fleet this host exchanges its use with. */
     readonly reach: () => FleetReach;
-    /** Whether the host takes new requests; a stopping host refuses those that it could not finish. */
-    readonly isStopping: () => boolean;
+    /** Whether the host stops and refuses a request that takes this long on average, because it could not finish it. */
+    readonly isStopping: (durationMs: number) => boolean;
     /** Uniform in [0, 1). */
     readonly draw: () => number;
 }
--- a/packages/ingress/src/request/pipeline.ts
+++ b/packages/ingress/src/request/pipeline.ts
@@ -62,10 +62,6 @@
             this.#refuse(caller, responder, notRun(400, "request.noId", "The request has no id, or more than one."), description);
             return;
         }
-        if (this.#context.isStopping()) {
-            this.#refuse(caller, responder, notRun(503, "host.stopping", "This host stops.", stoppingRetryMs), description);
-            return;
-        }
         this.#start(caller, responder, active, route, identified.customer, { ...description, requestId: description.requestId });
     }
 
@@ -77,7 +73,7 @@
         customer: IngressCustomer | undefined,
         description: RequestDescription & { readonly requestId: string; },
     ): void {
-        const { clock, quota, reach, draw } = this.#context;
+        const { clock, quota, reach, draw, timings } = this.#context;
         const service = chooseService(route, draw());
         if (service === undefined) {
             this.#refuse(
@@ -88,6 +84,10 @@
             );
             return;
         }
+        if (this.#context.isStopping(timings.holdMs(service) ?? 0)) {
+            this.#refuse(caller, responder, notRun(503, "host.stopping", "This host stops.", stoppingRetryMs), description);
+            return;
+        }
         const takenUse = customer === undefined ? 0 : measureUse(customer, description);
         if (customer?.limit !== undefined) {
             const decision = quota.tryTake(customer.name, customer.limit, takenUse, reach(), clock.monotonicMs());
--- a/packages/ingress/src/state/mirror.ts
+++ b/packages/ingress/src/state/mirror.ts
@@ -37,10 +37,10 @@
 /** Changes often come several at a time; the next watch starts a little later, so that one call gets them all. */
 const batchMs = 60;
 /**
- * The same after heartbeats alone. Tens of endpoints write theirs every second or so; a tenth of the shortest time in which hosts
- * have to know of a leaving endpoint (2 s) is spent on answering them together.
+ * The same after heartbeats alone, as a part of the time in which hosts have to know of a change. Tens of endpoints write theirs
+ * every second or so, and each answer is a call that the users pay for.
  */
-const heartbeatBatchMs = 200;
+const heartbeatBatchShare = 0.1;
 /** Bounds of the delay before the store is tried again. */
 const firstRetryMs = 100;
 const longestRetryMs = 400;
@@ -265,7 +265,7 @@
             this.#onWatched(formerRevision, { isComplete: false, revision: this.#revision, ageMs: 0, changes });
         }
         if (watched.value.changes.length > 0) {
-            await this.#pause(changes.length > 0 ? batchMs : heartbeatBatchMs);
+            await this.#pause(changes.length > 0 ? batchMs : this.#options.applyMs * heartbeatBatchShare);
         }
         return undefined;
     }
--- a/packages/policy/src/ingress/requiredendpoints.ts
+++ b/packages/policy/src/ingress/requiredendpoints.ts
@@ -34,3 +34,25 @@
         update: (demand, nowMs) => note(Math.max(options.minimum, Math.ceil(demand / options.targetUtilization)), nowMs),
     };
 }
+
+/** Endpoints that run when a host begins to plan. */
+export interface FoundEndpoints {
+    readonly onDemand: number;
+    readonly reclaimable: number;
+    /** Failure domains in which reclaimable endpoints can be ordered. */
+    readonly failureDomains: number;
+    /** Part of an endpoint's time that should be busy. */
+    readonly targetUtilization: number;
+}
+
+/** Part of their time for which the users keep the endpoints busy that they start with; it is between 0.65 and 0.7 on their sites. */
+const foundUtilization = 0.65;
+
+/**
+ * Endpoints that are needed until the load is measured. Those that stay were started by somebody who knew the load; reclaimable ones
+ * were ordered by this product, with as many in reserve as one failure domain loses at once.
+ */
+export function assumeRequired({ onDemand, reclaimable, failureDomains, targetUtilization }: FoundEndpoints): number {
+    const outlasting = failureDomains > 1 ? reclaimable * (failureDomains - 1) / failureDomains : reclaimable;
+    return Math.ceil(onDemand * foundUtilization / targetUtilization + outlasting);
+}
