Leave cut-off hosts their part of customers' limits after their entries have lapsed

Their entries lapse after 3 s; the others then shared the whole limit while the cut-off hosts still let through their eighths. Hosts now count for 10 s after their entry has gone, and a host that has heard neither store nor most others for 10 s lets nothing through. The scenario fails without the change: the parts were given up at once.

--- a/features/ingress.fleet.feature
+++ b/features/ingress.fleet.feature
@@ -20,7 +20,7 @@
   Scenario: Few hosts watch the store and the others learn of changes from them
     Given a fleet of 16 hosts beside a store stand-in
     And requests that keep all hosts serving
-    When the fleet has run for 2 s
+    When the fleet has run for 5 s
     Then at most 3 hosts watch the store
     And a change of the store reaches all hosts within 300 ms
     And use of an endpoint that one host notes is known to all hosts, once, within 1500 ms
--- a/features/ingress.serving.feature
+++ b/features/ingress.serving.feature
@@ -65,3 +65,11 @@
     When the fleet has run for 4 s
     And two serving hosts note use of an endpoint
     Then the serving hosts know it once each for 4 s
+
+  # Guards against limits that are used twice: by hosts that are cut off and still have callers, and by the others once the entries of
+  # those have lapsed.
+  Scenario: Hosts whose entries have lapsed keep their part of customers' limits for a while
+    Given a fleet of 8 hosts beside a store stand-in
+    When the fleet has run for 4 s
+    And 3 hosts are cut off and their entries lapse
+    Then the others leave 3 parts of 8 to them for at least 8 s and not for more than 12 s
--- a/features/steps/ingress.fleet.ts
+++ b/features/steps/ingress.fleet.ts
@@ -83,6 +83,7 @@
     readonly mirror: StoreMirror;
     readonly endpoints: EndpointTable;
     readonly callerWork = policy.createDemandMeter({ spanMs: 3_000, shortestSpanMs: 1_000 });
+    readonly exchange: PeerExchange;
     readonly serving: ServingHosts;
     watches = 0;
     /** Numbers of the events logged. */
@@ -105,7 +106,7 @@
             keys: ["a-key-of-sixteen-characters"],
             frameBytes: 1_048_576,
         });
-        const exchange = new PeerExchange({
+        const exchange = this.exchange = new PeerExchange({
             clock,
             log: silentEventLog,
             hostId,
@@ -345,6 +346,27 @@
     },
 );
 
+When("{int} hosts are cut off and their entries lapse", async function(this: FleetWorld, count: number) {
+    const cut = this.ingressHosts.splice(0, count);
+    await Promise.all(cut.map(host => host.stop()));
+    cut.forEach(({ hostId }) => this.ingressStore.remove(`filbertrelay/hosts/${hostId}`));
+    await waitFor(() => Promise.resolve(this.ingressHosts.every(({ serving }) => serving.participants.length === 8 - count)));
+});
+
+Then(
+    "the others leave {int} parts of {int} to them for at least {int} s and not for more than {int} s",
+    async function(this: FleetWorld, parts: number, all: number, leastSeconds: number, mostSeconds: number) {
+        await clock.sleep(leastSeconds * 1_000);
+        for (const { exchange } of this.ingressHosts) {
+            assert.deepEqual(exchange.reach(), { knownHosts: all, reachableHosts: all - parts });
+        }
+        await clock.sleep((mostSeconds - leastSeconds) * 1_000);
+        for (const { exchange } of this.ingressHosts) {
+            assert.deepEqual(exchange.reach(), { knownHosts: all - parts, reachableHosts: all - parts });
+        }
+    },
+);
+
 When("all hosts that watch the store end without a word", async function(this: FleetWorld) {
     const watching = this.ingressHosts.filter(host => host.watches > 0);
     this.ingressHosts = this.ingressHosts.filter(host => host.watches === 0);
--- a/packages/ingress/src/fleet/exchange.ts
+++ b/packages/ingress/src/fleet/exchange.ts
@@ -21,7 +21,7 @@
     recordPeerUse,
 } from "./report.js";
 import type { GroupReport, HostReport, SharedCounts, SharedUse } from "./report.js";
-import { ServingHosts } from "./servinghosts.js";
+import { formerLifeMs, ServingHosts } from "./servinghosts.js";
 import type { StoreNews } from "./storenews.js";
 
 const exchangeTopic = declareTopic("ingress.exchange", { request: hostReportSchema, reply: hostReportSchema });
@@ -144,7 +144,9 @@
         if (this.serving.isParticipant) {
             const { sharers } = this.serving;
             const reachable = sharers.filter(hostId => hostId === this.#options.hostId || this.isHeard(hostId)).length;
-            return { knownHosts: Math.max(1, sharers.length), reachableHosts: Math.max(1, reachable) };
+            // The others use this host's part of the limits once it has been cut off for as long.
+            const isGivenUp = (this.#news?.storeAgeMs() ?? 0) > formerLifeMs && reachable * 2 < sharers.length;
+            return { knownHosts: Math.max(1, sharers.length), reachableHosts: isGivenUp ? 0 : Math.max(1, reachable) };
         }
         const knownHosts = Math.max(1, this.#options.hosts.list().length);
         return { knownHosts, reachableHosts: this.#attachment.isFleetUseKnown ? knownHosts : 1 };
--- a/packages/ingress/src/fleet/servinghosts.ts
+++ b/packages/ingress/src/fleet/servinghosts.ts
@@ -7,8 +7,8 @@
 const hearingGraceMs = 3_000;
 /** How long a list of another host holds without a newer one. */
 const adoptedLifeMs = 2_500;
-/** A host that has left the set keeps its part of customers' limits for this long; it may be cut off and still have callers. */
-const formerLifeMs = 10_000;
+/** A host that has left the set, or the store, keeps its part of customers' limits for this long. */
+export const formerLifeMs = 10_000;
 /** While a fleet starts, hosts learn of each other one by one, and the sets that they choose don't last. */
 const settleMs = 2_500;
 /** Time in which a peak of the work decays to a third; growing again costs callers more than spare hosts do. */
@@ -60,13 +60,15 @@
         return this.#participants;
     }
 
-    /** Hosts that share customers' limits: those that serve, and those that did lately and may still be used by callers. */
+    /**
+     * Hosts that share customers' limits: those that serve, and those that did lately, registered or not. The entry of a host that is
+     * cut off lapses after seconds, while its callers may still reach it.
+     */
     get sharers(): readonly HostId[] {
         const nowMs = this.#options.clock.monotonicMs();
-        const isFormer = (hostId: HostId): boolean => nowMs - (this.#servedMs.get(hostId) ?? -Infinity) < formerLifeMs;
-        return this.#options.hosts.list().map(({ hostId }) => hostId).filter(hostId =>
-            this.isFullFleet || this.#servingIds.has(hostId) || isFormer(hostId)
-        );
+        const registered = this.isFullFleet ? this.#options.hosts.list().map(({ hostId }) => hostId) : [];
+        const former = [...this.#servedMs].filter(([, servedMs]) => nowMs - servedMs < formerLifeMs).map(([hostId]) => hostId);
+        return [...new Set([...registered, ...this.#servingIds, ...former])];
     }
 
     /** Whether all hosts serve because the fleet is small. */
@@ -122,7 +124,8 @@
         this.#servingIds = new Set(this.#serving.map(host => host.hostId));
         this.#noteRole(wasServing, known.length);
         if (nowMs - this.#createdMs > settleMs) {
-            this.#servingIds.forEach(servingId => this.#servedMs.set(servingId, nowMs));
+            const sharing = this.isFullFleet ? known.map(({ hostId }) => hostId) : this.#servingIds;
+            sharing.forEach(hostId => this.#servedMs.set(hostId, nowMs));
         }
         const holder = dutyHolder();
         this.#participants = known.map(host => host.hostId).filter(id =>
@@ -153,8 +156,9 @@
             }
         }
         [...this.#knownSinceMs.keys()].filter(run => !present.has(run)).forEach(run => this.#knownSinceMs.delete(run));
-        const ids = new Set(known.map(({ hostId }) => hostId));
-        [...this.#servedMs.keys()].filter(id => !ids.has(id)).forEach(id => this.#servedMs.delete(id));
+        [...this.#servedMs].filter(([, servedMs]) => nowMs - servedMs > formerLifeMs).forEach(([id]) =>
+            this.#servedMs.delete(id)
+        );
     }
 
     #chooseServing(known: readonly HostRecord[], nowMs: number): readonly HostRecord[] {
--- a/packages/ingress/src/fleet/storenews.ts
+++ b/packages/ingress/src/fleet/storenews.ts
@@ -88,6 +88,11 @@
         return Promise.resolve();
     }
 
+    /** Time since the store answered this host or one that it heard, in milliseconds. */
+    storeAgeMs(): number {
+        return this.#mirror.ageMs();
+    }
+
     /** What this host knows of the store; sent with its reports. */
     knowledge(): StoreKnowledge {
         const ageMs = this.#mirror.ageMs();
