Split hearing, forwarded events and incarnations off; count hosts without copying the list

The exchange and the request task had more than one job each. Whether a fleet is small was asked once per host and copied the list of hosts each time, which grew with the square of the fleet.

--- a/packages/ingress/src/daemon.ts
+++ b/packages/ingress/src/daemon.ts
@@ -23,8 +23,9 @@
 import { UsageDuty } from "./duty/usageduty.js";
 import { ChannelPool } from "./endpoint/channelpool.js";
 import { HostDirectory } from "./fleet/directory.js";
-import { createIncarnation, PeerExchange } from "./fleet/exchange.js";
+import { PeerExchange } from "./fleet/exchange.js";
 import { HostTable } from "./fleet/hosts.js";
+import { createIncarnation } from "./fleet/incarnation.js";
 import { Registration } from "./fleet/registration.js";
 import { StoreNews } from "./fleet/storenews.js";
 import { IngressLifecycle } from "./lifecycle.js";
@@ -152,7 +153,7 @@
             failureDomain,
             strength: settings.host.processorShare * settings.host.processorSpeed,
         },
-        countHosts: () => mirror.revision > 0 ? hosts.list().length : undefined,
+        countHosts: () => mirror.revision > 0 ? hosts.size : undefined,
     });
     endpoints.onEnded(endpointId => {
         channels.forget(endpointId);
--- a/packages/ingress/src/fleet/attachment.ts
+++ b/packages/ingress/src/fleet/attachment.ts
@@ -4,6 +4,7 @@
 import type { FleetClock } from "@filbertrelay/policy/ingress";
 import { declareTopic } from "@filbertrelay/wire";
 import type { TcpPeerNetwork } from "@filbertrelay/wire";
+import type { HeardHosts } from "./heardhosts.js";
 import {
     attachReplySchema,
     attachReportSchema,
@@ -43,10 +44,7 @@
     readonly serving: ServingHosts;
     readonly counts: SharedCounts;
     readonly fleetClock: FleetClock;
-    /** Notes that a host was heard some time ago, in milliseconds. */
-    readonly noteHeard: (hostId: HostId, ageMs: number) => void;
-    /** Time since a host was heard, in milliseconds. */
-    readonly heardAgeMs: (hostId: HostId) => number;
+    readonly heard: HeardHosts;
     readonly news: () => StoreNews | undefined;
     /** Use of all hosts that this one knows of. */
     readonly fleetUse: () => SharedUse;
@@ -84,7 +82,7 @@
             return;
         }
         this.#isCalling = true;
-        const { peers, fleetClock, counts, noteHeard, serving, news } = this.#options;
+        const { peers, fleetClock, counts, heard, serving, news } = this.#options;
         const reply = await peers.call(contact, attachTopic, this.#describe(), { timeoutMs: callTimeoutMs, isRepeatable: true });
         this.#isCalling = false;
         const nowMs = this.#nowMs();
@@ -94,8 +92,8 @@
         }
         const { sentAtMs, knowledge, use, setAgeMs, servingWork } = reply.value;
         const told = Object.entries(reply.value.serving).map(([hostId, ageMs]) => ({ hostId: brandAs<HostId>(hostId), ageMs }));
-        noteHeard(contact, 0);
-        told.forEach(({ hostId, ageMs }) => noteHeard(hostId, ageMs));
+        heard.note(contact);
+        told.forEach(({ hostId, ageMs }) => heard.note(hostId, ageMs));
         fleetClock.recordPeerTime(contact, new Date(sentAtMs));
         serving.noteWork(servingWork);
         serving.adopt(told.map(({ hostId }) => hostId), setAgeMs);
@@ -153,9 +151,9 @@
     }
 
     #answer(from: HostId, report: AttachReport): AttachReply {
-        const { clock, counts, fleetClock, noteHeard, heardAgeMs, serving, news } = this.#options;
+        const { clock, counts, fleetClock, heard, serving, news } = this.#options;
         const nowMs = this.#nowMs();
-        noteHeard(from, 0);
+        heard.note(from);
         fleetClock.recordPeerTime(from, new Date(report.sentAtMs));
         counts.usage.recordPeerCounts(`${from}/${report.incarnation}`, report.windowCounts);
         const use = report.use === undefined ? undefined : withoutMissingTime(report.use);
@@ -167,7 +165,7 @@
         return {
             sentAtMs: clock.now().getTime(),
             knowledge: news()?.knowledge() ?? { revision: 0, materialRevision: 0 },
-            serving: Object.fromEntries(serving.serving.map(({ hostId }) => [hostId, heardAgeMs(hostId)])),
+            serving: Object.fromEntries(serving.serving.map(({ hostId }) => [hostId, heard.ageMs(hostId)])),
             setAgeMs: serving.setAgeMs,
             servingWork: serving.work,
             ...(report.isParticipant ? {} : { use: this.#describeForAsker(use) }),
--- a/packages/ingress/src/fleet/exchange.ts
+++ b/packages/ingress/src/fleet/exchange.ts
@@ -6,7 +6,7 @@
 import type { TcpPeerNetwork } from "@filbertrelay/wire";
 import { z } from "zod";
 import { Attachment, fleetUseName } from "./attachment.js";
-import { fleetEvents as events } from "./event.js";
+import { HeardHosts } from "./heardhosts.js";
 import type { HostTable } from "./hosts.js";
 import {
     addUses,
@@ -77,7 +77,7 @@
     /** Hosts outside of the exchange that the mates hear, with their ages. */
     readonly #attachedToMates = new ReceivedReports<Readonly<Record<string, number>>>(groupUseLifeMs);
     readonly #groupUses = new ReceivedReports<SharedUse>(groupUseLifeMs);
-    readonly #heardMs = new Map<HostId, number>();
+    readonly #heard: HeardHosts;
     readonly #addresses = new Map<HostId, string>();
     readonly #avoidedUntilMs = new Map<HostId, number>();
     #plan: ExchangePlan;
@@ -90,6 +90,7 @@
         this.#options = options;
         const { clock, log, hostId, incarnation, peers, hosts, counts, fleetClock, dutyHolder } = options;
         this.#plan = planExchange(hostId, [], { isAvoided: () => false });
+        this.#heard = new HeardHosts({ clock, log, self: hostId, silenceMs: () => this.#silenceMs() });
         this.serving = new ServingHosts({
             clock,
             log,
@@ -107,8 +108,7 @@
             counts,
             fleetClock,
             serving: this.serving,
-            noteHeard: (other, ageMs) => this.#noteHeard(other, this.#nowMs() - ageMs),
-            heardAgeMs: other => this.#heardAgeMs(other),
+            heard: this.#heard,
             news: () => this.#news,
             fleetUse: () => this.#describeFleetUse(),
         });
@@ -121,7 +121,7 @@
             return Promise.resolve(this.#hostReport());
         });
         peers.handle(groupTopic, (_, { from }) => {
-            this.#noteHeard(from, this.#nowMs());
+            this.#heard.note(from);
             return Promise.resolve(this.#groupReport());
         });
         this.#attachment.start();
@@ -152,16 +152,9 @@
         return { knownHosts, reachableHosts: this.#attachment.isFleetUseKnown ? knownHosts : 1 };
     }
 
-    /** Whether a host was heard lately, by this one or by another one that answers for its group. */
+    /** Whether a host was heard lately, by this one or by another one that reports it. */
     isHeard(hostId: HostId): boolean {
-        const heardMs = this.#heardMs.get(hostId);
-        return heardMs !== undefined && this.#nowMs() - heardMs < this.#silenceMs();
-    }
-
-    /** Time since a host was heard; the longest that counts for one that never was. */
-    #heardAgeMs(hostId: HostId): number {
-        const heardMs = hostId === this.#options.hostId ? this.#nowMs() : this.#heardMs.get(hostId);
-        return heardMs === undefined ? this.#silenceMs() : Math.round(this.#nowMs() - heardMs);
+        return this.#heard.isHeard(hostId);
     }
 
     /** Silence after which a host is not counted as reachable. */
@@ -178,10 +171,6 @@
         return this.#options.clock.monotonicMs();
     }
 
-    #others(): HostId[] {
-        return this.#options.hosts.list().map(host => host.hostId).filter(hostId => hostId !== this.#options.hostId);
-    }
-
     #intervalMs(): number {
         const { groups, mates, partners } = this.#plan;
         if (!this.serving.isParticipant) {
@@ -203,7 +192,7 @@
             void this.#attachment.report();
         }
         this.#reportToHolder();
-        this.#others().forEach(peer => this.#noteSilence(peer));
+        this.#heard.dropSilent();
         this.#tickCount += 1;
         this.#cancelTick();
         this.#cancelTick = this.#options.clock.after(this.#intervalMs(), () => this.#tick());
@@ -274,7 +263,7 @@
         for (const hostId of this.#addresses.keys()) {
             if (hosts.get(hostId) === undefined) {
                 this.#addresses.delete(hostId);
-                this.#heardMs.delete(hostId);
+                this.#heard.forget(hostId);
                 this.#avoidedUntilMs.delete(hostId);
                 peers.forget(hostId);
             }
@@ -304,7 +293,7 @@
     #receive(peer: HostId, report: HostReport): void {
         const { fleetClock, counts } = this.#options;
         const nowMs = this.#nowMs();
-        this.#noteHeard(peer, nowMs);
+        this.#heard.note(peer);
         fleetClock.recordPeerTime(peer, new Date(report.sentAtMs));
         counts.usage.recordPeerCounts(`${peer}/${report.incarnation}`, report.windowCounts);
         // The holder of the duties hears hosts whose use it learns from their groups.
@@ -313,7 +302,7 @@
             this.serving.noteWork(report.servingWork);
             this.#attachedToMates.record(peer, report.attached, nowMs);
             for (const [attached, ageMs] of Object.entries(report.attached)) {
-                this.#noteHeard(brandAs<HostId>(attached), nowMs - ageMs);
+                this.#heard.note(brandAs<HostId>(attached), ageMs);
             }
         }
         this.#news?.learn(peer, report.knowledge);
@@ -322,7 +311,7 @@
     #receiveGroup(peer: HostId, report: GroupReport): void {
         const { counts, hostId } = this.#options;
         const nowMs = this.#nowMs();
-        this.#noteHeard(peer, nowMs);
+        this.#heard.note(peer);
         this.#news?.learn(peer, report.knowledge);
         this.serving.noteWork(report.servingWork);
         if (report.groups !== this.#plan.groups || report.group === this.#plan.ownGroup) {
@@ -330,7 +319,7 @@
         }
         for (const [member, ageMs] of Object.entries(report.members)) {
             if (member !== hostId) {
-                this.#noteHeard(brandAs<HostId>(member), nowMs - ageMs);
+                this.#heard.note(brandAs<HostId>(member), ageMs);
             }
         }
         const name = `${groupPrefix(report.groups)}${report.group}`;
@@ -379,10 +368,7 @@
 
     #describeGroup(): GroupReport {
         const nowMs = this.#nowMs();
-        const heard = this.#plan.mates.flatMap(peer => {
-            const heardMs = this.#heardMs.get(peer);
-            return heardMs === undefined ? [] : [[peer, Math.round(nowMs - heardMs)] as const];
-        });
+        const heard = this.#plan.mates.filter(peer => this.isHeard(peer)).map(peer => [peer, this.#heard.ageMs(peer)] as const);
         return {
             groups: this.#plan.groups,
             group: this.#plan.ownGroup,
@@ -401,22 +387,6 @@
             Object.entries(report).map(([hostId, ageMs]) => [hostId, Math.round(ageMs + nowMs - receivedMs)] as const)
         );
     }
-
-    #noteHeard(peer: HostId, heardMs: number): void {
-        const isSilent = !this.isHeard(peer);
-        this.#heardMs.set(peer, Math.max(heardMs, this.#heardMs.get(peer) ?? -Infinity));
-        if (isSilent && this.isHeard(peer)) {
-            this.#options.log.write(events.peerRegained, { peer });
-        }
-    }
-
-    #noteSilence(peer: HostId): void {
-        const heardMs = this.#heardMs.get(peer);
-        if (heardMs !== undefined && !this.isHeard(peer)) {
-            this.#heardMs.delete(peer);
-            this.#options.log.write(events.peerLost, { peer, ageMs: Math.round(this.#nowMs() - heardMs) });
-        }
-    }
 }
 
 function groupPrefix(groups: number): string {
@@ -426,8 +396,3 @@
 function isGroupName(name: string): boolean {
     return name.startsWith("group/");
 }
-
-/** Names one run of this process. */
-export function createIncarnation(now: Date, draw: () => number): Incarnation {
-    return brandAs<Incarnation>(`${now.getTime()}-${Math.floor(draw() * 1e9).toString(36)}`);
-}
--- a/packages/ingress/src/fleet/hosts.ts
+++ b/packages/ingress/src/fleet/hosts.ts
@@ -53,6 +53,11 @@
         return [...this.#records.values()];
     }
 
+    /** Number of registered hosts. */
+    get size(): number {
+        return this.#records.size;
+    }
+
     get(hostId: HostId): HostRecord | undefined {
         return this.#records.get(hostId);
     }
--- a/packages/ingress/src/fleet/servinghosts.ts
+++ b/packages/ingress/src/fleet/servinghosts.ts
@@ -73,7 +73,7 @@
 
     /** Whether all hosts serve because the fleet is small. */
     get isFullFleet(): boolean {
-        return this.#options.hosts.list().length <= largestFullFleet;
+        return this.#options.hosts.size <= largestFullFleet;
     }
 
     isServing(hostId: HostId): boolean {
--- a/packages/ingress/src/request/task.ts
+++ b/packages/ingress/src/request/task.ts
@@ -2,13 +2,12 @@
 import { chooseEndpointFor, decideStart, limitSilence } from "@filbertrelay/policy/ingress";
 import type { EndpointChoice } from "@filbertrelay/policy/ingress";
 import type { EndpointRecord } from "../contract.js";
-import { EventFrameReader } from "../endpoint/eventframe.js";
-import type { EventFrame } from "../endpoint/eventframe.js";
 import type { AdmittedRequest } from "./admitted.js";
 import { Attempt } from "./attempt.js";
 import type { AttemptEnd } from "./attempt.js";
 import type { RequestContext } from "./context.js";
 import { requestEvents as events } from "./event.js";
+import { ForwardedEvents } from "./forwardedevents.js";
 import { sendOwnAnswer } from "./refusal.js";
 import type { CallerResponder } from "./responder.js";
 
@@ -28,7 +27,7 @@
     readonly #request: AdmittedRequest;
     readonly #responder: CallerResponder;
     readonly #tried = new Set<EndpointId>();
-    readonly #frames = { reader: new EventFrameReader(), lastId: undefined as string | undefined, forwarded: 0 };
+    readonly #forwarded: ForwardedEvents;
     #attempt: Attempt | undefined;
     #sends = 0;
     #runs = 0;
@@ -45,12 +44,12 @@
         this.#context = context;
         this.#request = request;
         this.#responder = responder;
+        this.#forwarded = new ForwardedEvents(request.description.lastEventId);
     }
 
     /** Starts the request or refuses it at once. */
     start(): void {
         const { clock } = this.#context;
-        this.#frames.lastId = this.#request.description.lastEventId;
         this.#responder.onGone(() => this.#end("gone", "caller"));
         this.#responder.onDrained(() => this.#attempt?.resume());
         this.#cancelDeadline = clock.after(Math.max(0, this.#request.deadlineMs - clock.monotonicMs()), () => this.#expire());
@@ -129,7 +128,7 @@
             remainingMs,
             ...(customer === undefined ? {} : { customer: customer.name }),
             ...(endpoint.hasPromptCache ? { priority: this.#priority() } : {}),
-            ...(this.#frames.lastId === undefined ? {} : { lastEventId: this.#frames.lastId }),
+            ...(this.#forwarded.lastId === undefined ? {} : { lastEventId: this.#forwarded.lastId }),
         });
         log.write(events.attemptStarted, {
             requestId,
@@ -144,7 +143,7 @@
         if (description.prompt !== undefined && endpoint.hasPromptCache) {
             promptCaches.recordPrompt(endpoint.endpointId, description.prompt.parts);
         }
-        this.#frames.reader = new EventFrameReader();
+        this.#forwarded.restart();
         const attempt = new Attempt(this.#context, {
             requestId,
             number: this.#sends,
@@ -175,12 +174,13 @@
     }
 
     #receiveStream(attempt: Attempt, bytes: Buffer): void {
-        const frames = this.#frames.reader.push(bytes);
-        if (frames === undefined) {
+        const taken = this.#forwarded.take(bytes);
+        if (taken === undefined) {
             attempt.abandon("malformed", "An event is too long.");
             return;
         }
-        if (this.#forward(attempt, frames)) {
+        this.#forward(attempt, taken.frames);
+        if (taken.hasProgress) {
             this.#watchSilence(0, true);
             this.#firstEventMs ??= this.#context.clock.monotonicMs();
             attempt.recordFirstEvent();
@@ -188,29 +188,18 @@
         }
     }
 
-    /** Writes the events that the caller does not have yet; tells whether there were any besides comments. */
-    #forward(attempt: Attempt, frames: readonly EventFrame[]): boolean {
-        const added: Buffer[] = [];
-        let hasProgress = false;
-        for (const { id, bytes, isComment } of frames) {
-            if (id === undefined || isBehind(id, this.#frames.lastId)) {
-                added.push(bytes);
-                hasProgress ||= !isComment;
-                this.#frames.lastId = id ?? this.#frames.lastId;
-            }
-        }
-        if (added.length === 0) {
-            return false;
+    /** Writes events to the caller. */
+    #forward(attempt: Attempt, frames: readonly Buffer[]): void {
+        if (frames.length === 0) {
+            return;
         }
         if (!this.#isBegun) {
             this.#isBegun = true;
             this.#responder.begin(attempt.status, attempt.responseHeaders);
         }
-        this.#frames.forwarded += added.length;
-        if (!this.#responder.write(Buffer.concat(added))) {
+        if (!this.#responder.write(Buffer.concat(frames))) {
             attempt.pause();
         }
-        return hasProgress;
     }
 
     #finishAttempt(attempt: Attempt, end: AttemptEnd): void {
@@ -256,11 +245,11 @@
             this.#end("answered", `status ${end.status}`);
             return;
         }
-        if (this.#frames.reader.pendingBytes > 0 && this.#mayRepeat() && this.#takeRepeat()) {
+        if (this.#forwarded.isWithinEvent && this.#mayRepeat() && this.#takeRepeat()) {
             this.#next();
             return;
         }
-        if (this.#frames.reader.pendingBytes > 0) {
+        if (this.#forwarded.isWithinEvent) {
             this.#giveUp("the stream ended within an event", 502, undefined);
             return;
         }
@@ -400,14 +389,9 @@
             customer: customer?.name,
             configurationVersion,
             sends: this.#sends,
-            events: this.#frames.forwarded,
+            events: this.#forwarded.count,
             firstEventMs: this.#firstEventMs === undefined ? undefined : Math.round(this.#firstEventMs - caller.arrivedMs),
             elapsedMs: Math.round(elapsedMs),
         });
     }
 }
-
-function isBehind(id: string, lastId: string | undefined): boolean {
-    const [number, last] = [Number(id), Number(lastId ?? Number.NaN)];
-    return !Number.isFinite(number) || !Number.isFinite(last) || number > last;
-}
