Pass over serving hosts that don't answer at once; name oneself while no host is known

The directory answered 503 between a host's start and the reading of its own entry, which comes later since hosts wait for their first read before they register; it names itself then, unless it stops.

--- a/packages/ingress/src/daemon.ts
+++ b/packages/ingress/src/daemon.ts
@@ -213,7 +213,12 @@
         directoryKeepMs: promises.directoryKeepSeconds * 1_000,
     });
     const view: HostView = {
-        directory: new HostDirectory({ clock, serving, hostId }),
+        directory: new HostDirectory({
+            clock,
+            serving,
+            hostId,
+            ownAddress: () => lifecycle.isStopAsked ? undefined : settings.host.callerAddress,
+        }),
         metrics,
         isReady: () => configuration.current() !== undefined && !lifecycle.isStopAsked,
         directoryKeepMs: promises.directoryKeepSeconds * 1_000,
--- a/packages/ingress/src/fleet/attachment.ts
+++ b/packages/ingress/src/fleet/attachment.ts
@@ -75,20 +75,25 @@
         return this.#nowMs() - this.#fleetUseMs < fleetUseLifeMs;
     }
 
-    /** Reports to a serving host. */
+    /** Reports to a serving host; one that does not answer is passed over at once, since it may have ended. */
     async report(): Promise<void> {
-        const contact = this.#chooseContact();
-        if (contact === undefined || this.#isCalling) {
+        if (this.#isCalling) {
             return;
         }
         this.#isCalling = true;
+        let contact = this.#chooseContact();
+        while (contact !== undefined && !await this.#reportTo(contact)) {
+            this.#avoidedUntilMs.set(contact, this.#nowMs() + avoidMs);
+            contact = this.#chooseContact();
+        }
+        this.#isCalling = false;
+    }
+
+    async #reportTo(contact: HostId): Promise<boolean> {
         const { peers, fleetClock, counts, heard, serving, news } = this.#options;
         const reply = await peers.call(contact, attachTopic, this.#describe(), { timeoutMs: callTimeoutMs, isRepeatable: true });
-        this.#isCalling = false;
-        const nowMs = this.#nowMs();
         if (!reply.ok) {
-            this.#avoidedUntilMs.set(contact, nowMs + avoidMs);
-            return;
+            return false;
         }
         const { sentAtMs, knowledge, use, setAgeMs, servingWork } = reply.value;
         const told = Object.entries(reply.value.serving).map(([hostId, ageMs]) => ({ hostId: brandAs<HostId>(hostId), ageMs }));
@@ -99,9 +104,10 @@
         serving.adopt(told.map(({ hostId }) => hostId), setAgeMs);
         news()?.learn(contact, knowledge);
         if (use !== undefined && !serving.isParticipant) {
-            recordGroupUse(counts, fleetUseName, use, nowMs);
-            this.#fleetUseMs = nowMs;
+            recordGroupUse(counts, fleetUseName, use, this.#nowMs());
+            this.#fleetUseMs = this.#nowMs();
         }
+        return true;
     }
 
     /** Whether a host reports to this one. */
@@ -129,12 +135,13 @@
         return this.#options.clock.monotonicMs();
     }
 
+    /** A serving host that was not passed over lately. */
     #chooseContact(): HostId | undefined {
         const { hostId: self, serving } = this.#options;
         const nowMs = this.#nowMs();
         const candidates = serving.serving.map(({ hostId }) => hostId).filter(hostId => hostId !== self);
         const ranked = rankByRendezvous(self, candidates, hostId => hostId);
-        return ranked.find(hostId => (this.#avoidedUntilMs.get(hostId) ?? -Infinity) <= nowMs) ?? ranked[0];
+        return ranked.find(hostId => (this.#avoidedUntilMs.get(hostId) ?? -Infinity) <= nowMs);
     }
 
     #describe(): AttachReport {
--- a/packages/ingress/src/fleet/directory.ts
+++ b/packages/ingress/src/fleet/directory.ts
@@ -12,18 +12,27 @@
     readonly #clock: Clock;
     readonly #serving: ServingHosts;
     readonly #hostId: HostId;
+    readonly #ownAddress: () => string | undefined;
 
-    constructor(options: { readonly clock: Clock; readonly serving: ServingHosts; readonly hostId: HostId; }) {
+    constructor(options: {
+        readonly clock: Clock;
+        readonly serving: ServingHosts;
+        readonly hostId: HostId;
+        /** Where this host takes callers; `undefined` while it stops. */
+        readonly ownAddress: () => string | undefined;
+    }) {
         this.#clock = options.clock;
+        this.#ownAddress = options.ownAddress;
         this.#serving = options.serving;
         this.#hostId = options.hostId;
     }
 
-    /** Addresses for callers, those of the caller's failure domain first. */
+    /** Addresses for callers, those of the caller's failure domain first; this host's own while no host is known. */
     addresses(failureDomain: FailureDomainId | undefined): readonly string[] {
         this.#serving.refresh();
         const key = `${this.#hostId}/${Math.floor(this.#clock.monotonicMs() / answerLifeMs)}`;
         const chosen = chooseForCaller(this.#serving.serving, { failureDomain, limit: addressLimit, key });
-        return chosen.map(host => host.callerAddress);
+        const own = this.#ownAddress();
+        return chosen.length > 0 || own === undefined ? chosen.map(host => host.callerAddress) : [own];
     }
 }
