--- a/packages/ingress/src/duty/contention.ts
+++ b/packages/ingress/src/duty/contention.ts
@@ -1,5 +1,5 @@
 import type { HostId } from "@filbertrelay/kernel";
-import { largestFullFleet, rankByRendezvous } from "@filbertrelay/policy/ingress";
+import { rankByRendezvous } from "@filbertrelay/policy/ingress";
 import type { HostRecord } from "../fleet/hosts.js";
 import type { ServingHosts } from "../fleet/servinghosts.js";
 
@@ -15,7 +15,7 @@
     self: HostId,
     { hosts, serving }: { readonly hosts: readonly HostRecord[]; readonly serving: ServingHosts; },
 ): number {
-    if (hosts.length <= largestFullFleet) {
+    if (serving.isFullFleet) {
         return 0;
     }
     if (serving.isServing(self)) {
--- a/packages/ingress/src/fleet/exchange.ts
+++ b/packages/ingress/src/fleet/exchange.ts
@@ -148,7 +148,7 @@
             const isGivenUp = (this.#news?.storeAgeMs() ?? 0) > formerLifeMs && reachable * 2 < sharers.length;
             return { knownHosts: Math.max(1, sharers.length), reachableHosts: isGivenUp ? 0 : Math.max(1, reachable) };
         }
-        const knownHosts = Math.max(1, this.#options.hosts.list().length);
+        const knownHosts = Math.max(1, this.#options.hosts.size);
         return { knownHosts, reachableHosts: this.#attachment.isFleetUseKnown ? knownHosts : 1 };
     }
 
--- a/packages/ingress/src/fleet/report.ts
+++ b/packages/ingress/src/fleet/report.ts
@@ -171,12 +171,8 @@
 
 /** Takes the use of one host out of a sum. */
 export function subtractUse(sum: SharedUse, part: SharedUse): SharedUse {
-    const subtract = (from: Readonly<Record<string, number>>, name: string, amount: number): [string, number] => [
-        name,
-        Math.max(0, amount - (from[name] ?? 0)),
-    ];
     const subtractCounts = (counts: Readonly<Record<string, number>>, from: Readonly<Record<string, number>>) =>
-        Object.fromEntries(Object.entries(counts).map(([name, amount]) => subtract(from, name, amount)));
+        Object.fromEntries(Object.entries(counts).map(([name, amount]) => [name, Math.max(0, amount - (from[name] ?? 0))]));
     const { quotaUse, endpointUse } = part;
     return {
         quotaUse: {
