Log by which way each change of the store reached a host, and how old its copy was

Callers saw late configurations and requests to leaving endpoints; the lines of a host did not say whether a change came by its own watch, a listing, a push or a fetch, nor how long it can have waited.

--- a/packages/ingress/src/daemon.ts
+++ b/packages/ingress/src/daemon.ts
@@ -97,7 +97,14 @@
     const metrics = new IngressMetrics();
     const store = environment.createStore((kind, result) => metrics.recordStoreCall(kind, result));
     const applyMs = Math.min(promises.endpointLeaveMs, promises.configurationApplyMs);
-    const mirror = new StoreMirror({ store, clock, log, draw, applyMs });
+    const mirror = new StoreMirror({
+        store,
+        clock,
+        log,
+        draw,
+        applyMs,
+        onUpdate: ({ way, copyAgeMs }) => copyAgeMs === undefined ? undefined : metrics.recordChangeAge(way, copyAgeMs),
+    });
     const configuration = new ConfigurationState({ mirror, decoder: environment.decoder, log, metrics });
     const endpoints = new EndpointTable({ mirror, decoder: environment.decoder, log });
     const hosts = new HostTable({ mirror, log });
--- a/packages/ingress/src/fleet/storesync.ts
+++ b/packages/ingress/src/fleet/storesync.ts
@@ -70,7 +70,7 @@
         });
         this.#peers.handle(pushTopic, ({ afterRevision, news }, { from }) => {
             if (afterRevision <= this.#mirror.revision) {
-                this.#mirror.mergeFromPeer(from, readChanges(news));
+                this.#mirror.mergeFromPeer(from, readChanges(news), "push");
             }
             else {
                 void this.#fetch(from);
@@ -142,7 +142,7 @@
         const reply = await this.#peers.call(peer, fetchTopic, body, { timeoutMs: callTimeoutMs, isRepeatable: true });
         this.#isFetching = false;
         if (reply.ok) {
-            this.#mirror.mergeFromPeer(peer, readChanges(reply.value));
+            this.#mirror.mergeFromPeer(peer, readChanges(reply.value), "fetch");
         }
     }
 
--- a/packages/ingress/src/state/configuration.ts
+++ b/packages/ingress/src/state/configuration.ts
@@ -5,7 +5,7 @@
 import type { StoreDecoder } from "../contract.js";
 import type { IngressMetrics } from "../telemetry/metrics.js";
 import { stateEvents as events } from "./event.js";
-import type { StoreMirror } from "./mirror.js";
+import type { ChangeOrigin, StoreMirror } from "./mirror.js";
 
 /** The current configuration with its lookup tables. */
 export interface ActiveConfiguration {
@@ -33,13 +33,13 @@
     ) {
         this.#log = options.log;
         this.#metrics = options.metrics;
-        options.mirror.listen(options.decoder.configurationPrefix, change => {
+        options.mirror.listen(options.decoder.configurationPrefix, (change, origin) => {
             if (change.value === undefined) {
                 return "material";
             }
             const decoded = options.decoder.readConfiguration(change.value);
             if (decoded.ok) {
-                this.#apply(decoded.value, change.revision);
+                this.#apply(decoded.value, change.revision, origin);
             }
             else {
                 this.#log.write(events.entrySkipped, {
@@ -62,7 +62,7 @@
         this.#listeners.push(listener);
     }
 
-    #apply(configuration: IngressConfiguration, revision: number): void {
+    #apply(configuration: IngressConfiguration, revision: number, origin: ChangeOrigin): void {
         const formerVersion = this.#active?.configuration.version;
         if (formerVersion !== undefined && configuration.version <= formerVersion) {
             return;
@@ -83,6 +83,7 @@
             revision,
             routes: routes.length,
             customers: customers?.length,
+            ...origin,
         });
         this.#listeners.forEach(listener => listener(this.#active as ActiveConfiguration));
     }
--- a/packages/ingress/src/state/endpoints.ts
+++ b/packages/ingress/src/state/endpoints.ts
@@ -3,7 +3,7 @@
 import { isDeepStrictEqual } from "node:util";
 import type { EndpointRecord, StoreDecoder } from "../contract.js";
 import { stateEvents as events } from "./event.js";
-import type { StoreMirror } from "./mirror.js";
+import type { ChangeOrigin, StoreMirror } from "./mirror.js";
 
 /** Receives the id of an endpoint that ended or was replaced by a new process with the same id. */
 export type EndpointEndedListener = (endpointId: EndpointId) => void;
@@ -22,7 +22,7 @@
         this.#log = options.log;
         this.#mirror = options.mirror;
         this.#decoder = options.decoder;
-        options.mirror.listen(options.decoder.endpointPrefix, change => this.#apply(change));
+        options.mirror.listen(options.decoder.endpointPrefix, (change, origin) => this.#apply(change, origin));
     }
 
     /** The endpoints of a service that accept new requests. */
@@ -40,16 +40,16 @@
         this.#endedListeners.push(listener);
     }
 
-    #apply(change: StoreChange): "material" | "heartbeat" {
+    #apply(change: StoreChange, origin: ChangeOrigin): "material" | "heartbeat" {
         const known = this.#records.get(change.key);
         const decoded = change.value === undefined ? undefined : this.#decoder.readEndpoint(change.key, change.value);
         if (decoded === undefined) {
-            this.#mirror.afterRemovalGrace(change.key, () => this.#remove(change.key));
+            this.#mirror.afterRemovalGrace(change.key, () => this.#remove(change, origin));
             return "material";
         }
         if (!decoded.ok) {
             this.#log.write(events.entrySkipped, { key: change.key, code: decoded.issue.code, message: decoded.issue.message });
-            this.#remove(change.key);
+            this.#remove(change, origin);
             return "material";
         }
         const record = decoded.value;
@@ -67,15 +67,21 @@
             isLeaving: record.isLeaving,
             isReclaimable: record.isReclaimable,
             revision: change.revision,
+            ...origin,
         });
         return "material";
     }
 
-    #remove(key: string): void {
+    #remove({ key, revision }: StoreChange, origin: ChangeOrigin): void {
         const record = this.#records.get(key);
         if (record !== undefined) {
             this.#records.delete(key);
-            this.#log.write(events.endpointGone, { endpoint: record.endpointId, service: record.service });
+            this.#log.write(events.endpointGone, {
+                endpoint: record.endpointId,
+                service: record.service,
+                revision,
+                ...origin,
+            });
             this.#endedListeners.forEach(listener => listener(record.endpointId));
         }
     }
--- a/packages/ingress/src/state/mirror.ts
+++ b/packages/ingress/src/state/mirror.ts
@@ -3,8 +3,18 @@
 import type { Clock, EventLog, Service } from "@filbertrelay/kernel";
 import { stateEvents as events } from "./event.js";
 
+/** How changes reached this host: its own watch or listing of the store, a push from a peer, or a fetch from one. */
+export type ChangeWay = "watch" | "listing" | "push" | "fetch";
+
+/** Describes how a change reached this host. */
+export interface ChangeOrigin {
+    readonly way: ChangeWay;
+    /** Age of the copy before the change, in milliseconds: an upper bound of the change's delay. Absent before the first read. */
+    readonly copyAgeMs?: number;
+}
+
 /** Receives each change of the mirrored items; a removed item has no value. Returns whether the change is a mere heartbeat. */
-export type MirrorListener = (change: StoreChange) => "material" | "heartbeat";
+export type MirrorListener = (change: StoreChange, origin: ChangeOrigin) => "material" | "heartbeat";
 
 /** Whether a host watches the store for itself, for the whole fleet, or only when the state it gets from peers is too old. */
 export type WatchRole = "own" | "fleet" | "standby";
@@ -28,6 +38,8 @@
     readonly draw: () => number;
     /** Time within which a host must apply a change. */
     readonly applyMs: number;
+    /** Called for each update with material changes. */
+    readonly onUpdate?: (origin: ChangeOrigin) => void;
 }
 
 /** Long-poll time of a watch; a response within it shows that the connection is alive. */
@@ -82,6 +94,7 @@
     #needsList = true;
     #lastResponseMs = -Infinity;
     #reconnectedMs = -Infinity;
+    #origin: ChangeOrigin = { way: "listing" };
     #isUnreachable = true;
     #failures = 0;
     #loop: Promise<void> | undefined;
@@ -168,17 +181,22 @@
     }
 
     /** Applies the changes of a peer if its revision is newer. */
-    mergeFromPeer(peer: string, received: PeerChanges): void {
+    mergeFromPeer(peer: string, received: PeerChanges, way: "push" | "fetch"): void {
         if (received.revision <= this.#revision) {
             this.confirmRevision(received.revision, received.ageMs);
             return;
         }
         this.#options.log.write(events.mirroredFromPeer, {
             peer,
+            way,
+            isComplete: received.isComplete,
             fromRevision: this.#revision,
             toRevision: received.revision,
             changes: received.changes.length,
+            copyAgeMs: roundAge(this.ageMs()),
+            peerAgeMs: roundAge(received.ageMs),
         });
+        this.#recordOrigin(way);
         if (received.isComplete) {
             this.#replaceAll(
                 received.changes.flatMap(change => change.value === undefined ? [] : [{ ...change, value: change.value }]),
@@ -232,6 +250,8 @@
         if (!listed.ok) {
             return listed.issue;
         }
+        const formerRevision = this.#revision;
+        this.#recordOrigin("listing");
         this.#recordResponse();
         // Newer changes may have been received from a peer during the call.
         if (listed.value.revision >= this.#revision) {
@@ -239,7 +259,12 @@
             this.#revision = listed.value.revision;
         }
         this.#needsList = false;
-        this.#options.log.write(events.storeListed, { revision: this.#revision, items: this.#items.size });
+        this.#options.log.write(events.storeListed, {
+            formerRevision,
+            revision: this.#revision,
+            items: this.#items.size,
+            copyAgeMs: this.#origin.copyAgeMs,
+        });
         return undefined;
     }
 
@@ -256,6 +281,7 @@
         if (!watched.ok) {
             return watched.issue;
         }
+        this.#recordOrigin("watch");
         this.#recordResponse();
         const formerRevision = this.#materialRevision;
         const changes = this.#applyAll(watched.value.changes);
@@ -273,6 +299,9 @@
     #applyAll(changes: readonly StoreChange[]): readonly StoreChange[] {
         const material = changes.filter(change => this.#apply(change) === "material");
         this.#materialRevision = Math.max(this.#materialRevision, ...material.map(change => Math.ceil(change.revision)));
+        if (material.length > 0) {
+            this.#options.onUpdate?.(this.#origin);
+        }
         return material;
     }
 
@@ -289,7 +318,7 @@
             this.#items.set(change.key, { key: change.key, value: change.value, revision: change.revision });
         }
         const kinds = this.#listeners.filter(({ prefix }) => change.key.startsWith(prefix)).map(({ listener }) =>
-            listener(change)
+            listener(change, this.#origin)
         );
         // A restored entry is a material change even if its value is unchanged, since peers have seen its removal.
         if (known !== undefined && kinds.length > 0 && kinds.every(kind => kind === "heartbeat")) {
@@ -310,6 +339,12 @@
         this.#historyFrom = Math.max(this.#revision, ...items.map(item => item.revision));
     }
 
+    /** Records how the changes that are applied next reached this host. */
+    #recordOrigin(way: ChangeWay): void {
+        const copyAgeMs = roundAge(this.ageMs());
+        this.#origin = { way, ...(copyAgeMs === undefined ? {} : { copyAgeMs }) };
+    }
+
     #recordResponse(ageMs = 0): void {
         const { clock, log } = this.#options;
         this.#failures = 0;
--- a/packages/ingress/src/telemetry/metrics.ts
+++ b/packages/ingress/src/telemetry/metrics.ts
@@ -19,6 +19,13 @@
         "service",
     ]);
     readonly #storeCalls = this.#counter("store_calls_total", "Calls to the store, by kind and result", ["kind", "result"]);
+    readonly #changeAge = new Histogram({
+        name: "filbertrelay_store_change_age_seconds",
+        help: "Age of the copy of the store when changes reached it, an upper bound of their delay, by way",
+        labelNames: ["way"],
+        buckets: latencyBounds,
+        registers: [this.#registry],
+    });
     readonly #dutyCalls = this.#counter("duty_calls_total", "Calls of the host that holds the duties, by duty and result", [
         "duty",
         "result",
@@ -45,6 +52,11 @@
         this.#storeCalls.inc({ kind, result });
     }
 
+    /** Records the age of the copy of the store, in milliseconds, when changes reached it by a way. */
+    recordChangeAge(way: string, ageMs: number): void {
+        this.#changeAge.observe({ way }, ageMs / 1_000);
+    }
+
     recordDutyCall(duty: string, result: string): void {
         this.#dutyCalls.inc({ duty, result });
     }
