Make a listing of the store hold the items of one revision

Callers: requests could reach an endpoint that had left, for good. A listing of several pages was returned with the revision of its first page, but held keys of later pages as they were later on. What was removed and listed in between fits no revision; when the watch from the first page's revision then fails because the history was dropped, no later change repairs the copy.

--- a/packages/connectors/src/store.ts
+++ b/packages/connectors/src/store.ts
@@ -37,7 +37,7 @@
 export interface Store {
     /** Reads a key; returns `undefined` if it does not exist. */
     get(key: string): Promise<Outcome<StoreItem | undefined, StoreIssue>>;
-    /** Lists all items under a prefix with the revision of the first page. */
+    /** Lists the items under a prefix as they were at one revision. */
     list(prefix: string): Promise<Outcome<{ readonly items: readonly StoreItem[]; readonly revision: number; }, StoreIssue>>;
     /** Waits for changes under a prefix after a revision; returns no changes on timeout. */
     watch(
