Pass on what a watching host learns by a listing

Callers: a configuration was in force on most hosts 3 s after it was confirmed and leaving endpoints were used as long, when the store dropped its history at that moment (CONFIG, DRAIN). #watch passed material changes on to the peers, #readAll did not, so that they waited for up to three reports.

--- a/features/ingress.copy.feature
+++ b/features/ingress.copy.feature
@@ -16,6 +16,13 @@
     When an item is removed and another host starts
     Then its changes since the revision of the first host say that the item is gone
 
+  # Guards against changes that wait for several reports because the watching hosts had to list the store.
+  Scenario: What a watching host learns by a listing is passed on at once
+    Given a host that has read the store and leaves the watch to others
+    And a host that watches the store for it
+    When an item is removed together with the history while watches deliver nothing
+    Then the item is gone from the first host within 1000 ms
+
   # Guards against listings that mix states of the store, which later changes don't repair.
   Scenario: A listing of several pages holds what the store held at one revision
     Given a store that is changed between the pages of a listing
--- a/features/steps/ingress.copy.ts
+++ b/features/steps/ingress.copy.ts
@@ -117,6 +117,10 @@
     assert.ok(this.hosts[0]!.mirror.get(removedKey) !== undefined);
 });
 
+Given("a host that watches the store for it", async function(this: CopyWorld) {
+    await this.hosts[1]!.start();
+});
+
 When("an item is removed and another host starts", async function(this: CopyWorld) {
     this.store.remove(removedKey);
     await this.hosts[1]!.start();
@@ -132,6 +136,13 @@
     first!.sync.reconcile(secondId, second!.sync.status());
 });
 
+When("an item is removed together with the history while watches deliver nothing", async function(this: CopyWorld) {
+    this.store.isHoldingWatches = true;
+    this.store.remove(removedKey);
+    this.store.dropHistory();
+    this.store.isHoldingWatches = false;
+});
+
 Then("the item is gone from the first host within {int} ms", async function(this: CopyWorld, limitMs: number) {
     const startMs = clock.monotonicMs();
     const { mirror } = this.hosts[0]!;
--- a/packages/ingress/src/state/mirror.ts
+++ b/packages/ingress/src/state/mirror.ts
@@ -270,6 +270,7 @@
             changes: update?.changes.length,
             copyAgeMs: this.#origin.copyAgeMs,
         });
+        this.#passOn(update);
         return undefined;
     }
 
