Count the ages that peers report from when they were written

Callers: a host that was slowed, paused or behind a full link took old state for fresh, did not watch the store itself, and applied changes late (CONFIG, DRAIN). An age was taken at the sender and counted from the arrival of the message, reports were even reused for 80 ms with their age.

A reply was written after its call began, so its ages count from then. A report that comes as a call echoes the last message of the receiver with the time since then, which bounds when it was written without comparing clocks; an echo of an earlier run is ignored. A message without a bound, such as a push, brings changes but confirms nothing. The same goes for the ages of hosts' last contacts and of the serving set, which had the same fault.

--- a/features/ingress.copy.feature
+++ b/features/ingress.copy.feature
@@ -23,6 +23,16 @@
     When an item is removed together with the history while watches deliver nothing
     Then the item is gone from the first host within 1000 ms
 
+  # Guards against a host that doesn't watch the store because an old report counts from its arrival.
+  Scenario: A report that may have waited does not confirm a copy
+    Given a host that has read the store and leaves the watch to others
+    When a report of unknown age says that its revision is the latest
+    Then its copy is as old as before
+
+  # Guards against ages that leave out the time on the way, on slow links and in front of paused processes.
+  Scenario: The time at which a message was written is bounded by an echo
+    Then in 1000 exchanges with random delays and restarts no message counts as written later than it was
+
   # Guards against listings that mix states of the store, which later changes don't repair.
   Scenario: A listing of several pages holds what the store held at one revision
     Given a store that is changed between the pages of a listing
--- a/features/steps/ingress.copy.ts
+++ b/features/steps/ingress.copy.ts
@@ -12,6 +12,7 @@
 import assert from "node:assert/strict";
 import { CopySimulation, schedules } from "../support/copysimulation.js";
 import { findPort, waitFor } from "../support/ingress.js";
+import { createRandom } from "../support/random.js";
 
 // A failed property prints this seed with the counterexample.
 const seed = 20_261_204;
@@ -21,6 +22,7 @@
 interface CopyWorld {
     store: StandinStore;
     hosts: CopyHost[];
+    ageMs: number;
 }
 
 /** The parts of a host that copy the store; `watcher` names the only host that watches it. */
@@ -133,7 +135,7 @@
     await first!.start();
     this.store.remove(removedKey);
     await second!.start();
-    first!.sync.reconcile(secondId, second!.sync.status());
+    first!.sync.reconcile(secondId, second!.sync.status(), clock.monotonicMs());
 });
 
 When("an item is removed together with the history while watches deliver nothing", async function(this: CopyWorld) {
@@ -143,6 +145,17 @@
     this.store.isHoldingWatches = false;
 });
 
+When("a report of unknown age says that its revision is the latest", async function(this: CopyWorld) {
+    const [host] = this.hosts;
+    await clock.sleep(200);
+    this.ageMs = host!.mirror.ageMs();
+    host!.sync.reconcile(secondId, { ...host!.sync.status(), storeAgeMs: 0 }, undefined);
+});
+
+Then("its copy is as old as before", function(this: CopyWorld) {
+    assert.ok(this.hosts[0]!.mirror.ageMs() >= this.ageMs, `${this.hosts[0]!.mirror.ageMs()} of ${this.ageMs} ms`);
+});
+
 Then("the item is gone from the first host within {int} ms", async function(this: CopyWorld, limitMs: number) {
     const startMs = clock.monotonicMs();
     const { mirror } = this.hosts[0]!;
@@ -165,6 +178,36 @@
     assert.equal(copy.get(removedKey), undefined);
 });
 
+Then(
+    "in {int} exchanges with random delays and restarts no message counts as written later than it was",
+    (exchanges: number) => {
+        const random = createRandom(seed);
+        let nowMs = 1_000;
+        let startedMs = 0;
+        const caller = new policy.MessageTimes("caller");
+        let callee = new policy.MessageTimes("callee 0");
+        let bounded = 0;
+        const offsetMs = 700_000;
+        for (let count = 0; count < exchanges; count += 1) {
+            const writtenMs = nowMs;
+            const request = caller.describe("callee", nowMs + offsetMs);
+            nowMs += random() * 5_000;
+            const bound = callee.receive("caller", request, nowMs - startedMs);
+            const reply = callee.describe("caller", nowMs - startedMs);
+            nowMs += random() * 5_000;
+            caller.receive("callee", reply, nowMs + offsetMs);
+            nowMs += random() * 500;
+            assert.ok(bound === undefined || bound + startedMs <= writtenMs, `${bound} ms for a message of ${writtenMs} ms`);
+            bounded += bound === undefined ? 0 : 1;
+            if (random() < 0.05) {
+                startedMs = nowMs;
+                callee = new policy.MessageTimes(`callee ${count}`);
+            }
+        }
+        assert.ok(bounded > exchanges * 0.8, `Only ${bounded} of ${exchanges} messages had a bound.`);
+    },
+);
+
 Given("a store that is changed between the pages of a listing", async function(this: CopyWorld) {
     this.store = new StandinStore();
     await this.store.start();
--- a/packages/ingress/src/fleet/attachment.ts
+++ b/packages/ingress/src/fleet/attachment.ts
@@ -91,6 +91,7 @@
 
     async #reportTo(contact: HostId): Promise<boolean> {
         const { peers, fleetClock, counts, liveness, serving, news } = this.#options;
+        const sentMs = this.#nowMs();
         const reply = await peers.call(contact, attachTopic, this.#createReport(), {
             timeoutMs: requestTimeoutMs,
             isRepeatable: true,
@@ -99,16 +100,18 @@
             return false;
         }
         const { sentAtMs, knowledge, use, setAgeMs, servingWork } = reply.value;
+        // The ages in a reply count from when it was written, which was after the call began.
+        const elapsedMs = this.#nowMs() - sentMs;
         const servingAges = Object.entries(reply.value.serving).map(([hostId, ageMs]) => ({
             hostId: brandAs<HostId>(hostId),
-            ageMs,
+            ageMs: ageMs + elapsedMs,
         }));
         liveness.recordContact(contact);
         servingAges.forEach(({ hostId, ageMs }) => liveness.recordContact(hostId, ageMs));
         fleetClock.recordPeerTime(contact, new Date(sentAtMs));
         serving.recordPeerWork(servingWork);
-        serving.adopt(servingAges.map(({ hostId }) => hostId), setAgeMs);
-        news()?.reconcile(contact, knowledge);
+        serving.adopt(servingAges.map(({ hostId }) => hostId), setAgeMs + elapsedMs);
+        news()?.reconcile(contact, knowledge, sentMs);
         if (use !== undefined && !serving.isParticipant) {
             recordGroupUse(counts, fleetUseName, use, this.#nowMs());
             this.#fleetUseReceivedMs = this.#nowMs();
@@ -174,7 +177,7 @@
         if (use !== undefined) {
             recordPeerUse(counts, from, use, nowMs);
         }
-        news()?.reconcile(from, report.knowledge);
+        news()?.reconcile(from, report.knowledge, undefined);
         return {
             sentAtMs: clock.now().getTime(),
             knowledge: news()?.status() ?? { revision: 0, materialRevision: 0 },
--- a/packages/ingress/src/fleet/exchange.ts
+++ b/packages/ingress/src/fleet/exchange.ts
@@ -1,6 +1,6 @@
 import type { Clock, EventLog, HostId, Incarnation, Service } from "@filbertrelay/kernel";
 import { brandAs } from "@filbertrelay/kernel";
-import { planExchange, ReceivedReports } from "@filbertrelay/policy/ingress";
+import { MessageTimes, planExchange, ReceivedReports } from "@filbertrelay/policy/ingress";
 import type { ExchangePlan, FleetClock, FleetReach } from "@filbertrelay/policy/ingress";
 import { declareTopic } from "@filbertrelay/wire";
 import type { TcpPeerNetwork } from "@filbertrelay/wire";
@@ -20,7 +20,7 @@
     recordGroupUse,
     recordPeerUse,
 } from "./report.js";
-import type { GroupReport, HostReport, SharedCounts, SharedUse } from "./report.js";
+import type { GroupReport, HostReport, MirrorStatus, SharedCounts, SharedUse } from "./report.js";
 import { formerHostRetentionMs, ServingHosts } from "./servinghosts.js";
 import type { StoreSync } from "./storesync.js";
 
@@ -80,6 +80,7 @@
     readonly #liveness: PeerLiveness;
     readonly #addresses = new Map<HostId, string>();
     readonly #skippedUntilMs = new Map<HostId, number>();
+    readonly #times: MessageTimes;
     #plan: ExchangePlan;
     readonly #reports: { host?: HostReport; hostMs: number; group?: GroupReport; groupMs: number; } = { hostMs: 0, groupMs: 0 };
     #tickCount = 0;
@@ -89,6 +90,7 @@
     constructor(options: PeerExchangeOptions) {
         this.#options = options;
         const { clock, log, hostId, incarnation, peers, hosts, counts, fleetClock, dutyHolder } = options;
+        this.#times = new MessageTimes(incarnation);
         this.#plan = planExchange(hostId, [], { isAvoided: () => false });
         this.#liveness = new PeerLiveness({ clock, log, self: hostId, timeoutMs: () => this.#reachabilityTimeoutMs() });
         this.serving = new ServingHosts({
@@ -117,12 +119,13 @@
     start(): Promise<void> {
         const { peers } = this.#options;
         peers.handle(exchangeTopic, (report, { from }) => {
-            this.#receive(from, report);
-            return Promise.resolve(this.#hostReport());
+            const writtenMs = report.time === undefined ? undefined : this.#times.receive(from, report.time, this.#nowMs());
+            this.#receive(from, report, writtenMs);
+            return Promise.resolve(this.#createReportFor(from));
         });
         peers.handle(groupTopic, (_, { from }) => {
             this.#liveness.recordContact(from);
-            return Promise.resolve(this.#groupReport());
+            return Promise.resolve({ ...this.#groupReport(), knowledge: this.#describeKnowledge() });
         });
         this.#attachment.start();
         this.#tick();
@@ -265,34 +268,42 @@
                 this.#addresses.delete(hostId);
                 this.#liveness.forget(hostId);
                 this.#skippedUntilMs.delete(hostId);
+                this.#times.forget(hostId);
                 peers.forget(hostId);
             }
         }
     }
 
     async #exchangeWith(peer: HostId): Promise<void> {
-        const reply = await this.#options.peers.call(peer, exchangeTopic, this.#hostReport(), {
+        const sentMs = this.#nowMs();
+        const reply = await this.#options.peers.call(peer, exchangeTopic, this.#createReportFor(peer), {
             timeoutMs: callTimeoutMs,
             isRepeatable: true,
         });
         if (reply.ok) {
-            this.#receive(peer, reply.value);
+            if (reply.value.time !== undefined) {
+                this.#times.receive(peer, reply.value.time, this.#nowMs());
+            }
+            this.#receive(peer, reply.value, sentMs);
         }
     }
 
     async #requestGroupReport(peer: HostId): Promise<void> {
+        const sentMs = this.#nowMs();
         const reply = await this.#options.peers.call(peer, groupTopic, {}, { timeoutMs: callTimeoutMs, isRepeatable: true });
         if (reply.ok) {
-            this.#receiveGroup(peer, reply.value);
+            this.#receiveGroup(peer, reply.value, sentMs);
         }
         else {
             this.#skippedUntilMs.set(peer, this.#nowMs() + unresponsiveSkipMs);
         }
     }
 
-    #receive(peer: HostId, report: HostReport): void {
+    /** `writtenMs` is when the peer wrote the report at the earliest, if known. */
+    #receive(peer: HostId, report: HostReport, writtenMs: number | undefined): void {
         const { fleetClock, counts } = this.#options;
         const nowMs = this.#nowMs();
+        const elapsedMs = writtenMs === undefined ? 0 : nowMs - writtenMs;
         this.#liveness.recordContact(peer);
         fleetClock.recordPeerTime(peer, new Date(report.sentAtMs));
         counts.usage.recordPeerCounts(`${peer}/${report.incarnation}`, report.windowCounts);
@@ -302,24 +313,24 @@
             this.serving.recordPeerWork(report.servingWork);
             this.#attachedToGroupPeers.record(peer, report.attached, nowMs);
             for (const [attached, ageMs] of Object.entries(report.attached)) {
-                this.#liveness.recordContact(brandAs<HostId>(attached), ageMs);
+                this.#liveness.recordContact(brandAs<HostId>(attached), ageMs + elapsedMs);
             }
         }
-        this.#storeSync?.reconcile(peer, report.knowledge);
+        this.#storeSync?.reconcile(peer, report.knowledge, writtenMs);
     }
 
-    #receiveGroup(peer: HostId, report: GroupReport): void {
+    #receiveGroup(peer: HostId, report: GroupReport, writtenMs: number): void {
         const { counts, hostId } = this.#options;
         const nowMs = this.#nowMs();
         this.#liveness.recordContact(peer);
-        this.#storeSync?.reconcile(peer, report.knowledge);
+        this.#storeSync?.reconcile(peer, report.knowledge, writtenMs);
         this.serving.recordPeerWork(report.servingWork);
         if (report.groups !== this.#plan.groups || report.group === this.#plan.ownGroup) {
             return;
         }
         for (const [member, ageMs] of Object.entries(report.members)) {
             if (member !== hostId) {
-                this.#liveness.recordContact(brandAs<HostId>(member), ageMs);
+                this.#liveness.recordContact(brandAs<HostId>(member), ageMs + nowMs - writtenMs);
             }
         }
         const name = `${groupPrefix(report.groups)}${report.group}`;
@@ -344,6 +355,16 @@
         return this.#reports.host;
     }
 
+    /** Returns the report of this host with what must be as new as the message. */
+    #createReportFor(peer: HostId): HostReport {
+        const time = this.#times.describe(peer, this.#nowMs());
+        return { ...this.#hostReport(), time, knowledge: this.#describeKnowledge() };
+    }
+
+    #describeKnowledge(): MirrorStatus {
+        return this.#storeSync?.status() ?? { revision: 0, materialRevision: 0 };
+    }
+
     /** Returns the cached report of the group, or a new one. */
     #groupReport(): GroupReport {
         const nowMs = this.#nowMs();
@@ -358,7 +379,7 @@
         return {
             incarnation: this.#options.incarnation,
             sentAtMs: this.#options.clock.now().getTime(),
-            knowledge: this.#storeSync?.status() ?? { revision: 0, materialRevision: 0 },
+            knowledge: this.#describeKnowledge(),
             use: addUses([describeOwnUse(this.#options.counts, this.#nowMs()), ...this.#attachment.listUses()]),
             windowCounts: describeWindowCounts(this.#options.counts),
             servingWork: this.serving.work,
@@ -379,7 +400,7 @@
                 ...Object.fromEntries([[this.#options.hostId, 0], ...reachable, ...this.#listAttachedToGroupPeers(nowMs)]),
             },
             servingWork: this.serving.work,
-            knowledge: this.#storeSync?.status() ?? { revision: 0, materialRevision: 0 },
+            knowledge: this.#describeKnowledge(),
             use: describeGroupUse(this.#options.counts, nowMs),
         };
     }
--- a/packages/ingress/src/fleet/report.ts
+++ b/packages/ingress/src/fleet/report.ts
@@ -28,11 +28,21 @@
     storeAgeMs: z.number().optional(),
 });
 
+/** Lets the receiver bound when a report was written. Absent in older versions. */
+const messageTimeSchema = z.object({
+    /** The sender's run, and its monotonic time in milliseconds. */
+    run: z.string(),
+    sentMs: z.number(),
+    /** The last report that the sender got from the receiver, and the milliseconds since then. */
+    echo: z.object({ run: z.string(), sentMs: z.number(), elapsedMs: z.number() }).optional(),
+});
+
 /** The report of one host, exchanged within a group. */
 export const hostReportSchema = z.object({
     incarnation: z.string(),
     /** The sender's wall-clock time, in milliseconds since 1970. */
     sentAtMs: z.number(),
+    time: messageTimeSchema.optional(),
     knowledge: mirrorStatusSchema,
     use: sharedUseSchema,
     /** Requests started, by window number and customer. */
--- a/packages/ingress/src/fleet/storesync.ts
+++ b/packages/ingress/src/fleet/storesync.ts
@@ -87,9 +87,8 @@
             return Promise.resolve(encodeUpdate(update, this.#mirror.ageMs()));
         });
         this.#peers.handle(pushTopic, ({ afterRevision, news }, { from }) => {
-            const confirmedMs = this.#clock.monotonicMs() - news.ageMs;
-            const update = decodeUpdate(news, afterRevision);
-            if (this.#mirror.mergeFromPeer(from, update, { way: "push", confirmedMs }) === "gap") {
+            // How long the push has been on its way is unknown, so its age confirms nothing.
+            if (this.#mirror.mergeFromPeer(from, decodeUpdate(news, afterRevision), { way: "push" }) === "gap") {
                 void this.#fetch(from);
             }
             return Promise.resolve({});
@@ -117,12 +116,15 @@
         return { ...position, historyStart, ...(Number.isFinite(ageMs) ? { storeAgeMs: Math.round(ageMs) } : {}) };
     }
 
-    /** Compares the mirror with that of a peer and fetches changes that only the peer has. */
-    reconcile(peer: HostId, { storeAgeMs, historyStart, ...position }: MirrorStatus): void {
+    /**
+     * Compares the mirror with that of a peer and fetches changes that only the peer has. `writtenMs` is when the peer wrote its status
+     * at the earliest, in this host's monotonic milliseconds; without it the status confirms nothing.
+     */
+    reconcile(peer: HostId, { storeAgeMs, historyStart, ...position }: MirrorStatus, writtenMs: number | undefined): void {
         if (storeAgeMs === undefined) {
             return;
         }
-        const confirmedMs = this.#clock.monotonicMs() - storeAgeMs;
+        const confirmedMs = writtenMs === undefined ? undefined : writtenMs - storeAgeMs;
         const isBehind = this.#mirror.followPeer({ ...position, confirmedMs });
         if (isBehind && this.#mayFetch(historyStart ?? 0)) {
             void this.#fetch(peer);
@@ -161,6 +163,7 @@
             return;
         }
         this.#isFetching = true;
+        const sentMs = this.#clock.monotonicMs();
         const { revision: afterRevision, materialRevision } = this.#mirror.position;
         const body = { afterRevision, materialRevision };
         const reply = await this.#peers.call(peer, fetchTopic, body, { timeoutMs: callTimeoutMs, isRepeatable: true });
@@ -168,7 +171,7 @@
         if (reply.ok) {
             this.#mirror.mergeFromPeer(peer, decodeUpdate(reply.value, afterRevision), {
                 way: "fetch",
-                confirmedMs: this.#clock.monotonicMs() - reply.value.ageMs,
+                confirmedMs: sentMs - reply.value.ageMs,
             });
         }
     }
--- a/packages/policy/src/ingress/index.ts
+++ b/packages/policy/src/ingress/index.ts
@@ -12,6 +12,7 @@
 export * from "./exchangegroups.js";
 export * from "./fleetclock.js";
 export * from "./loadtracker.js";
+export * from "./messagetimes.js";
 export * from "./promptcache.js";
 export * from "./receivedreports.js";
 export * from "./requiredendpoints.js";
