Spread the hosts that watch the store over failure domains, with a reserve

The ranking did not know the failure domains.

The ranking now takes a host of each failure domain before the second of one. The three hosts after the watching ones look for themselves at 0.6 of the bound, pass on what they find, and so take over from watching hosts that lost the store without waiting for the serving set to change.

--- a/features/ingress.copy.feature
+++ b/features/ingress.copy.feature
@@ -37,3 +37,7 @@
   Scenario: A listing of several pages holds what the store held at one revision
     Given a store that is changed between the pages of a listing
     Then its listing holds the items of one revision
+
+  # Guards against losing all hosts that watch the store with one failure domain.
+  Scenario: The hosts that watch the store stand in different failure domains
+    Then the first 3 watching hosts of random fleets stand in as many failure domains as possible
--- a/features/steps/ingress.copy.ts
+++ b/features/steps/ingress.copy.ts
@@ -235,6 +235,24 @@
     assert.deepEqual(watched.ok ? watched.value.changes : undefined, []);
 });
 
+Then("the first {int} watching hosts of random fleets stand in as many failure domains as possible", (count: number) => {
+    const fleet = fc.array(fc.record({ host: fc.nat(500), domain: fc.nat(4) }), { minLength: 1, maxLength: 80 });
+    fc.assert(
+        fc.property(fleet, drawn => {
+            const hosts = [...new Map(drawn.map(({ host, domain }) => [host, domain]))].map(([host, domain]) => ({
+                hostId: brandAs<HostId>(`edge-${host}`),
+                failureDomain: brandAs<FailureDomainId>(`domain-${domain}`),
+            }));
+            const domainOf = new Map(hosts.map(({ hostId, failureDomain }) => [hostId, failureDomain]));
+            const ranked = policy.rankWatchers(hosts);
+            assert.deepEqual([...ranked].sort(), [...domainOf.keys()].sort());
+            const domains = new Set(ranked.slice(0, count).map(hostId => domainOf.get(hostId)));
+            assert.equal(domains.size, Math.min(count, new Set(domainOf.values()).size));
+        }),
+        { numRuns: 200, seed },
+    );
+});
+
 After(async function(this: Partial<CopyWorld>) {
     if (this.hosts?.[0] instanceof CopyHost) {
         await Promise.all(this.hosts.map(host => host.stop()));
--- a/packages/ingress/src/fleet/storesync.ts
+++ b/packages/ingress/src/fleet/storesync.ts
@@ -1,5 +1,5 @@
 import type { Clock, HostId, Service } from "@filbertrelay/kernel";
-import { chooseWatchers } from "@filbertrelay/policy/ingress";
+import { rankWatchers } from "@filbertrelay/policy/ingress";
 import type { CopyChanges, CopyUpdate } from "@filbertrelay/policy/ingress";
 import { declareTopic } from "@filbertrelay/wire";
 import type { TcpPeerNetwork } from "@filbertrelay/wire";
@@ -30,6 +30,8 @@
 
 /** Number of hosts that watch the store in a large fleet; tolerates two simultaneous failures. */
 const watcherCount = 3;
+/** Number of hosts that take over soonest when none of these can reach the store. */
+const reserveCount = 3;
 /** Timeout of a call to a peer; peers are a few milliseconds apart. */
 const callTimeoutMs = 600;
 /** Where every host watches the store, changes are fetched from peers only after this long without a response of the store. */
@@ -138,7 +140,8 @@
         if (revision > 0 && revision < historyStart && ageMs <= this.#completeCopyAgeMs) {
             return false;
         }
-        return this.#watchRole() === "standby" || ageMs > staleWatchMs;
+        const role = this.#watchRole();
+        return role === "standby" || role === "reserve" || ageMs > staleWatchMs;
     }
 
     #watchRole(): WatchRole {
@@ -154,8 +157,11 @@
         if (this.#serving.isFullFleet) {
             return "own";
         }
-        const serving = this.#serving.serving.map(({ hostId }) => hostId);
-        return chooseWatchers(serving, watcherCount).includes(this.#hostId) ? "fleet" : "standby";
+        const rank = rankWatchers(this.#serving.serving).indexOf(this.#hostId);
+        if (rank === -1 || rank >= watcherCount + reserveCount) {
+            return "standby";
+        }
+        return rank < watcherCount ? "fleet" : "reserve";
     }
 
     async #fetch(peer: HostId): Promise<void> {
--- a/packages/ingress/src/state/mirror.ts
+++ b/packages/ingress/src/state/mirror.ts
@@ -18,8 +18,11 @@
 /** Receives each change of the mirrored items; a removed item has no value. Returns whether the change is a mere heartbeat. */
 export type MirrorListener = (change: StoreChange, origin: ChangeOrigin) => "material" | "heartbeat";
 
-/** Whether a host watches the store for itself, for the whole fleet, or only when the state it gets from peers is too old. */
-export type WatchRole = "own" | "fleet" | "standby";
+/**
+ * Whether a host watches the store for itself, for the whole fleet, or only when the state it gets from peers is too old. A `reserve`
+ * host does so sooner than a `standby` host.
+ */
+export type WatchRole = "own" | "fleet" | "reserve" | "standby";
 
 /** How far a peer's copy of the store reaches. */
 export interface PeerPosition extends CopyPosition {
@@ -68,8 +71,11 @@
 const maxGraceMs = 1_400;
 /** Long-poll time of a watch for the fleet, as a share of `applyMs`; keeps pushed state younger than `trustedAgeShare` requires. */
 const fleetWatchShare = 0.2;
-/** A standby host watches the store itself when the mirror is older than this share of `applyMs`; the rest covers its own call. */
-const trustedAgeShare = 0.75;
+/**
+ * A host that leaves the watch to others watches the store itself when the mirror is older than this share of `applyMs`; the rest
+ * covers its own call. The reserve is sooner, so that a few hosts take over and not the whole fleet.
+ */
+const trustedAgeShares = { reserve: 0.6, standby: 0.75 };
 /** Minimum interval between a standby host's checks whether it has to watch. */
 const minStandbyCheckMs = 100;
 /** Maximum interval between these checks, since the host may be chosen to watch meanwhile. */
@@ -243,7 +249,8 @@
 
     /** Age up to which the state that peers pass on replaces a watch; 0 for a host that always watches. */
     #trustedAgeMs(): number {
-        return this.#watchRole() === "standby" ? this.#options.applyMs * trustedAgeShare : 0;
+        const role = this.#watchRole();
+        return role === "reserve" || role === "standby" ? this.#options.applyMs * trustedAgeShares[role] : 0;
     }
 
     #reliesOnPeers(): boolean {
--- a/packages/policy/src/ingress/exchangegroups.ts
+++ b/packages/policy/src/ingress/exchangegroups.ts
@@ -1,4 +1,4 @@
-import type { HostId } from "@filbertrelay/kernel";
+import type { FailureDomainId, HostId } from "@filbertrelay/kernel";
 import { hashText, rankByRendezvous } from "../rendezvous.js";
 
 /** Up to this size all pairs of hosts exchange; above it, each host exchanges with its group and one host of each other group. */
@@ -53,7 +53,19 @@
     return hashText(hostId) % groups;
 }
 
-/** Chooses, from the reachable hosts, those that watch the store for the whole fleet. */
-export function chooseWatchers(hosts: readonly HostId[], count: number): readonly HostId[] {
-    return rankByRendezvous("store", hosts, hostId => hostId).slice(0, count);
+/**
+ * Ranks hosts for watching the store on behalf of the fleet, in the same order on every host. As many failure domains as possible
+ * come before a second host of one, since the hosts of a domain fail together.
+ */
+export function rankWatchers(
+    hosts: readonly { readonly hostId: HostId; readonly failureDomain: FailureDomainId; }[],
+): readonly HostId[] {
+    const perDomain = new Map<FailureDomainId, number>();
+    const rows: HostId[][] = [];
+    for (const { hostId, failureDomain } of rankByRendezvous("store", hosts, host => host.hostId)) {
+        const row = perDomain.get(failureDomain) ?? 0;
+        perDomain.set(failureDomain, row + 1);
+        (rows[row] ??= []).push(hostId);
+    }
+    return rows.flat();
 }
