--- a/features/ingress.copy.feature
+++ b/features/ingress.copy.feature
@@ -4,6 +4,10 @@
   Scenario: A copy of the store never claims more than it holds
     Then 400 schedules of changes, watches, listings, reports, pushes, fetches, losses and restarts keep every copy exact
 
+  # Guards against an endpoint that stays unused, or used, on the one host that saw a change which others have seen undone.
+  Scenario: A change that was undone before a listing is undone on the host that saw it
+    Then a host that saw an item change takes back the change from a host that never saw it
+
   # Guards against requests to an endpoint that has left, sent by a host that advanced past the removal.
   Scenario: A host that has listed the store does not hide a removal from its peers
     Given a host that has read the store and leaves the watch to others
--- a/features/steps/ingress.copy.ts
+++ b/features/steps/ingress.copy.ts
@@ -11,6 +11,7 @@
 import fc from "fast-check";
 import assert from "node:assert/strict";
 import { CopySimulation, schedules } from "../support/copysimulation.js";
+import type { ScheduleStep } from "../support/copysimulation.js";
 import { findPort, waitFor } from "../support/ingress.js";
 import { createRandom } from "../support/random.js";
 
@@ -109,6 +110,25 @@
     },
 );
 
+Then("a host that saw an item change takes back the change from a host that never saw it", () => {
+    const [lister, follower, witness] = [0, 1, 2];
+    const step = (kind: ScheduleStep["kind"], host = 0, pick = 0, other = 0): ScheduleStep => ({ kind, host, other, pick });
+    const loseAll = Array.from({ length: 4 }, () => step("lose"));
+    const [ready, leaving] = [0, 2];
+    new CopySimulation().run([
+        step("write", 0, ready),
+        ...[lister, follower, witness].map(host => step("listAtOnce", host)),
+        step("write", 0, leaving),
+        step("watchAtOnce", witness),
+        ...loseAll,
+        step("write", 0, ready),
+        step("listAtOnce", lister),
+        ...loseAll,
+        step("meet", lister, 0, follower),
+        step("meet", follower, 0, witness),
+    ]);
+});
+
 Given("a host that has read the store and leaves the watch to others", async function(this: CopyWorld) {
     this.store = new StandinStore();
     await this.store.start();
--- a/features/support/copysimulation.ts
+++ b/features/support/copysimulation.ts
@@ -6,6 +6,8 @@
 const hostCount = 3;
 const keys = ["a", "b"];
 const historyLimit = 4;
+/** A report, the request for changes that it causes, and the reply. */
+const messagesOfMeeting = 3;
 
 /** One step of a simulated schedule; the numbers choose hosts, keys and messages. */
 export interface ScheduleStep {
@@ -140,12 +142,12 @@
                 this.#store.droppedRevision = this.#store.revision;
                 return;
             case "watchAtOnce":
-                return this.#deliverAtOnce(() => this.#watch(host));
+                return this.#deliverAtOnce(() => this.#watch(host), 1 + pick);
             case "listAtOnce":
                 this.#startListing(host);
                 return this.#finishListing(host);
             case "meet":
-                return this.#deliverAtOnce(() => this.#report(host, other));
+                return this.#deliverAtOnce(() => this.#report(host, other), messagesOfMeeting);
             case "watch":
                 return this.#watch(host);
             case "startListing":
@@ -220,12 +222,12 @@
         }
     }
 
-    /** Delivers the messages that a step causes, but not those that were sent before. */
-    #deliverAtOnce(step: () => void): void {
+    /** Delivers the first messages that a step causes, but none that were sent before. */
+    #deliverAtOnce(step: () => void, count: number): void {
         const earlier = this.#messages;
         this.#messages = [];
         step();
-        for (let delivered = 0; delivered < 3; delivered += 1) {
+        for (let delivered = 0; delivered < count; delivered += 1) {
             this.#deliver(0, 1);
         }
         this.#messages = [...earlier, ...this.#messages];
