--- a/packages/ingress/src/state/mirror.ts
+++ b/packages/ingress/src/state/mirror.ts
@@ -69,7 +69,7 @@
  * this host learned of the removal late.
  */
 const maxGraceMs = 1_400;
-/** Long-poll time of a watch for the fleet, as a share of `applyMs`; keeps pushed state younger than `trustedAgeShare` requires. */
+/** Long-poll time of a watch for the fleet, as a share of `applyMs`; keeps passed-on state younger than `trustedAgeShares` require. */
 const fleetWatchShare = 0.2;
 /**
  * A host that leaves the watch to others watches the store itself when the mirror is older than this share of `applyMs`; the rest
