Split the writing of a host's own reports off the exchange

exchange.ts had two jobs in 421 lines: when and with whom to exchange, and what the own reports hold. The second is OwnReports now; nothing is decided differently.

--- a/packages/ingress/src/fleet/exchange.ts
+++ b/packages/ingress/src/fleet/exchange.ts
@@ -8,19 +8,18 @@
 import { Attachment, fleetUseName } from "./attachment.js";
 import type { HostTable } from "./hosts.js";
 import { PeerLiveness } from "./liveness.js";
+import { OwnReports } from "./ownreports.js";
 import {
     addUses,
     callersKey,
     describeGroupUse,
-    describeOwnUse,
-    describeWindowCounts,
     dropUseWhere,
     groupReportSchema,
     hostReportSchema,
     recordGroupUse,
     recordPeerUse,
 } from "./report.js";
-import type { GroupReport, HostReport, MirrorStatus, SharedCounts, SharedUse } from "./report.js";
+import type { GroupReport, HostReport, SharedCounts, SharedUse } from "./report.js";
 import { formerHostRetentionMs, ServingHosts } from "./servinghosts.js";
 import type { StoreSync } from "./storesync.js";
 
@@ -39,8 +38,6 @@
 const reachableIntervals = 4;
 /** Lower bound of that time. */
 const minReachabilityTimeoutMs = 1_200;
-/** A report is reused for several peers for this long, since creating it costs more than sending it. */
-const reportCacheMs = 80;
 /** Number of intervals between reports to the duty holder, which needs the counts of all hosts within seconds. */
 const holderIntervals = 4;
 /** An unresponsive group representative is skipped for this long. */
@@ -82,7 +79,7 @@
     readonly #skippedUntilMs = new Map<HostId, number>();
     readonly #times: MessageTimes;
     #plan: ExchangePlan;
-    readonly #reports: { host?: HostReport; hostMs: number; group?: GroupReport; groupMs: number; } = { hostMs: 0, groupMs: 0 };
+    readonly #reports: OwnReports;
     #tickCount = 0;
     #storeSync: StoreSync | undefined;
     #cancelTick: () => void = () => undefined;
@@ -114,6 +111,19 @@
             news: () => this.#storeSync,
             fleetUse: () => this.#describeFleetUse(),
         });
+        this.#reports = new OwnReports({
+            clock,
+            hostId,
+            incarnation,
+            counts,
+            attachment: this.#attachment,
+            liveness: this.#liveness,
+            serving: this.serving,
+            times: this.#times,
+            plan: () => this.#plan,
+            attachedToGroupPeers: this.#attachedToGroupPeers,
+            knowledge: () => this.#storeSync?.status() ?? { revision: 0, materialRevision: 0 },
+        });
     }
 
     start(): Promise<void> {
@@ -121,11 +131,11 @@
         peers.handle(exchangeTopic, (report, { from }) => {
             const writtenMs = report.time === undefined ? undefined : this.#times.receive(from, report.time, this.#nowMs());
             this.#receive(from, report, writtenMs);
-            return Promise.resolve(this.#createReportFor(from));
+            return Promise.resolve(this.#reports.hostReport(from));
         });
         peers.handle(groupTopic, (_, { from }) => {
             this.#liveness.recordContact(from);
-            return Promise.resolve({ ...this.#groupReport(), knowledge: this.#describeKnowledge() });
+            return Promise.resolve(this.#reports.groupReport());
         });
         this.#attachment.start();
         this.#tick();
@@ -276,7 +286,7 @@
 
     async #exchangeWith(peer: HostId): Promise<void> {
         const sentMs = this.#nowMs();
-        const reply = await this.#options.peers.call(peer, exchangeTopic, this.#createReportFor(peer), {
+        const reply = await this.#options.peers.call(peer, exchangeTopic, this.#reports.hostReport(peer), {
             timeoutMs: callTimeoutMs,
             isRepeatable: true,
         });
@@ -344,72 +354,6 @@
         const groups = this.#groupUses.entries(nowMs).filter(([name]) => name.startsWith(prefix)).map(([, { report }]) => report);
         return addUses([describeGroupUse(this.#options.counts, nowMs), ...groups]);
     }
-
-    /** Returns the cached report of this host, or a new one. */
-    #hostReport(): HostReport {
-        const nowMs = this.#nowMs();
-        if (this.#reports.host === undefined || nowMs - this.#reports.hostMs > reportCacheMs) {
-            this.#reports.host = this.#describeHost();
-            this.#reports.hostMs = nowMs;
-        }
-        return this.#reports.host;
-    }
-
-    /** Returns the report of this host with what must be as new as the message. */
-    #createReportFor(peer: HostId): HostReport {
-        const time = this.#times.describe(peer, this.#nowMs());
-        return { ...this.#hostReport(), time, knowledge: this.#describeKnowledge() };
-    }
-
-    #describeKnowledge(): MirrorStatus {
-        return this.#storeSync?.status() ?? { revision: 0, materialRevision: 0 };
-    }
-
-    /** Returns the cached report of the group, or a new one. */
-    #groupReport(): GroupReport {
-        const nowMs = this.#nowMs();
-        if (this.#reports.group === undefined || nowMs - this.#reports.groupMs > reportCacheMs) {
-            this.#reports.group = this.#describeGroup();
-            this.#reports.groupMs = nowMs;
-        }
-        return this.#reports.group;
-    }
-
-    #describeHost(): HostReport {
-        return {
-            incarnation: this.#options.incarnation,
-            sentAtMs: this.#options.clock.now().getTime(),
-            knowledge: this.#describeKnowledge(),
-            use: addUses([describeOwnUse(this.#options.counts, this.#nowMs()), ...this.#attachment.listUses()]),
-            windowCounts: describeWindowCounts(this.#options.counts),
-            servingWork: this.serving.work,
-            attached: this.#attachment.listAges(),
-        };
-    }
-
-    #describeGroup(): GroupReport {
-        const nowMs = this.#nowMs();
-        const reachable = this.#plan.groupPeers.filter(peer => this.isReachable(peer)).map(peer =>
-            [peer, this.#liveness.ageMs(peer)] as const
-        );
-        return {
-            groups: this.#plan.groups,
-            group: this.#plan.ownGroup,
-            members: {
-                ...this.#attachment.listAges(),
-                ...Object.fromEntries([[this.#options.hostId, 0], ...reachable, ...this.#listAttachedToGroupPeers(nowMs)]),
-            },
-            servingWork: this.serving.work,
-            knowledge: this.#describeKnowledge(),
-            use: describeGroupUse(this.#options.counts, nowMs),
-        };
-    }
-
-    #listAttachedToGroupPeers(nowMs: number): readonly (readonly [string, number])[] {
-        return this.#attachedToGroupPeers.live(nowMs).flatMap(({ report, receivedMs }) =>
-            Object.entries(report).map(([hostId, ageMs]) => [hostId, Math.round(ageMs + nowMs - receivedMs)] as const)
-        );
-    }
 }
 
 function groupPrefix(groups: number): string {
