--- /dev/null
+++ b/features/ingress.freshness.feature
@@ -0,0 +1,36 @@
+Feature: How old a copy of the store counts
+
+  # Guards against a host that trusts an outdated copy because the store has answered that its history is gone.
+  Scenario: A dropped history does not make an outdated copy count as current
+    Given a host that read the store
+    When its watch finds after 300 ms that the history is gone, and a listing takes 200 ms
+    Then its copy counts as 500 ms old
+
+  # Guards against a host that trusts a copy as of the arrival of changes that may have waited on the way.
+  Scenario: A watch that brings changes confirms the copy as of its call
+    Given a host that read the store
+    When its watch brings a change after 300 ms
+    Then its copy counts as 300 ms old
+
+  Scenario: A watch that brings nothing confirms the copy as of the end of its wait
+    Given a host that read the store
+    When its watch brings nothing after 1800 ms
+    Then its copy counts as 300 ms old
+
+  # Guards against a whole fleet that turns to the store at once, and late, when no watching host reaches it.
+  Scenario: The reserve turns to the store before the other hosts
+    Given hosts that rely on peers for changes that they must apply within 1000 ms
+    When their peers report nothing
+    Then the reserve host watches the store after 600 ms and the standby host after 750 ms
+
+  # Guards against all items being sent to the whole fleet by each host that starts.
+  Scenario: A host that has just started is not asked for all items while the copy is young
+    Given a host that relies on peers for changes that it must apply within 1000 ms
+    When a peer that can only send all items reports newer changes after 400 ms and after 600 ms
+    Then it asks the peer once, after 600 ms
+
+  # Guards against an old serving set that counts as new because a reply was late.
+  Scenario: The age of the serving set in a late reply counts from the call
+    Given a host outside of the serving set
+    When the reply with the serving set takes 300 ms
+    Then the host says that the set is 300 ms old
