Let the ages in a report grow while the use in it is reused

Only the use is reused now, which costs the summing up; ages and times are written for each message. What group peers say of hosts attached to them counts from when they wrote it.

--- a/features/ingress.freshness.feature
+++ b/features/ingress.freshness.feature
@@ -29,6 +29,18 @@
     When a peer that can only send all items reports newer changes after 400 ms and after 600 ms
     Then it asks the peer once, after 600 ms
 
+  # Guards against hosts that count as heard from recently because a report was reused.
+  Scenario: The ages in a report grow while the rest of it is reused
+    Given a host that exchanges with peers
+    When another host reports to it and it answers two reports 70 ms apart
+    Then the second answer says that the other host was heard from 70 ms ago
+
+  # Guards against hosts that count as heard from recently because a reply was late.
+  Scenario: The ages in a late reply count from the call
+    Given a host that exchanges with peers
+    When a peer's reply that names a host heard from just now takes 150 ms
+    Then the host says that the named host was heard from 150 ms ago
+
   # Guards against an old serving set that counts as new because a reply was late.
   Scenario: The age of the serving set in a late reply counts from the call
     Given a host outside of the serving set
--- a/packages/ingress/src/fleet/exchange.ts
+++ b/packages/ingress/src/fleet/exchange.ts
@@ -321,7 +321,7 @@
         if (this.#plan.groupPeers.includes(peer)) {
             recordPeerUse(counts, peer, report.use, nowMs);
             this.serving.recordPeerWork(report.servingWork);
-            this.#attachedToGroupPeers.record(peer, report.attached, nowMs);
+            this.#attachedToGroupPeers.record(peer, report.attached, nowMs - elapsedMs);
             for (const [attached, ageMs] of Object.entries(report.attached)) {
                 this.#liveness.recordContact(brandAs<HostId>(attached), ageMs + elapsedMs);
             }
--- a/packages/ingress/src/fleet/ownreports.ts
+++ b/packages/ingress/src/fleet/ownreports.ts
@@ -3,10 +3,10 @@
 import type { Attachment } from "./attachment.js";
 import type { PeerLiveness } from "./liveness.js";
 import { addUses, describeGroupUse, describeOwnUse, describeWindowCounts } from "./report.js";
-import type { GroupReport, HostReport, MirrorStatus, SharedCounts } from "./report.js";
+import type { GroupReport, HostReport, MirrorStatus, SharedCounts, SharedUse } from "./report.js";
 import type { ServingHosts } from "./servinghosts.js";
 
-/** A report is reused for several peers for this long, since creating it costs more than sending it. */
+/** The use in a report is reused for several peers for this long, since summing it up costs more than sending it. */
 const reportCacheMs = 80;
 
 /** Options of `OwnReports`. */
@@ -28,62 +28,37 @@
 /** Writes the reports that this host sends to its peers. */
 export class OwnReports {
     readonly #options: OwnReportsOptions;
-    readonly #cached: { host?: HostReport; hostMs: number; group?: GroupReport; groupMs: number; } = { hostMs: 0, groupMs: 0 };
+    readonly #hostUse: CachedValue<SharedUse>;
+    readonly #groupUse: CachedValue<SharedUse>;
 
     constructor(options: OwnReportsOptions) {
         this.#options = options;
+        const { counts, attachment } = options;
+        this.#hostUse = new CachedValue(nowMs => addUses([describeOwnUse(counts, nowMs), ...attachment.listUses()]));
+        this.#groupUse = new CachedValue(nowMs => describeGroupUse(counts, nowMs));
     }
 
     /** Returns the report of this host for a peer. */
     hostReport(peer: HostId): HostReport {
-        const { times, knowledge } = this.#options;
-        return { ...this.#cachedHostReport(), time: times.describe(peer, this.#nowMs()), knowledge: knowledge() };
-    }
-
-    /** Returns the report of this host's group. */
-    groupReport(): GroupReport {
-        return { ...this.#cachedGroupReport(), knowledge: this.#options.knowledge() };
-    }
-
-    #nowMs(): number {
-        return this.#options.clock.monotonicMs();
-    }
-
-    #cachedHostReport(): HostReport {
-        const nowMs = this.#nowMs();
-        if (this.#cached.host === undefined || nowMs - this.#cached.hostMs > reportCacheMs) {
-            this.#cached.host = this.#describeHost();
-            this.#cached.hostMs = nowMs;
-        }
-        return this.#cached.host;
-    }
-
-    #cachedGroupReport(): GroupReport {
-        const nowMs = this.#nowMs();
-        if (this.#cached.group === undefined || nowMs - this.#cached.groupMs > reportCacheMs) {
-            this.#cached.group = this.#describeGroup();
-            this.#cached.groupMs = nowMs;
-        }
-        return this.#cached.group;
-    }
-
-    #describeHost(): HostReport {
-        const { incarnation, clock, knowledge, counts, attachment, serving } = this.#options;
+        const { incarnation, clock, times, knowledge, counts, attachment, serving } = this.#options;
+        const nowMs = clock.monotonicMs();
         return {
             incarnation,
             sentAtMs: clock.now().getTime(),
+            time: times.describe(peer, nowMs),
             knowledge: knowledge(),
-            use: addUses([describeOwnUse(counts, this.#nowMs()), ...attachment.listUses()]),
+            use: this.#hostUse.get(nowMs),
             windowCounts: describeWindowCounts(counts),
             servingWork: serving.work,
             attached: attachment.listAges(),
         };
     }
 
-    #describeGroup(): GroupReport {
-        const { plan, liveness, attachment, hostId, serving, knowledge, counts } = this.#options;
+    /** Returns the report of this host's group. */
+    groupReport(): GroupReport {
+        const { clock, plan, liveness, attachment, hostId, serving, knowledge } = this.#options;
         const { groups, ownGroup, groupPeers } = plan();
-        const nowMs = this.#nowMs();
+        const nowMs = clock.monotonicMs();
         const reachable = groupPeers.filter(peer => liveness.isReachable(peer)).map(peer =>
             [peer, liveness.ageMs(peer)] as const
         );
@@ -96,7 +71,7 @@
             },
             servingWork: serving.work,
             knowledge: knowledge(),
-            use: describeGroupUse(counts, nowMs),
+            use: this.#groupUse.get(nowMs),
         };
     }
 
@@ -106,3 +81,20 @@
         );
     }
 }
+
+/** A value that is computed anew when it is older than `reportCacheMs`. */
+class CachedValue<Value> {
+    readonly #compute: (nowMs: number) => Value;
+    #cached: { readonly value: Value; readonly atMs: number; } | undefined;
+
+    constructor(compute: (nowMs: number) => Value) {
+        this.#compute = compute;
+    }
+
+    get(nowMs: number): Value {
+        if (this.#cached === undefined || nowMs - this.#cached.atMs > reportCacheMs) {
+            this.#cached = { value: this.#compute(nowMs), atMs: nowMs };
+        }
+        return this.#cached.value;
+    }
+}
