Pause between listings that meet a dropped history

Since a listing of several pages needs the changes between them, it can fail because the history is gone, and the mirror took that for the end of a watch: it listed again at once, for as long as the store had no history.

It pauses like after a first failure now; the store still counts as reachable.

Seen to fail before: 'A host pauses between listings that the store can't complete' (501 listings in 1,000 ms of the virtual clock, one for each turn of the loop; at most 20 allowed).

--- a/features/ingress.freshness.feature
+++ b/features/ingress.freshness.feature
@@ -23,6 +23,11 @@
     When their peers report nothing
     Then the reserve host watches the store after 600 ms and the standby host after 750 ms
 
+  # Guards against a host that calls a store without pause while each listing meets a dropped history.
+  Scenario: A host pauses between listings that the store can't complete
+    Given a host whose listings find that the history is gone
+    Then it makes at most 20 listings in 1000 ms
+
   # Guards against all items being sent to the whole fleet by each host that starts.
   Scenario: A host that has just started is not asked for all items while the copy is young
     Given a host that relies on peers for changes that it must apply within 1000 ms
--- a/packages/ingress/src/state/mirror.ts
+++ b/packages/ingress/src/state/mirror.ts
@@ -232,11 +232,15 @@
                 await this.#pause(Math.min(maxStandbyCheckMs, Math.max(minStandbyCheckMs, trustedMs)));
                 continue;
             }
-            const issue = this.#needsList ? await this.#readAll() : await this.#watch();
+            const wasListing = this.#needsList;
+            const issue = wasListing ? await this.#readAll() : await this.#watch();
             if (issue === undefined || issue.code === "store.historyGone") {
                 // A store that has dropped its history is reachable, so no leases have expired because of an outage.
                 this.#needsList ||= issue !== undefined;
                 this.#recordResponse(this.#options.clock.monotonicMs());
+                if (issue !== undefined && wasListing) {
+                    await this.#pause(minRetryMs * (0.5 + this.#options.draw()));
+                }
                 continue;
             }
             this.#recordIssue(issue);
