--- a/packages/ingress/src/fleet/ownreports.ts
+++ b/packages/ingress/src/fleet/ownreports.ts
@@ -7,7 +7,7 @@
 import type { ServingHosts } from "./servinghosts.js";
 
 /** The use in a report is reused for several peers for this long, since summing it up costs more than sending it. */
-const reportCacheMs = 80;
+const useCacheMs = 80;
 
 /** Options of `OwnReports`. */
 export interface OwnReportsOptions {
@@ -82,7 +82,7 @@
     }
 }
 
-/** A value that is computed anew when it is older than `reportCacheMs`. */
+/** A value that is computed anew when it is older than `useCacheMs`. */
 class CachedValue<Value> {
     readonly #compute: (nowMs: number) => Value;
     #cached: { readonly value: Value; readonly atMs: number; } | undefined;
@@ -92,7 +92,7 @@
     }
 
     get(nowMs: number): Value {
-        if (this.#cached === undefined || nowMs - this.#cached.atMs > reportCacheMs) {
+        if (this.#cached === undefined || nowMs - this.#cached.atMs > useCacheMs) {
             this.#cached = { value: this.#compute(nowMs), atMs: nowMs };
         }
         return this.#cached.value;
