--- a/packages/ingress/src/request/attempt.ts
+++ b/packages/ingress/src/request/attempt.ts
@@ -75,6 +75,11 @@
         return this.#options.endpoint.endpointId;
     }
 
+    /** Whether a complete event of the response has arrived. */
+    get hasProgress(): boolean {
+        return this.#hasFirstEvent;
+    }
+
     get status(): number {
         return this.#head?.status ?? 0;
     }
--- a/packages/ingress/src/request/task.ts
+++ b/packages/ingress/src/request/task.ts
@@ -225,6 +225,8 @@
             endpoint: attempt.endpointId,
             result: result.type,
             detail: result.type === "answered" ? `status ${result.status}` : result.detail,
+            hasProgress: attempt.hasProgress,
+            parts: this.#request.description.prompt?.parts.map(({ id }) => id),
             isRepeated,
         });
         if (isRepeated) {
