--- a/features/support/ingress.ts
+++ b/features/support/ingress.ts
@@ -123,6 +123,8 @@
             readonly requestId?: string | undefined;
             readonly path?: string;
             readonly disconnectAfterMs?: number;
+            /** Parts of the prompt, each with 100 tokens. */
+            readonly parts?: readonly string[];
         } = {},
     ): Promise<CallerResponse> {
         const requestId = "requestId" in options ? options.requestId : `request-${this.#nextId}`;
@@ -148,6 +150,10 @@
                     "X-Filbertrelay-Deadline-Ms": "5000",
                     "Authorization": `Bearer ${options.key ?? customerKey}`,
                     ...(requestId === undefined ? {} : { "X-Filbertrelay-Attempt-Id": requestId }),
+                    ...(options.parts === undefined ? {} : {
+                        "X-Filbertrelay-Token-Usage": `${options.parts.length * 100},10`,
+                        "X-Filbertrelay-Prefix-Hash": options.parts.map(part => `${part}:100`).join(),
+                    }),
                 },
             }, response => {
                 let body = "";
