--- /dev/null
+++ b/packages/ingress/src/request/endpointselection.ts
@@ -0,0 +1,79 @@
+import type { EndpointId } from "@filbertrelay/kernel";
+import { chooseLowestCostEndpoint } from "@filbertrelay/policy/ingress";
+import type { EndpointChoice } from "@filbertrelay/policy/ingress";
+import type { EndpointRecord } from "../contract.js";
+import type { AdmittedRequest } from "./admitted.js";
+import type { RequestContext } from "./context.js";
+
+/** Assumed time for which a request occupies a slot of an endpoint, until requests of its service have been measured. */
+const defaultServiceMs = 700;
+/**
+ * Engine time per requested output token. A generated token adds about 0.12 ms to a step, and requests generate about a third of
+ * their stated limit.
+ */
+const outputTokenMs = 0.04;
+
+/** The endpoint that an attempt is sent to, with the estimates behind the choice. */
+export interface SelectedEndpoint {
+    readonly endpoint: EndpointRecord;
+    readonly choice: EndpointChoice;
+}
+
+/** Chooses an endpoint that was not tried yet and records the demand of the request; `undefined` without a candidate. */
+export function selectEndpoint(
+    context: RequestContext,
+    request: AdmittedRequest,
+    tried: ReadonlySet<EndpointId>,
+): SelectedEndpoint | undefined {
+    const endpoints = context.endpoints.usable(request.service);
+    const choice = chooseEndpoint(context, request, { endpoints, tried });
+    recordDemand(context, request, choice);
+    const endpoint = endpoints.find(({ endpointId }) => endpointId === choice?.endpointId);
+    return choice === undefined || endpoint === undefined ? undefined : { endpoint, choice };
+}
+
+/** The priority of a request; that of its customer takes precedence over that of its route. */
+export function priorityOf({ customer, route }: AdmittedRequest): number {
+    return customer?.priority ?? route.priority;
+}
+
+function chooseEndpoint(
+    { health, loads, promptCaches, clock, homeDomain, timings }: RequestContext,
+    request: AdmittedRequest,
+    { endpoints, tried }: { readonly endpoints: readonly EndpointRecord[]; readonly tried: ReadonlySet<EndpointId>; },
+): EndpointChoice | undefined {
+    const { description, service, requestId } = request;
+    const nowMs = clock.monotonicMs();
+    const parts = description.prompt?.parts ?? [];
+    const candidates = endpoints.map(endpoint => ({
+        endpointId: endpoint.endpointId,
+        failureDomain: endpoint.failureDomain,
+        capacity: endpoint.capacity,
+        load: loads.estimate(endpoint.endpointId, priorityOf(request), nowMs),
+        cachedTokens: endpoint.hasPromptCache ? promptCaches.cachedTokens(endpoint.endpointId, parts) : 0,
+        failureRatio: health.failureRatio(endpoint.endpointId),
+        isQuarantined: health.isQuarantined(endpoint.endpointId, nowMs),
+    }));
+    return chooseLowestCostEndpoint(candidates, {
+        parts,
+        promptTokens: description.prompt?.inputTokens ?? 0,
+        requestId,
+        tried,
+        homeDomain,
+        tokenMs: timings.tokenMs(service),
+        slotHoldMs: timings.slotHoldMs(service) ?? defaultServiceMs,
+    });
+}
+
+/** Records the engine time that the prompt and its output will take, also for requests that are then rejected. */
+function recordDemand(
+    { timings, demand, clock }: RequestContext,
+    { description: { prompt }, service }: AdmittedRequest,
+    choice: EndpointChoice | undefined,
+): void {
+    if (prompt !== undefined) {
+        const tokensToCompute = choice?.tokensToCompute ?? prompt.inputTokens;
+        const workMs = tokensToCompute * timings.tokenMs(service) + prompt.outputTokens * outputTokenMs;
+        demand.recordWork(service, workMs, clock.monotonicMs());
+    }
+}
--- a/packages/ingress/src/request/task.ts
+++ b/packages/ingress/src/request/task.ts
@@ -1,23 +1,19 @@
 import type { EndpointId } from "@filbertrelay/kernel";
-import { chooseLowestCostEndpoint, computeSilenceTimeout, decideStart } from "@filbertrelay/policy/ingress";
+import { decideStart } from "@filbertrelay/policy/ingress";
 import type { EndpointChoice } from "@filbertrelay/policy/ingress";
 import type { EndpointRecord } from "../contract.js";
 import type { AdmittedRequest } from "./admitted.js";
 import { Attempt } from "./attempt.js";
 import type { AttemptResult } from "./attempt.js";
 import type { RequestContext } from "./context.js";
+import { priorityOf, selectEndpoint } from "./endpointselection.js";
 import { sendErrorResponse } from "./errorresponse.js";
 import { requestEvents as events } from "./event.js";
 import { ForwardedEvents } from "./forwardedevents.js";
 import type { CallerResponder } from "./responder.js";
+import { SilenceTimer } from "./silencetimer.js";
+import type { AttemptProgress } from "./silencetimer.js";
 
-/** Assumed time for which a request occupies a slot of an endpoint, until requests of its service have been measured. */
-const defaultServiceMs = 700;
-/**
- * Engine time per requested output token. A generated token adds about 0.12 ms to a step, and requests generate about a third of
- * their stated limit.
- */
-const outputTokenMs = 0.04;
 /** Short, since the cause may be transient, such as a configuration that is still being loaded. */
 const defaultRetryAfterMs = 250;
 
@@ -28,6 +24,7 @@
     readonly #responder: CallerResponder;
     readonly #tried = new Set<EndpointId>();
     readonly #forwarded: ForwardedEvents;
+    readonly #silence: SilenceTimer;
     #attempt: Attempt | undefined;
     #attempts = 0;
     #executions = 0;
@@ -37,7 +34,6 @@
     /** A retry was already charged to the budget when the current attempt was ended for silence. */
     #isRetryReserved = false;
     #cancelDeadline: () => void = () => undefined;
-    #cancelSilenceTimer: () => void = () => undefined;
     #firstEventMs: number | undefined;
 
     constructor(context: RequestContext, request: AdmittedRequest, responder: CallerResponder) {
@@ -45,6 +41,11 @@
         this.#request = request;
         this.#responder = responder;
         this.#forwarded = new ForwardedEvents(request.description.lastEventId);
+        this.#silence = new SilenceTimer({
+            clock: context.clock,
+            route: request.route,
+            onSilence: (limitMs, progress) => this.#handleSilence(limitMs, progress),
+        });
     }
 
     /** Sends the request to an endpoint or rejects it immediately. */
@@ -59,44 +60,15 @@
 
     /** Chooses an endpoint and starts an attempt there. */
     #dispatch(): void {
-        const { route, service } = this.#request;
-        const endpoints = this.#context.endpoints.usable(service);
-        const choice = this.#chooseEndpoint(endpoints);
-        const endpoint = endpoints.find(({ endpointId }) => endpointId === choice?.endpointId);
-        this.#recordDemand(choice);
-        if (choice === undefined || endpoint === undefined) {
+        const selected = selectEndpoint(this.#context, this.#request, this.#tried);
+        if (selected === undefined) {
             this.#fail("no endpoint", 503, defaultRetryAfterMs);
             return;
         }
-        if (this.#attempts === 0 && !this.#admit(choice)) {
+        if (this.#attempts === 0 && !this.#admit(selected.choice)) {
             return;
         }
-        this.#send(endpoint, choice, route.kind === "stream");
-    }
-
-    #chooseEndpoint(endpoints: readonly EndpointRecord[]): EndpointChoice | undefined {
-        const { health, loads, promptCaches, clock, homeDomain, timings } = this.#context;
-        const { description, service, requestId } = this.#request;
-        const nowMs = clock.monotonicMs();
-        const parts = description.prompt?.parts ?? [];
-        const candidates = endpoints.map(endpoint => ({
-            endpointId: endpoint.endpointId,
-            failureDomain: endpoint.failureDomain,
-            capacity: endpoint.capacity,
-            load: loads.estimate(endpoint.endpointId, this.#priority(), nowMs),
-            cachedTokens: endpoint.hasPromptCache ? promptCaches.cachedTokens(endpoint.endpointId, parts) : 0,
-            failureRatio: health.failureRatio(endpoint.endpointId),
-            isQuarantined: health.isQuarantined(endpoint.endpointId, nowMs),
-        }));
-        return chooseLowestCostEndpoint(candidates, {
-            parts,
-            promptTokens: description.prompt?.inputTokens ?? 0,
-            requestId,
-            tried: this.#tried,
-            homeDomain,
-            tokenMs: timings.tokenMs(service),
-            slotHoldMs: timings.slotHoldMs(service) ?? defaultServiceMs,
-        });
+        this.#send(selected.endpoint, selected.choice, this.#request.route.kind === "stream");
     }
 
     #admit(choice: EndpointChoice): boolean {
@@ -127,7 +99,7 @@
             endpointId: endpoint.endpointId,
             remainingMs,
             ...(customer === undefined ? {} : { customer: customer.name }),
-            ...(endpoint.hasPromptCache ? { priority: this.#priority() } : {}),
+            ...(endpoint.hasPromptCache ? { priority: priorityOf(this.#request) } : {}),
             ...(this.#forwarded.lastId === undefined ? {} : { lastEventId: this.#forwarded.lastId }),
         });
         log.write(events.attemptStarted, {
@@ -148,7 +120,7 @@
             requestId,
             number: this.#attempts,
             endpoint,
-            priority: this.#priority(),
+            priority: priorityOf(this.#request),
             tokens: choice.tokensToCompute,
             isEndpointIdle: choice.isIdle,
             isRepeatable: this.#isRetryable(),
@@ -162,17 +134,6 @@
         });
     }
 
-    /** Records the engine time that the prompt and its output will take, also for requests that are then rejected. */
-    #recordDemand(choice: EndpointChoice | undefined): void {
-        const { timings, demand, clock } = this.#context;
-        const { description: { prompt }, service } = this.#request;
-        if (prompt !== undefined) {
-            const tokensToCompute = choice?.tokensToCompute ?? prompt.inputTokens;
-            const workMs = tokensToCompute * timings.tokenMs(service) + prompt.outputTokens * outputTokenMs;
-            demand.recordWork(service, workMs, clock.monotonicMs());
-        }
-    }
-
     #receiveStream(attempt: Attempt, bytes: Buffer): void {
         const taken = this.#forwarded.take(bytes);
         if (taken === undefined) {
@@ -205,7 +166,7 @@
         if (this.#isEnded || attempt !== this.#attempt) {
             return;
         }
-        this.#cancelSilenceTimer();
+        this.#silence.cancel();
         this.#attempt = undefined;
         if (result.type !== "notRun") {
             this.#executions += 1;
@@ -277,31 +238,17 @@
     }
 
     #restartSilenceTimer(expectedStartMs: number, hasStarted: boolean): void {
-        this.#cancelSilenceTimer();
-        const { route } = this.#request;
-        const limitMs = computeSilenceTimeout({
-            kind: route.kind,
-            isRepeatable: this.#isRetryable() && this.#executions + 1 < route.maximumAttempts,
-            objectiveMs: route.objectiveMs,
-            pauseLimitMs: route.pauseLimitMs ?? route.objectiveMs,
-            expectedStartMs,
-            hasStarted,
-        });
-        if (limitMs !== undefined) {
-            this.#cancelSilenceTimer = this.#context.clock.after(
-                limitMs,
-                () => this.#handleSilence(limitMs, expectedStartMs, hasStarted),
-            );
-        }
+        const isRepeatable = this.#isRetryable() && this.#executions + 1 < this.#request.route.maximumAttempts;
+        this.#silence.restart({ expectedStartMs, hasStarted, isRepeatable });
     }
 
     /** Retries on another endpoint; without another endpoint or retry budget, keeps waiting for the silent one. */
-    #handleSilence(limitMs: number, expectedStartMs: number, hasStarted: boolean): void {
+    #handleSilence(limitMs: number, progress: AttemptProgress): void {
         const hasAlternative = this.#context.endpoints.usable(this.#request.service).some(({ endpointId }) =>
             !this.#tried.has(endpointId)
         );
         if (!hasAlternative || !this.#reserveRetry()) {
-            this.#restartSilenceTimer(expectedStartMs, hasStarted);
+            this.#silence.restart(progress);
             return;
         }
         this.#isRetryReserved = true;
@@ -348,7 +295,7 @@
             service,
             reason,
             retryAfterMs: Math.round(retryAfterMs),
-            priority: this.#priority(),
+            priority: priorityOf(this.#request),
             route: route.name,
         });
         this.#finish("refused", reason);
@@ -361,17 +308,13 @@
         }
     }
 
-    #priority(): number {
-        return this.#request.customer?.priority ?? this.#request.route.priority;
-    }
-
     #finish(outcome: "answered" | "refused" | "failed" | "cut" | "gone", reason: string): void {
         if (this.#isEnded) {
             return;
         }
         this.#isEnded = true;
         this.#cancelDeadline();
-        this.#cancelSilenceTimer();
+        this.#silence.cancel();
         this.#attempt?.cancel();
         this.#attempt = undefined;
         const { clock, log, metrics, quota } = this.#context;
