Keep to the limits that endpoints name in their answers

Cause: describeResponse read three headers of an answer; Server-Limit was dropped at that boundary, so no host knew of the limit and none of the policies had a place for it.

Change: the dialect reads the limit; values that are no positive decimal number are ignored and logged. Hosts share it through the reports of the exchange, also those that were not told. Two hosts for each request a second, chosen by rendezvous on the endpoint, send one request at a time at an equal share of the rate; the others choose other endpoints. It ends with the newest answer that doesn't name it, or after 15 s without one that does.

Evidence: 'An endpoint that names a limit in its answers is kept within it' failed before (16 requests in 4 s, allowed 11) and passes. It works since all hosts together never hold more than the rate and one request for each of the sharing hosts, half of what the bound leaves above the rate.

--- a/features/ingress.limit.feature
+++ b/features/ingress.limit.feature
@@ -7,3 +7,14 @@
     When a caller sends 10 requests a second for 9 s
     Then from 3 s after the limit was named no 4 s hold more than 11 requests to the first engine
     And all requests are answered
+
+  # Guards against limits that hold at each host but not over all of them, in fleets of any size and at any limit.
+  Scenario: On random days, all hosts together keep to a limit and use what it leaves
+    When 40 random days are played on which an endpoint names a limit for a while
+    Then from 3 s after it was named no 4 s hold more than one and a half times what it allows and 5 requests
+    And at least a third of what it allows is used
+    And hosts use the endpoint in full again within 3 s after an answer without it
+
+  Scenario: A limit that is no positive decimal number is ignored
+    Given an ingress with a store stand-in and two engines of each service
+    Then an answer with the limit "0", "-1", "many" or "" names none and one with " 1.5 " names 1.5
--- a/features/steps/ingress.fleet.ts
+++ b/features/steps/ingress.fleet.ts
@@ -1,6 +1,14 @@
 import { After, Given, Then, When } from "@cucumber/cucumber";
 import type { Store } from "@filbertrelay/connectors";
-import { EndpointTable, HostTable, PeerExchange, stateEvents, StoreMirror, StoreSync } from "@filbertrelay/ingress";
+import {
+    EndpointTable,
+    HostTable,
+    PeerExchange,
+    SharedFindings,
+    stateEvents,
+    StoreMirror,
+    StoreSync,
+} from "@filbertrelay/ingress";
 import type { ServingHosts } from "@filbertrelay/ingress";
 import { brandAs, createSystemClock, silentEventLog } from "@filbertrelay/kernel";
 import type { EndpointId, EventLog, HostId, Incarnation } from "@filbertrelay/kernel";
@@ -124,7 +132,10 @@
                 callerWork: this.callerWork,
             },
             fleetClock: policy.createFleetClock({ clock }),
-            quarantine: policy.createQuarantine({ isTrialHost: () => true }),
+            findings: new SharedFindings({
+                quarantine: policy.createQuarantine({ isTrialHost: () => true }),
+                limits: policy.createEndpointLimits({ hostId, listHosts: () => [] }),
+            }),
             dutyHolder: () => undefined,
         });
         this.serving = exchange.serving;
--- a/features/steps/ingress.freshness.ts
+++ b/features/steps/ingress.freshness.ts
@@ -1,6 +1,6 @@
 import { After, Given, Then, When } from "@cucumber/cucumber";
 import type { Store, StoreIssue, StoreItem } from "@filbertrelay/connectors";
-import { HostTable, PeerExchange, StoreMirror, StoreSync } from "@filbertrelay/ingress";
+import { HostTable, PeerExchange, SharedFindings, StoreMirror, StoreSync } from "@filbertrelay/ingress";
 import type { ServingHosts } from "@filbertrelay/ingress";
 import { brandAs, createVirtualClock, failure, silentEventLog, success } from "@filbertrelay/kernel";
 import type { FailureDomainId, HostId, Incarnation, Outcome, VirtualClock } from "@filbertrelay/kernel";
@@ -239,7 +239,10 @@
                 callerWork: policy.createDemandMeter(),
             },
             fleetClock: policy.createFleetClock({ clock }),
-            quarantine: policy.createQuarantine({ isTrialHost: () => true }),
+            findings: new SharedFindings({
+                quarantine: policy.createQuarantine({ isTrialHost: () => true }),
+                limits: policy.createEndpointLimits({ hostId: ownId, listHosts: () => [] }),
+            }),
             dutyHolder: () => undefined,
         });
     }
--- a/packages/ingress/src/contract.ts
+++ b/packages/ingress/src/contract.ts
@@ -64,6 +64,10 @@
     readonly isSigned: boolean;
     /** Whether the endpoint states that it did not execute the request. */
     readonly isNotExecuted: boolean;
+    /** Requests a second that the endpoint takes from all hosts together, for as long as its answers say so. */
+    readonly limitPerSecond?: number;
+    /** Headers of the endpoint that can't be used, as `name: value`. */
+    readonly invalid?: readonly string[];
 }
 
 /** Maps between HTTP headers and request metadata, since each platform has its own header names. */
--- a/packages/ingress/src/daemon.ts
+++ b/packages/ingress/src/daemon.ts
@@ -4,6 +4,7 @@
 import {
     createDemandMeter,
     createEndpointHealth,
+    createEndpointLimits,
     createFleetClock,
     createLoadTracker,
     createPromptCacheModel,
@@ -27,6 +28,7 @@
 import { probeAddress } from "./endpoint/reachability.js";
 import { HostDirectory } from "./fleet/directory.js";
 import { PeerExchange } from "./fleet/exchange.js";
+import { SharedFindings } from "./fleet/findings.js";
 import { HostTable } from "./fleet/hosts.js";
 import { createIncarnation } from "./fleet/incarnation.js";
 import { Registration } from "./fleet/registration.js";
@@ -139,6 +141,7 @@
             exchange.announce();
         },
     });
+    const limits = createEndpointLimits({ hostId, listHosts: () => exchange.listReachable() });
     const exchange = new PeerExchange({
         clock,
         log,
@@ -148,7 +151,7 @@
         hosts,
         counts: { quota, usage, loads, demand, callerWork },
         fleetClock,
-        quarantine,
+        findings: new SharedFindings({ quarantine, limits }),
         dutyHolder: () => readDutyHolder(mirror),
     });
     const { serving } = exchange;
@@ -179,6 +182,7 @@
     endpoints.onEnded(endpointId => {
         connections.forget(endpointId);
         health.forget(endpointId);
+        limits.forget(endpointId);
         promptCaches.forget(endpointId);
     });
     const context: RequestContext = {
@@ -202,6 +206,8 @@
             probe: address => probeAddress(clock, address),
         }),
         quarantine,
+        limits,
+        announce: () => exchange.announce(),
         quota,
         retryBudget: createWindowedRetryBudget({
             windowMs: promises.repeatWindowSeconds * 1_000,
--- a/packages/ingress/src/fleet/attachment.ts
+++ b/packages/ingress/src/fleet/attachment.ts
@@ -1,11 +1,11 @@
 import type { Clock, HostId, Incarnation } from "@filbertrelay/kernel";
 import { brandAs } from "@filbertrelay/kernel";
 import { rankByRendezvous, ReceivedReports } from "@filbertrelay/policy/ingress";
-import type { FleetClock, Quarantine } from "@filbertrelay/policy/ingress";
+import type { FleetClock } from "@filbertrelay/policy/ingress";
 import { declareTopic } from "@filbertrelay/wire";
 import type { TcpPeerNetwork } from "@filbertrelay/wire";
+import type { SharedFindings } from "./findings.js";
 import type { PeerLiveness } from "./liveness.js";
-import { describeSuspects } from "./ownreports.js";
 import {
     attachReplySchema,
     attachReportSchema,
@@ -47,7 +47,7 @@
     readonly fleetClock: FleetClock;
     readonly liveness: PeerLiveness;
     readonly news: () => StoreSync | undefined;
-    readonly quarantine: Quarantine;
+    readonly findings: SharedFindings;
     /** Returns the use of all known hosts, including this one. */
     readonly fleetUse: () => SharedUse;
 }
@@ -114,7 +114,7 @@
         serving.recordPeerWork(servingWork);
         serving.adopt(servingAges.map(({ hostId }) => hostId), setAgeMs + elapsedMs);
         news()?.reconcile(contact, knowledge, sentMs);
-        this.#mergeSuspects(reply.value, elapsedMs);
+        this.#options.findings.merge(reply.value, this.#nowMs(), elapsedMs);
         if (use !== undefined && !serving.isParticipant) {
             recordGroupUse(counts, fleetUseName, use, this.#nowMs());
             this.#fleetUseReceivedMs = this.#nowMs();
@@ -166,7 +166,7 @@
             isParticipant: serving.isParticipant,
             ...(hasRecentUse(use) && !serving.isParticipant ? { use } : {}),
             windowCounts: describeWindowCounts(counts),
-            ...describeSuspects(this.#options.quarantine, this.#nowMs()),
+            ...this.#options.findings.describe(this.#nowMs()),
         };
     }
 
@@ -182,7 +182,7 @@
             recordPeerUse(counts, from, use, nowMs);
         }
         news()?.reconcile(from, report.knowledge, undefined);
-        this.#mergeSuspects(report, requestTimeoutMs);
+        this.#options.findings.merge(report, nowMs, requestTimeoutMs);
         return {
             sentAtMs: clock.now().getTime(),
             knowledge: news()?.status() ?? { revision: 0, materialRevision: 0 },
@@ -190,16 +190,10 @@
             setAgeMs: serving.setAgeMs,
             servingWork: serving.work,
             ...(report.isParticipant ? {} : { use: this.#describeFleetUseFor(use) }),
-            ...describeSuspects(this.#options.quarantine, nowMs),
+            ...this.#options.findings.describe(nowMs),
         };
     }
 
-    #mergeSuspects({ suspects }: AttachReport | AttachReply, elapsedMs: number): void {
-        if (suspects !== undefined) {
-            this.#options.quarantine.merge(suspects, this.#nowMs(), elapsedMs);
-        }
-    }
-
     /** Returns the fleet's use without that of the attached host; one without any use only gets what limits its first requests. */
     #describeFleetUseFor(own: SharedUse | undefined): SharedUse {
         const nowMs = this.#nowMs();
--- a/packages/ingress/src/fleet/exchange.ts
+++ b/packages/ingress/src/fleet/exchange.ts
@@ -1,11 +1,12 @@
 import type { Clock, EventLog, HostId, Incarnation, Service } from "@filbertrelay/kernel";
 import { brandAs } from "@filbertrelay/kernel";
 import { MessageTimes, planExchange, ReceivedReports } from "@filbertrelay/policy/ingress";
-import type { ExchangePlan, FleetClock, FleetReach, Quarantine } from "@filbertrelay/policy/ingress";
+import type { ExchangePlan, FleetClock, FleetReach } from "@filbertrelay/policy/ingress";
 import { declareTopic } from "@filbertrelay/wire";
 import type { TcpPeerNetwork } from "@filbertrelay/wire";
 import { z } from "zod";
 import { Attachment, fleetUseName } from "./attachment.js";
+import type { SharedFindings } from "./findings.js";
 import type { HostTable } from "./hosts.js";
 import { PeerLiveness } from "./liveness.js";
 import { OwnReports } from "./ownreports.js";
@@ -61,7 +62,7 @@
     readonly hosts: HostTable;
     readonly counts: SharedCounts;
     readonly fleetClock: FleetClock;
-    readonly quarantine: Quarantine;
+    readonly findings: SharedFindings;
     /** The current duty holder, if known. */
     readonly dutyHolder: () => HostId | undefined;
 }
@@ -90,7 +91,7 @@
 
     constructor(options: PeerExchangeOptions) {
         this.#options = options;
-        const { clock, log, hostId, incarnation, peers, hosts, counts, fleetClock, quarantine, dutyHolder } = options;
+        const { clock, log, hostId, incarnation, peers, hosts, counts, fleetClock, findings, dutyHolder } = options;
         this.#times = new MessageTimes(incarnation);
         this.#plan = planExchange(hostId, [], { isAvoided: () => false });
         this.#liveness = new PeerLiveness({ clock, log, self: hostId, timeoutMs: () => this.#reachabilityTimeoutMs() });
@@ -113,7 +114,7 @@
             serving: this.serving,
             liveness: this.#liveness,
             news: () => this.#storeSync,
-            quarantine,
+            findings,
             fleetUse: () => this.#describeFleetUse(),
         });
         this.#reports = new OwnReports({
@@ -128,7 +129,7 @@
             plan: () => this.#plan,
             attachedToGroupPeers: this.#attachedToGroupPeers,
             knowledge: () => this.#storeSync?.status() ?? { revision: 0, materialRevision: 0 },
-            quarantine,
+            findings,
         });
     }
 
@@ -333,7 +334,7 @@
     #receive(peer: HostId, report: HostReport, writtenMs: number | undefined): void {
         const { fleetClock, counts } = this.#options;
         const nowMs = this.#nowMs();
-        this.#mergeSuspects(report, writtenMs ?? nowMs - callTimeoutMs);
+        this.#options.findings.merge(report, nowMs, writtenMs === undefined ? callTimeoutMs : nowMs - writtenMs);
         const elapsedMs = writtenMs === undefined ? 0 : nowMs - writtenMs;
         this.#liveness.recordContact(peer);
         fleetClock.recordPeerTime(peer, new Date(report.sentAtMs));
@@ -354,7 +355,7 @@
         const { counts, hostId } = this.#options;
         const nowMs = this.#nowMs();
         this.#liveness.recordContact(peer);
-        this.#mergeSuspects(report, writtenMs);
+        this.#options.findings.merge(report, nowMs, nowMs - writtenMs);
         this.#storeSync?.reconcile(peer, report.knowledge, writtenMs);
         this.serving.recordPeerWork(report.servingWork);
         if (report.groups !== this.#plan.groups || report.group === this.#plan.ownGroup) {
@@ -370,12 +371,6 @@
         this.#groupUses.record(name, report.use, nowMs);
     }
 
-    #mergeSuspects({ suspects }: HostReport | GroupReport, writtenMs: number): void {
-        if (suspects !== undefined) {
-            this.#options.quarantine.merge(suspects, this.#nowMs(), this.#nowMs() - writtenMs);
-        }
-    }
-
     #describeFleetUse(): SharedUse {
         const nowMs = this.#nowMs();
         const prefix = groupPrefix(this.#plan.groups);
--- a/packages/ingress/src/fleet/ownreports.ts
+++ b/packages/ingress/src/fleet/ownreports.ts
@@ -1,6 +1,7 @@
 import type { Clock, HostId, Incarnation } from "@filbertrelay/kernel";
-import type { ExchangePlan, MessageTimes, Quarantine, QuarantineReport, ReceivedReports } from "@filbertrelay/policy/ingress";
+import type { ExchangePlan, MessageTimes, ReceivedReports } from "@filbertrelay/policy/ingress";
 import type { Attachment } from "./attachment.js";
+import type { SharedFindings } from "./findings.js";
 import type { PeerLiveness } from "./liveness.js";
 import { addUses, describeGroupUse, describeOwnUse, describeWindowCounts } from "./report.js";
 import type { GroupReport, HostReport, MirrorStatus, SharedCounts, SharedUse } from "./report.js";
@@ -23,7 +24,7 @@
     /** For each group peer, the hosts attached to it with the milliseconds since each was last heard from. */
     readonly attachedToGroupPeers: ReceivedReports<Readonly<Record<string, number>>>;
     readonly knowledge: () => MirrorStatus;
-    readonly quarantine: Quarantine;
+    readonly findings: SharedFindings;
 }
 
 /** Writes the reports that this host sends to its peers. */
@@ -52,7 +53,7 @@
             windowCounts: describeWindowCounts(counts),
             servingWork: serving.work,
             attached: attachment.listAges(),
-            ...describeSuspects(this.#options.quarantine, nowMs),
+            ...this.#options.findings.describe(nowMs),
         };
     }
 
@@ -74,7 +75,7 @@
             servingWork: serving.work,
             knowledge: knowledge(),
             use: this.#groupUse.get(nowMs),
-            ...describeSuspects(this.#options.quarantine, nowMs),
+            ...this.#options.findings.describe(nowMs),
         };
     }
 
@@ -85,12 +86,6 @@
     }
 }
 
-/** The part of a report that tells what this host knows of crashes. */
-export function describeSuspects(quarantine: Quarantine, nowMs: number): { readonly suspects?: QuarantineReport; } {
-    const suspects = quarantine.report(nowMs);
-    return suspects === undefined ? {} : { suspects };
-}
-
 /** A value that is computed anew when it is older than `useCacheMs`. */
 class CachedValue<Value> {
     readonly #compute: (nowMs: number) => Value;
--- a/packages/ingress/src/fleet/report.ts
+++ b/packages/ingress/src/fleet/report.ts
@@ -29,6 +29,8 @@
     storeAgeMs: z.number().optional(),
 });
 
+const limitReportSchema = z.record(z.string(), z.object({ perSecond: z.number().nullable(), ageMs: z.number() }));
+
 /** Lets the receiver bound when a report was written. Absent in older versions. */
 const messageTimeSchema = z.object({
     /** The sender's run, and its monotonic time in milliseconds. */
@@ -54,6 +56,8 @@
     attached: countsSchema,
     /** Absent if there is nothing to tell, and in older versions. */
     suspects: suspectReportSchema.optional(),
+    /** Limits that endpoints named. Absent if there are none, and in older versions. */
+    limits: limitReportSchema.optional(),
 });
 
 /** The report that a host sends to a serving host that it is attached to. */
@@ -69,6 +73,8 @@
     windowCounts: z.record(z.string(), countsSchema),
     /** Absent if there is nothing to tell, and in older versions. */
     suspects: suspectReportSchema.optional(),
+    /** Limits that endpoints named. Absent if there are none, and in older versions. */
+    limits: limitReportSchema.optional(),
 });
 
 /** The reply to an attach report. */
@@ -84,6 +90,8 @@
     use: sharedUseSchema.optional(),
     /** Absent if there is nothing to tell, and in older versions. */
     suspects: suspectReportSchema.optional(),
+    /** Limits that endpoints named. Absent if there are none, and in older versions. */
+    limits: limitReportSchema.optional(),
 });
 
 /** The report of a group, fetched from its representative. */
@@ -97,6 +105,8 @@
     use: sharedUseSchema,
     /** Absent if there is nothing to tell, and in older versions. */
     suspects: suspectReportSchema.optional(),
+    /** Limits that endpoints named. Absent if there are none, and in older versions. */
+    limits: limitReportSchema.optional(),
 });
 
 export type AttachReport = z.infer<typeof attachReportSchema>;
--- a/packages/ingress/src/index.ts
+++ b/packages/ingress/src/index.ts
@@ -6,6 +6,7 @@
 export { UsageReporter } from "./duty/usagereporter.js";
 export { HostDirectory } from "./fleet/directory.js";
 export { PeerExchange } from "./fleet/exchange.js";
+export { SharedFindings } from "./fleet/findings.js";
 export { HostTable } from "./fleet/hosts.js";
 export { ServingHosts } from "./fleet/servinghosts.js";
 export { StoreSync } from "./fleet/storesync.js";
--- a/packages/ingress/src/request/attempt.ts
+++ b/packages/ingress/src/request/attempt.ts
@@ -5,6 +5,7 @@
 import type { ConnectionFailure, EndpointConnection, EndpointRequest, EndpointResponseHandler } from "../endpoint/connection.js";
 import type { ResponseHead } from "../endpoint/responseparser.js";
 import type { RequestContext } from "./context.js";
+import { requestEvents as events } from "./event.js";
 
 /** The result of an attempt. `notRun` guarantees that the endpoint has not executed the request and never will. */
 export type AttemptResult =
@@ -99,9 +100,10 @@
     }
 
     start(handler: AttemptHandler): void {
-        const { loads, connections } = this.#context;
+        const { loads, connections, limits } = this.#context;
         const { endpoint, priority, tokens, isRepeatable } = this.#options;
         this.#handler = handler;
+        limits.recordSend(endpoint.endpointId, this.#sentMs);
         loads.recordDispatch({ requestId: this.#loadKey, endpointId: endpoint.endpointId, priority, tokens });
         this.#connection = connections.acquire(endpoint, isRepeatable ? Infinity : nonRetryableIdleMs);
         this.#connection.send(this.#outgoing, this);
@@ -153,10 +155,24 @@
         if (isOwn) {
             this.#head = head;
             this.#description = description;
+            this.#recordStatements(description);
         }
         return isOwn;
     }
 
+    /** Records what the endpoint says of itself beside the answer. */
+    #recordStatements({ limitPerSecond, invalid }: ResponseDescription): void {
+        const { limits, clock, log, announce } = this.#context;
+        const { endpointId } = this;
+        if (invalid !== undefined) {
+            log.write(events.statementInvalid, { requestId: this.#options.requestId, endpoint: endpointId, headers: invalid });
+        }
+        if (limits.recordAnswer(endpointId, limitPerSecond, clock.monotonicMs())) {
+            log.write(events.limitChanged, { endpoint: endpointId, perSecond: limitPerSecond });
+            announce();
+        }
+    }
+
     onBody(chunk: Buffer): void {
         if (this.#isForwardedStream()) {
             this.#receiveStream(chunk);
--- a/packages/ingress/src/request/context.ts
+++ b/packages/ingress/src/request/context.ts
@@ -2,6 +2,7 @@
 import type {
     DemandMeter,
     EndpointHealth,
+    EndpointLimits,
     FleetClock,
     FleetReach,
     LoadTracker,
@@ -33,6 +34,7 @@
     readonly loads: LoadTracker;
     readonly promptCaches: PromptCacheModel;
     readonly health: EndpointHealth;
+    readonly limits: EndpointLimits;
     readonly crashes: CrashMonitor;
     readonly quarantine: Quarantine;
     readonly quota: UsageQuota;
@@ -47,6 +49,8 @@
     readonly reach: () => FleetReach;
     /** Whether the host is stopping and rejects a request of this mean duration. */
     readonly isRefusing: (durationMs: number) => boolean;
+    /** Tells the other hosts what has just become known, instead of at the next interval. */
+    readonly announce: () => void;
     /** Uniform in [0, 1). */
     readonly draw: () => number;
 }
--- a/packages/ingress/src/request/endpointselection.ts
+++ b/packages/ingress/src/request/endpointselection.ts
@@ -25,7 +25,10 @@
     request: AdmittedRequest,
     tried: ReadonlySet<EndpointId>,
 ): SelectedEndpoint | undefined {
-    const endpoints = context.endpoints.usable(request.service);
+    const nowMs = context.clock.monotonicMs();
+    const endpoints = context.endpoints.usable(request.service).filter(({ endpointId }) =>
+        context.limits.isOpen(endpointId, nowMs)
+    );
     const choice = chooseEndpoint(context, request, { endpoints, tried });
     recordDemand(context, request, choice);
     const endpoint = endpoints.find(({ endpointId }) => endpointId === choice?.endpointId);
--- a/packages/ingress/src/request/event.ts
+++ b/packages/ingress/src/request/event.ts
@@ -26,6 +26,18 @@
         text: "An attempt failed or its response is not usable.",
         action: "If it recurs, look for other failures of the same endpoint.",
     },
+    limitChanged: {
+        number: 4308,
+        level: "info",
+        text: "An endpoint named a limit in its answers, or no longer does.",
+        action: "None; `perSecond` holds for all hosts together. If it lasts, look at the load of the endpoint.",
+    },
+    statementInvalid: {
+        number: 4309,
+        level: "warn",
+        text: "What an endpoint said of itself in an answer can't be used and is ignored.",
+        action: "Check the software of the endpoint; `headers` holds what it said.",
+    },
     endpointCrashed: {
         number: 4305,
         level: "warn",
--- a/packages/policy/src/ingress/index.ts
+++ b/packages/policy/src/ingress/index.ts
@@ -10,6 +10,7 @@
 export * from "./demandmeter.js";
 export * from "./directorychoice.js";
 export * from "./endpointhealth.js";
+export * from "./endpointlimits.js";
 export * from "./endpointplan.js";
 export * from "./enginechoice.js";
 export * from "./exchangegroups.js";
--- a/scripts/measure-exchange.mjs
+++ b/scripts/measure-exchange.mjs
@@ -1,6 +1,6 @@
 // Measures the processor time that one host spends on the exchange with its peers, for fleets of the given sizes in one process.
 // Usage: node scripts/measure-exchange.mjs 12 24 72 120   (after npm run build)
-import { HostTable, PeerExchange, StoreMirror, StoreSync } from "@filbertrelay/ingress";
+import { HostTable, PeerExchange, SharedFindings, StoreMirror, StoreSync } from "@filbertrelay/ingress";
 import { createSystemClock, silentEventLog } from "@filbertrelay/kernel";
 import { createPlatformStore } from "@filbertrelay/platform";
 import { StandinStore } from "@filbertrelay/platform/standins";
@@ -79,7 +79,10 @@
         hosts: table,
         counts,
         fleetClock: policy.createFleetClock({ clock }),
-        quarantine: policy.createQuarantine({ isTrialHost: () => true }),
+        findings: new SharedFindings({
+            quarantine: policy.createQuarantine({ isTrialHost: () => true }),
+            limits: policy.createEndpointLimits({ hostId, listHosts: () => [] }),
+        }),
         dutyHolder: () => "edge-1",
     });
     const news = new StoreSync({ clock, hostId, peers, mirror, listReachable: () => exchange.listReachable() });
