Cut a stream that broke off when the next endpoint answers with an error

A caller whose stream had begun waited without end: the engine broke off, the next one answered 500 or 404, and the answer was written to a response whose head had been sent, which neither continued nor ended it; the time limit was cancelled as for an answered request.

Cause: a complete answer counted as deliverable whatever the caller had received. Now only the rest of a stream is, once the head is sent; anything else is a failed attempt, which is repeated or cuts the stream visibly. Both scenarios timed out after 60 s before and pass now.

--- a/features/ingress.trouble.feature
+++ b/features/ingress.trouble.feature
@@ -77,3 +77,14 @@
     When it releases the duties while the order is in progress
     Then the duties become free only after the order has ended
     And an order that is started late in the lease is abandoned before the lease expires
+
+  # Guards against callers that wait for the end of a stream that nothing continues.
+  Scenario Outline: A stream that breaks off is cut when the next engine answers with <status>
+    Given engines of which the first breaks off within the third event of a stream and the second answers <status>
+    When a caller sends a "stream" request with the body "order"
+    Then the caller gets whole events only, no complete answer, and nothing after them within 2500 ms
+
+    Examples:
+      | status |
+      | 500    |
+      | 404    |
--- a/features/steps/ingress.trouble.ts
+++ b/features/steps/ingress.trouble.ts
@@ -275,3 +275,30 @@
     assert.ok(performance.now() - startMs < 400, `${performance.now() - startMs} ms`);
     silent.close();
 });
+
+Given(
+    "engines of which the first breaks off within the third event of a stream and the second answers {int}",
+    function(this: TroubleWorld, status: number) {
+        let isFirst = true;
+        this.ingress.setBehaviours((received, { send, close }) => {
+            if (!isFirst) {
+                send(renderResponse(received, { status, body: "no such thing" }));
+                return;
+            }
+            isFirst = false;
+            send(renderStreamHead(received) + renderEvent(1) + renderEvent(2) + "40\r\nid: 3\ndata: to");
+            setTimeout(close, 20);
+        });
+    },
+);
+
+Then(
+    "the caller gets whole events only, no complete answer, and nothing after them within {int} ms",
+    function(this: TroubleWorld, limitMs: number) {
+        const [answer] = this.answers;
+        assert.ok(answer !== undefined);
+        assert.equal(answer.body, "id: 1\ndata: token 1\n\nid: 2\ndata: token 2\n\n");
+        assert.equal(answer.isComplete, false);
+        assert.ok(answer.elapsedMs <= limitMs, `${answer.elapsedMs} ms`);
+    },
+);
--- a/packages/ingress/src/request/task.ts
+++ b/packages/ingress/src/request/task.ts
@@ -184,13 +184,15 @@
             this.#executions += 1;
         }
         const crashExamined = this.#recordOutcome(attempt, result);
-        const isFinal = result.type === "answered" && (result.isStream || result.status < 500);
+        // Nothing but the rest of a stream can follow what the caller already has of it.
+        const isUsable = result.type === "answered" && (result.isStream || !this.#isHeadSent);
+        const isFinal = isUsable && (result.isStream || result.status < 500);
         // An attempt that never reached an endpoint is not charged to the retry budget.
         const isExempt = result.type === "notRun" && !result.hasArrived;
         const isRepeated = !isFinal && (result.type === "notRun" || this.#mayRetry()) &&
             (isExempt || this.#isRetryReserved || this.#reserveRetry());
         this.#isRetryReserved = false;
-        if (result.type === "answered" && !isRepeated) {
+        if (isUsable && !isRepeated) {
             this.#deliver(attempt, result);
             return;
         }
