Take a stream that ends with its channel before any event for broken off

A caller got 200 with an empty body, marked as complete, when an engine sent a whole head with neither length nor chunks and closed; a stream that ended within an event was handled beside the other failures of an attempt, so a crash that closed the channel in order did not count as a lost connection.

Cause: the end of the channel was taken for the end of the body. Without a length or chunks nothing but events shows that a stream was answered. Both cases are failed attempts now, on the same path as a reset: repeated where allowed, cut or 502 otherwise, and seen by the search for crashes.

'A stream that ends with its channel without any event is not complete' failed before (200, complete) and passes; the case within an event passed before and after.

--- a/features/ingress.trouble.feature
+++ b/features/ingress.trouble.feature
@@ -88,3 +88,14 @@
       | status |
       | 500    |
       | 404    |
+
+  # Guards against a stream that breaks off without a length and looks complete.
+  Scenario Outline: A stream that ends with its channel <where> is not complete
+    Given engines whose streams have neither length nor chunks and end <where>
+    When a caller sends a "plainStream" request with the body "order"
+    Then the caller gets no complete answer
+
+    Examples:
+      | where               |
+      | within an event     |
+      | without any event   |
--- a/features/steps/ingress.trouble.ts
+++ b/features/steps/ingress.trouble.ts
@@ -302,3 +302,17 @@
         assert.ok(answer.elapsedMs <= limitMs, `${answer.elapsedMs} ms`);
     },
 );
+
+Given(/^engines whose streams have neither length nor chunks and end (.+)$/, function(this: TroubleWorld, where: string) {
+    const events = where === "within an event" ? "id: 1\ndata: token 1\n\nid: 2\nda" : "";
+    this.ingress.setBehaviours((received, { send, close }) => {
+        send(renderStreamHead(received).replace("Transfer-Encoding: chunked\r\n", "") + events);
+        setTimeout(close, 20);
+    });
+});
+
+Then("the caller gets no complete answer", function(this: TroubleWorld) {
+    const [answer] = this.answers;
+    assert.ok(answer !== undefined);
+    assert.ok(!answer.isComplete || answer.status >= 500, `${answer.status}, complete`);
+});
--- a/packages/ingress/src/request/attempt.ts
+++ b/packages/ingress/src/request/attempt.ts
@@ -45,6 +45,9 @@
 /** Response headers that are not forwarded. */
 const droppedHeaders: ReadonlySet<string> = new Set([...connectionHeaders, "proxy-authenticate"]);
 
+/** Headers that delimit a body. */
+const framingHeaders: ReadonlySet<string> = new Set(["content-length", "transfer-encoding"]);
+
 /** One attempt to execute a request on one endpoint. */
 export class Attempt implements EndpointResponseHandler {
     readonly startedAt: Date;
@@ -94,6 +97,11 @@
         return this.#head?.status ?? 0;
     }
 
+    /** Whether the body of the response ends with the channel, so that nothing in it shows whether it is whole. */
+    get isDelimitedByClose(): boolean {
+        return !(this.#head?.headers ?? []).some(([name]) => framingHeaders.has(name.toLowerCase()));
+    }
+
     /** The response headers without the hop-by-hop ones. */
     get responseHeaders(): HeaderList {
         return (this.#head?.headers ?? []).filter(([name]) => !droppedHeaders.has(name.toLowerCase()));
--- a/packages/ingress/src/request/task.ts
+++ b/packages/ingress/src/request/task.ts
@@ -174,10 +174,11 @@
         }
     }
 
-    #finishAttempt(attempt: Attempt, result: AttemptResult): void {
+    #finishAttempt(attempt: Attempt, ending: AttemptResult): void {
         if (this.#isEnded || attempt !== this.#attempt) {
             return;
         }
+        const result = this.#checkComplete(attempt, ending);
         this.#silence.cancel();
         this.#attempt = undefined;
         if (result.type !== "notRun") {
@@ -219,6 +220,19 @@
         this.#fail(result.type === "answered" ? "error" : result.detail, 502, undefined);
     }
 
+    /** A stream that breaks off with its channel can look like one that ends. */
+    #checkComplete(attempt: Attempt, result: AttemptResult): AttemptResult {
+        if (result.type === "answered" && result.isStream) {
+            if (this.#forwarded.isWithinEvent) {
+                return { type: "failed", detail: "the stream ended within an event", isConnectionLost: true };
+            }
+            if (!attempt.hasProgress && attempt.isDelimitedByClose) {
+                return { type: "failed", detail: "the stream ended with its channel before any event", isConnectionLost: true };
+            }
+        }
+        return result;
+    }
+
     /** Records whether the endpoint has survived the request; the promise resolves when that is known. */
     #recordOutcome(attempt: Attempt, result: AttemptResult): Promise<void> | undefined {
         if (result.type === "answered") {
@@ -248,14 +262,6 @@
             this.#finish("answered", `status ${result.status}`);
             return;
         }
-        if (this.#forwarded.isWithinEvent && this.#mayRetry() && this.#reserveRetry()) {
-            this.#dispatch();
-            return;
-        }
-        if (this.#forwarded.isWithinEvent) {
-            this.#fail("the stream ended within an event", 502, undefined);
-            return;
-        }
         if (!this.#isHeadSent) {
             this.#responder.sendHead(attempt.status, attempt.responseHeaders);
         }
