Send nothing to an endpoint that says in its answers that it leaves

The header was dropped at the same boundary as the limit.

The dialect reads Server-Leaving: 1, and the host that saw it leaves the process out of every choice from then on; a new process under the same id starts without. 'An endpoint that says in its answers that it leaves gets no further requests' failed before and passes.

--- a/features/ingress.limit.feature
+++ b/features/ingress.limit.feature
@@ -18,3 +18,11 @@
   Scenario: A limit that is no positive decimal number is ignored
     Given an ingress with a store stand-in and two engines of each service
     Then an answer with the limit "0", "-1", "many" or "" names none and one with " 1.5 " names 1.5
+
+  # Guards against requests to an endpoint that says in its answers that it leaves, while its entry in the store is unchanged.
+  Scenario: An endpoint that says in its answers that it leaves gets no further requests
+    Given an ingress with a store stand-in and two engines of each service
+    And engines of which the first says in its answers that it leaves
+    When a caller sends 20 requests a second for 4 s
+    Then the first engine got no request later than 2000 ms after its first answer
+    And all requests are answered
--- a/features/steps/ingress.limit.ts
+++ b/features/steps/ingress.limit.ts
@@ -2,7 +2,7 @@
 import { brandAs } from "@filbertrelay/kernel";
 import type { EndpointId, HostId } from "@filbertrelay/kernel";
 import { createPlatformDialect } from "@filbertrelay/platform";
-import { renderResponse } from "@filbertrelay/platform/standins";
+import { notExecutedResponse, renderResponse } from "@filbertrelay/platform/standins";
 import type { EngineBehaviour } from "@filbertrelay/platform/standins";
 import * as policy from "@filbertrelay/policy";
 import assert from "node:assert/strict";
@@ -14,6 +14,7 @@
 interface LimitWorld extends IngressWorld {
     /** When the first engine received each request. */
     receivedMs: number[];
+    receivedByEngine: number[][];
     responses: CallerResponse[];
     days: LimitDay[];
 }
@@ -32,6 +33,49 @@
     this.ingress.setBehaviours(limited, respondFully);
 });
 
+Given("engines of which the first says in its answers that it leaves", function(this: LimitWorld) {
+    this.receivedMs = [];
+    const leaving = respondWith("Server-Leaving: 1", () => this.receivedMs.push(performance.now()));
+    this.ingress.setBehaviours(leaving, respondFully);
+});
+
+Given("engines that turn requests away with 503 for {int} s", function(this: LimitWorld, seconds: number) {
+    this.receivedByEngine = this.ingress.engines.map(() => []);
+    const behaviours = this.receivedByEngine.map((times): EngineBehaviour => (_, { send }) => {
+        times.push(performance.now());
+        send(notExecutedResponse.replace("Content-Length", `Retry-After: ${seconds}\r\nContent-Length`));
+    });
+    this.ingress.setBehaviours(...behaviours);
+});
+
+Then(
+    "the first engine got no request later than {int} ms after its first answer",
+    function(this: LimitWorld, afterMs: number) {
+        const [firstMs] = this.receivedMs;
+        assert.ok(firstMs !== undefined);
+        assert.deepEqual(this.receivedMs.filter(atMs => atMs > firstMs + afterMs), []);
+    },
+);
+
+Then(
+    "each engine got at most {int} requests from {int} ms after its first answer on",
+    function(this: LimitWorld, most: number, afterMs: number) {
+        for (const times of this.receivedByEngine) {
+            assert.ok(times.length > 0);
+            const count = times.filter(atMs => atMs > (times[0] ?? 0) + afterMs).length;
+            assert.ok(count <= most, `${count} requests`);
+        }
+    },
+);
+
+Then("requests that no engine takes are rejected within {int} ms as not run", function(this: LimitWorld, limitMs: number) {
+    for (const { status, elapsedMs, headers } of this.responses) {
+        assert.equal(status, 503);
+        assert.ok(elapsedMs <= limitMs, `${elapsedMs} ms`);
+        assert.ok(Number(headers["retry-after"]) > 0);
+    }
+});
+
 When("a caller sends {int} requests a second for {int} s", async function(this: LimitWorld, perSecond: number, seconds: number) {
     const sent: Promise<CallerResponse>[] = [];
     for (let index = 0; index < perSecond * seconds; index += 1) {
--- a/packages/ingress/src/contract.ts
+++ b/packages/ingress/src/contract.ts
@@ -66,6 +66,8 @@
     readonly isNotExecuted: boolean;
     /** Requests a second that the endpoint takes from all hosts together, for as long as its answers say so. */
     readonly limitPerSecond?: number;
+    /** Whether the endpoint states that it takes no further requests and will stop. */
+    readonly isLeaving: boolean;
     /** Headers of the endpoint that can't be used, as `name: value`. */
     readonly invalid?: readonly string[];
 }
--- a/packages/ingress/src/daemon.ts
+++ b/packages/ingress/src/daemon.ts
@@ -5,6 +5,7 @@
     createDemandMeter,
     createEndpointHealth,
     createEndpointLimits,
+    createEndpointNotices,
     createFleetClock,
     createLoadTracker,
     createPromptCacheModel,
@@ -122,6 +123,7 @@
     const demand = createDemandMeter();
     const callerWork = createDemandMeter(callerWorkAveraging);
     const health = createEndpointHealth();
+    const notices = createEndpointNotices();
     const promptCaches = createPromptCacheModel(promptCacheTokens);
     const connections = new ConnectionPool(clock, { onOpened: service => metrics.recordConnection(service) });
     const peers = createPeerNetwork({
@@ -183,6 +185,7 @@
         connections.forget(endpointId);
         health.forget(endpointId);
         limits.forget(endpointId);
+        notices.forget(endpointId);
         promptCaches.forget(endpointId);
     });
     const context: RequestContext = {
@@ -207,6 +210,7 @@
         }),
         quarantine,
         limits,
+        notices,
         announce: () => exchange.announce(),
         quota,
         retryBudget: createWindowedRetryBudget({
--- a/packages/ingress/src/request/attempt.ts
+++ b/packages/ingress/src/request/attempt.ts
@@ -169,12 +169,15 @@
     }
 
     /** Records what the endpoint says of itself beside the answer. */
-    #recordStatements({ limitPerSecond, invalid }: ResponseDescription): void {
-        const { limits, clock, log, announce } = this.#context;
+    #recordStatements({ limitPerSecond, isLeaving, invalid }: ResponseDescription): void {
+        const { limits, notices, clock, log, announce } = this.#context;
         const { endpointId } = this;
         if (invalid !== undefined) {
             log.write(events.statementInvalid, { requestId: this.#options.requestId, endpoint: endpointId, headers: invalid });
         }
+        if (isLeaving && notices.recordLeaving(this.endpoint)) {
+            log.write(events.endpointLeaving, { endpoint: endpointId });
+        }
         if (limits.recordAnswer(endpointId, limitPerSecond, clock.monotonicMs())) {
             log.write(events.limitChanged, { endpoint: endpointId, perSecond: limitPerSecond });
             announce();
--- a/packages/ingress/src/request/context.ts
+++ b/packages/ingress/src/request/context.ts
@@ -3,6 +3,7 @@
     DemandMeter,
     EndpointHealth,
     EndpointLimits,
+    EndpointNotices,
     FleetClock,
     FleetReach,
     LoadTracker,
@@ -35,6 +36,7 @@
     readonly promptCaches: PromptCacheModel;
     readonly health: EndpointHealth;
     readonly limits: EndpointLimits;
+    readonly notices: EndpointNotices;
     readonly crashes: CrashMonitor;
     readonly quarantine: Quarantine;
     readonly quota: UsageQuota;
--- a/packages/ingress/src/request/endpointselection.ts
+++ b/packages/ingress/src/request/endpointselection.ts
@@ -25,16 +25,24 @@
     request: AdmittedRequest,
     tried: ReadonlySet<EndpointId>,
 ): SelectedEndpoint | undefined {
-    const nowMs = context.clock.monotonicMs();
-    const endpoints = context.endpoints.usable(request.service).filter(({ endpointId }) =>
-        context.limits.isOpen(endpointId, nowMs)
-    );
+    const endpoints = listOpenEndpoints(context, request.service);
     const choice = chooseEndpoint(context, request, { endpoints, tried });
     recordDemand(context, request, choice);
     const endpoint = endpoints.find(({ endpointId }) => endpointId === choice?.endpointId);
     return choice === undefined || endpoint === undefined ? undefined : { endpoint, choice };
 }
 
+/** The endpoints of a service that take requests from this host now. */
+export function listOpenEndpoints(
+    { endpoints, limits, notices, clock }: RequestContext,
+    service: string,
+): readonly EndpointRecord[] {
+    const nowMs = clock.monotonicMs();
+    return endpoints.usable(service).filter(endpoint =>
+        !notices.isLeaving(endpoint) && limits.isOpen(endpoint.endpointId, nowMs)
+    );
+}
+
 /** The priority of a request; that of its customer takes precedence over that of its route. */
 export function priorityOf({ customer, route }: AdmittedRequest): number {
     return customer?.priority ?? route.priority;
--- a/packages/ingress/src/request/event.ts
+++ b/packages/ingress/src/request/event.ts
@@ -32,6 +32,12 @@
         text: "An endpoint named a limit in its answers, or no longer does.",
         action: "None; `perSecond` holds for all hosts together. If it lasts, look at the load of the endpoint.",
     },
+    endpointLeaving: {
+        number: 4310,
+        level: "info",
+        text: "An endpoint said in an answer that it leaves; this host sends it no further requests.",
+        action: "None.",
+    },
     statementInvalid: {
         number: 4309,
         level: "warn",
--- a/packages/ingress/src/request/task.ts
+++ b/packages/ingress/src/request/task.ts
@@ -6,7 +6,7 @@
 import { Attempt } from "./attempt.js";
 import type { AttemptResult } from "./attempt.js";
 import type { RequestContext } from "./context.js";
-import { priorityOf, selectEndpoint } from "./endpointselection.js";
+import { listOpenEndpoints, priorityOf, selectEndpoint } from "./endpointselection.js";
 import { sendErrorResponse } from "./errorresponse.js";
 import { requestEvents as events } from "./event.js";
 import { ForwardedEvents } from "./forwardedevents.js";
@@ -291,7 +291,7 @@
 
     /** Retries on another endpoint; without another endpoint or retry budget, keeps waiting for the silent one. */
     #handleSilence(limitMs: number, progress: AttemptProgress): void {
-        const hasAlternative = this.#context.endpoints.usable(this.#request.service).some(({ endpointId }) =>
+        const hasAlternative = listOpenEndpoints(this.#context, this.#request.service).some(({ endpointId }) =>
             !this.#tried.has(endpointId)
         );
         if (!hasAlternative || !this.#reserveRetry()) {
--- a/packages/policy/src/ingress/index.ts
+++ b/packages/policy/src/ingress/index.ts
@@ -11,6 +11,7 @@
 export * from "./directorychoice.js";
 export * from "./endpointhealth.js";
 export * from "./endpointlimits.js";
+export * from "./endpointnotices.js";
 export * from "./endpointplan.js";
 export * from "./enginechoice.js";
 export * from "./exchangegroups.js";
