Give an endpoint the pause that it asks for with Retry-After

Cause: the value was dropped at the boundary of the dialect, and the choice of an endpoint falls back to endpoints in quarantine. A pause takes the endpoint out of the choice instead; when none is left the caller is refused at once, not run, with the time until the first pause ends.

--- a/features/ingress.limit.feature
+++ b/features/ingress.limit.feature
@@ -26,3 +26,11 @@
     When a caller sends 20 requests a second for 4 s
     Then the first engine got no request later than 2000 ms after its first answer
     And all requests are answered
+
+  # Guards against requests to an endpoint that has asked for a pause, also when no other endpoint is left.
+  Scenario: An endpoint that turns requests away for a time gets at most 2 within it
+    Given an ingress with a store stand-in and two engines of each service
+    And engines that turn requests away with 503 for 3 s
+    When a caller sends 20 requests a second for 3 s
+    Then each engine got at most 2 requests from 500 ms after its first answer on
+    And requests that no engine takes are rejected within 200 ms as not run
--- a/packages/ingress/src/contract.ts
+++ b/packages/ingress/src/contract.ts
@@ -68,6 +68,8 @@
     readonly limitPerSecond?: number;
     /** Whether the endpoint states that it takes no further requests and will stop. */
     readonly isLeaving: boolean;
+    /** How long the endpoint wants no requests from this host. */
+    readonly pauseMs?: number;
     /** Headers of the endpoint that can't be used, as `name: value`. */
     readonly invalid?: readonly string[];
 }
--- a/packages/ingress/src/request/attempt.ts
+++ b/packages/ingress/src/request/attempt.ts
@@ -169,7 +169,7 @@
     }
 
     /** Records what the endpoint says of itself beside the answer. */
-    #recordStatements({ limitPerSecond, isLeaving, invalid }: ResponseDescription): void {
+    #recordStatements({ limitPerSecond, isLeaving, pauseMs, invalid }: ResponseDescription): void {
         const { limits, notices, clock, log, announce } = this.#context;
         const { endpointId } = this;
         if (invalid !== undefined) {
@@ -178,6 +178,10 @@
         if (isLeaving && notices.recordLeaving(this.endpoint)) {
             log.write(events.endpointLeaving, { endpoint: endpointId });
         }
+        if (pauseMs !== undefined) {
+            notices.recordPause(this.endpoint, clock.monotonicMs() + pauseMs);
+            log.write(events.endpointPaused, { endpoint: endpointId, pauseMs });
+        }
         if (limits.recordAnswer(endpointId, limitPerSecond, clock.monotonicMs())) {
             log.write(events.limitChanged, { endpoint: endpointId, perSecond: limitPerSecond });
             announce();
--- a/packages/ingress/src/request/endpointselection.ts
+++ b/packages/ingress/src/request/endpointselection.ts
@@ -13,6 +13,9 @@
  */
 const outputTokenMs = 0.04;
 
+/** Short, since the cause may be transient, such as a configuration that is still being loaded. */
+export const defaultRetryAfterMs = 250;
+
 /** The endpoint that an attempt is sent to, with the estimates behind the choice. */
 export interface SelectedEndpoint {
     readonly endpoint: EndpointRecord;
@@ -39,8 +42,17 @@
 ): readonly EndpointRecord[] {
     const nowMs = clock.monotonicMs();
     return endpoints.usable(service).filter(endpoint =>
-        !notices.isLeaving(endpoint) && limits.isOpen(endpoint.endpointId, nowMs)
+        !notices.isLeaving(endpoint) && notices.pauseMs(endpoint, nowMs) === 0 && limits.isOpen(endpoint.endpointId, nowMs)
+    );
+}
+
+/** Time until an endpoint of a service may take a request that none takes now, for the caller's next try. */
+export function estimateRetryAfterMs({ endpoints, notices, clock }: RequestContext, service: string): number {
+    const nowMs = clock.monotonicMs();
+    const pauses = endpoints.usable(service).filter(endpoint => !notices.isLeaving(endpoint)).map(endpoint =>
+        notices.pauseMs(endpoint, nowMs)
     );
+    return Math.max(defaultRetryAfterMs, pauses.length === 0 ? 0 : Math.min(...pauses));
 }
 
 /** The priority of a request; that of its customer takes precedence over that of its route. */
--- a/packages/ingress/src/request/event.ts
+++ b/packages/ingress/src/request/event.ts
@@ -38,6 +38,12 @@
         text: "An endpoint said in an answer that it leaves; this host sends it no further requests.",
         action: "None.",
     },
+    endpointPaused: {
+        number: 4311,
+        level: "info",
+        text: "An endpoint turned a request away and wants none from this host for a while.",
+        action: "None; if it happens often, the endpoint is overloaded.",
+    },
     statementInvalid: {
         number: 4309,
         level: "warn",
--- a/packages/ingress/src/request/task.ts
+++ b/packages/ingress/src/request/task.ts
@@ -6,7 +6,7 @@
 import { Attempt } from "./attempt.js";
 import type { AttemptResult } from "./attempt.js";
 import type { RequestContext } from "./context.js";
-import { listOpenEndpoints, priorityOf, selectEndpoint } from "./endpointselection.js";
+import { defaultRetryAfterMs, estimateRetryAfterMs, listOpenEndpoints, priorityOf, selectEndpoint } from "./endpointselection.js";
 import { sendErrorResponse } from "./errorresponse.js";
 import { requestEvents as events } from "./event.js";
 import { ForwardedEvents } from "./forwardedevents.js";
@@ -15,9 +15,6 @@
 import type { AttemptProgress } from "./silencetimer.js";
 import { describeTraits } from "./traits.js";
 
-/** Short, since the cause may be transient, such as a configuration that is still being loaded. */
-const defaultRetryAfterMs = 250;
-
 /** Executes one admitted request, with retries on other endpoints, until the caller has its final response. */
 export class RequestTask {
     readonly #context: RequestContext;
@@ -73,7 +70,7 @@
         }
         const selected = selectEndpoint(this.#context, this.#request, this.#tried);
         if (selected === undefined) {
-            this.#fail("no endpoint", 503, defaultRetryAfterMs);
+            this.#fail("no endpoint", 503, estimateRetryAfterMs(this.#context, this.#request.service));
             return;
         }
         if (this.#attempts === 0 && !this.#admit(selected.choice)) {
--- a/packages/policy/src/ingress/endpointnotices.ts
+++ b/packages/policy/src/ingress/endpointnotices.ts
@@ -11,6 +11,10 @@
     /** Records that the endpoint leaves; returns whether that is news. */
     recordLeaving(endpoint: EndpointProcess): boolean;
     isLeaving(endpoint: EndpointProcess): boolean;
+    /** Records that the endpoint wants no requests from this host until a time. */
+    recordPause(endpoint: EndpointProcess, untilMs: number): void;
+    /** Time until the endpoint takes requests again; 0 if it does. */
+    pauseMs(endpoint: EndpointProcess, nowMs: number): number;
     forget(endpointId: EndpointId): void;
 }
 
@@ -18,6 +22,7 @@
 export function createEndpointNotices(): EndpointNotices {
     /** Start times of the processes that leave; the next process under the same id does not. */
     const leaving = new Map<EndpointId, number>();
+    const pauses = new Map<EndpointId, { readonly startedAtMs: number; readonly untilMs: number; }>();
     const isLeaving = ({ endpointId, startedAtMs }: EndpointProcess): boolean => leaving.get(endpointId) === startedAtMs;
     return {
         recordLeaving: endpoint => {
@@ -26,6 +31,14 @@
             return isNews;
         },
         isLeaving,
-        forget: endpointId => void leaving.delete(endpointId),
+        recordPause: ({ endpointId, startedAtMs }, untilMs) => void pauses.set(endpointId, { startedAtMs, untilMs }),
+        pauseMs: ({ endpointId, startedAtMs }, nowMs) => {
+            const pause = pauses.get(endpointId);
+            return pause?.startedAtMs === startedAtMs ? Math.max(0, pause.untilMs - nowMs) : 0;
+        },
+        forget: endpointId => {
+            leaving.delete(endpointId);
+            pauses.delete(endpointId);
+        },
     };
 }
