Compare positions of the store by era, and void what a restore has undone

Cause: revisions were taken for a clock that only goes forward. A host ignored what it listed at a lower revision, watched from its own one, met a dropped history and listed again without pause. Lease ids and expected revisions were used in a history in which they belong to somebody else. Change: the store's client reads the era from each response; positions, leases and commits carry it. Copies, reports, pushes and fetches compare era first; copies of an earlier era get all items. Hosts register again under a new lease, spread by the store's write rate. Listings after a dropped history wait longer each time. Class: an order that its source may take back. Why it works: no comparison crosses an era, and whatever tells a host of an era makes it read the store, or its peers, anew.

--- a/features/ingress.copy.feature
+++ b/features/ingress.copy.feature
@@ -2,7 +2,7 @@
 
   # Guards against a host that says it is at a revision without holding what the store held there, or that counts as fresher than it is.
   Scenario: A copy of the store never claims more than it holds
-    Then 400 schedules of changes, watches, listings, reports, pushes, fetches, losses and restarts keep every copy exact
+    Then 400 schedules of changes, watches, listings, reports, pushes, fetches, losses, restores and restarts keep every copy exact
 
   # Guards against an endpoint that stays unused, or used, on the one host that saw a change which others have seen undone.
   Scenario: A change that was undone before a listing is undone on the host that saw it
--- a/features/steps/ingress.copy.ts
+++ b/features/steps/ingress.copy.ts
@@ -104,7 +104,7 @@
 }
 
 Then(
-    "{int} schedules of changes, watches, listings, reports, pushes, fetches, losses and restarts keep every copy exact",
+    "{int} schedules of changes, watches, listings, reports, pushes, fetches, losses, restores and restarts keep every copy exact",
     (numRuns: number) => {
         fc.assert(fc.property(schedules, steps => new CopySimulation().run(steps)), { numRuns, seed });
     },
@@ -192,7 +192,7 @@
 Then("its changes since the revision of the first host say that the item is gone", function(this: CopyWorld) {
     const [first, second] = this.hosts;
     const copy = new policy.StoreCopy({ onChange: () => "material", historyLimit: 10 });
-    copy.applyListed({ revision: first!.mirror.revision, items: [first!.mirror.get(removedKey)!] });
+    copy.applyListed({ era: 0, revision: first!.mirror.revision, items: [first!.mirror.get(removedKey)!] });
     const update = second!.mirror.updateSince(first!.mirror.position);
     assert.equal(copy.applyUpdate(update), "applied");
     assert.equal(copy.get(removedKey), undefined);
@@ -251,7 +251,7 @@
         listed.value.items.map(({ key, value }) => `${key} ${value}`).sort(),
         ["op/b new", "op/c old", "op/e old", "op/f new"],
     );
-    const watched = await client.watch("", { afterRevision: listed.value.revision, waitMs: 1 });
+    const watched = await client.watch("", { after: listed.value, waitMs: 1 });
     assert.deepEqual(watched.ok ? watched.value.changes : undefined, []);
 });
 
--- a/features/steps/ingress.fleet.ts
+++ b/features/steps/ingress.fleet.ts
@@ -166,6 +166,10 @@
 
     #countWatches(store: Store): Store {
         return {
+            get era() {
+                return store.era;
+            },
+            onEra: listener => store.onEra(listener),
             get: key => store.get(key),
             list: prefix => store.list(prefix),
             commit: transaction => store.commit(transaction),
--- a/features/steps/ingress.freshness.ts
+++ b/features/steps/ingress.freshness.ts
@@ -42,6 +42,8 @@
 
     get client(): Store {
         const client: Partial<Store> = {
+            era: 0,
+            onEra: () => undefined,
             list: () => {
                 this.listings += 1;
                 const { answerListing } = this;
@@ -86,7 +88,7 @@
 async function startAndList(store: ScriptedStore, mirror: StoreMirror): Promise<void> {
     await mirror.start();
     await settle();
-    store.listed!(success({ items: [item], revision: 1 }));
+    store.listed!(success({ items: [item], era: 0, revision: 1 }));
     await settle();
 }
 
@@ -109,14 +111,14 @@
 
 When("its watch brings a change after {int} ms", async function(this: FreshnessWorld, watchMs: number) {
     await advance(this.clock, watchMs);
-    this.scripted.watched!(success({ changes: [{ ...item, value: "second", revision: 2 }], revision: 2 }));
+    this.scripted.watched!(success({ changes: [{ ...item, value: "second", revision: 2 }], era: 0, revision: 2 }));
     await settle();
     assert.equal(this.mirror.revision, 2);
 });
 
 When("its watch brings nothing after {int} ms", async function(this: FreshnessWorld, watchMs: number) {
     await advance(this.clock, watchMs);
-    this.scripted.watched!(success({ changes: [], revision: 1 }));
+    this.scripted.watched!(success({ changes: [], era: 0, revision: 1 }));
     await settle();
 });
 
--- a/features/steps/ingress.trouble.ts
+++ b/features/steps/ingress.trouble.ts
@@ -197,7 +197,11 @@
 });
 
 When("a commit is accepted and a second one conflicts with it", async function(this: TroubleWorld) {
-    const commit = { expected: [{ key: "filbertrelay/test", revision: 0 }], writes: [{ key: "filbertrelay/test", value: "x" }] };
+    const commit = {
+        era: this.client.era,
+        expected: [{ key: "filbertrelay/test", revision: 0 }],
+        writes: [{ key: "filbertrelay/test", value: "x" }],
+    };
     this.commits = [await this.client.commit(commit), await this.client.commit(commit)];
 });
 
--- a/packages/connectors/src/http.ts
+++ b/packages/connectors/src/http.ts
@@ -36,6 +36,8 @@
 /** A complete response of the service; `body` is undefined if it was empty. */
 export interface JsonResponse {
     readonly status: number;
+    /** By lower-case name; a repeated header has several values. */
+    readonly headers: Readonly<Record<string, string | readonly string[] | undefined>>;
     readonly body: unknown;
 }
 
@@ -127,7 +129,7 @@
             ...(call.body === undefined ? {} : { body: JSON.stringify(call.body) }),
         });
         const text = await readText(response.body, this.#maxResponseBytes);
-        return { status: response.statusCode, body: parseJson(text) };
+        return { status: response.statusCode, headers: response.headers, body: parseJson(text) };
     }
 }
 
--- a/packages/ingress/src/daemon.ts
+++ b/packages/ingress/src/daemon.ts
@@ -180,6 +180,8 @@
             strength: settings.host.processorShare * settings.host.processorSpeed,
         },
         countHosts: () => mirror.revision > 0 ? hosts.size : undefined,
+        writesPerSecond: settings.store.writesPerSecond,
+        draw,
     });
     endpoints.onEnded(endpointId => {
         connections.forget(endpointId);
@@ -245,6 +247,7 @@
         draw,
         contendDelayMs: () => chooseContendDelay(hostId, { hosts: hosts.list(), serving }),
     });
+    mirror.onEra(era => registration.recordEra(era));
     const lifecycle = new IngressLifecycle(kernel, {
         registration,
         lead,
--- a/packages/ingress/src/duty/lease.ts
+++ b/packages/ingress/src/duty/lease.ts
@@ -1,4 +1,4 @@
-import type { Store } from "@filbertrelay/connectors";
+import type { Store, StoreLease } from "@filbertrelay/connectors";
 import { brandAs, parseJson, RepeatedTask } from "@filbertrelay/kernel";
 import type { Clock, EventLog, HostId, Incarnation, Service } from "@filbertrelay/kernel";
 import { z } from "zod";
@@ -29,7 +29,7 @@
 }
 
 interface HeldLease {
-    readonly leaseId: number;
+    readonly lease: StoreLease;
     readonly term: number;
     renewedMs: number;
     renewedAt: number;
@@ -126,7 +126,7 @@
         if (held !== undefined) {
             this.#lose("released");
             await Promise.allSettled(this.#pendingCalls);
-            await this.#store.endLease(held.leaseId);
+            await this.#store.endLease(held.lease);
         }
     }
 
@@ -154,7 +154,7 @@
     async #renew(held: HeldLease): Promise<void> {
         const startMs = this.#clock.monotonicMs();
         const startAt = this.#clock.now().getTime();
-        const renewed = await this.#store.renewLease(held.leaseId);
+        const renewed = await this.#store.renewLease(held.lease);
         if (renewed.ok) {
             // Measured from before the call, since the process may have paused before the response arrived.
             held.renewedMs = startMs;
@@ -183,15 +183,16 @@
         const term = Number(former?.value ?? 0) + 1;
         const value = JSON.stringify({ hostId: this.#hostId, incarnation: this.#incarnation, term });
         const committed = await this.#store.commit({
+            era: lease.value.era,
             expected: [{ key: leaseKey, revision: 0 }, { key: termKey, revision: former?.revision ?? 0 }],
-            writes: [{ key: leaseKey, value, leaseId: lease.value }, { key: termKey, value: String(term) }],
+            writes: [{ key: leaseKey, value, leaseId: lease.value.leaseId }, { key: termKey, value: String(term) }],
         });
         if (!committed.ok && !(committed.issue.code === "store.unavailable" && await this.#isCommitted(value))) {
             // Ending the lease prevents a commit that is still in transit from taking effect.
             await this.#store.endLease(lease.value);
             return;
         }
-        this.#held = { leaseId: lease.value, term, renewedMs: startMs, renewedAt: startAt };
+        this.#held = { lease: lease.value, term, renewedMs: startMs, renewedAt: startAt };
         this.#log.write(events.dutyLeaseAcquired, { term, formerRevision: former?.revision });
     }
 
--- a/packages/ingress/src/duty/usagereporter.ts
+++ b/packages/ingress/src/duty/usagereporter.ts
@@ -129,6 +129,7 @@
 
     /** Returns the final counts of a window from the store, or stores those of this host as final if there are none. */
     async #finalizeCounts(window: number): Promise<CustomerCounts | undefined> {
+        const { era } = this.#store;
         const known = this.#readStored()[window];
         if (known?.isFinal === true) {
             return known.counts;
@@ -153,6 +154,7 @@
             return undefined;
         }
         const committed = await this.#store.commit({
+            era,
             expected: [{ key: usageKey, revision: current.value?.revision ?? 0 }],
             writes: [{ key: usageKey, value }],
         });
--- a/packages/ingress/src/fleet/report.ts
+++ b/packages/ingress/src/fleet/report.ts
@@ -19,6 +19,8 @@
 });
 
 const mirrorStatusSchema = z.object({
+    /** Era of the store to which the revisions belong. Absent in older versions, which know of no restores. */
+    era: z.number().optional(),
     /** Store revision up to which the sender has all changes. */
     revision: z.number(),
     /** No change after this revision, up to `revision`, was more than a heartbeat. */
--- a/packages/ingress/src/fleet/storesync.ts
+++ b/packages/ingress/src/fleet/storesync.ts
@@ -4,13 +4,16 @@
 import { declareTopic } from "@filbertrelay/wire";
 import type { TcpPeerNetwork } from "@filbertrelay/wire";
 import { z } from "zod";
-import type { StoreMirror, WatchRole } from "../state/mirror.js";
+import type { StoreMirror } from "../state/mirror.js";
+import type { WatchRole } from "../state/watchrole.js";
 import type { MirrorStatus } from "./report.js";
 import type { ServingHosts } from "./servinghosts.js";
 
 const updateSchema = z.object({
     /** Whether `changes` holds all items of the store. */
     isComplete: z.boolean(),
+    /** Absent in older versions, which know of no restores. */
+    era: z.number().optional(),
     revision: z.number(),
     /** Milliseconds since `revision` was confirmed to be the store's latest, when the message was written. */
     ageMs: z.number(),
@@ -20,7 +23,7 @@
 });
 const fetchTopic = declareTopic("ingress.changes", {
     /** Older versions don't send `materialRevision`. */
-    request: z.object({ afterRevision: z.number(), materialRevision: z.number().optional() }),
+    request: z.object({ era: z.number().optional(), afterRevision: z.number(), materialRevision: z.number().optional() }),
     reply: updateSchema,
 });
 const pushTopic = declareTopic("ingress.news", {
@@ -81,8 +84,9 @@
     }
 
     start(): Promise<void> {
-        this.#peers.handle(fetchTopic, ({ afterRevision, materialRevision }) => {
+        this.#peers.handle(fetchTopic, ({ era, afterRevision, materialRevision }) => {
             const update = this.#mirror.updateSince({
+                era: era ?? this.#mirror.position.era,
                 revision: afterRevision,
                 materialRevision: materialRevision ?? afterRevision,
             });
@@ -90,7 +94,8 @@
         });
         this.#peers.handle(pushTopic, ({ afterRevision, news }, { from }) => {
             // How long the push has been on its way is unknown, so its age confirms nothing.
-            if (this.#mirror.mergeFromPeer(from, decodeUpdate(news, afterRevision), { way: "push" }) === "gap") {
+            const update = decodeUpdate(news, afterRevision, this.#mirror.position.era);
+            if (this.#mirror.mergeFromPeer(from, update, { way: "push" }) === "gap") {
                 void this.#fetch(from);
             }
             return Promise.resolve({});
@@ -122,22 +127,24 @@
      * Compares the mirror with that of a peer and fetches changes that only the peer has. `writtenMs` is when the peer wrote its status
      * at the earliest, in this host's monotonic milliseconds; without it the status confirms nothing.
      */
-    reconcile(peer: HostId, { storeAgeMs, historyStart, ...position }: MirrorStatus, writtenMs: number | undefined): void {
+    reconcile(peer: HostId, status: MirrorStatus, writtenMs: number | undefined): void {
+        const { storeAgeMs, historyStart, era = this.#mirror.position.era, ...revisions } = status;
         if (storeAgeMs === undefined) {
             return;
         }
+        const position = { era, ...revisions };
         const confirmedMs = writtenMs === undefined ? undefined : writtenMs - storeAgeMs;
         const isBehind = this.#mirror.followPeer({ ...position, confirmedMs });
-        if (isBehind && this.#mayFetch(historyStart ?? 0)) {
+        if (isBehind && this.#mayFetch(era, historyStart ?? 0)) {
             void this.#fetch(peer);
         }
     }
 
     /** Whether changes that only a peer has are fetched, instead of waiting for this host's own watch or for a watching host. */
-    #mayFetch(historyStart: number): boolean {
-        const { revision } = this.#mirror;
+    #mayFetch(era: number, historyStart: number): boolean {
+        const { position: { era: ownEra, revision } } = this.#mirror;
         const ageMs = this.#mirror.ageMs();
-        if (revision > 0 && revision < historyStart && ageMs <= this.#completeCopyAgeMs) {
+        if (era === ownEra && revision > 0 && revision < historyStart && ageMs <= this.#completeCopyAgeMs) {
             return false;
         }
         const role = this.#watchRole();
@@ -170,12 +177,12 @@
         }
         this.#isFetching = true;
         const sentMs = this.#clock.monotonicMs();
-        const { revision: afterRevision, materialRevision } = this.#mirror.position;
-        const body = { afterRevision, materialRevision };
+        const { era, revision: afterRevision, materialRevision } = this.#mirror.position;
+        const body = { era, afterRevision, materialRevision };
         const reply = await this.#peers.call(peer, fetchTopic, body, { timeoutMs: callTimeoutMs, isRepeatable: true });
         this.#isFetching = false;
         if (reply.ok) {
-            this.#mirror.mergeFromPeer(peer, decodeUpdate(reply.value, afterRevision), {
+            this.#mirror.mergeFromPeer(peer, decodeUpdate(reply.value, afterRevision, era), {
                 way: "fetch",
                 confirmedMs: sentMs - reply.value.ageMs,
             });
@@ -198,21 +205,22 @@
 }
 
 function encodeUpdate(update: CopyUpdate, ageMs: number): z.infer<typeof updateSchema> {
-    const { revision } = update;
+    const { era, revision } = update;
     return update.type === "items" ?
-        { isComplete: true, revision, ageMs, changes: [...update.items] } :
-        { isComplete: false, revision, ageMs, bridged: [...update.bridged], changes: [...update.changes] };
+        { isComplete: true, era, revision, ageMs, changes: [...update.items] } :
+        { isComplete: false, era, revision, ageMs, bridged: [...update.bridged], changes: [...update.changes] };
 }
 
-/** `afterRevision` is the revision after which the sender was to send all changes. */
-function decodeUpdate(received: z.infer<typeof updateSchema>, afterRevision: number): CopyUpdate {
-    const { isComplete, revision, bridged = [], changes } = received;
+/** `afterRevision` is the revision after which the sender was to send all changes; `ownEra` counts if it names none. */
+function decodeUpdate(received: z.infer<typeof updateSchema>, afterRevision: number, ownEra: number): CopyUpdate {
+    const { isComplete, era = ownEra, revision, bridged = [], changes } = received;
     if (isComplete) {
         const items = changes.flatMap(({ value, ...item }) => value === undefined ? [] : [{ ...item, value }]);
-        return { type: "items", revision, items };
+        return { type: "items", era, revision, items };
     }
     return {
         type: "changes",
+        era,
         afterRevision,
         revision,
         bridged,
--- a/packages/ingress/src/state/configuration.ts
+++ b/packages/ingress/src/state/configuration.ts
@@ -5,7 +5,8 @@
 import type { StoreDecoder } from "../contract.js";
 import type { IngressMetrics } from "../telemetry/metrics.js";
 import { stateEvents as events } from "./event.js";
-import type { ChangeOrigin, StoreMirror } from "./mirror.js";
+import type { ChangeOrigin } from "./itemview.js";
+import type { StoreMirror } from "./mirror.js";
 
 /** The current configuration with its lookup tables. */
 export interface ActiveConfiguration {
--- a/packages/ingress/src/state/endpoints.ts
+++ b/packages/ingress/src/state/endpoints.ts
@@ -3,7 +3,8 @@
 import { isDeepStrictEqual } from "node:util";
 import type { EndpointRecord, StoreDecoder } from "../contract.js";
 import { stateEvents as events } from "./event.js";
-import type { ChangeOrigin, StoreMirror } from "./mirror.js";
+import type { ChangeOrigin } from "./itemview.js";
+import type { StoreMirror } from "./mirror.js";
 
 /** Receives the id of an endpoint that ended or was replaced by a new process with the same id. */
 export type EndpointEndedListener = (endpointId: EndpointId) => void;
--- a/packages/ingress/src/state/event.ts
+++ b/packages/ingress/src/state/event.ts
@@ -50,4 +50,10 @@
         text: "Changes of the store were received from a peer.",
         action: "None; this host does not watch the store or could not reach it.",
     },
+    storeRestored: {
+        number: 5309,
+        level: "warn",
+        text: "The store was restored from an older copy.",
+        action: "Find out what was lost; operators and endpoints write their entries again, hosts register again.",
+    },
 });
--- a/packages/ingress/src/state/mirror.ts
+++ b/packages/ingress/src/state/mirror.ts
@@ -1,32 +1,17 @@
-import type { StoreChange, StoreIssue } from "@filbertrelay/connectors";
-import type { Store, StoreItem } from "@filbertrelay/connectors";
+import type { Store, StoreIssue, StoreItem } from "@filbertrelay/connectors";
 import type { Clock, EventLog, Service } from "@filbertrelay/kernel";
-import { StoreCopy } from "@filbertrelay/policy/ingress";
-import type { CopyChanges, CopyPosition, CopyUpdate, UpdateResult } from "@filbertrelay/policy/ingress";
+import { isAfter, StoreCopy } from "@filbertrelay/policy/ingress";
+import type { CopyChanges, CopyPosition, CopyUpdate, EraRevision, UpdateResult } from "@filbertrelay/policy/ingress";
 import { stateEvents as events } from "./event.js";
-
-/** How changes reached this host: its own watch or listing of the store, a push from a peer, or a fetch from one. */
-export type ChangeWay = "watch" | "listing" | "push" | "fetch";
-
-/** Describes how a change reached this host. */
-export interface ChangeOrigin {
-    readonly way: ChangeWay;
-    /** Age of the copy before the change, in milliseconds: an upper bound of the change's delay. Absent before the first read. */
-    readonly copyAgeMs?: number;
-}
-
-/** Receives each change of the mirrored items; a removed item has no value. Returns whether the change is a mere heartbeat. */
-export type MirrorListener = (change: StoreChange, origin: ChangeOrigin) => "material" | "heartbeat";
-
-/**
- * Whether a host watches the store for itself, for the whole fleet, or only when the state it gets from peers is too old. A `reserve`
- * host does so sooner than a `standby` host.
- */
-export type WatchRole = "own" | "fleet" | "reserve" | "standby";
+import { ItemView } from "./itemview.js";
+import type { ChangeOrigin, ChangeWay, ItemListener } from "./itemview.js";
+import { StoreContact } from "./storecontact.js";
+import { trustedAgeMs } from "./watchrole.js";
+import type { WatchRole } from "./watchrole.js";
 
 /** How far a peer's copy of the store reaches. */
 export interface PeerPosition extends CopyPosition {
-    /** When the peer's revision was the store's latest, in this host's monotonic milliseconds, if known. */
+    /** When the peer's position was the store's latest, in this host's monotonic milliseconds, if known. */
     readonly confirmedMs?: number | undefined;
 }
 
@@ -57,25 +42,8 @@
 /** Bounds of the exponential backoff after a failed store call. */
 const minRetryMs = 100;
 const maxRetryMs = 400;
-/**
- * The store counts as unreachable after this long without a response. Longer than a watch whose response is delayed by a second,
- * and shorter than the leases of others' entries.
- */
-const unreachableAfterMs = 2_600;
-/** Entries that expired during an outage of the store are rewritten within two seconds of its end; includes a margin. */
-const rewriteMs = 2_300;
-/**
- * Upper bound of the grace period: an endpoint that left must get no requests two seconds after the removal of its entry, even if
- * this host learned of the removal late.
- */
-const maxGraceMs = 1_400;
 /** Long-poll time of a watch for the fleet, as a share of `applyMs`; keeps passed-on state younger than `trustedAgeShares` require. */
 const fleetWatchShare = 0.2;
-/**
- * A host that leaves the watch to others watches the store itself when the mirror is older than this share of `applyMs`; the rest
- * covers its own call. The reserve is sooner, so that a few hosts take over and not the whole fleet.
- */
-const trustedAgeShares = { reserve: 0.6, standby: 0.75 };
 /** Minimum interval between a standby host's checks whether it has to watch. */
 const minStandbyCheckMs = 100;
 /** Maximum interval between these checks, since the host may be chosen to watch meanwhile. */
@@ -89,21 +57,44 @@
 export class StoreMirror implements Service {
     readonly #options: StoreMirrorOptions;
     readonly #copy: StoreCopy;
-    readonly #listeners: { readonly prefix: string; readonly listener: MirrorListener; }[] = [];
+    readonly #view: ItemView;
+    readonly #contact: StoreContact;
     readonly #abort = new AbortController();
+    #watchAbort = new AbortController();
     #needsList = true;
-    #lastResponseMs = -Infinity;
-    #reconnectedMs = -Infinity;
+    /** Listings, also failed ones, since the last successful watch. */
+    #listings = 0;
     #origin: ChangeOrigin = { way: "listing" };
-    #isUnreachable = true;
-    #failures = 0;
     #loop: Promise<void> | undefined;
     #watchRole: () => WatchRole = () => "own";
     #onMaterialChanges: (changes: CopyChanges) => void = () => undefined;
+    readonly #eraListeners: ((era: number) => void)[] = [];
 
     constructor(options: StoreMirrorOptions) {
         this.#options = options;
-        this.#copy = new StoreCopy({ onChange: change => this.#notify(change), historyLimit });
+        const { clock, log, store, onUpdate } = options;
+        this.#view = new ItemView({
+            readStored: key => this.#copy.get(key),
+            onMaterialChange: origin => onUpdate?.(origin),
+        });
+        this.#copy = new StoreCopy({
+            onChange: change => this.#view.apply(change, this.#origin),
+            historyLimit,
+        });
+        this.#contact = new StoreContact({
+            clock,
+            log,
+            reliesOnPeers: () => this.#reliesOnPeers(),
+            describeCopy: () => ({
+                era: this.position.era,
+                revision: this.revision,
+                ageMs: roundAge(this.ageMs()),
+            }),
+        });
+        store.onEra(era => {
+            this.#expectRestore(era);
+            this.#eraListeners.forEach(listener => listener(era));
+        });
     }
 
     /** Revision up to which all changes have been applied; 0 before the first read. */
@@ -126,13 +117,9 @@
         return this.#options.clock.monotonicMs() - this.#copy.confirmedMs;
     }
 
-    /**
-     * Grace period for an entry that is removed now: its lease may have expired during an outage, so the entry may be rewritten.
-     * 0 if the store has been reachable for longer.
-     */
+    /** See `StoreContact.removalGraceMs`. */
     removalGraceMs(): number {
-        const sinceRegainedMs = this.#options.clock.monotonicMs() - this.#reconnectedMs;
-        return Math.max(0, Math.min(rewriteMs - sinceRegainedMs, maxGraceMs));
+        return this.#contact.removalGraceMs();
     }
 
     /** Calls back when a removed key counts as gone: at once, or after the grace period unless the key was written again. */
@@ -149,13 +136,19 @@
         });
     }
 
+    /** Returns the item in effect. */
     get(key: string): StoreItem | undefined {
-        return this.#copy.get(key);
+        return this.#view.get(key);
     }
 
     /** Registers a listener for changes of the keys under a prefix. */
-    listen(prefix: string, listener: MirrorListener): void {
-        this.#listeners.push({ prefix, listener });
+    listen(prefix: string, listener: ItemListener): void {
+        this.#view.listen(prefix, listener);
+    }
+
+    /** Registers a listener for eras of the store that this host learns of, from the store or from a peer. */
+    onEra(listener: (era: number) => void): void {
+        this.#eraListeners.push(listener);
     }
 
     /** Sets how this host shares the watch with its peers and who receives the changes that it gets from the store itself. */
@@ -176,6 +169,7 @@
 
     async stop(): Promise<void> {
         this.#abort.abort(new Error("The store mirror is stopping."));
+        this.#watchAbort.abort(new Error("The store mirror is stopping."));
         await this.#loop;
     }
 
@@ -196,6 +190,9 @@
         const fromRevision = this.revision;
         const copyAgeMs = roundAge(this.ageMs());
         this.#recordOrigin(way);
+        if (update.type === "items") {
+            this.#recordRestore(update, way);
+        }
         const result = this.#copy.applyUpdate(update);
         if (result !== "known") {
             this.#options.log.write(events.mirroredFromPeer, {
@@ -205,13 +202,14 @@
                 isComplete: update.type === "items",
                 afterRevision: update.type === "items" ? undefined : update.afterRevision,
                 fromRevision,
+                era: update.era,
                 toRevision: update.revision,
                 changes: update.type === "items" ? update.items.length : update.changes.length,
                 copyAgeMs,
             });
         }
         if (confirmedMs !== undefined) {
-            this.#confirm(update.revision, confirmedMs);
+            this.#confirm(update, confirmedMs);
         }
         return result;
     }
@@ -220,9 +218,9 @@
     followPeer({ confirmedMs, ...position }: PeerPosition): boolean {
         this.#copy.advance(position);
         if (confirmedMs !== undefined) {
-            this.#confirm(position.revision, confirmedMs);
+            this.#confirm(position, confirmedMs);
         }
-        return position.materialRevision > this.revision;
+        return isAfter({ era: position.era, revision: position.materialRevision }, this.position);
     }
 
     async #run(): Promise<void> {
@@ -232,29 +230,57 @@
                 await this.#pause(Math.min(maxStandbyCheckMs, Math.max(minStandbyCheckMs, trustedMs)));
                 continue;
             }
-            const wasListing = this.#needsList;
-            const issue = wasListing ? await this.#readAll() : await this.#watch();
-            if (issue === undefined || issue.code === "store.historyGone") {
+            const issue = this.#needsList ? await this.#readAll() : await this.#watch();
+            if (issue === undefined) {
+                continue;
+            }
+            if (issue.code === "store.historyGone" || issue.code === "store.restored") {
                 // A store that has dropped its history is reachable, so no leases have expired because of an outage.
-                this.#needsList ||= issue !== undefined;
-                this.#recordResponse(this.#options.clock.monotonicMs());
-                if (issue !== undefined && wasListing) {
-                    await this.#pause(minRetryMs * (0.5 + this.#options.draw()));
-                }
+                this.#needsList = true;
+                this.#contact.recordResponse(this.#options.clock.monotonicMs());
+                await this.#pause(this.#retryMs(this.#listings));
                 continue;
             }
-            this.#recordIssue(issue);
-            const delayMs = !this.#reliesOnPeers() || this.#needsList ?
-                Math.min(maxRetryMs, minRetryMs * 2 ** (this.#failures - 1)) :
-                standbyRetryMs;
-            await this.#pause(delayMs * (0.5 + this.#options.draw()));
+            this.#contact.recordIssue(issue);
+            const isUrgent = !this.#reliesOnPeers() || this.#needsList;
+            await this.#pause(isUrgent ? this.#retryMs(this.#contact.failures) : this.#addJitter(standbyRetryMs));
+        }
+    }
+
+    /** Delay of the next call after a number of calls in vain. */
+    #retryMs(count: number): number {
+        return count === 0 ? 0 : this.#addJitter(Math.min(maxRetryMs, minRetryMs * 2 ** (count - 1)));
+    }
+
+    #addJitter(ms: number): number {
+        return ms * (0.5 + this.#options.draw());
+    }
+
+    /** Reads the store anew, since its history is another one. A host that relies on peers gets the items from them. */
+    #expectRestore(era: number): void {
+        if (this.revision > 0 && era > this.position.era && !this.#reliesOnPeers()) {
+            this.#needsList = true;
+            this.#watchAbort.abort(new Error("The store was restored."));
+        }
+    }
+
+    /** Records that the items that are applied next come from a store that was restored. */
+    #recordRestore(position: EraRevision, way: ChangeWay): void {
+        if (this.revision > 0 && position.era > this.position.era) {
+            this.#contact.recordRestore();
+            this.#options.log.write(events.storeRestored, {
+                way,
+                formerEra: this.position.era,
+                formerRevision: this.revision,
+                era: position.era,
+                revision: position.revision,
+            });
+            this.#eraListeners.forEach(listener => listener(position.era));
         }
     }
 
-    /** Age up to which the state that peers pass on replaces a watch; 0 for a host that always watches. */
     #trustedAgeMs(): number {
-        const role = this.#watchRole();
-        return role === "reserve" || role === "standby" ? this.#options.applyMs * trustedAgeShares[role] : 0;
+        return trustedAgeMs(this.#watchRole(), this.#options.applyMs);
     }
 
     #reliesOnPeers(): boolean {
@@ -263,19 +289,22 @@
 
     async #readAll(): Promise<StoreIssue | undefined> {
         const startMs = this.#options.clock.monotonicMs();
+        this.#listings += 1;
         const listed = await this.#options.store.list("");
         if (!listed.ok) {
             return listed.issue;
         }
         const formerRevision = this.revision;
         this.#recordOrigin("listing");
-        this.#recordResponse(this.#options.clock.monotonicMs());
+        this.#contact.recordResponse(this.#options.clock.monotonicMs());
+        this.#recordRestore(listed.value, "listing");
         // The copy stays as it is if a peer has sent newer changes during the call.
         const update = this.#copy.applyListed(listed.value);
-        this.#confirm(listed.value.revision, startMs);
-        this.#needsList = false;
+        this.#confirm(listed.value, startMs);
+        this.#needsList = this.#options.store.era > listed.value.era;
         this.#options.log.write(events.storeListed, {
             formerRevision,
+            era: this.position.era,
             revision: this.revision,
             items: this.#copy.size,
             changes: update?.changes.length,
@@ -288,30 +317,29 @@
     async #watch(): Promise<StoreIssue | undefined> {
         const startMs = this.#options.clock.monotonicMs();
         const waitMs = this.#chooseWaitMs();
-        const watched = await this.#options.store.watch("", {
-            afterRevision: this.revision,
-            waitMs,
-            signal: this.#abort.signal,
-        });
+        this.#watchAbort = new AbortController();
+        const watched = await this.#options.store.watch("", { after: this.position, waitMs, signal: this.#watchAbort.signal });
         if (!watched.ok) {
-            return watched.issue;
+            return this.#needsList ? undefined : watched.issue;
         }
-        const { revision, changes } = watched.value;
+        const { changes } = watched.value;
         const respondedMs = this.#options.clock.monotonicMs();
+        this.#listings = 0;
         this.#recordOrigin("watch");
-        this.#recordResponse(respondedMs);
-        const update = this.#copy.applyWatched(revision, changes);
+        this.#contact.recordResponse(respondedMs);
+        const update = this.#copy.applyWatched(watched.value, changes);
         // The store answers once there is a change, which may be right after the call, and otherwise not before the end of the wait.
-        this.#confirm(revision, changes.length > 0 ? startMs : Math.min(respondedMs, startMs + waitMs));
+        this.#confirm(watched.value, changes.length > 0 ? startMs : Math.min(respondedMs, startMs + waitMs));
         this.#passOn(update);
         if (changes.length > 0) {
-            await this.#pause(update.changes.length > 0 ? materialBatchMs : this.#options.applyMs * heartbeatBatchShare);
+            const isMaterial = update !== undefined && update.changes.length > 0;
+            await this.#pause(isMaterial ? materialBatchMs : this.#options.applyMs * heartbeatBatchShare);
         }
         return undefined;
     }
 
     #chooseWaitMs(): number {
-        if (this.#failures > 0) {
+        if (this.#contact.failures > 0) {
             return probeWaitMs;
         }
         return this.#watchRole() === "fleet" ? this.#options.applyMs * fleetWatchShare : watchWaitMs;
@@ -324,59 +352,17 @@
         }
     }
 
-    #notify(change: StoreChange): "material" | "heartbeat" {
-        const kinds = this.#listeners.filter(({ prefix }) => change.key.startsWith(prefix)).map(({ listener }) =>
-            listener(change, this.#origin)
-        );
-        const kind = kinds.length > 0 && kinds.every(each => each === "heartbeat") ? "heartbeat" : "material";
-        if (kind === "material") {
-            this.#options.onUpdate?.(this.#origin);
-        }
-        return kind;
-    }
-
     /** Records how the changes that are applied next reached this host. */
     #recordOrigin(way: ChangeWay): void {
         const copyAgeMs = roundAge(this.ageMs());
         this.#origin = { way, ...(copyAgeMs === undefined ? {} : { copyAgeMs }) };
     }
 
-    /** Records that a revision was the store's latest at a time. */
-    #confirm(revision: number, atMs: number): void {
-        this.#copy.confirm(revision, atMs);
+    /** Records that a position was the store's latest at a time. */
+    #confirm(position: EraRevision, atMs: number): void {
+        this.#copy.confirm(position, atMs);
         if (this.#copy.confirmedMs === atMs && !this.#needsList) {
-            this.#recordResponse(atMs);
-        }
-    }
-
-    /** Records that the store responded at a time, to this host or to a peer. */
-    #recordResponse(respondedMs: number): void {
-        const { clock, log } = this.#options;
-        this.#failures = 0;
-        // A standby host may notice an outage only when it ends.
-        const wasUnreachable = this.#reliesOnPeers() && respondedMs - this.#lastResponseMs > unreachableAfterMs;
-        if ((this.#isUnreachable || wasUnreachable) && clock.monotonicMs() - respondedMs < unreachableAfterMs) {
-            this.#isUnreachable = false;
-            this.#reconnectedMs = respondedMs;
-            log.write(events.storeReachable, { revision: this.revision, ageMs: roundAge(this.ageMs()) });
-        }
-        this.#lastResponseMs = Math.max(this.#lastResponseMs, respondedMs);
-    }
-
-    #recordIssue(issue: StoreIssue): void {
-        this.#failures += 1;
-        // One failed or delayed watch does not mean that the store is down. For a standby host, outdated peers confirm the outage.
-        if (
-            !this.#isUnreachable && (this.#failures > 1 || this.#reliesOnPeers()) &&
-            this.#options.clock.monotonicMs() - this.#lastResponseMs > unreachableAfterMs
-        ) {
-            this.#isUnreachable = true;
-            this.#options.log.write(events.storeUnreachable, {
-                code: issue.code,
-                message: issue.message,
-                revision: this.revision,
-                ageMs: roundAge(this.ageMs()),
-            });
+            this.#contact.recordResponse(atMs);
         }
     }
 
--- a/packages/policy/src/ingress/storecopy.ts
+++ b/packages/policy/src/ingress/storecopy.ts
@@ -12,9 +12,15 @@
     readonly value?: string;
 }
 
+/** A point in the history of the store; revisions are given out again in each era. */
+export interface EraRevision {
+    readonly era: number;
+    readonly revision: number;
+}
+
 /** How far a copy of the store reaches. */
-export interface CopyPosition {
-    /** The copy holds what the store held at this revision, except for the values of heartbeats. */
+export interface CopyPosition extends EraRevision {
+    /** The copy holds what the store held at this revision of its era, except for the values of heartbeats. */
     readonly revision: number;
     /** No change after this revision, up to `revision`, was material. */
     readonly materialRevision: number;
@@ -26,32 +32,33 @@
     readonly until: number;
 }
 
-/** All material changes between two revisions; those of a bridged span are the differences between its ends. */
-export interface CopyChanges {
+/** All material changes between two revisions of an era; those of a bridged span are the differences between its ends. */
+export interface CopyChanges extends EraRevision {
     readonly type: "changes";
     readonly afterRevision: number;
-    readonly revision: number;
     readonly bridged: readonly BridgedSpan[];
     readonly changes: readonly CopiedChange[];
 }
 
 /** All items of the store at a revision. */
-export interface CopyItems {
+export interface CopyItems extends EraRevision {
     readonly type: "items";
-    readonly revision: number;
     readonly items: readonly CopiedItem[];
 }
 
-/** What brings a copy from its position to a later revision. */
+/** What brings a copy from its position to a later one. */
 export type CopyUpdate = CopyChanges | CopyItems;
 
-/** `known`: the copy is as new already. `gap`: the copy lacks earlier changes, or stands within a bridged span. */
+/** `known`: the copy is as new already. `gap`: the copy lacks earlier changes, is of an earlier era, or stands within a bridged span. */
 export type UpdateResult = "applied" | "known" | "gap";
 
 /** Options of `StoreCopy`. */
 export interface StoreCopyOptions {
-    /** Receives each change of an item. Returns whether it was a mere heartbeat, which peers need not know of. */
-    readonly onChange: (change: CopiedChange) => "material" | "heartbeat";
+    /**
+     * Receives each change of an item. Returns whether it was a mere heartbeat, which peers need not know of. `isRestored` marks the
+     * differences between the copy of an earlier era and the restored store.
+     */
+    readonly onChange: (change: CopiedChange, isRestored: boolean) => "material" | "heartbeat";
     /** Number of material changes kept for peers. */
     readonly historyLimit: number;
 }
@@ -63,6 +70,7 @@
     #history: CopiedChange[] = [];
     #bridged: BridgedSpan[] = [];
     #historyStart = 0;
+    #era = 0;
     #revision = 0;
     #materialRevision = 0;
     #confirmedMs = -Infinity;
@@ -73,7 +81,7 @@
 
     /** The position of this copy; revision 0 before the first read. */
     get position(): CopyPosition {
-        return { revision: this.#revision, materialRevision: this.#materialRevision };
+        return { era: this.#era, revision: this.#revision, materialRevision: this.#materialRevision };
     }
 
     /** Copies at an earlier revision can only be brought to this position by all items. */
@@ -94,36 +102,43 @@
         return this.#items.get(key);
     }
 
-    /** Applies all changes of the store between the revision of this copy, or an earlier one, and a later revision. */
-    applyWatched(revision: number, changes: readonly CopiedChange[]): CopyChanges {
+    /**
+     * Applies all changes of the store between the revision of this copy, or an earlier one, and a later revision. Returns nothing if
+     * the copy has been brought to another era meanwhile.
+     */
+    applyWatched({ era, revision }: EraRevision, changes: readonly CopiedChange[]): CopyChanges | undefined {
+        if (era !== this.#era) {
+            return undefined;
+        }
         const afterRevision = this.#materialRevision;
-        const material = this.#selectNew(changes).filter(change => this.#apply(change) === "material");
+        const material = this.#selectNew(changes).filter(change => this.#apply(change, false) === "material");
         this.#record(material);
         this.#revision = Math.max(this.#revision, revision);
-        return { type: "changes", afterRevision, revision: this.#revision, bridged: [], changes: material };
+        return { type: "changes", era, afterRevision, revision: this.#revision, bridged: [], changes: material };
     }
 
     /** Applies a listing of the store. Returns the differences, unless the copy is newer or held nothing before. */
-    applyListed({ revision, items }: Omit<CopyItems, "type">): CopyChanges | undefined {
-        return revision <= this.#revision ? undefined : this.#replaceAll(revision, items);
+    applyListed(listed: Omit<CopyItems, "type">): CopyChanges | undefined {
+        return isAfter(listed, this.position) ? this.#replaceAll(listed, listed.items) : undefined;
     }
 
     /** Applies what a peer has sent. */
     applyUpdate(update: CopyUpdate): UpdateResult {
-        if (update.revision <= this.#revision) {
+        if (!isAfter(update, this.position)) {
             return "known";
         }
         if (update.type === "items") {
-            this.#replaceAll(update.revision, update.items);
+            this.#replaceAll(update, update.items);
             return "applied";
         }
-        const { revision, afterRevision, bridged, changes } = update;
-        if (afterRevision > this.#revision || bridged.some(span => this.#isWithin(this.position, span))) {
+        const { era, revision, afterRevision, bridged, changes } = update;
+        const isApplicable = era === this.#era && afterRevision <= this.#revision;
+        if (!isApplicable || bridged.some(span => this.#isWithin(this.position, span))) {
             return "gap";
         }
         const formerRevision = this.#revision;
         const added = this.#selectNew(changes);
-        added.forEach(change => this.#apply(change));
+        added.forEach(change => this.#apply(change, false));
         this.#record(added);
         bridged.filter(({ until }) => until > formerRevision).forEach(({ after, until }) =>
             this.#bridge({ after: Math.max(after, formerRevision), until })
@@ -132,28 +147,30 @@
         return "applied";
     }
 
-    /** Advances to the revision of another copy if only heartbeats lie between. */
-    advance({ revision, materialRevision }: CopyPosition): void {
-        if (this.#revision > 0 && materialRevision <= this.#revision) {
+    /** Advances to the position of another copy if only heartbeats lie between. */
+    advance({ era, revision, materialRevision }: CopyPosition): void {
+        if (this.#revision > 0 && era === this.#era && materialRevision <= this.#revision) {
             this.#revision = Math.max(this.#revision, revision);
         }
     }
 
-    /** Records that a revision was the store's latest at a time, in monotonic milliseconds. */
-    confirm(revision: number, atMs: number): void {
-        if (this.#revision > 0 && revision <= this.#revision) {
+    /** Records that a position was the store's latest at a time, in monotonic milliseconds. */
+    confirm({ era, revision }: EraRevision, atMs: number): void {
+        if (this.#revision > 0 && era === this.#era && revision <= this.#revision) {
             this.#confirmedMs = Math.max(this.#confirmedMs, atMs);
         }
     }
 
     /** Returns what brings another copy to the position of this one. */
     updateSince(position: CopyPosition): CopyUpdate {
-        const revision = this.#revision;
-        if (position.revision < this.#historyStart || this.#bridged.some(span => this.#isWithin(position, span))) {
-            return { type: "items", revision, items: [...this.#items.values()] };
+        const [era, revision] = [this.#era, this.#revision];
+        const isInHistory = position.era === era && position.revision >= this.#historyStart;
+        if (!isInHistory || this.#bridged.some(span => this.#isWithin(position, span))) {
+            return { type: "items", era, revision, items: [...this.#items.values()] };
         }
         return {
             type: "changes",
+            era,
             afterRevision: position.revision,
             revision,
             bridged: this.#bridged.filter(({ until }) => until > position.revision),
@@ -170,26 +187,31 @@
         return changes.filter(({ revision }) => revision > this.#revision);
     }
 
-    #replaceAll(revision: number, items: readonly CopiedItem[]): CopyChanges | undefined {
+    #replaceAll({ era, revision }: EraRevision, items: readonly CopiedItem[]): CopyChanges | undefined {
         const former = this.position;
+        const isRestored = former.revision > 0 && era > former.era;
         const listed = new Set(items.map(({ key }) => key));
         const removed = [...this.#items.keys()].filter(key => !listed.has(key)).map(key => ({ key, revision }));
-        const changed = items.filter(item => this.#isChanged(item)).map(item => ({
+        const changed = items.filter(item => isRestored || this.#isChanged(item)).map(item => ({
             ...item,
             // A peer that has not seen a change that was undone holds the item under a revision before it.
-            revision: item.revision > former.revision ? item.revision : revision,
+            revision: isRestored || item.revision > former.revision ? item.revision : revision,
         }));
-        const changes = [...removed, ...changed].filter(change => this.#apply(change) === "material");
+        const changes = [...removed, ...changed].filter(change => this.#apply(change, isRestored) === "material");
+        this.#era = era;
         this.#revision = revision;
-        if (former.revision === 0) {
+        if (former.revision === 0 || isRestored) {
+            // Copies of an earlier era get all items, since their revisions say nothing about this history.
+            this.#history = [];
+            this.#bridged = [];
             this.#materialRevision = revision;
             this.#historyStart = revision;
-            return undefined;
+            return isRestored ? { type: "changes", era, afterRevision: revision, revision, bridged: [], changes } : undefined;
         }
         this.#record(changes);
         const span = { after: former.revision, until: revision };
         this.#bridge(span);
-        return { type: "changes", afterRevision: former.materialRevision, revision, bridged: [span], changes };
+        return { type: "changes", era, afterRevision: former.materialRevision, revision, bridged: [span], changes };
     }
 
     #isChanged({ key, value, revision }: CopiedItem): boolean {
@@ -197,17 +219,17 @@
         return known === undefined || known.value !== value || known.revision < revision;
     }
 
-    #apply(change: CopiedChange): "material" | "heartbeat" {
-        const isRestored = !this.#items.has(change.key);
+    #apply(change: CopiedChange, isRestored: boolean): "material" | "heartbeat" {
+        const isAdded = !this.#items.has(change.key);
         if (change.value === undefined) {
             this.#items.delete(change.key);
         }
         else {
             this.#items.set(change.key, { ...change, value: change.value });
         }
-        // A restored item is a material change even if its value is unchanged, since peers have seen its removal.
-        const kind = this.#options.onChange(change);
-        return isRestored ? "material" : kind;
+        // An item that was removed before is a material change even if its value is unchanged, since peers have seen its removal.
+        const kind = this.#options.onChange(change, isRestored);
+        return isAdded ? "material" : kind;
     }
 
     /** Adds material changes to the history. */
@@ -224,3 +246,8 @@
         this.#materialRevision = Math.max(this.#materialRevision, span.until);
     }
 }
+
+/** Whether a position is later than another one. */
+export function isAfter(position: EraRevision, other: EraRevision): boolean {
+    return position.era === other.era ? position.revision > other.revision : position.era > other.era;
+}
