Order the terms of the duties over restores of the store

Cause: the term is stored, so a restore takes it back and it is given out again. A lease entry that has come back with the copy counts as held. Change: the fencing token is made of the era and the term. An entry of an earlier era is void. A host waits for the duration of the lease after it learns of an era, since a former holder that can't reach the store still acts; the holder itself goes on at once if its lease had not run out. Why it works: terms grow by compare-and-swap within an era, and the era counts first.

--- a/features/ingress.restore.feature
+++ b/features/ingress.restore.feature
@@ -49,6 +49,14 @@
     When the store is restored from a copy that was made before the host registered and its lease id is given to another host
     Then the host's entry is back under a lease of its own within 1500 ms
 
+  # Guards against two holders with the same fencing token, and two at once.
+  Scenario: A duty holder after a restore has a higher fencing token than all before
+    Given two hosts that contend for the duties
+    And a copy of the store
+    When the duties change hands twice
+    And the store is restored from the copy
+    Then the next fencing token is higher than all before and never two hosts hold the duties
+
   Scenario: Conditional changes, leases and responses of an earlier era have no effect
     Given a store that is restored between two calls of a client
     Then a commit that relies on the earlier era fails without a call
@@ -58,3 +66,7 @@
   # Guards against values that a restore has brought back or that stay for good.
   Scenario: After a restore what owners know takes precedence, and at last the store
     Then in 2000 schedules of restores no host uses an endpoint whose leaving it knew, and all hosts agree in the end
+
+  # Guards against two holders with one token and against a holder that acts beside another.
+  Scenario: Terms of the duties stay ordered over restores
+    Then in 2000 schedules of restores no two holders have the same fencing token or act at the same time
--- a/features/steps/ingress.restore.ts
+++ b/features/steps/ingress.restore.ts
@@ -10,6 +10,8 @@
 import type { TcpPeerNetwork } from "@filbertrelay/wire";
 import fc from "fast-check";
 import assert from "node:assert/strict";
+import { Contender } from "../support/contender.js";
+import { DutySimulation, dutySteps } from "../support/dutysimulation.js";
 import { createConfiguration, findPort, waitFor } from "../support/ingress.js";
 import { ownedSteps, OwnedValuesSimulation } from "../support/ownedvaluessimulation.js";
 import type { IngressWorld } from "./ingress.endpoint.js";
@@ -21,6 +23,7 @@
     callsBefore: number;
     peers: PeeringHost[];
     addresses: readonly string[];
+    contenders: Contender[];
     client: ReturnType<typeof createPlatformStore>;
 }
 
@@ -219,6 +222,34 @@
     assert.equal(store.keys("filbertrelay/hosts/").length, 1);
 });
 
+When("the duties change hands twice", async function(this: RestoreWorld) {
+    for (let change = 0; change < 2; change += 1) {
+        await waitFor(() => Promise.resolve(this.contenders.some(({ lead }) => lead.holder() !== undefined)));
+        const holder = this.contenders.find(({ lead }) => lead.holder() !== undefined)!;
+        const { fencingToken } = holder.lead.holder()!;
+        this.callsBefore = fencingToken;
+        holder.lead.giveUp("test");
+        this.store.remove("filbertrelay/lead");
+        await waitFor(() =>
+            Promise.resolve(this.contenders.some(({ lead }) => (lead.holder()?.fencingToken ?? 0) > fencingToken))
+        );
+    }
+});
+
+Then("the next fencing token is higher than all before and never two hosts hold the duties", async function(this: RestoreWorld) {
+    const holders = (): readonly number[] =>
+        this.contenders.flatMap(({ lead }) => {
+            const holder = lead.holder();
+            return holder === undefined ? [] : [holder.fencingToken];
+        });
+    await waitFor(() => {
+        assert.ok(holders().length <= 1);
+        return Promise.resolve(holders().some(token => token > this.callsBefore + 1));
+    });
+    await Promise.all(this.contenders.map(contender => contender.stop()));
+    this.store.stop();
+});
+
 Given("a store that is restored between two calls of a client", async function(this: RestoreWorld) {
     this.store = new StandinStore();
     this.store.era = 1;
@@ -259,3 +290,10 @@
         fc.assert(fc.property(ownedSteps, steps => new OwnedValuesSimulation().run(steps)), { numRuns, seed });
     },
 );
+
+Then(
+    "in {int} schedules of restores no two holders have the same fencing token or act at the same time",
+    (numRuns: number) => {
+        fc.assert(fc.property(dutySteps, steps => new DutySimulation().run(steps)), { numRuns, seed });
+    },
+);
--- a/features/support/contender.ts
+++ b/features/support/contender.ts
@@ -35,6 +35,7 @@
             draw: Math.random,
         });
         this.duty = options.createDuty?.(this);
+        this.#mirror.onEra(era => this.lead.recordEra(era));
     }
 
     readonly duty: UsageReporter | undefined;
--- a/packages/ingress/src/daemon.ts
+++ b/packages/ingress/src/daemon.ts
@@ -249,7 +249,10 @@
         draw,
         contendDelayMs: () => chooseContendDelay(hostId, { hosts: hosts.list(), serving }),
     });
-    mirror.onEra(era => registration.recordEra(era));
+    mirror.onEra(era => {
+        registration.recordEra(era);
+        lead.recordEra(era);
+    });
     const lifecycle = new IngressLifecycle(kernel, {
         registration,
         lead,
--- a/packages/ingress/src/duty/lease.ts
+++ b/packages/ingress/src/duty/lease.ts
@@ -1,6 +1,7 @@
-import type { Store, StoreLease } from "@filbertrelay/connectors";
+import type { Store, StoreItem, StoreLease } from "@filbertrelay/connectors";
 import { brandAs, parseJson, RepeatedTask } from "@filbertrelay/kernel";
 import type { Clock, EventLog, HostId, Incarnation, Service } from "@filbertrelay/kernel";
+import { createFencingToken, mayContend } from "@filbertrelay/policy/ingress";
 import { z } from "zod";
 import type { DutyHolder } from "../contract.js";
 import { fleetEvents as events } from "../fleet/event.js";
@@ -9,7 +10,7 @@
 
 /** Key that names the duty holder; it expires with the lease. */
 const leaseKey = `${ownPrefix}lead`;
-/** Key of the last holder's fencing token; it has no lease, so that tokens only increase. */
+/** Key of the last holder's term; it has no lease, so that terms only increase within an era of the store. */
 const termKey = `${ownPrefix}term`;
 /** Interval at which the holder renews the lease and the other hosts check whether it is free. */
 const tickMs = 500;
@@ -20,7 +21,11 @@
 /** Random delay before a host contends for a free lease, so that most hosts find it taken. */
 const contendJitterMs = 250;
 
-const holderSchema = z.object({ hostId: z.string().min(1) });
+const holderSchema = z.object({
+    hostId: z.string().min(1),
+    /** Absent in entries of older versions. */
+    era: z.number().optional(),
+});
 
 /** Reads the current duty holder from the store mirror. */
 export function readDutyHolder(mirror: StoreMirror): HostId | undefined {
@@ -51,6 +56,10 @@
     readonly #pendingCalls = new Set<Promise<unknown>>();
     #held: HeldLease | undefined;
     #pausedUntilMs: number;
+    #era = 0;
+    #eraKnownMs = 0;
+    /** Whether this host held the duties when the store was restored. */
+    #wasHolder = false;
 
     constructor(
         options: {
@@ -85,9 +94,25 @@
     holder(): DutyHolder | undefined {
         const held = this.#held;
         const sinceMs = held === undefined ? Infinity : this.#sinceRenewalMs(held);
-        return held !== undefined && sinceMs < this.#leaseMs * holderShare ?
-            { hostId: this.#hostId, fencingToken: held.term, validMs: this.#leaseMs * callDeadlineShare - sinceMs } :
-            undefined;
+        if (held === undefined || sinceMs >= this.#leaseMs * holderShare) {
+            return undefined;
+        }
+        const fencingToken = createFencingToken({ era: held.lease.era, term: held.term });
+        return { hostId: this.#hostId, fencingToken, validMs: this.#leaseMs * callDeadlineShare - sinceMs };
+    }
+
+    /** Gives up a lease that a restore of the store has undone, and contends again. */
+    recordEra(era: number): void {
+        if (era <= this.#era) {
+            return;
+        }
+        const held = this.#held;
+        this.#era = era;
+        this.#eraKnownMs = this.#clock.monotonicMs();
+        // Nobody else can have held a lease that had not run out before the restore.
+        this.#wasHolder = held !== undefined && this.#sinceRenewalMs(held) < this.#leaseMs;
+        this.#lose("the store was restored");
+        this.#task.wake();
     }
 
     /**
@@ -145,10 +170,30 @@
     }
 
     #isFree(): boolean {
-        // Without a recorded fencing token there has never been a holder to wait for.
-        const mayContend = this.#clock.monotonicMs() >= this.#pausedUntilMs || this.#mirror.get(termKey) === undefined;
-        return mayContend && this.#mirror.ageMs() < this.#leaseMs && this.#mirror.revision > 0 &&
-            this.#mirror.get(leaseKey) === undefined;
+        const { era, revision } = this.#mirror.position;
+        const isCurrent = this.#mirror.ageMs() < this.#leaseMs && revision > 0 && era === this.#store.era;
+        return isCurrent && mayContend({
+            nowMs: this.#clock.monotonicMs(),
+            era,
+            eraKnownMs: this.#eraKnownMs,
+            ...this.#describeEntry(this.#mirror.get(leaseKey), era),
+            pausedUntilMs: this.#pausedUntilMs,
+            leaseMs: this.#leaseMs,
+            isContinuing: this.#isContinuing(),
+        });
+    }
+
+    #isContinuing(): boolean {
+        return this.#wasHolder && this.#clock.monotonicMs() - this.#eraKnownMs < this.#leaseMs;
+    }
+
+    #describeEntry(entry: StoreItem | undefined, era: number): { readonly entryEra?: number; readonly term?: number; } {
+        const term = this.#mirror.get(termKey);
+        const holder = holderSchema.safeParse(parseJson(entry?.value ?? ""));
+        return {
+            ...(entry === undefined ? {} : { entryEra: holder.data?.era ?? era }),
+            ...(term === undefined ? {} : { term: Number(term.value) }),
+        };
     }
 
     async #renew(held: HeldLease): Promise<void> {
@@ -169,7 +214,9 @@
     }
 
     async #contend(): Promise<void> {
-        await this.#clock.sleep(this.#contendDelayMs() + contendJitterMs * this.#draw());
+        if (!this.#isContinuing()) {
+            await this.#clock.sleep(this.#contendDelayMs() + contendJitterMs * this.#draw());
+        }
         if (this.#task.isStopped || !this.#isFree()) {
             return;
         }
@@ -179,12 +226,22 @@
         if (!lease.ok) {
             return;
         }
+        const { era } = lease.value;
+        if (!this.#isFree()) {
+            // Another host has acquired the lease meanwhile, or the store was restored.
+            await this.#store.endLease(lease.value);
+            return;
+        }
         const former = this.#mirror.get(termKey);
         const term = Number(former?.value ?? 0) + 1;
-        const value = JSON.stringify({ hostId: this.#hostId, incarnation: this.#incarnation, term });
+        const value = JSON.stringify({ hostId: this.#hostId, incarnation: this.#incarnation, term, era });
         const committed = await this.#store.commit({
-            era: lease.value.era,
-            expected: [{ key: leaseKey, revision: 0 }, { key: termKey, revision: former?.revision ?? 0 }],
+            era,
+            expected: [
+                // An entry of an earlier era has come back with the restored copy; its holder has given up.
+                { key: leaseKey, revision: this.#mirror.get(leaseKey)?.revision ?? 0 },
+                { key: termKey, revision: former?.revision ?? 0 },
+            ],
             writes: [{ key: leaseKey, value, leaseId: lease.value.leaseId }, { key: termKey, value: String(term) }],
         });
         if (!committed.ok && !(committed.issue.code === "store.unavailable" && await this.#isCommitted(value))) {
@@ -192,8 +249,9 @@
             await this.#store.endLease(lease.value);
             return;
         }
+        this.#wasHolder = false;
         this.#held = { lease: lease.value, term, renewedMs: startMs, renewedAt: startAt };
-        this.#log.write(events.dutyLeaseAcquired, { term, formerRevision: former?.revision });
+        this.#log.write(events.dutyLeaseAcquired, { era, term, formerRevision: former?.revision });
     }
 
     /** Whether a commit took effect although its response was lost. */
--- a/packages/policy/src/ingress/index.ts
+++ b/packages/policy/src/ingress/index.ts
@@ -9,6 +9,7 @@
 export * from "../suspects/quarantine.js";
 export * from "./demandmeter.js";
 export * from "./directorychoice.js";
+export * from "./dutyterm.js";
 export * from "./endpointhealth.js";
 export * from "./endpointlimits.js";
 export * from "./endpointnotices.js";
