Keep final usage counts over restores of the store

Cause: final counts are final in the store only. A holder that takes over after a restore lacks them and counts anew. Change: hosts keep the final counts that they have seen and tell each other those that the store lacks. A holder reports 600 ms after storing, when the others know the counts. A window whose counts may have been reported by a holder that nobody knows of is not reported again. finalizeWindow in packages/policy decides. Why it works: what was reported is either known to a living host or may not be counted again.

--- a/features/ingress.restore.feature
+++ b/features/ingress.restore.feature
@@ -57,6 +57,12 @@
     And the store is restored from the copy
     Then the next fencing token is higher than all before and never two hosts hold the duties
 
+  # Guards against two different usage reports for one window.
+  Scenario: A new duty holder repeats the counts that a restore has lost
+    Given a usage reporter that has reported a window and a copy of the store from before
+    When the store is restored from the copy and another host with different counts takes over the duties
+    Then no window was reported with different counts
+
   Scenario: Conditional changes, leases and responses of an earlier era have no effect
     Given a store that is restored between two calls of a client
     Then a commit that relies on the earlier era fails without a call
@@ -70,3 +76,7 @@
   # Guards against two holders with one token and against a holder that acts beside another.
   Scenario: Terms of the duties stay ordered over restores
     Then in 2000 schedules of restores no two holders have the same fencing token or act at the same time
+
+  # Guards against different reports of one window in any order of restores and holders.
+  Scenario: Final counts survive restores
+    Then in 2000 schedules of restores no window is reported with different counts
--- a/features/steps/ingress.fleet.ts
+++ b/features/steps/ingress.fleet.ts
@@ -135,6 +135,7 @@
             findings: new SharedFindings({
                 quarantine: policy.createQuarantine({ isTrialHost: () => true }),
                 limits: policy.createEndpointLimits({ hostId, listHosts: () => [] }),
+                finals: new policy.FinalCounts(),
             }),
             dutyHolder: () => undefined,
         });
--- a/features/steps/ingress.freshness.ts
+++ b/features/steps/ingress.freshness.ts
@@ -244,6 +244,7 @@
             findings: new SharedFindings({
                 quarantine: policy.createQuarantine({ isTrialHost: () => true }),
                 limits: policy.createEndpointLimits({ hostId: ownId, listHosts: () => [] }),
+                finals: new policy.FinalCounts(),
             }),
             dutyHolder: () => undefined,
         });
--- a/features/steps/ingress.restore.ts
+++ b/features/steps/ingress.restore.ts
@@ -1,11 +1,13 @@
 import { Given, Then, When } from "@cucumber/cucumber";
-import { createOwnedPrefixes, StoreMirror, StoreSync } from "@filbertrelay/ingress";
+import { createOwnedPrefixes, StoreMirror, StoreSync, UsageReporter } from "@filbertrelay/ingress";
 import type { ServingHosts } from "@filbertrelay/ingress";
-import { brandAs, createSystemClock, silentEventLog } from "@filbertrelay/kernel";
+import { brandAs, createSystemClock, silentEventLog, success } from "@filbertrelay/kernel";
 import type { HostId } from "@filbertrelay/kernel";
 import { createPlatformDecoder, createPlatformStore } from "@filbertrelay/platform";
 import { describeEngine, StandinStore } from "@filbertrelay/platform/standins";
 import type { StoreBackup } from "@filbertrelay/platform/standins";
+import { createFleetClock, createUsageLedger } from "@filbertrelay/policy";
+import type { CustomerCounts } from "@filbertrelay/policy";
 import { createPeerNetwork } from "@filbertrelay/wire";
 import type { TcpPeerNetwork } from "@filbertrelay/wire";
 import fc from "fast-check";
@@ -14,6 +16,7 @@
 import { DutySimulation, dutySteps } from "../support/dutysimulation.js";
 import { createConfiguration, findPort, waitFor } from "../support/ingress.js";
 import { ownedSteps, OwnedValuesSimulation } from "../support/ownedvaluessimulation.js";
+import { UsageSimulation, usageSteps } from "../support/usagesimulation.js";
 import type { IngressWorld } from "./ingress.endpoint.js";
 
 interface RestoreWorld extends IngressWorld {
@@ -24,6 +27,7 @@
     peers: PeeringHost[];
     addresses: readonly string[];
     contenders: Contender[];
+    sent: { readonly window: number; readonly counts: CustomerCounts; }[];
     client: ReturnType<typeof createPlatformStore>;
 }
 
@@ -250,6 +254,78 @@
     this.store.stop();
 });
 
+const usageWindowMs = 500;
+
+function createReporter(world: RestoreWorld, name: string, count: number): Contender {
+    return new Contender(world.store, name, {
+        createDuty: contender => {
+            const usage = createUsageLedger(usageWindowMs);
+            const startMs = Date.now();
+            for (let window = 0; window < 60; window += 1) {
+                for (let request = 0; request < count; request += 1) {
+                    usage.record("crew", new Date(startMs + window * usageWindowMs));
+                }
+            }
+            return new UsageReporter({
+                store: contender.client(),
+                mirror: contender.mirror,
+                clock: contender.clock,
+                log: silentEventLog,
+                lead: contender.lead,
+                duties: {
+                    reportUsage: (_, window, counts) => {
+                        world.sent.push({ window, counts });
+                        return Promise.resolve(success(undefined));
+                    },
+                    orderEndpoints: () => Promise.resolve(success(undefined)),
+                },
+                usage,
+                finals: contender.finals,
+                fleetClock: createFleetClock({ clock: contender.clock }),
+                windowMs: usageWindowMs,
+                dueMs: 8_000,
+            });
+        },
+    });
+}
+
+Given("a usage reporter that has reported a window and a copy of the store from before", async function(this: RestoreWorld) {
+    this.store = new StandinStore();
+    await this.store.start();
+    this.sent = [];
+    this.contenders = [createReporter(this, "host-1", 3), createReporter(this, "host-2", 5)];
+    await this.contenders[0]!.start();
+    await waitFor(() => Promise.resolve(this.contenders[0]!.lead.holder() !== undefined));
+    this.backup = this.store.backUp();
+    await this.contenders[1]!.mirror.start();
+    await waitFor(() => Promise.resolve(this.sent.length > 0));
+});
+
+When(
+    "the store is restored from the copy and another host with different counts takes over the duties",
+    async function(this: RestoreWorld) {
+        const [first, second] = this.contenders;
+        first!.isPaused = true;
+        this.store.restore(this.backup);
+        await second!.lead.start();
+        await second!.duty?.start();
+        await waitFor(() => Promise.resolve(second!.lead.holder() !== undefined));
+        const formerlySent = this.sent.length;
+        await waitFor(() => Promise.resolve(this.sent.length >= formerlySent + 3));
+        await Promise.all(this.contenders.map(contender => contender.stop()));
+        this.store.stop();
+    },
+);
+
+Then("no window was reported with different counts", function(this: RestoreWorld) {
+    const byWindow = new Map<number, string>();
+    for (const { window, counts } of this.sent) {
+        const text = JSON.stringify(counts);
+        assert.equal(byWindow.get(window) ?? text, text, `window ${window}`);
+        byWindow.set(window, text);
+    }
+});
+
 Given("a store that is restored between two calls of a client", async function(this: RestoreWorld) {
     this.store = new StandinStore();
     this.store.era = 1;
@@ -297,3 +373,7 @@
         fc.assert(fc.property(dutySteps, steps => new DutySimulation().run(steps)), { numRuns, seed });
     },
 );
+
+Then("in {int} schedules of restores no window is reported with different counts", (numRuns: number) => {
+    fc.assert(fc.property(usageSteps, steps => new UsageSimulation().run(steps)), { numRuns, seed });
+});
--- a/features/steps/ingress.state.ts
+++ b/features/steps/ingress.state.ts
@@ -218,6 +218,7 @@
                     lead: contender.lead,
                     duties,
                     usage,
+                    finals: contender.finals,
                     fleetClock: createFleetClock({ clock: contender.clock }),
                     windowMs: usageWindowMs,
                     dueMs: 8_000,
--- a/features/support/contender.ts
+++ b/features/support/contender.ts
@@ -4,12 +4,14 @@
 import type { Clock, HostId, Incarnation } from "@filbertrelay/kernel";
 import { createPlatformStore } from "@filbertrelay/platform";
 import type { StandinStore } from "@filbertrelay/platform/standins";
+import { FinalCounts } from "@filbertrelay/policy";
 
 export const leaseMs = 600;
 
 /** A host that contends for the duty lease, with a clock that can be paused. */
 export class Contender {
     readonly lead: DutyLease;
+    readonly finals = new FinalCounts();
     readonly #mirror: StoreMirror;
     readonly #system = createSystemClock();
     #totalPauseMs = 0;
--- a/packages/ingress/src/daemon.ts
+++ b/packages/ingress/src/daemon.ts
@@ -14,6 +14,7 @@
     createUsageLedger,
     createUsageQuota,
     createWindowedRetryBudget,
+    FinalCounts,
     rankByRendezvous,
 } from "@filbertrelay/policy/ingress";
 import { createPeerNetwork } from "@filbertrelay/wire";
@@ -120,6 +121,7 @@
     const hosts = new HostTable({ mirror, log });
     const quota = createUsageQuota({ windowMs: promises.quotaWindowSeconds * 1_000, tolerance: promises.quotaTolerance, nowMs });
     const fleetClock = createFleetClock({ clock });
+    const finals = new FinalCounts();
     const usage = createUsageLedger(promises.usageWindowSeconds * 1_000);
     const loads = createLoadTracker();
     const demand = createDemandMeter();
@@ -155,7 +157,7 @@
         hosts,
         counts: { quota, usage, loads, demand, callerWork },
         fleetClock,
-        findings: new SharedFindings({ quarantine, limits }),
+        findings: new SharedFindings({ quarantine, limits, finals }),
         dutyHolder: () => readDutyHolder(mirror),
     });
     const { serving } = exchange;
@@ -287,7 +289,7 @@
         if (settings.duties.usage) {
             const { usageWindowSeconds, usageDueSeconds } = promises;
             const windows = { windowMs: usageWindowSeconds * 1_000, dueMs: usageDueSeconds * 1_000 };
-            kernel.register("usageDuty", new UsageReporter({ ...common, ...windows, store, mirror, usage, fleetClock }));
+            kernel.register("usageDuty", new UsageReporter({ ...common, ...windows, store, mirror, usage, finals, fleetClock }));
         }
         if (settings.duties.scaling) {
             kernel.register("scalingDuty", new EndpointScaler({ ...common, configuration, endpoints, demand }));
--- a/packages/ingress/src/duty/lease.ts
+++ b/packages/ingress/src/duty/lease.ts
@@ -36,6 +36,8 @@
 interface HeldLease {
     readonly lease: StoreLease;
     readonly term: number;
+    /** Since when no other host can have held the duties, in monotonic milliseconds. */
+    readonly sinceMs: number;
     renewedMs: number;
     renewedAt: number;
 }
@@ -58,8 +60,8 @@
     #pausedUntilMs: number;
     #era = 0;
     #eraKnownMs = 0;
-    /** Whether this host held the duties when the store was restored. */
-    #wasHolder = false;
+    /** Since when this host has held the duties, if it held them when the store was restored. */
+    #continuedSinceMs: number | undefined;
 
     constructor(
         options: {
@@ -101,6 +103,11 @@
         return { hostId: this.#hostId, fencingToken, validMs: this.#leaseMs * callDeadlineShare - sinceMs };
     }
 
+    /** For how long no other host can have held the duties, in milliseconds; 0 if this host does not hold them. */
+    heldForMs(): number {
+        return this.#held === undefined ? 0 : this.#clock.monotonicMs() - this.#held.sinceMs;
+    }
+
     /** Gives up a lease that a restore of the store has undone, and contends again. */
     recordEra(era: number): void {
         if (era <= this.#era) {
@@ -110,7 +117,8 @@
         this.#era = era;
         this.#eraKnownMs = this.#clock.monotonicMs();
         // Nobody else can have held a lease that had not run out before the restore.
-        this.#wasHolder = held !== undefined && this.#sinceRenewalMs(held) < this.#leaseMs;
+        const isContinuing = held !== undefined && this.#sinceRenewalMs(held) < this.#leaseMs;
+        this.#continuedSinceMs = isContinuing ? held.sinceMs : undefined;
         this.#lose("the store was restored");
         this.#task.wake();
     }
@@ -184,7 +192,7 @@
     }
 
     #isContinuing(): boolean {
-        return this.#wasHolder && this.#clock.monotonicMs() - this.#eraKnownMs < this.#leaseMs;
+        return this.#continuedSinceMs !== undefined && this.#clock.monotonicMs() - this.#eraKnownMs < this.#leaseMs;
     }
 
     #describeEntry(entry: StoreItem | undefined, era: number): { readonly entryEra?: number; readonly term?: number; } {
@@ -249,8 +257,9 @@
             await this.#store.endLease(lease.value);
             return;
         }
-        this.#wasHolder = false;
-        this.#held = { lease: lease.value, term, renewedMs: startMs, renewedAt: startAt };
+        const sinceMs = this.#isContinuing() ? this.#continuedSinceMs ?? startMs : startMs;
+        this.#continuedSinceMs = undefined;
+        this.#held = { lease: lease.value, term, sinceMs, renewedMs: startMs, renewedAt: startAt };
         this.#log.write(events.dutyLeaseAcquired, { era, term, formerRevision: former?.revision });
     }
 
--- a/packages/ingress/src/duty/usagereporter.ts
+++ b/packages/ingress/src/duty/usagereporter.ts
@@ -1,7 +1,8 @@
 import type { Store } from "@filbertrelay/connectors";
-import { RepeatedTask } from "@filbertrelay/kernel";
+import { parseJson, RepeatedTask } from "@filbertrelay/kernel";
 import type { Clock, EventLog, Service } from "@filbertrelay/kernel";
-import type { CustomerCounts, FleetClock, UsageLedger } from "@filbertrelay/policy/ingress";
+import { finalizeWindow } from "@filbertrelay/policy/ingress";
+import type { CustomerCounts, FinalCounts, FleetClock, StoredWindows, UsageLedger } from "@filbertrelay/policy/ingress";
 import { z } from "zod";
 import type { DutyCalls } from "../contract.js";
 import { fleetEvents as events } from "../fleet/event.js";
@@ -14,16 +15,18 @@
     z.string(),
     z.object({
         counts: z.record(z.string(), z.number()),
-        /** Final counts may have been reported and must not change. */
         isFinal: z.boolean(),
+        era: z.number().optional(),
+        isLost: z.boolean().optional(),
     }),
 );
-type StoredWindows = z.infer<typeof storedSchema>;
 
 /** Interval at which the holder looks for windows to report. */
 const tickMs = 400;
 /** Share of the time until a report is due that the holder waits for the counts of the window's requests. */
 const settlingShare = 0.54;
+/** Final counts are reported this long after they were stored, so that the other hosts know them even if the store is restored. */
+const propagationMs = 600;
 /** Number of windows kept in the store for the next holder; older ones are past due. */
 const retainedWindows = 5;
 
@@ -36,10 +39,15 @@
     readonly #dutyLease: DutyLease;
     readonly #duties: DutyCalls;
     readonly #usage: UsageLedger;
+    readonly #finals: FinalCounts;
+    readonly #clock: Clock;
     readonly #windowMs: number;
     readonly #dueMs: number;
     readonly #reported = new Set<number>();
     readonly #startedWindow: number;
+    #era = 0;
+    /** When this host learned of the era, in milliseconds since 1970. */
+    #eraKnownMs: number;
     readonly #task: RepeatedTask;
 
     constructor(
@@ -51,6 +59,7 @@
             readonly lead: DutyLease;
             readonly duties: DutyCalls;
             readonly usage: UsageLedger;
+            readonly finals: FinalCounts;
             readonly fleetClock: FleetClock;
             readonly windowMs: number;
             readonly dueMs: number;
@@ -64,9 +73,17 @@
         this.#dutyLease = options.lead;
         this.#duties = options.duties;
         this.#usage = options.usage;
+        this.#finals = options.finals;
+        this.#clock = options.clock;
         this.#windowMs = options.windowMs;
         this.#dueMs = options.dueMs;
         this.#startedWindow = options.usage.windowAt(options.fleetClock.now());
+        this.#eraKnownMs = options.fleetClock.now().getTime();
+        options.mirror.onEra(era => this.#recordEra(era));
+        options.mirror.listen(usageKey, ({ value }) => {
+            this.#finals.recordStored(parseStored(value), this.#clock.monotonicMs());
+            return "material";
+        });
     }
 
     start(): Promise<void> {
@@ -79,7 +96,9 @@
     }
 
     async #run(): Promise<void> {
-        this.#usage.forgetBefore(this.#usage.windowAt(this.#fleetClock.now()) - retainedWindows);
+        const now = this.#fleetClock.now();
+        this.#usage.forgetBefore(this.#usage.windowAt(now) - retainedWindows);
+        this.#finals.forgetBefore(this.#usage.windowAt(new Date(now.getTime() - this.#dueMs)) - retainedWindows);
         for (const window of this.#windowsDue()) {
             await this.#report(window);
         }
@@ -110,10 +129,12 @@
 
     async #report(window: number): Promise<void> {
         const counts = await this.#finalizeCounts(window);
-        const reported = counts === undefined ?
-            undefined :
-            await this.#dutyLease.runWhileHeld(holder => this.#duties.reportUsage(holder, window, counts));
-        if (counts === undefined || reported === undefined) {
+        const knownMs = this.#finals.get(window)?.knownMs ?? Infinity;
+        if (counts === undefined || this.#clock.monotonicMs() - knownMs < propagationMs) {
+            return;
+        }
+        const reported = await this.#dutyLease.runWhileHeld(holder => this.#duties.reportUsage(holder, window, counts));
+        if (reported === undefined) {
             return;
         }
         if (reported.ok) {
@@ -127,12 +148,12 @@
         }
     }
 
-    /** Returns the final counts of a window from the store, or stores those of this host as final if there are none. */
+    /** Returns the final counts of a window, which are in the store by then; stores those of this host if there are none. */
     async #finalizeCounts(window: number): Promise<CustomerCounts | undefined> {
         const { era } = this.#store;
         const known = this.#readStored()[window];
         if (known?.isFinal === true) {
-            return known.counts;
+            return this.#finals.get(window)?.counts;
         }
         // The mirror may not have the former holder's last write yet.
         const current = await this.#store.get(usageKey);
@@ -140,38 +161,51 @@
             return undefined;
         }
         const stored = parseStored(current.value?.value);
+        this.#finals.recordStored(stored, this.#clock.monotonicMs());
         if (stored[window]?.isFinal === true) {
-            return stored[window].counts;
+            return this.#finals.get(window)?.counts;
         }
-        const counts = this.#mergeCounts(window, stored);
-        const kept = Object.entries(stored).filter(([number]) => Number(number) > window - retainedWindows);
-        const value = JSON.stringify({
-            ...Object.fromEntries(kept),
-            ...this.#collectPreliminary(window, stored),
-            [window]: { counts, isFinal: true },
-        });
+        const windows = this.#finalize(window, stored);
         if (this.#dutyLease.holder() === undefined) {
             return undefined;
         }
         const committed = await this.#store.commit({
             era,
             expected: [{ key: usageKey, revision: current.value?.revision ?? 0 }],
-            writes: [{ key: usageKey, value }],
+            writes: [{ key: usageKey, value: JSON.stringify(windows) }],
+        });
+        if (!committed.ok) {
+            // If the response was lost, the next run reads the stored counts.
+            return undefined;
+        }
+        this.#finals.recordStored(windows, this.#clock.monotonicMs());
+        if (windows[window]?.isLost === true) {
+            this.#reported.add(window);
+            this.#log.write(events.usageSkipped, { window, era });
+        }
+        return this.#finals.get(window)?.counts;
+    }
+
+    #finalize(window: number, stored: StoredWindows): StoredWindows {
+        const now = this.#fleetClock.now();
+        return finalizeWindow(window, {
+            stored,
+            finals: this.#finals,
+            era: this.#store.era,
+            eraKnownMs: this.#eraKnownMs,
+            heldSinceMs: now.getTime() - this.#dutyLease.heldForMs(),
+            settledMs: number => (number + 1) * this.#windowMs + this.#dueMs * settlingShare,
+            count: number => this.#mergeCounts(number, stored),
+            lastEnded: this.#usage.windowAt(now) - 1,
+            retained: retainedWindows,
         });
-        // If the response was lost, the next run reads the stored counts.
-        return committed.ok ? counts : undefined;
     }
 
-    /** Returns the counts of later windows that have ended. Storing them early keeps them if all hosts are killed. */
-    #collectPreliminary(window: number, stored: StoredWindows): StoredWindows {
-        const ended = this.#usage.windowAt(this.#fleetClock.now()) - 1;
-        const preliminary: StoredWindows = {};
-        for (let later = window + 1; later <= ended; later += 1) {
-            if (stored[later]?.isFinal !== true) {
-                preliminary[later] = { counts: this.#mergeCounts(later, stored), isFinal: false };
-            }
+    #recordEra(era: number): void {
+        if (era > this.#era) {
+            this.#era = era;
+            this.#eraKnownMs = this.#fleetClock.now().getTime();
         }
-        return preliminary;
     }
 
     /** Returns the larger of this host's and the stored count by customer, since this host lacks the counts of killed hosts. */
@@ -188,6 +222,8 @@
     }
 }
 
+/** An unreadable value holds no windows; the next write replaces it. */
 function parseStored(value: string | undefined): StoredWindows {
-    return value === undefined ? {} : storedSchema.parse(JSON.parse(value));
+    const stored = storedSchema.safeParse(parseJson(value ?? "{}"));
+    return stored.success ? stored.data : {};
 }
--- a/packages/ingress/src/fleet/event.ts
+++ b/packages/ingress/src/fleet/event.ts
@@ -74,4 +74,10 @@
         text: "Endpoints could not be ordered.",
         action: "None; the next plans exclude refused offers for a while.",
     },
+    usageSkipped: {
+        number: 6307,
+        level: "warn",
+        text: "The usage of a window is not reported, since other counts may have been reported before the store was restored.",
+        action: "Read the usage of the window from the platform's own records if it is missing there.",
+    },
 });
--- a/packages/ingress/src/fleet/findings.ts
+++ b/packages/ingress/src/fleet/findings.ts
@@ -1,18 +1,34 @@
-import type { EndpointLimits, LimitReport, Quarantine, QuarantineReport } from "@filbertrelay/policy/ingress";
+import type {
+    CustomerCounts,
+    EndpointLimits,
+    FinalCounts,
+    LimitReport,
+    Quarantine,
+    QuarantineReport,
+} from "@filbertrelay/policy/ingress";
 
-/** The part of the reports between hosts that tells what they found out about endpoints and requests. */
+/** The part of the reports between hosts that tells what they found out and others can't learn from the store. */
 export interface FindingsReport {
     readonly suspects?: QuarantineReport | undefined;
     readonly limits?: LimitReport | undefined;
+    readonly finalCounts?: Readonly<Record<string, CustomerCounts>> | undefined;
+}
+
+/** The same part as this host writes it. */
+export interface ReportedFindings {
+    suspects?: QuarantineReport;
+    limits?: LimitReport;
+    finalCounts?: Record<string, Record<string, number>>;
 }
 
 /** Options of `SharedFindings`. */
 export interface SharedFindingsOptions {
     readonly quarantine: Quarantine;
     readonly limits: EndpointLimits;
+    readonly finals: FinalCounts;
 }
 
-/** What hosts find out about endpoints and requests and pass on to each other, whichever host it came from. */
+/** What hosts find out about endpoints, requests and usage and pass on to each other, whichever host it came from. */
 export class SharedFindings {
     readonly #options: SharedFindingsOptions;
 
@@ -20,19 +36,27 @@
         this.#options = options;
     }
 
-    describe(nowMs: number): { suspects?: QuarantineReport; limits?: LimitReport; } {
+    describe(nowMs: number): ReportedFindings {
         const suspects = this.#options.quarantine.report(nowMs);
         const limits = this.#options.limits.report(nowMs);
-        return { ...(suspects === undefined ? {} : { suspects }), ...(limits === undefined ? {} : { limits }) };
+        const finalCounts = this.#options.finals.missing();
+        return {
+            ...(suspects === undefined ? {} : { suspects }),
+            ...(limits === undefined ? {} : { limits }),
+            ...(finalCounts === undefined ? {} : { finalCounts }),
+        };
     }
 
     /** `elapsedMs` is how long ago the report was written at most. */
-    merge({ suspects, limits }: FindingsReport, nowMs: number, elapsedMs: number): void {
+    merge({ suspects, limits, finalCounts = {} }: FindingsReport, nowMs: number, elapsedMs: number): void {
         if (suspects !== undefined) {
             this.#options.quarantine.merge(suspects, nowMs, elapsedMs);
         }
         if (limits !== undefined) {
             this.#options.limits.merge(limits, nowMs, elapsedMs);
         }
+        for (const [window, counts] of Object.entries(finalCounts)) {
+            this.#options.finals.record(Number(window), counts, nowMs);
+        }
     }
 }
--- a/packages/ingress/src/fleet/report.ts
+++ b/packages/ingress/src/fleet/report.ts
@@ -62,6 +62,8 @@
     suspects: suspectReportSchema.optional(),
     /** Limits that endpoints named. Absent if there are none, and in older versions. */
     limits: limitReportSchema.optional(),
+    /** Final counts of usage windows that the store lacks. Absent if there are none, and in older versions. */
+    finalCounts: z.record(z.string(), countsSchema).optional(),
 });
 
 /** The report that a host sends to a serving host that it is attached to. */
@@ -79,6 +81,8 @@
     suspects: suspectReportSchema.optional(),
     /** Limits that endpoints named. Absent if there are none, and in older versions. */
     limits: limitReportSchema.optional(),
+    /** Final counts of usage windows that the store lacks. Absent if there are none, and in older versions. */
+    finalCounts: z.record(z.string(), countsSchema).optional(),
 });
 
 /** The reply to an attach report. */
@@ -96,6 +100,8 @@
     suspects: suspectReportSchema.optional(),
     /** Limits that endpoints named. Absent if there are none, and in older versions. */
     limits: limitReportSchema.optional(),
+    /** Final counts of usage windows that the store lacks. Absent if there are none, and in older versions. */
+    finalCounts: z.record(z.string(), countsSchema).optional(),
 });
 
 /** The report of a group, fetched from its representative. */
@@ -111,6 +117,8 @@
     suspects: suspectReportSchema.optional(),
     /** Limits that endpoints named. Absent if there are none, and in older versions. */
     limits: limitReportSchema.optional(),
+    /** Final counts of usage windows that the store lacks. Absent if there are none, and in older versions. */
+    finalCounts: z.record(z.string(), countsSchema).optional(),
 });
 
 export type AttachReport = z.infer<typeof attachReportSchema>;
--- a/packages/policy/src/ingress/index.ts
+++ b/packages/policy/src/ingress/index.ts
@@ -33,3 +33,4 @@
 export * from "./storecopy.js";
 export * from "./usageledger.js";
 export * from "./usagequota.js";
+export * from "./usagewindows.js";
