Go on with a stream within one response only at the version that began it

Cause: the version in an endpoint's entry was dropped, so a host resumed a stream that had broken off at any endpoint of the service. Change: entries keep the software version; from the first event on, only endpoints of the same version are candidates. Where none is free the response is cut at once, visibly incomplete. Evidence: 'A stream that has begun does not go on at another software version' failed on: the response was complete, joined from v1 and v2. Why it works: the version of the first event is a hard condition of every later choice.

--- a/features/support/ingress.ts
+++ b/features/support/ingress.ts
@@ -66,11 +66,23 @@
     readonly #agent = new Agent({ keepAlive: true });
     #kernel: Kernel | undefined;
     #ports: number[] = [];
+    #versions: readonly string[] = [];
     #nextId = 1;
 
     /** `promises` holds additional lines for the `[promises]` section of the settings. */
-    async start(options: { readonly hasConfiguration: boolean; readonly promises?: string; }): Promise<void> {
+    async start(
+        options: {
+            readonly hasConfiguration: boolean;
+            readonly promises?: string;
+            /** Software versions of the engines; `v1` by default. */
+            readonly versions?: readonly string[];
+            /** Called with the store before the host starts. */
+            readonly prepare?: (store: StandinStore) => void;
+        },
+    ): Promise<void> {
         await this.store.start();
+        this.#versions = options.versions ?? [];
+        options.prepare?.(this.store);
         for (let index = 0; index < 2; index += 1) {
             const engine = new StandinEngine(respondFully);
             await engine.start();
@@ -90,8 +102,10 @@
 
     /** Registers an engine in the store, with one entry for each of the two services. */
     registerEngine(engine: StandinEngine, index: number, state: string): void {
-        this.store.put(`servers/records-${index}`, describeEngine(engine, { service: "records", state }));
-        this.store.put(`servers/assistant-${index}`, describeEngine(engine, { service: "assistant", state, isModel: true }));
+        const version = this.#versions[index] ?? "v1";
+        this.store.put(`servers/records-${index}`, describeEngine(engine, { service: "records", state, version }));
+        const model = describeEngine(engine, { service: "assistant", state, version, isModel: true });
+        this.store.put(`servers/assistant-${index}`, model);
     }
 
     setBehaviours(...behaviours: EngineBehaviour[]): void {
@@ -125,6 +139,7 @@
             readonly disconnectAfterMs?: number;
             /** Parts of the prompt, each with 100 tokens. */
             readonly parts?: readonly string[];
+            readonly headers?: Readonly<Record<string, string>>;
         } = {},
     ): Promise<CallerResponse> {
         const requestId = "requestId" in options ? options.requestId : `request-${this.#nextId}`;
@@ -149,6 +164,7 @@
                     "Host": "shop.example",
                     "X-Filbertrelay-Deadline-Ms": "5000",
                     "Authorization": `Bearer ${options.key ?? customerKey}`,
+                    ...options.headers,
                     ...(requestId === undefined ? {} : { "X-Filbertrelay-Attempt-Id": requestId }),
                     ...(options.parts === undefined ? {} : {
                         "X-Filbertrelay-Token-Usage": `${options.parts.length * 100},10`,
--- a/packages/ingress/src/contract.ts
+++ b/packages/ingress/src/contract.ts
@@ -17,6 +17,8 @@
     readonly isReclaimable: boolean;
     /** Whether it serves models and therefore caches prompts. */
     readonly hasPromptCache: boolean;
+    /** Version of its software; what endpoints of different versions write does not fit together. */
+    readonly softwareVersion: string;
     /** Start time in Unix milliseconds; a different value under the same id means a new process. */
     readonly startedAtMs: number;
 }
--- /dev/null
+++ b/packages/ingress/src/request/ending.ts
@@ -0,0 +1,41 @@
+import type { AdmittedRequest } from "./admitted.js";
+import type { RequestContext } from "./context.js";
+import { requestEvents as events } from "./event.js";
+
+/** How a request ended for its caller. */
+export type RequestOutcome = "answered" | "refused" | "failed" | "cut" | "gone";
+
+/** The end of a request. */
+export interface RequestEnding {
+    readonly outcome: RequestOutcome;
+    readonly reason: string;
+    /** Number of attempts. */
+    readonly sends: number;
+    /** Number of events that were forwarded to the caller. */
+    readonly events: number;
+    /** Monotonic time of the first event. */
+    readonly firstEventMs: number | undefined;
+}
+
+/** Logs and counts the end of a request; a refused one is not charged to its customer's limit. */
+export function recordEnding(context: RequestContext, request: AdmittedRequest, ending: RequestEnding): void {
+    const { clock, log, metrics, quota } = context;
+    const { caller, requestId, route, service, customer, configurationVersion, chargedUnits } = request;
+    const { outcome, firstEventMs, ...details } = ending;
+    if (outcome === "refused" && customer !== undefined) {
+        quota.refund(customer.name, chargedUnits, caller.arrivedMs, clock.monotonicMs());
+    }
+    const elapsedMs = clock.monotonicMs() - caller.arrivedMs;
+    metrics.recordRequest(service, outcome, elapsedMs);
+    log.write(events.requestEnded, {
+        requestId,
+        outcome,
+        ...details,
+        route: route.name,
+        service,
+        customer: customer?.name,
+        configurationVersion,
+        firstEventMs: firstEventMs === undefined ? undefined : Math.round(firstEventMs - caller.arrivedMs),
+        elapsedMs: Math.round(elapsedMs),
+    });
+}
--- a/packages/ingress/src/request/endpointselection.ts
+++ b/packages/ingress/src/request/endpointselection.ts
@@ -22,13 +22,13 @@
     readonly choice: EndpointChoice;
 }
 
-/** Chooses an endpoint that was not tried yet and records the demand of the request; `undefined` without a candidate. */
+/** Chooses one of the endpoints that was not tried yet and records the demand of the request; `undefined` without a candidate. */
 export function selectEndpoint(
     context: RequestContext,
     request: AdmittedRequest,
+    endpoints: readonly EndpointRecord[],
     tried: ReadonlySet<EndpointId>,
 ): SelectedEndpoint | undefined {
-    const endpoints = listOpenEndpoints(context, request.service);
     const choice = chooseEndpoint(context, request, { endpoints, tried });
     recordDemand(context, request, choice);
     const endpoint = endpoints.find(({ endpointId }) => endpointId === choice?.endpointId);
--- a/packages/ingress/src/request/task.ts
+++ b/packages/ingress/src/request/task.ts
@@ -6,6 +6,9 @@
 import { Attempt } from "./attempt.js";
 import type { AttemptResult } from "./attempt.js";
 import type { RequestContext } from "./context.js";
+import { StreamContinuation } from "./continuation.js";
+import { recordEnding } from "./ending.js";
+import type { RequestOutcome } from "./ending.js";
 import { defaultRetryAfterMs, estimateRetryAfterMs, listOpenEndpoints, priorityOf, selectEndpoint } from "./endpointselection.js";
 import { sendErrorResponse } from "./errorresponse.js";
 import { requestEvents as events } from "./event.js";
@@ -22,6 +25,7 @@
     readonly #responder: CallerResponder;
     readonly #tried = new Set<EndpointId>();
     readonly #forwarded: ForwardedEvents;
+    readonly #continuation = new StreamContinuation();
     readonly #silence: SilenceTimer;
     readonly #traits: RequestTraits;
     #attempt: Attempt | undefined;
@@ -68,7 +72,7 @@
             this.#fail(`${decision.cause} crashes endpoints`, 503, decision.retryAfterMs);
             return;
         }
-        const selected = selectEndpoint(this.#context, this.#request, this.#tried);
+        const selected = selectEndpoint(this.#context, this.#request, this.#listOpenEndpoints(), this.#tried);
         if (selected === undefined) {
             this.#fail("no endpoint", 503, estimateRetryAfterMs(this.#context, this.#request.service));
             return;
@@ -79,6 +83,11 @@
         this.#send(selected.endpoint, selected.choice, this.#request.route.kind === "stream");
     }
 
+    /** The endpoints that may take the request, or the rest of it, now. */
+    #listOpenEndpoints(): readonly EndpointRecord[] {
+        return listOpenEndpoints(this.#context, this.#request.service).filter(endpoint => this.#continuation.accepts(endpoint));
+    }
+
     #admit(choice: EndpointChoice): boolean {
         const { clock, timings } = this.#context;
         const { caller, route, service, deadlineMs } = this.#request;
@@ -113,6 +122,7 @@
         log.write(events.attemptStarted, {
             requestId,
             endpoint: endpoint.endpointId,
+            softwareVersion: endpoint.softwareVersion,
             attempt: this.#attempts,
             expectedStartMs: Math.round(choice.expectedStartMs),
             tokensToCompute: Math.round(choice.tokensToCompute),
@@ -148,6 +158,9 @@
             attempt.fail("malformed", "An event is too long.");
             return;
         }
+        if (taken.hasProgress) {
+            this.#continuation.recordEvent(attempt.endpoint);
+        }
         this.#forward(attempt, taken.frames);
         if (taken.hasProgress) {
             this.#restartSilenceTimer(0, true);
@@ -288,9 +301,7 @@
 
     /** Retries on another endpoint; without another endpoint or retry budget, keeps waiting for the silent one. */
     #handleSilence(limitMs: number, progress: AttemptProgress): void {
-        const hasAlternative = listOpenEndpoints(this.#context, this.#request.service).some(({ endpointId }) =>
-            !this.#tried.has(endpointId)
-        );
+        const hasAlternative = this.#listOpenEndpoints().some(({ endpointId }) => !this.#tried.has(endpointId));
         if (!hasAlternative || !this.#reserveRetry()) {
             this.#silence.restart(progress);
             return;
@@ -352,7 +363,7 @@
         }
     }
 
-    #finish(outcome: "answered" | "refused" | "failed" | "cut" | "gone", reason: string): void {
+    #finish(outcome: RequestOutcome, reason: string): void {
         if (this.#isEnded) {
             return;
         }
@@ -361,25 +372,12 @@
         this.#silence.cancel();
         this.#attempt?.cancel();
         this.#attempt = undefined;
-        const { clock, log, metrics, quota } = this.#context;
-        const { caller, requestId, route, service, customer, configurationVersion, chargedUnits } = this.#request;
-        if (outcome === "refused" && customer !== undefined) {
-            quota.refund(customer.name, chargedUnits, caller.arrivedMs, clock.monotonicMs());
-        }
-        const elapsedMs = clock.monotonicMs() - caller.arrivedMs;
-        metrics.recordRequest(service, outcome, elapsedMs);
-        log.write(events.requestEnded, {
-            requestId,
+        recordEnding(this.#context, this.#request, {
             outcome,
             reason,
-            route: route.name,
-            service,
-            customer: customer?.name,
-            configurationVersion,
             sends: this.#attempts,
             events: this.#forwarded.count,
-            firstEventMs: this.#firstEventMs === undefined ? undefined : Math.round(this.#firstEventMs - caller.arrivedMs),
-            elapsedMs: Math.round(elapsedMs),
+            firstEventMs: this.#firstEventMs,
         });
     }
 }
--- a/packages/ingress/src/state/endpoints.ts
+++ b/packages/ingress/src/state/endpoints.ts
@@ -72,6 +72,7 @@
             endpoint: record.endpointId,
             service: record.service,
             failureDomain: record.failureDomain,
+            softwareVersion: record.softwareVersion,
             isLeaving: record.isLeaving,
             isReclaimable: record.isReclaimable,
             revision: change.revision,
--- a/packages/policy/src/ingress/exchangegroups.ts
+++ b/packages/policy/src/ingress/exchangegroups.ts
@@ -53,16 +53,25 @@
     return hashText(hostId) % groups;
 }
 
+/** A host with its failure domain. */
+export interface PlacedHost {
+    readonly hostId: HostId;
+    readonly failureDomain: FailureDomainId;
+}
+
+/** Ranks hosts for watching the store on behalf of the fleet. */
+export function rankWatchers(hosts: readonly PlacedHost[]): readonly HostId[] {
+    return rankAcrossDomains("store", hosts);
+}
+
 /**
- * Ranks hosts for watching the store on behalf of the fleet, in the same order on every host. As many failure domains as possible
- * come before a second host of one, since the hosts of a domain fail together.
+ * Ranks hosts for a key, in the same order on every host. As many failure domains as possible come before a second host of one, since
+ * the hosts of a domain fail together.
  */
-export function rankWatchers(
-    hosts: readonly { readonly hostId: HostId; readonly failureDomain: FailureDomainId; }[],
-): readonly HostId[] {
+export function rankAcrossDomains(key: string, hosts: readonly PlacedHost[]): readonly HostId[] {
     const perDomain = new Map<FailureDomainId, number>();
     const rows: HostId[][] = [];
-    for (const { hostId, failureDomain } of rankByRendezvous("store", hosts, host => host.hostId)) {
+    for (const { hostId, failureDomain } of rankByRendezvous(key, hosts, host => host.hostId)) {
         const row = perDomain.get(failureDomain) ?? 0;
         perDomain.set(failureDomain, row + 1);
         (rows[row] ??= []).push(hostId);
