Take streams up at the version that began them

Callers saw: a stream that they took up at a host was answered 200 and ran to its end, but its rest was written by another software version (ORDER). Cause: 'Resumes' was not read, and nobody remembered which version began a stream. Change: the host that passes on the first event remembers the version; while a service has more than one, two hosts of other failure domains do too, and get what began before when a second version comes. A host that is asked for a stream it does not know asks these hosts, for at most 250 ms, and goes on at the only version that the service has had lately if nobody remembers another one. Otherwise it rejects the request at once as not run. A response that is still open for the stream is ended. Evidence: on 'A stream is taken up at the version that began it' (data: v2,data: v1), '... while its first response is open' and '... whose version no host knows' failed. Property over schedules of releases, kills and take-ups. Why it works: a stream goes on only where the version is remembered, or can only be one.

--- a/features/ingress.version.feature
+++ b/features/ingress.version.feature
@@ -13,3 +13,41 @@
     And engines of version "v1" that break off before any event
     When a caller sends 6 streams
     Then all of them are complete
+
+  # Guards against a response that continues the text of another version.
+  Scenario: A stream is taken up at the version that began it
+    Given an ingress with engines of the versions "v1" and "v2"
+    And engines that break off streams after the second event and complete those that are taken up
+    When a caller sends 12 streams and takes up each that breaks off
+    Then each stream holds events of one version
+    And at least 11 of them are complete
+
+  # Guards against two responses to one stream, and a run that goes on for a caller that has left.
+  Scenario: A stream that is taken up while its first response is open ends that response
+    Given an ingress with engines of the versions "v1" and "v1"
+    And engines that pause streams after the second event and complete those that are taken up
+    When a caller sends a stream and takes it up while it pauses
+    Then the first response is cut and the second one is complete
+
+  # Guards against waiting, and against a run at a version that did not begin the stream.
+  Scenario: A stream whose version no host knows is rejected at once
+    Given an ingress with engines of the versions "v1" and "v2"
+    When a caller takes up a stream that no host knows
+    Then it is rejected as not run within 400 ms and no engine got it
+
+  # Guards against forgetting versions with the host that passed the stream on.
+  Scenario: Other hosts remember the version of a stream while a service has two
+    Given 5 hosts that see the versions "v1" and "v2" of a service
+    When streams begin at the first host, which is then lost
+    Then each other host finds the versions of all of them
+
+  # Guards against losing what began while there was one version.
+  Scenario: Streams that began before a second version came are passed on when it comes
+    Given 5 hosts that see the versions "v1" of a service
+    When streams begin at the first host, a second version comes and the first host is lost
+    Then each other host finds the versions of all of them
+
+  # Guards against joining versions in any order of releases, losses of hosts and take-ups.
+  Scenario: Streams are never joined from two versions
+    Then in 3000 schedules of releases, lost hosts and take-ups no stream goes on at another version
+    And streams are taken up in most cases where a host remembers them
--- a/features/steps/ingress.version.ts
+++ b/features/steps/ingress.version.ts
@@ -1,17 +1,38 @@
 import { Given, Then, When } from "@cucumber/cucumber";
+import { StreamVersions } from "@filbertrelay/ingress";
+import { brandAs, createSystemClock, silentEventLog } from "@filbertrelay/kernel";
+import type { FailureDomainId, HostId, RequestId } from "@filbertrelay/kernel";
 import { renderStreamHead, streamEnd } from "@filbertrelay/platform/standins";
 import type { EngineBehaviour } from "@filbertrelay/platform/standins";
+import { createFleetClock, VersionHistory } from "@filbertrelay/policy";
+import { createPeerNetwork } from "@filbertrelay/wire";
+import fc from "fast-check";
 import assert from "node:assert/strict";
-import { IngressFixture } from "../support/ingress.js";
+import { findPort, IngressFixture, waitFor } from "../support/ingress.js";
+import type { CallerResponse } from "../support/ingress.js";
+import { VersionSimulation, versionSteps } from "../support/versionsimulation.js";
 import type { IngressWorld } from "./ingress.endpoint.js";
 
 interface VersionWorld extends IngressWorld {
     versions: readonly string[];
+    pairs: { readonly first: CallerResponse; readonly second: CallerResponse | undefined; }[];
+    remembering: RememberingHost[];
+    begun: ReadonlyMap<RequestId, string>;
+    counts: { known: number; continued: number; };
 }
 
+// A failed property prints this seed with the counterexample.
+const seed = 20_261_205;
+const clock = createSystemClock();
+/** A request that the host under test never got. */
+const unknownStream = "stream-of-before";
 /** Number of events of a whole stream. */
 const eventCount = 5;
 
+function pause(ms: number): Promise<void> {
+    return new Promise(resolve => setTimeout(resolve, ms));
+}
+
 /** Sends the rest of a stream; each event names the engine's version. */
 function completeFrom(version: string): EngineBehaviour {
     return (received, { send }) => {
@@ -58,6 +79,23 @@
     this.ingress.setBehaviours(...this.versions.map(each => each === version ? broken : completeFrom(each)));
 });
 
+Given("engines that break off streams after the second event and complete those that are taken up", function(this: VersionWorld) {
+    this.ingress.setBehaviours(...this.versions.map((version): EngineBehaviour => (received, connection) => {
+        const isResumed = received.headers["resumes"] !== undefined;
+        return (isResumed ? completeFrom(version) : breakOff(version))(received, connection);
+    }));
+});
+
+Given("engines that pause streams after the second event and complete those that are taken up", function(this: VersionWorld) {
+    this.ingress.setBehaviours(...this.versions.map((version): EngineBehaviour => (received, connection) => {
+        if (received.headers["resumes"] !== undefined) {
+            completeFrom(version)(received, connection);
+            return;
+        }
+        connection.send(renderStreamHead(received) + renderVersionEvent(1, version) + renderVersionEvent(2, version));
+    }));
+});
+
 When("a caller sends streams until one has begun at version {string}", async function(this: VersionWorld, version: string) {
     const index = this.versions.indexOf(version);
     for (let sent = 0; sent < 40; sent += 1) {
@@ -95,3 +133,189 @@
 Then("all of them are complete", function(this: VersionWorld) {
     assert.ok(this.answers.every(({ isComplete, body }) => isComplete && body.includes(`id: ${eventCount}`)));
 });
+
+function takeUp(ingress: IngressFixture, first: string, lastEventId: number): Promise<CallerResponse> {
+    return ingress.send("stream", { headers: { "Resumes": first, "Last-Event-Id": String(lastEventId) } });
+}
+
+When("a caller sends {int} streams and takes up each that breaks off", async function(this: VersionWorld, count: number) {
+    this.pairs = [];
+    for (let sent = 0; sent < count; sent += 1) {
+        const first = await this.ingress.send("stream");
+        this.pairs.push({ first, second: first.isComplete ? undefined : await takeUp(this.ingress, first.requestId, 2) });
+    }
+});
+
+Then("each stream holds events of one version", function(this: VersionWorld) {
+    for (const { first, second } of this.pairs) {
+        const versions = new Set(`${first.body}${second?.status === 200 ? second.body : ""}`.match(/data: v\d/g));
+        assert.equal(versions.size, 1, [...versions].join());
+    }
+});
+
+Then("at least {int} of them are complete", function(this: VersionWorld, least: number) {
+    const complete = this.pairs.filter(({ first, second }) => (second ?? first).body.includes(`id: ${eventCount}`));
+    assert.ok(complete.length >= least, String(complete.length));
+});
+
+When("a caller sends a stream and takes it up while it pauses", async function(this: VersionWorld) {
+    const first = this.ingress.send("stream", { requestId: "stream-1" });
+    await waitFor(() => Promise.resolve(this.ingress.received().length === 1));
+    await pause(100);
+    const second = await takeUp(this.ingress, "stream-1", 2);
+    this.pairs = [{ first: await first, second }];
+});
+
+Then("the first response is cut and the second one is complete", function(this: VersionWorld) {
+    const [{ first, second }] = this.pairs as [VersionWorld["pairs"][number]];
+    assert.equal(first.isComplete, false);
+    assert.ok(first.elapsedMs < 800, String(first.elapsedMs));
+    assert.ok(second!.isComplete && second!.body.includes(`id: ${eventCount}`));
+});
+
+When("a caller takes up a stream that no host knows", async function(this: VersionWorld) {
+    this.answers = [await takeUp(this.ingress, unknownStream, 2)];
+});
+
+Then("it is rejected as not run within {int} ms and no engine got it", function(this: VersionWorld, limitMs: number) {
+    const [answer] = this.answers;
+    assert.equal(answer!.status, 503);
+    assert.match(answer!.body, /"executed":"no"/);
+    assert.ok(answer!.elapsedMs <= limitMs);
+    assert.equal(this.ingress.received().length, 0);
+});
+
+/** The part of a host that knows the versions of streams. */
+class RememberingHost {
+    readonly history = new VersionHistory(Date.now() - 600_000);
+    readonly network;
+    readonly streams: StreamVersions;
+
+    constructor(
+        readonly hostId: HostId,
+        readonly address: string,
+        listHosts: () => readonly { readonly hostId: HostId; readonly failureDomain: FailureDomainId; }[],
+    ) {
+        this.network = createPeerNetwork({
+            clock,
+            log: silentEventLog,
+            hostId,
+            listenAddress: address,
+            keys: ["a-key-of-sixteen-characters"],
+            frameBytes: 1_048_576,
+        });
+        this.streams = new StreamVersions({
+            clock,
+            fleetClock: createFleetClock({ clock }),
+            log: silentEventLog,
+            hostId,
+            peers: this.network,
+            history: this.history,
+            listHosts,
+            isReachable: () => true,
+            copyAgeMs: () => 0,
+        });
+    }
+
+    observe(versions: readonly string[]): void {
+        const present = new Map([["assistant", new Set(versions)]]);
+        this.history.observe(present, Date.now());
+        this.streams.recordVersions(present);
+    }
+}
+
+Given("{int} hosts that see the versions {string} and {string} of a service", async function(
+    this: VersionWorld,
+    count: number,
+    first: string,
+    second: string,
+) {
+    await startHosts(this, count, [first, second]);
+});
+
+Given(
+    "{int} hosts that see the versions {string} of a service",
+    async function(this: VersionWorld, count: number, first: string) {
+        await startHosts(this, count, [first]);
+    },
+);
+
+async function startHosts(world: VersionWorld, count: number, versions: readonly string[]): Promise<void> {
+    const ports = await Promise.all(Array.from({ length: count }, () => findPort()));
+    const listHosts = (): readonly { readonly hostId: HostId; readonly failureDomain: FailureDomainId; }[] =>
+        world.remembering.map(({ hostId }, index) => ({
+            hostId,
+            failureDomain: brandAs<FailureDomainId>(`domain-${index % 3}`),
+        }));
+    world.remembering = ports.map((port, index) =>
+        new RememberingHost(brandAs<HostId>(`host-${index}`), `127.0.0.1:${port}`, listHosts)
+    );
+    for (const host of world.remembering) {
+        world.remembering.forEach(({ hostId, address }) =>
+            hostId === host.hostId ? undefined : host.network.setAddress(hostId, address)
+        );
+        await host.network.start();
+        await host.streams.start();
+        host.observe(versions);
+    }
+}
+
+async function beginStreams(world: VersionWorld, versions: readonly string[]): Promise<void> {
+    const [first] = world.remembering;
+    const begun = new Map<RequestId, string>();
+    for (let index = 0; index < 30; index += 1) {
+        const requestId = brandAs<RequestId>(`stream-${index}`);
+        const version = versions[index % versions.length]!;
+        first!.streams.recordBegin(requestId, { service: "assistant", version, timeLimitMs: 5_000, end: () => undefined });
+        begun.set(requestId, version);
+    }
+    world.begun = begun;
+    await pause(100);
+}
+
+async function loseFirst(world: VersionWorld): Promise<void> {
+    await pause(300);
+    await world.remembering[0]!.network.stop(clock.monotonicMs());
+}
+
+When("streams begin at the first host, which is then lost", async function(this: VersionWorld) {
+    await beginStreams(this, ["v1", "v2"]);
+    await loseFirst(this);
+});
+
+When("streams begin at the first host, a second version comes and the first host is lost", async function(this: VersionWorld) {
+    await beginStreams(this, ["v1"]);
+    this.remembering.forEach(host => host.observe(["v1", "v2"]));
+    await loseFirst(this);
+});
+
+Then("each other host finds the versions of all of them", async function(this: VersionWorld) {
+    const others = this.remembering.slice(1);
+    for (const { streams } of others) {
+        for (const [requestId, version] of this.begun) {
+            assert.equal(await streams.find({ requestId, service: "assistant", timeLimitMs: 5_000 }), version);
+        }
+    }
+    await Promise.all(others.map(({ network }) => network.stop(clock.monotonicMs())));
+});
+
+Then(
+    "in {int} schedules of releases, lost hosts and take-ups no stream goes on at another version",
+    function(this: VersionWorld, numRuns: number) {
+        this.counts = { known: 0, continued: 0 };
+        fc.assert(
+            fc.property(versionSteps, steps => {
+                const simulation = new VersionSimulation();
+                simulation.run(steps);
+                this.counts.known += simulation.counts.known;
+                this.counts.continued += simulation.counts.continued;
+            }),
+            { numRuns, seed },
+        );
+    },
+);
+
+Then("streams are taken up in most cases where a host remembers them", function(this: VersionWorld) {
+    const { known, continued } = this.counts;
+    assert.ok(known > 1_000 && continued > known * 0.9, `${continued} of ${known}`);
+});
--- /dev/null
+++ b/features/support/versionsimulation.ts
@@ -0,0 +1,146 @@
+import { brandAs } from "@filbertrelay/kernel";
+import type { RequestId } from "@filbertrelay/kernel";
+import { decideStreamVersion, StreamOrigins, VersionHistory } from "@filbertrelay/policy";
+import assert from "node:assert/strict";
+import { createSchedules, simulatedHosts, stepMs } from "./schedules.js";
+import type { Step } from "./schedules.js";
+
+const service = "assistant";
+/** Longest time until the caller of a stream no longer comes back, and until hosts no longer begin streams at a version that left. */
+const lifeMs = 4_000;
+const lateStartMs = 2_000;
+/** Time within which hosts that live hear of a change. */
+const hearMs = 400;
+
+type VersionKind = "begin" | "takeUp" | "wait" | "hear" | "release" | "retire" | "kill" | "killAll";
+
+/** Schedules of versions that come and go, of streams and their take-ups, and of hosts that are killed and start again. */
+export const versionSteps = createSchedules<VersionKind>(
+    ["begin", "begin", "takeUp", "takeUp", "wait"],
+    ["hear", "release", "retire", "kill", "killAll"],
+);
+
+interface VersionHost {
+    readonly history: VersionHistory;
+    readonly origins: StreamOrigins;
+    /** Versions that the host knows to serve. */
+    versions: ReadonlySet<string>;
+}
+
+interface BegunStream {
+    readonly requestId: RequestId;
+    readonly version: string;
+    readonly beganMs: number;
+}
+
+/** Hosts that begin and take up streams of a service whose versions change. */
+export class VersionSimulation {
+    /** Take-ups that some living host had to know, and those of them that went on. */
+    readonly counts = { known: 0, continued: 0 };
+    #nowMs = 100_000;
+    #versions = ["v1"];
+    #released = 1;
+    #changedMs = -Infinity;
+    readonly #hosts = Array.from({ length: simulatedHosts }, () => this.#createHost());
+    readonly #streams: BegunStream[] = [];
+
+    run(steps: readonly Step<VersionKind>[]): void {
+        this.#hosts.forEach(host => this.#hear(host));
+        for (const { kind, host, pick } of steps) {
+            this.#nowMs += stepMs;
+            if (this.#nowMs - this.#changedMs >= hearMs) {
+                this.#hosts.forEach(each => this.#hear(each));
+            }
+            this.#step(kind, host, pick);
+        }
+    }
+
+    #createHost(): VersionHost {
+        return { history: new VersionHistory(this.#nowMs), origins: new StreamOrigins(), versions: new Set() };
+    }
+
+    #step(kind: VersionKind, index: number, pick: number): void {
+        const host = this.#hosts[index]!;
+        switch (kind) {
+            case "begin":
+                return this.#begin(index, pick);
+            case "takeUp":
+                return this.#takeUp(index, pick);
+            case "wait":
+                this.#nowMs += pick * stepMs;
+                return;
+            case "hear":
+                return this.#hear(host);
+            case "release":
+                this.#released += 1;
+                this.#versions = [...this.#versions, `v${this.#released}`];
+                this.#changedMs = this.#nowMs;
+                return;
+            case "retire":
+                this.#versions = this.#versions.filter((_, each, all) => all.length === 1 || each !== pick % all.length);
+                this.#changedMs = this.#nowMs;
+                return;
+            case "kill":
+                this.#hosts[index] = this.#createHost();
+                return this.#hear(this.#hosts[index]!);
+            case "killAll":
+                this.#hosts.forEach((_, each) => {
+                    this.#hosts[each] = this.#createHost();
+                });
+                this.#nowMs += pick * stepMs;
+                this.#hosts.forEach(each => this.#hear(each));
+        }
+    }
+
+    #hear(host: VersionHost): void {
+        const known = host.versions;
+        host.versions = new Set(this.#versions);
+        host.history.observe(new Map([[service, host.versions]]), this.#nowMs);
+        if (known.size <= 1 && host.versions.size > 1) {
+            host.origins.ofService(service, this.#nowMs).forEach(origin => this.#keep(this.#hosts.indexOf(host), origin));
+        }
+    }
+
+    #begin(index: number, pick: number): void {
+        const host = this.#hosts[index]!;
+        const versions = [...host.versions];
+        const version = versions[pick % versions.length]!;
+        const requestId = brandAs<RequestId>(`stream-${this.#streams.length}`);
+        const origin = { requestId, service, version, leftMs: lifeMs };
+        this.#streams.push({ requestId, version, beganMs: this.#nowMs });
+        host.origins.remember(origin, this.#nowMs);
+        if (this.#onlyVersion(host) !== version) {
+            this.#keep(index, origin);
+        }
+    }
+
+    /** Another host keeps a copy. */
+    #keep(index: number, origin: Parameters<StreamOrigins["remember"]>[0]): void {
+        this.#hosts[(index + 1) % simulatedHosts]!.origins.remember(origin, this.#nowMs);
+    }
+
+    #onlyVersion(host: VersionHost): string | undefined {
+        return host.history.onlyVersion(service, lifeMs + lateStartMs, this.#nowMs);
+    }
+
+    #takeUp(index: number, pick: number): void {
+        const open = this.#streams.filter(({ beganMs }) => this.#nowMs - beganMs < lifeMs);
+        const stream = open[pick % Math.max(1, open.length)];
+        if (stream === undefined) {
+            return;
+        }
+        const { requestId, version } = stream;
+        const find = (host: VersionHost): string | undefined => host.origins.find(requestId, this.#nowMs)?.version;
+        const host = this.#hosts[index]!;
+        const replies = this.#hosts.filter(other => other !== host).map(other => ({
+            version: find(other),
+            onlyVersion: this.#onlyVersion(other),
+        }));
+        const decided = decideStreamVersion({ own: find(host), replies, onlyVersion: this.#onlyVersion(host) });
+        assert.ok(decided === undefined || decided === version, `A stream of ${version} goes on at ${decided}.`);
+        if (this.#hosts.some(each => find(each) !== undefined)) {
+            this.counts.known += 1;
+            this.counts.continued += decided === version ? 1 : 0;
+        }
+    }
+}
--- a/packages/ingress/src/contract.ts
+++ b/packages/ingress/src/contract.ts
@@ -44,6 +44,8 @@
     readonly prompt?: PromptDescription;
     /** The last event that the caller received of an interrupted stream; the response continues after it. */
     readonly lastEventId?: string;
+    /** The attempt of the caller that brought the first event of that stream. */
+    readonly resumedRequestId?: RequestId;
 }
 
 /** The metadata that the ingress adds to a forwarded request. */
--- a/packages/ingress/src/daemon.ts
+++ b/packages/ingress/src/daemon.ts
@@ -16,6 +16,7 @@
     createWindowedRetryBudget,
     FinalCounts,
     rankByRendezvous,
+    VersionHistory,
 } from "@filbertrelay/policy/ingress";
 import { createPeerNetwork } from "@filbertrelay/wire";
 import { IngressServer } from "./caller/server.js";
@@ -32,9 +33,11 @@
 import { PeerExchange } from "./fleet/exchange.js";
 import { SharedFindings } from "./fleet/findings.js";
 import { HostTable } from "./fleet/hosts.js";
+import type { HostRecord } from "./fleet/hosts.js";
 import { createIncarnation } from "./fleet/incarnation.js";
 import { Registration } from "./fleet/registration.js";
 import { StoreSync } from "./fleet/storesync.js";
+import { StreamVersions } from "./fleet/streamversions.js";
 import { IngressLifecycle } from "./lifecycle.js";
 import type { RequestContext } from "./request/context.js";
 import { CrashMonitor } from "./request/crashmonitor.js";
@@ -194,6 +197,23 @@
         notices.forget(endpointId);
         promptCaches.forget(endpointId);
     });
+    const history = new VersionHistory(fleetClock.now().getTime());
+    const listVersionHosts = (): readonly HostRecord[] => serving.isFullFleet ? hosts.list() : serving.serving;
+    const streamVersions = new StreamVersions({
+        clock,
+        fleetClock,
+        log,
+        hostId,
+        peers,
+        history,
+        listHosts: listVersionHosts,
+        isReachable: other => exchange.isReachable(other),
+        copyAgeMs: () => mirror.ageMs(),
+    });
+    endpoints.onChanged(() => {
+        history.observe(endpoints.versions(), fleetClock.now().getTime());
+        streamVersions.recordVersions(endpoints.versions());
+    });
     const context: RequestContext = {
         clock,
         fleetClock,
@@ -217,6 +237,7 @@
         quarantine,
         limits,
         notices,
+        streamVersions,
         announce: () => exchange.announce(),
         quota,
         retryBudget: createWindowedRetryBudget({
@@ -278,6 +299,7 @@
     kernel.register("mirror", mirror);
     kernel.register("peers", peers);
     kernel.register("storeNews", storeSync);
+    kernel.register("streamVersions", streamVersions);
     kernel.register("exchange", exchange);
     kernel.register("callers", server);
     kernel.register("registration", registration);
--- a/packages/ingress/src/index.ts
+++ b/packages/ingress/src/index.ts
@@ -10,6 +10,7 @@
 export { HostTable } from "./fleet/hosts.js";
 export { ServingHosts } from "./fleet/servinghosts.js";
 export { StoreSync } from "./fleet/storesync.js";
+export { StreamVersions } from "./fleet/streamversions.js";
 export { IngressLifecycle, lifecycleEvents as ingressLifecycleEvents } from "./lifecycle.js";
 export { requestEvents } from "./request/event.js";
 export * from "./settings.js";
--- a/packages/ingress/src/request/context.ts
+++ b/packages/ingress/src/request/context.ts
@@ -16,6 +16,7 @@
 } from "@filbertrelay/policy/ingress";
 import type { Dialect } from "../contract.js";
 import type { ConnectionPool } from "../endpoint/connectionpool.js";
+import type { StreamVersions } from "../fleet/streamversions.js";
 import type { ConfigurationState } from "../state/configuration.js";
 import type { EndpointTable } from "../state/endpoints.js";
 import type { IngressMetrics } from "../telemetry/metrics.js";
@@ -37,6 +38,7 @@
     readonly health: EndpointHealth;
     readonly limits: EndpointLimits;
     readonly notices: EndpointNotices;
+    readonly streamVersions: StreamVersions;
     readonly crashes: CrashMonitor;
     readonly quarantine: Quarantine;
     readonly quota: UsageQuota;
--- a/packages/ingress/src/request/continuation.ts
+++ b/packages/ingress/src/request/continuation.ts
@@ -1,8 +1,39 @@
+import { brandAs } from "@filbertrelay/kernel";
+import type { RequestId } from "@filbertrelay/kernel";
 import type { EndpointRecord } from "../contract.js";
+import type { AdmittedRequest } from "./admitted.js";
+import type { RequestContext } from "./context.js";
 
-/** Binds a stream to the software version of the endpoint that began it. What two versions write does not fit together. */
+/**
+ * Binds a stream to the software version of the endpoint that began it, within one response and over the requests with which its
+ * caller comes back. What two versions write does not fit together.
+ */
 export class StreamContinuation {
+    readonly #context: RequestContext;
+    readonly #request: AdmittedRequest;
+    readonly #end: () => void;
     #version: string | undefined;
+    #close: (() => void) | undefined;
+
+    /** `end` ends the response, because the caller has come back with another request for the same stream. */
+    constructor(context: RequestContext, request: AdmittedRequest, end: () => void) {
+        this.#context = context;
+        this.#request = request;
+        this.#end = end;
+    }
+
+    /** Whether the request continues a stream that an earlier one began. */
+    get isResumed(): boolean {
+        const { route, description } = this.#request;
+        return route.kind === "stream" && route.isResumable && description.lastEventId !== undefined;
+    }
+
+    /** Finds the version that began the stream of a resumed request; resolves with whether it is known. */
+    async find(): Promise<boolean> {
+        const { description: { resumedRequestId }, service, route: { timeLimitMs } } = this.#request;
+        this.#version = await this.#context.streamVersions.find({ requestId: resumedRequestId, service, timeLimitMs });
+        return this.#version !== undefined;
+    }
 
     /** Whether the stream may go on, or begin, at an endpoint. */
     accepts({ softwareVersion }: EndpointRecord): boolean {
@@ -10,7 +41,20 @@
     }
 
     /** Records that the caller gets an event that an endpoint has written. */
-    recordEvent({ softwareVersion }: EndpointRecord): void {
+    recordEvent({ service, softwareVersion }: EndpointRecord): void {
+        const { route: { kind, isResumable, timeLimitMs }, description } = this.#request;
+        const ownId = brandAs<RequestId>(this.#request.requestId);
         this.#version ??= softwareVersion;
+        if (kind === "stream" && isResumable && this.#close === undefined) {
+            this.#close = this.#context.streamVersions.recordBegin(
+                this.isResumed ? description.resumedRequestId ?? ownId : ownId,
+                { service, version: this.#version, timeLimitMs, end: this.#end },
+            );
+        }
+    }
+
+    /** Called when the response has ended. */
+    close(): void {
+        this.#close?.();
     }
 }
--- a/packages/ingress/src/request/event.ts
+++ b/packages/ingress/src/request/event.ts
@@ -50,6 +50,12 @@
         text: "What an endpoint said of itself in an answer can't be used and is ignored.",
         action: "Check the software of the endpoint; `headers` holds what it said.",
     },
+    streamVersionDecided: {
+        number: 4312,
+        level: "info",
+        text: "It was decided at which software version a stream goes on for its caller.",
+        action: "None; without `version` the request was rejected, since no host knows at which version the stream began.",
+    },
     endpointCrashed: {
         number: 4305,
         level: "warn",
--- a/packages/ingress/src/request/task.ts
+++ b/packages/ingress/src/request/task.ts
@@ -25,7 +25,7 @@
     readonly #responder: CallerResponder;
     readonly #tried = new Set<EndpointId>();
     readonly #forwarded: ForwardedEvents;
-    readonly #continuation = new StreamContinuation();
+    readonly #continuation: StreamContinuation;
     readonly #silence: SilenceTimer;
     readonly #traits: RequestTraits;
     #attempt: Attempt | undefined;
@@ -44,6 +44,11 @@
         this.#request = request;
         this.#responder = responder;
         this.#forwarded = new ForwardedEvents(request.description.lastEventId);
+        this.#continuation = new StreamContinuation(
+            context,
+            request,
+            () => this.#fail("the caller has come back", 502, undefined),
+        );
         this.#traits = describeTraits(request);
         this.#silence = new SilenceTimer({
             clock: context.clock,
@@ -59,7 +64,22 @@
         this.#responder.onDrain(() => this.#attempt?.resume());
         this.#cancelDeadline = clock.after(Math.max(0, this.#request.deadlineMs - clock.monotonicMs()), () => this.#expire());
         this.#context.retryBudget.recordRequest(this.#request.service, clock.monotonicMs());
-        this.#dispatch();
+        if (this.#continuation.isResumed) {
+            void this.#continuation.find().then(isFound => this.#resume(isFound));
+        }
+        else {
+            this.#dispatch();
+        }
+    }
+
+    /** Goes on with a stream that an earlier request began. */
+    #resume(isFound: boolean): void {
+        if (isFound) {
+            this.#dispatch();
+        }
+        else if (!this.#isEnded) {
+            this.#refuse("the version that began the stream is not known", defaultRetryAfterMs);
+        }
     }
 
     /** Chooses an endpoint and starts an attempt there. */
@@ -370,6 +390,7 @@
         this.#isEnded = true;
         this.#cancelDeadline();
         this.#silence.cancel();
+        this.#continuation.close();
         this.#attempt?.cancel();
         this.#attempt = undefined;
         recordEnding(this.#context, this.#request, {
--- a/packages/ingress/src/state/endpoints.ts
+++ b/packages/ingress/src/state/endpoints.ts
@@ -16,6 +16,7 @@
     readonly #decoder: StoreDecoder;
     readonly #records = new Map<string, EndpointRecord>();
     readonly #endedListeners: EndpointEndedListener[] = [];
+    readonly #changedListeners: (() => void)[] = [];
 
     constructor(
         options: { readonly mirror: StoreMirror; readonly decoder: StoreDecoder; readonly log: EventLog; },
@@ -43,6 +44,20 @@
         );
     }
 
+    /** The software versions of the endpoints of each service, including leaving ones. */
+    versions(): ReadonlyMap<string, ReadonlySet<string>> {
+        const versions = new Map<string, Set<string>>();
+        for (const { service, softwareVersion } of this.#records.values()) {
+            versions.set(service, (versions.get(service) ?? new Set()).add(softwareVersion));
+        }
+        return versions;
+    }
+
+    /** Registers a listener for changes of the registered endpoints. */
+    onChanged(listener: () => void): void {
+        this.#changedListeners.push(listener);
+    }
+
     /** Registers a listener for endpoints that have ended. */
     onEnded(listener: EndpointEndedListener): void {
         this.#endedListeners.push(listener);
@@ -78,6 +93,7 @@
             revision: change.revision,
             ...origin,
         });
+        this.#changedListeners.forEach(listener => listener());
         return "material";
     }
 
@@ -92,6 +108,7 @@
                 ...origin,
             });
             this.#endedListeners.forEach(listener => listener(record.endpointId));
+            this.#changedListeners.forEach(listener => listener());
         }
     }
 }
--- a/packages/policy/src/ingress/index.ts
+++ b/packages/policy/src/ingress/index.ts
@@ -31,6 +31,8 @@
 export * from "./slidingwindow.js";
 export * from "./startadmission.js";
 export * from "./storecopy.js";
+export * from "./streamorigins.js";
 export * from "./usageledger.js";
 export * from "./usagequota.js";
 export * from "./usagewindows.js";
+export * from "./versionhistory.js";
