Know the versions of streams after all hosts were killed

Cause: what hosts remember is gone with them, and the entries of the endpoints do not tell which versions served a moment ago. Change: the versions of each service are recorded in the store as they come and go, with the time since which the record is complete. Why it works: a record of an earlier era does not count as complete, so a restore makes hosts reject rather than guess.

--- a/features/ingress.version.feature
+++ b/features/ingress.version.feature
@@ -35,6 +35,43 @@
     When a caller takes up a stream that no host knows
     Then it is rejected as not run within 400 ms and no engine got it
 
+  # Guards against joining versions after all hosts were killed, and against rejecting every stream then.
+  Scenario Outline: A host that has just started knows the versions of the last seconds from the store
+    Given an ingress with engines of the versions "v1" and "v1" whose store says that <other> was seen <seconds> s ago
+    When a caller takes up a stream that no host knows
+    Then the response has status <status>
+
+    Examples:
+      | other | seconds | status |
+      | none  | 0       | 200    |
+      | v0    | 60      | 200    |
+      | v0    | 6       | 503    |
+
+  Scenario: Without a record of the versions a host that has just started takes up no stream that it does not know
+    Given an ingress with engines of the versions "v1" and "v1"
+    When a caller takes up a stream that no host knows
+    Then the response has status 503
+
+  # Guards against a record that a restore of the store has undone.
+  Scenario: The versions are recorded as they come and go, and again after a restore
+    Given an ingress with engines of the versions "v1" and "v1"
+    Then the store names the versions "v1" of "assistant" within 2000 ms
+    When an engine of version "v2" comes
+    Then the store names the versions "v1,v2" of "assistant" within 2000 ms
+    When the store is restored from a copy without the record
+    Then the store names the versions "v1,v2" of "assistant" within 3000 ms
+
+  # Guards against rejecting every stream that began before all hosts were killed while a service had two versions.
+  Scenario: The origins of streams are stored while a service has two versions
+    Given an ingress with engines of the versions "v1" and "v2"
+    When a caller sends 3 streams
+    Then the store names the versions of all of them within 1000 ms
+
+  Scenario: A host that has just started knows the origins of streams from the store
+    Given an ingress with engines of the versions "v1" and "v2" whose store says that a stream began at "v2"
+    When a caller takes up a stream that no host knows
+    Then an engine of version "v2" completes it
+
   # Guards against forgetting versions with the host that passed the stream on.
   Scenario: Other hosts remember the version of a stream while a service has two
     Given 5 hosts that see the versions "v1" and "v2" of a service
--- a/features/steps/ingress.version.ts
+++ b/features/steps/ingress.version.ts
@@ -1,14 +1,14 @@
-import { Given, Then, When } from "@cucumber/cucumber";
+import { After, Given, Then, When } from "@cucumber/cucumber";
 import { StreamVersions } from "@filbertrelay/ingress";
 import { brandAs, createSystemClock, silentEventLog } from "@filbertrelay/kernel";
 import type { FailureDomainId, HostId, RequestId } from "@filbertrelay/kernel";
-import { renderStreamHead, streamEnd } from "@filbertrelay/platform/standins";
-import type { EngineBehaviour } from "@filbertrelay/platform/standins";
+import { describeEngine, renderStreamHead, StandinEngine, streamEnd } from "@filbertrelay/platform/standins";
+import type { EngineBehaviour, StoreBackup } from "@filbertrelay/platform/standins";
 import { createFleetClock, VersionHistory } from "@filbertrelay/policy";
 import { createPeerNetwork } from "@filbertrelay/wire";
 import fc from "fast-check";
 import assert from "node:assert/strict";
-import { findPort, IngressFixture, waitFor } from "../support/ingress.js";
+import { findPort, IngressFixture, respondFully, waitFor } from "../support/ingress.js";
 import type { CallerResponse } from "../support/ingress.js";
 import { VersionSimulation, versionSteps } from "../support/versionsimulation.js";
 import type { IngressWorld } from "./ingress.endpoint.js";
@@ -16,6 +16,8 @@
 interface VersionWorld extends IngressWorld {
     versions: readonly string[];
     pairs: { readonly first: CallerResponse; readonly second: CallerResponse | undefined; }[];
+    added: StandinEngine | undefined;
+    backup: StoreBackup;
     remembering: RememberingHost[];
     begun: ReadonlyMap<RequestId, string>;
     counts: { known: number; continued: number; };
@@ -55,10 +57,14 @@
     };
 }
 
-async function startIngress(world: VersionWorld, versions: readonly string[]): Promise<void> {
+async function startIngress(
+    world: VersionWorld,
+    versions: readonly string[],
+    prepare?: (store: IngressFixture["store"]) => void,
+): Promise<void> {
     world.ingress = new IngressFixture();
     world.versions = versions;
-    await world.ingress.start({ hasConfiguration: true, versions });
+    await world.ingress.start({ hasConfiguration: true, versions, ...(prepare === undefined ? {} : { prepare }) });
     world.ingress.setBehaviours(...versions.map(completeFrom));
 }
 
@@ -70,6 +76,47 @@
     await startIngress(this, [first, second]);
 });
 
+Given(
+    /^an ingress with engines of the versions "(v1)" and "(v1)" whose store says that (\S+) was seen (\d+) s ago$/,
+    async function(this: VersionWorld, first: string, second: string, other: string, seconds: string) {
+        const nowMs = Date.now();
+        const versions = { [first]: null, ...(other === "none" ? {} : { [other]: nowMs - Number(seconds) * 1_000 }) };
+        const record = {
+            era: 0,
+            completeSinceMs: nowMs - 600_000,
+            services: { assistant: versions, records: { [first]: null } },
+        };
+        await startIngress(this, [first, second], store => store.put("filbertrelay/versions", record));
+    },
+);
+
+Given(
+    "an ingress with engines of the versions {string} and {string} whose store says that a stream began at {string}",
+    async function(this: VersionWorld, first: string, second: string, version: string) {
+        const origin = { requestId: unknownStream, service: "assistant", version, untilMs: Date.now() + 10_000 };
+        await startIngress(this, [first, second], store => store.put("filbertrelay/streams/host-9/run/1", [origin]));
+    },
+);
+
+Then("the store names the versions of all of them within {int} ms", async function(this: VersionWorld, limitMs: number) {
+    const startMs = performance.now();
+    const stored = (): readonly string[] =>
+        this.ingress.store.keys("filbertrelay/streams/").flatMap(key =>
+            (JSON.parse(this.ingress.store.read(key) ?? "[]") as { readonly requestId: string; readonly version: string; }[]).map(
+                ({ requestId, version }) => `${requestId} ${version}`,
+            )
+        );
+    const expected = this.answers.map(({ requestId, body }) => `${requestId} ${body.match(/v\d/)?.[0]}`);
+    await waitFor(() => Promise.resolve(expected.every(origin => stored().includes(origin))));
+    assert.ok(performance.now() - startMs <= limitMs);
+});
+
+Then("an engine of version {string} completes it", function(this: VersionWorld, version: string) {
+    const [answer] = this.answers;
+    assert.ok(answer!.isComplete);
+    assert.deepEqual([...new Set(answer!.body.match(/data: v\d/g))], [`data: ${version}`]);
+});
+
 Given(/^engines of version "(\S+)" that break off (after the second event|before any event)$/, function(
     this: VersionWorld,
     version: string,
@@ -185,6 +232,47 @@
     assert.equal(this.ingress.received().length, 0);
 });
 
+Then("the response has status {int}", function(this: VersionWorld, status: number) {
+    assert.equal(this.answers[0]!.status, status);
+});
+
+Then("the store names the versions {string} of {string} within {int} ms", async function(
+    this: VersionWorld,
+    versions: string,
+    service: string,
+    limitMs: number,
+) {
+    const startMs = performance.now();
+    await waitFor(() => {
+        const record = JSON.parse(this.ingress.store.read("filbertrelay/versions") ?? "{}") as {
+            readonly era?: number;
+            readonly services?: Record<string, Record<string, unknown>>;
+        };
+        const known = Object.keys(record.services?.[service] ?? {}).sort().join();
+        return Promise.resolve(known === versions && record.era === this.ingress.store.era);
+    });
+    assert.ok(performance.now() - startMs <= limitMs);
+});
+
+When("an engine of version {string} comes", async function(this: VersionWorld, version: string) {
+    this.backup = this.ingress.store.backUp();
+    this.added = new StandinEngine(respondFully);
+    await this.added.start();
+    this.ingress.store.put("servers/added", describeEngine(this.added, { service: "assistant", version, isModel: true }));
+});
+
+When("the store is restored from a copy without the record", async function(this: VersionWorld) {
+    const entries = this.backup.entries.filter(({ key }) => key !== "filbertrelay/versions");
+    const added = this.ingress.store.read("servers/added");
+    this.ingress.store.restore({ ...this.backup, entries });
+    await pause(100);
+    this.ingress.store.put("servers/added", added);
+});
+
+After(function(this: Partial<VersionWorld>) {
+    this.added?.stop();
+});
+
 /** The part of a host that knows the versions of streams. */
 class RememberingHost {
     readonly history = new VersionHistory(Date.now() - 600_000);
@@ -213,6 +301,7 @@
             history: this.history,
             listHosts,
             isReachable: () => true,
+            archive: () => undefined,
             copyAgeMs: () => 0,
         });
     }
--- a/features/support/versionsimulation.ts
+++ b/features/support/versionsimulation.ts
@@ -1,6 +1,7 @@
 import { brandAs } from "@filbertrelay/kernel";
 import type { RequestId } from "@filbertrelay/kernel";
 import { decideStreamVersion, StreamOrigins, VersionHistory } from "@filbertrelay/policy";
+import type { VersionRecord } from "@filbertrelay/policy";
 import assert from "node:assert/strict";
 import { createSchedules, simulatedHosts, stepMs } from "./schedules.js";
 import type { Step } from "./schedules.js";
@@ -12,12 +13,12 @@
 /** Time within which hosts that live hear of a change. */
 const hearMs = 400;
 
-type VersionKind = "begin" | "takeUp" | "wait" | "hear" | "release" | "retire" | "kill" | "killAll";
+type VersionKind = "begin" | "takeUp" | "wait" | "hear" | "release" | "retire" | "kill" | "killAll" | "restore";
 
 /** Schedules of versions that come and go, of streams and their take-ups, and of hosts that are killed and start again. */
 export const versionSteps = createSchedules<VersionKind>(
     ["begin", "begin", "takeUp", "takeUp", "wait"],
-    ["hear", "release", "retire", "kill", "killAll"],
+    ["hear", "release", "retire", "kill", "killAll", "restore"],
 );
 
 interface VersionHost {
@@ -41,6 +42,9 @@
     #versions = ["v1"];
     #released = 1;
     #changedMs = -Infinity;
+    #era = 1;
+    #record: VersionRecord | undefined;
+    #records: (VersionRecord | undefined)[] = [undefined];
     readonly #hosts = Array.from({ length: simulatedHosts }, () => this.#createHost());
     readonly #streams: BegunStream[] = [];
 
@@ -80,10 +84,18 @@
                 this.#versions = this.#versions.filter((_, each, all) => all.length === 1 || each !== pick % all.length);
                 this.#changedMs = this.#nowMs;
                 return;
+            case "restore":
+                this.#era += 1;
+                this.#records = this.#records.slice(0, Math.max(1, this.#records.length - pick));
+                this.#record = this.#records.at(-1);
+                return;
             case "kill":
                 this.#hosts[index] = this.#createHost();
                 return this.#hear(this.#hosts[index]!);
             case "killAll":
+                if (pick % 2 === 1) {
+                    this.#step("restore", index, pick);
+                }
                 this.#hosts.forEach((_, each) => {
                     this.#hosts[each] = this.#createHost();
                 });
@@ -95,7 +107,14 @@
     #hear(host: VersionHost): void {
         const known = host.versions;
         host.versions = new Set(this.#versions);
+        if (this.#record !== undefined) {
+            host.history.merge(this.#record, this.#era, this.#nowMs);
+        }
         host.history.observe(new Map([[service, host.versions]]), this.#nowMs);
+        if (host.history.isOutdated(this.#record, this.#era)) {
+            this.#record = host.history.describe(this.#era);
+            this.#records.push(this.#record);
+        }
         if (known.size <= 1 && host.versions.size > 1) {
             host.origins.ofService(service, this.#nowMs).forEach(origin => this.#keep(this.#hosts.indexOf(host), origin));
         }
--- a/packages/ingress/src/daemon.ts
+++ b/packages/ingress/src/daemon.ts
@@ -35,6 +35,7 @@
 import { HostTable } from "./fleet/hosts.js";
 import type { HostRecord } from "./fleet/hosts.js";
 import { createIncarnation } from "./fleet/incarnation.js";
+import { OriginArchive } from "./fleet/originarchive.js";
 import { Registration } from "./fleet/registration.js";
 import { StoreSync } from "./fleet/storesync.js";
 import { StreamVersions } from "./fleet/streamversions.js";
@@ -48,6 +49,7 @@
 import { EndpointTable } from "./state/endpoints.js";
 import { StoreMirror } from "./state/mirror.js";
 import { createOwnedPrefixes } from "./state/ownedprefixes.js";
+import { VersionRecorder } from "./state/versionrecorder.js";
 import { IngressMetrics } from "./telemetry/metrics.js";
 
 /** The state of a host that the directory, readiness and metrics interfaces expose. */
@@ -208,12 +210,31 @@
         history,
         listHosts: listVersionHosts,
         isReachable: other => exchange.isReachable(other),
+        archive: origins => originArchive.add(origins),
         copyAgeMs: () => mirror.ageMs(),
     });
-    endpoints.onChanged(() => {
-        history.observe(endpoints.versions(), fleetClock.now().getTime());
-        streamVersions.recordVersions(endpoints.versions());
+    const originArchive = new OriginArchive({
+        store,
+        clock,
+        fleetClock,
+        log,
+        hostId,
+        incarnation,
+        mirror,
+        onStored: origin => streamVersions.remember(origin),
+    });
+    const versionRecorder = new VersionRecorder({
+        store,
+        clock,
+        fleetClock,
+        log,
+        hostId,
+        mirror,
+        endpoints,
+        history,
+        listHosts: listVersionHosts,
     });
+    endpoints.onChanged(() => streamVersions.recordVersions(endpoints.versions()));
     const context: RequestContext = {
         clock,
         fleetClock,
@@ -300,6 +321,8 @@
     kernel.register("peers", peers);
     kernel.register("storeNews", storeSync);
     kernel.register("streamVersions", streamVersions);
+    kernel.register("originArchive", originArchive);
+    kernel.register("versionRecorder", versionRecorder);
     kernel.register("exchange", exchange);
     kernel.register("callers", server);
     kernel.register("registration", registration);
--- a/packages/ingress/src/fleet/event.ts
+++ b/packages/ingress/src/fleet/event.ts
@@ -80,4 +80,10 @@
         text: "The usage of a window is not reported, since other counts may have been reported before the store was restored.",
         action: "Read the usage of the window from the platform's own records if it is missing there.",
     },
+    originsNotStored: {
+        number: 6308,
+        level: "warn",
+        text: "The versions at which streams began could not be stored.",
+        action: "None at first; the write is repeated, and the other hosts remember them. Check the store if it lasts.",
+    },
 });
--- a/packages/ingress/src/fleet/streamversions.ts
+++ b/packages/ingress/src/fleet/streamversions.ts
@@ -17,6 +17,10 @@
     request: z.object({ streams: z.array(originSchema) }),
     reply: z.object({}),
 });
+const archiveTopic = declareTopic("ingress.streams.archive", {
+    request: z.object({ streams: z.array(originSchema) }),
+    reply: z.object({}),
+});
 const findTopic = declareTopic("ingress.streams.find", {
     request: z.object({ requestId: z.string(), service: z.string(), spanMs: z.number() }),
     reply: z.object({ version: z.string().optional(), onlyVersion: z.string().optional() }),
@@ -28,6 +32,8 @@
 const askedHosts = copies + 3;
 /** Origins are sent to the hosts that keep them after this time, several with one message. */
 const batchMs = 20;
+/** The same time for the host that stores them, which gets those of all hosts. */
+const archiveBatchMs = 100;
 /** Hosts are a few milliseconds apart; a caller does not wait longer for one that does not reply. */
 const askTimeoutMs = 250;
 /** A stream may begin at a version for this long after this host has seen the last endpoint of it. */
@@ -47,6 +53,8 @@
     readonly history: VersionHistory;
     readonly listHosts: () => readonly PlacedHost[];
     readonly isReachable: (hostId: HostId) => boolean;
+    /** Stores origins, so that they are known when all hosts have been killed. */
+    readonly archive: (origins: readonly RememberedOrigin[]) => void;
     /** Age of this host's copy of the store, in milliseconds. */
     readonly copyAgeMs: () => number;
 }
@@ -68,6 +76,8 @@
     readonly #open = new Map<RequestId, () => void>();
     readonly #unsent = new Map<HostId, RememberedOrigin[]>();
     #cancelBatch: (() => void) | undefined;
+    #unarchived: RememberedOrigin[] = [];
+    #cancelArchiving: (() => void) | undefined;
     #mixedServices: ReadonlySet<string> = new Set();
 
     constructor(options: StreamVersionsOptions) {
@@ -80,6 +90,10 @@
             streams.forEach(origin => this.remember(origin));
             return Promise.resolve({});
         });
+        peers.handle(archiveTopic, ({ streams }) => {
+            this.#options.archive(streams);
+            return Promise.resolve({});
+        });
         peers.handle(findTopic, ({ requestId, service, spanMs }) => {
             const version = this.#origins.find(brandAs<RequestId>(requestId), this.#nowMs())?.version;
             const onlyVersion = this.#onlyVersion(service, spanMs);
@@ -93,6 +107,7 @@
 
     stop(): Promise<void> {
         this.#cancelBatch?.();
+        this.#cancelArchiving?.();
         return Promise.resolve();
     }
 
@@ -200,6 +215,25 @@
         if (this.#unsent.size > 0) {
             this.#cancelBatch ??= this.#options.clock.after(batchMs, () => this.#sendBatch());
         }
+        this.#unarchived.push(...origins);
+        if (this.#unarchived.length > 0) {
+            this.#cancelArchiving ??= this.#options.clock.after(archiveBatchMs, () => this.#sendToArchive());
+        }
+    }
+
+    /** One host stores the origins of all, so that the number of writes does not grow with the fleet. */
+    #sendToArchive(): void {
+        const { hostId, listHosts, isReachable, peers, archive } = this.#options;
+        this.#cancelArchiving = undefined;
+        const streams = this.#unarchived;
+        this.#unarchived = [];
+        const archivist = rankAcrossDomains("streams", listHosts()).find(host => host === hostId || isReachable(host));
+        if (archivist === undefined || archivist === hostId) {
+            archive(streams);
+        }
+        else {
+            void peers.call(archivist, archiveTopic, { streams }, { timeoutMs: askTimeoutMs * 2, isRepeatable: true });
+        }
     }
 
     #sendBatch(): void {
--- a/packages/ingress/src/state/event.ts
+++ b/packages/ingress/src/state/event.ts
@@ -62,4 +62,10 @@
         text: "An entry of the restored store is older than what this host knows and does not take effect yet.",
         action: "None; it takes effect if its owner does not write again in time.",
     },
+    versionsRecorded: {
+        number: 5311,
+        level: "info",
+        text: "The software versions of the endpoints were recorded in the store.",
+        action: "None.",
+    },
 });
