Start nothing in a planned stop that may not end before it

Callers saw (reported of systems like this one): requests that came late in a planned stop were taken, passed on and cut without an answer, among them some that may not be repeated (LOST). Cause: the stop compared the mean duration of a service, 0 where nothing was measured, with the time left, and only for new requests; the exit closed what was in progress. Change: endsBeforeStop decides for each attempt, by the time limit for what may not be repeated and by long durations and the wait for an endpoint for the rest. At the exit requests in progress get their final response. Admission moved to a file of its own. Why it works: a response never ends later than its time limit, so what fits by its limit can't be cut.

--- /dev/null
+++ b/features/steps/ingress.stop.ts
@@ -0,0 +1,107 @@
+import { Given, Then, When } from "@cucumber/cucumber";
+import { renderEvent, renderStreamHead, streamEnd } from "@filbertrelay/platform/standins";
+import { endsBeforeStop } from "@filbertrelay/policy";
+import fc from "fast-check";
+import assert from "node:assert/strict";
+import { waitFor } from "../support/ingress.js";
+import type { CallerResponse } from "../support/ingress.js";
+import type { IngressWorld } from "./ingress.endpoint.js";
+
+interface StopWorld extends IngressWorld {
+    stopped: Promise<void>;
+    answer: CallerResponse;
+}
+
+// A failed property prints this seed with the counterexample.
+const seed = 20_261_205;
+
+Given("engines that stream {int} events", function(this: StopWorld, count: number) {
+    this.ingress.setBehaviours((received, { send }) =>
+        send(
+            renderStreamHead(received) + Array.from({ length: count }, (_, index) => renderEvent(index + 1)).join("") + streamEnd,
+        )
+    );
+});
+
+Given("engines that do not answer", function(this: StopWorld) {
+    this.ingress.setBehaviours(() => undefined);
+});
+
+Given("a caller has had {int} {string} responses", async function(this: StopWorld, count: number, route: string) {
+    for (let sent = 0; sent < count; sent += 1) {
+        assert.equal((await this.ingress.send(route)).status, 200);
+    }
+});
+
+When(
+    "the host is asked to stop and a caller sends a {string} request {int} ms later",
+    async function(this: StopWorld, route: string, delayMs: number) {
+        this.ingress.engines.forEach(engine => engine.requests.splice(0));
+        this.stopped = this.ingress.lifecycle.drain("test");
+        await new Promise(resolve => setTimeout(resolve, delayMs));
+        this.answer = await this.ingress.send(route);
+        await this.stopped;
+    },
+);
+
+When("a caller sends a {string} request and the host is asked to stop", async function(this: StopWorld, route: string) {
+    const pending = this.ingress.send(route);
+    await waitFor(() => Promise.resolve(this.ingress.received().length === 1));
+    this.stopped = this.ingress.lifecycle.drain("test");
+    this.answer = await pending;
+});
+
+Then("it is answered with {int} as not run within {int} ms and no engine got it", function(
+    this: StopWorld,
+    status: number,
+    limitMs: number,
+) {
+    assert.equal(this.answer.status, status);
+    assert.match(this.answer.body, /"executed":"no"/);
+    assert.ok(this.answer.elapsedMs <= limitMs, `${this.answer.elapsedMs} ms`);
+    assert.equal(this.ingress.received().length, 0);
+});
+
+Then("it is answered with {int}", function(this: StopWorld, status: number) {
+    assert.equal(this.answer.status, status);
+    assert.ok(this.answer.isComplete);
+});
+
+Then("it is answered with {int} before the stop ends", async function(this: StopWorld, status: number) {
+    assert.equal(this.answer.status, status);
+    assert.ok(this.answer.isComplete);
+    assert.match(this.answer.body, /"executed":"unknown"/);
+    await this.stopped;
+});
+
+const stops = fc.record({
+    stopLeftMs: fc.integer({ min: -500, max: 10_000 }),
+    timeLimitLeftMs: fc.integer({ min: 1, max: 15_000 }),
+    expectedStartMs: fc.integer({ min: 0, max: 2_000 }),
+    longDurationMs: fc.option(fc.integer({ min: 1, max: 8_000 }), { nil: undefined }),
+});
+
+Then(
+    "in {int} random stops no request that may not be repeated is admitted with a time limit beyond the stop",
+    (numRuns: number) => {
+        fc.assert(
+            fc.property(stops, stop => {
+                const isAdmitted = endsBeforeStop({ ...stop, isRepeatable: false });
+                assert.equal(isAdmitted, stop.timeLimitLeftMs <= stop.stopLeftMs);
+            }),
+            { numRuns, seed },
+        );
+    },
+);
+
+Then("a repeatable one is admitted if it probably ends in time, including its wait for an endpoint", () => {
+    fc.assert(
+        fc.property(stops, stop => {
+            const isAdmitted = endsBeforeStop({ ...stop, isRepeatable: true });
+            const likelyMs = Math.min(stop.timeLimitLeftMs, stop.expectedStartMs + (stop.longDurationMs ?? Infinity));
+            assert.ok(!isAdmitted || likelyMs <= stop.stopLeftMs);
+            assert.ok(isAdmitted || stop.longDurationMs === undefined || likelyMs * 1.5 > stop.stopLeftMs);
+        }),
+        { seed },
+    );
+});
--- a/packages/ingress/src/daemon.ts
+++ b/packages/ingress/src/daemon.ts
@@ -273,15 +273,12 @@
         callerWork,
         metrics,
         reach: () => exchange.reach(),
-        isRefusing: durationMs => lifecycle.isRefusing(durationMs),
+        isRefusing: () => lifecycle.isRefusing,
+        stopLeftMs: () => lifecycle.stopLeftMs(),
         draw,
     };
-    const server = new IngressServer({
-        clock,
-        address: settings.host.callerAddress,
-        configuration,
-        pipeline: new RequestPipeline(context),
-    });
+    const pipeline = new RequestPipeline(context);
+    const server = new IngressServer({ clock, address: settings.host.callerAddress, configuration, pipeline });
     const lead = new DutyLease({
         store,
         mirror,
@@ -303,6 +300,7 @@
         server,
         stopLimitMs: promises.stopLimitSeconds * 1_000,
         directoryKeepMs: promises.directoryKeepSeconds * 1_000,
+        endRequests: () => pipeline.endAll(),
     });
     const view: HostView = {
         directory: new HostDirectory({
--- a/packages/ingress/src/lifecycle.ts
+++ b/packages/ingress/src/lifecycle.ts
@@ -28,10 +28,10 @@
 const directoryKeepFactor = 1.5;
 /** Fraction of the stop time limit after which all new requests are rejected; earlier requests are expected to be served. */
 const acceptTimeRatio = 0.35;
-/** A request is accepted only if this multiple of its service's mean duration fits into the remaining time. */
-const durationFactor = 1.5;
-/** Fraction of the stop time limit after which the process exits even if requests are in progress. */
+/** Fraction of the stop time limit after which requests in progress are ended and the process exits. */
 const exitTimeRatio = 0.93;
+/** Time in which a response that ends at its time limit reaches the caller. */
+const lastResponseMs = 100;
 /** How often a stopping host checks whether requests are in progress. */
 const pollMs = 50;
 
@@ -44,6 +44,7 @@
     readonly #server: IngressServer;
     readonly #stopLimitMs: number;
     readonly #directoryKeepMs: number;
+    readonly #endRequests: () => void;
     #stopRequestedMs: number | undefined;
     #drained: Promise<void> | undefined;
 
@@ -55,6 +56,8 @@
             readonly server: IngressServer;
             readonly stopLimitMs: number;
             readonly directoryKeepMs: number;
+            /** Gives all requests in progress their final response. */
+            readonly endRequests: () => void;
         },
     ) {
         this.#clock = kernel.clock;
@@ -64,20 +67,27 @@
         this.#server = options.server;
         this.#stopLimitMs = options.stopLimitMs;
         this.#directoryKeepMs = options.directoryKeepMs;
+        this.#endRequests = options.endRequests;
     }
 
     get isStopping(): boolean {
         return this.#stopRequestedMs !== undefined;
     }
 
-    /** Whether a new request of this mean duration is rejected, because it might not finish before the process exits. */
-    isRefusing(durationMs: number): boolean {
-        if (this.#stopRequestedMs === undefined) {
-            return false;
-        }
-        const elapsedMs = this.#clock.monotonicMs() - this.#stopRequestedMs;
-        return elapsedMs > this.#stopLimitMs * acceptTimeRatio ||
-            elapsedMs + durationMs * durationFactor > this.#stopLimitMs * exitTimeRatio;
+    /** Whether new requests are rejected. */
+    get isRefusing(): boolean {
+        return this.#elapsedMs() > this.#stopLimitMs * acceptTimeRatio;
+    }
+
+    /** Time until all responses must have ended, in milliseconds; infinite unless the host stops. */
+    stopLeftMs(): number {
+        return this.#stopRequestedMs === undefined ?
+            Infinity :
+            this.#stopLimitMs * exitTimeRatio - lastResponseMs - this.#elapsedMs();
+    }
+
+    #elapsedMs(): number {
+        return this.#stopRequestedMs === undefined ? 0 : this.#clock.monotonicMs() - this.#stopRequestedMs;
     }
 
     /** Removes the host from the directory, then waits for callers to move and requests to finish; repeated calls share one promise. */
@@ -102,6 +112,11 @@
             }
             await this.#clock.sleep(pollMs);
         }
-        this.#log.write(lifecycleEvents.hostStopped, { inProgress: this.#server.inProgress });
+        const inProgress = this.#server.inProgress;
+        if (inProgress > 0) {
+            this.#endRequests();
+            await this.#clock.sleep(pollMs);
+        }
+        this.#log.write(lifecycleEvents.hostStopped, { inProgress });
     }
 }
--- a/packages/ingress/src/request/attempt.ts
+++ b/packages/ingress/src/request/attempt.ts
@@ -98,7 +98,7 @@
     }
 
     /** Whether the body of the response ends with the channel, so that nothing in it shows whether it is whole. */
-    get isDelimitedByClose(): boolean {
+    get #isDelimitedByClose(): boolean {
         return !(this.#head?.headers ?? []).some(([name]) => framingHeaders.has(name.toLowerCase()));
     }
 
@@ -129,6 +129,19 @@
         }
     }
 
+    /** A stream that breaks off with its channel can look like one that ends; `isWithinEvent` says whether its last event is cut. */
+    checkComplete(result: AttemptResult, isWithinEvent: boolean): AttemptResult {
+        if (result.type === "answered" && result.isStream) {
+            if (isWithinEvent) {
+                return { type: "failed", detail: "the stream ended within an event", isConnectionLost: true };
+            }
+            if (!this.#hasFirstEvent && this.#isDelimitedByClose) {
+                return { type: "failed", detail: "the stream ended with its channel before any event", isConnectionLost: true };
+            }
+        }
+        return result;
+    }
+
     /** Ends the attempt with a failure of the endpoint and closes the connection. */
     fail(failure: AttemptFailure | "malformed", detail: string): void {
         this.#flushBatch();
--- a/packages/ingress/src/request/context.ts
+++ b/packages/ingress/src/request/context.ts
@@ -51,8 +51,10 @@
     readonly metrics: IngressMetrics;
     /** How many hosts this host knows, and how many of them it exchanges usage with. */
     readonly reach: () => FleetReach;
-    /** Whether the host is stopping and rejects a request of this mean duration. */
-    readonly isRefusing: (durationMs: number) => boolean;
+    /** Whether the host is stopping and rejects new requests. */
+    readonly isRefusing: () => boolean;
+    /** Time until all responses must have ended, in milliseconds; infinite unless the host stops. */
+    readonly stopLeftMs: () => number;
     /** Tells the other hosts what has just become known, instead of at the next interval. */
     readonly announce: () => void;
     /** Uniform in [0, 1). */
--- a/packages/ingress/src/request/ending.ts
+++ b/packages/ingress/src/request/ending.ts
@@ -1,6 +1,9 @@
 import type { AdmittedRequest } from "./admitted.js";
 import type { RequestContext } from "./context.js";
+import { priorityOf } from "./endpointselection.js";
+import { sendErrorResponse } from "./errorresponse.js";
 import { requestEvents as events } from "./event.js";
+import type { CallerResponder } from "./responder.js";
 
 /** How a request ended for its caller. */
 export type RequestOutcome = "answered" | "refused" | "failed" | "cut" | "gone";
@@ -39,3 +42,27 @@
         elapsedMs: Math.round(elapsedMs),
     });
 }
+
+/** Tells the caller that its request was not run and when to come back. */
+export function sendRefusal(
+    context: RequestContext,
+    request: AdmittedRequest,
+    responder: CallerResponder,
+    { reason, retryAfterMs }: { readonly reason: string; readonly retryAfterMs: number; },
+): void {
+    sendErrorResponse(responder, {
+        status: 503,
+        code: "request.refused",
+        message: `The request was not run: ${reason}.`,
+        executed: "no",
+        retryAfterMs,
+    });
+    context.log.write(events.requestRefused, {
+        requestId: request.requestId,
+        service: request.service,
+        reason,
+        retryAfterMs: Math.round(retryAfterMs),
+        priority: priorityOf(request),
+        route: request.route.name,
+    });
+}
--- a/packages/ingress/src/request/pipeline.ts
+++ b/packages/ingress/src/request/pipeline.ts
@@ -8,14 +8,12 @@
 import type { ErrorResponse } from "./errorresponse.js";
 import { requestEvents as events } from "./event.js";
 import type { CallerRequest, CallerResponder } from "./responder.js";
-import { RequestTask } from "./task.js";
+import { RequestTask, stoppingRetryMs } from "./task.js";
 
 /** Time within which a host obtains a configuration when the store or a peer responds. */
 const noConfigurationRetryMs = 300;
 /** Estimated processor time of a request: a stream of ten events takes 5 ms, including the slower start of the process. */
 const requestProcessorMs = 6;
-/** Short, since another host can accept the request at once. */
-const stoppingRetryMs = 20;
 
 type Identification =
     | { readonly ok: true; readonly customer: IngressCustomer | undefined; }
@@ -24,11 +22,17 @@
 /** Routes, authenticates and rate-limits each request, then starts its execution. */
 export class RequestPipeline {
     readonly #context: RequestContext;
+    readonly #tasks = new Set<RequestTask>();
 
     constructor(context: RequestContext) {
         this.#context = context;
     }
 
+    /** Ends all requests in progress with a response, or visibly incomplete, since the host stops. */
+    endAll(): void {
+        this.#tasks.forEach(task => task.endForStop());
+    }
+
     /** Accepts a fully received request; the responder gets exactly one final response. */
     accept(caller: CallerRequest, responder: CallerResponder): void {
         const { configuration, callerWork, clock } = this.#context;
@@ -78,7 +82,7 @@
         customer: IngressCustomer | undefined,
         description: RequestDescription & { readonly requestId: string; },
     ): void {
-        const { clock, quota, reach, draw, timings } = this.#context;
+        const { clock, quota, reach, draw } = this.#context;
         const service = chooseService(route, draw());
         if (service === undefined) {
             this.#refuse(
@@ -89,7 +93,7 @@
             );
             return;
         }
-        if (this.#context.isRefusing(timings.slotHoldMs(service) ?? 0)) {
+        if (this.#context.isRefusing()) {
             this.#refuse(
                 caller,
                 responder,
@@ -112,17 +116,24 @@
             }
         }
         const waitMs = Math.min(route.timeLimitMs, description.waitMs ?? Infinity);
-        new RequestTask(this.#context, {
-            caller,
-            description,
-            requestId: description.requestId,
-            route,
-            service,
-            customer,
-            chargedUnits,
-            configurationVersion: active.configuration.version,
-            deadlineMs: caller.arrivedMs + waitMs,
-        }, responder).start();
+        const task = new RequestTask(
+            this.#context,
+            {
+                caller,
+                description,
+                requestId: description.requestId,
+                route,
+                service,
+                customer,
+                chargedUnits,
+                configurationVersion: active.configuration.version,
+                deadlineMs: caller.arrivedMs + waitMs,
+            },
+            responder,
+            () => this.#tasks.delete(task),
+        );
+        this.#tasks.add(task);
+        task.start();
     }
 
     #refuse(caller: CallerRequest, responder: CallerResponder, answer: ErrorResponse, description?: RequestDescription): void {
--- a/packages/ingress/src/request/task.ts
+++ b/packages/ingress/src/request/task.ts
@@ -1,13 +1,13 @@
 import type { EndpointId } from "@filbertrelay/kernel";
-import { decideStart } from "@filbertrelay/policy/ingress";
 import type { EndpointChoice, RequestTraits } from "@filbertrelay/policy/ingress";
 import type { EndpointRecord } from "../contract.js";
+import { decideAdmission, isEndedBeforeStop } from "./admission.js";
 import type { AdmittedRequest } from "./admitted.js";
 import { Attempt } from "./attempt.js";
 import type { AttemptResult } from "./attempt.js";
 import type { RequestContext } from "./context.js";
 import { StreamContinuation } from "./continuation.js";
-import { recordEnding } from "./ending.js";
+import { recordEnding, sendRefusal } from "./ending.js";
 import type { RequestOutcome } from "./ending.js";
 import { defaultRetryAfterMs, estimateRetryAfterMs, listOpenEndpoints, priorityOf, selectEndpoint } from "./endpointselection.js";
 import { sendErrorResponse } from "./errorresponse.js";
@@ -18,11 +18,15 @@
 import type { AttemptProgress } from "./silencetimer.js";
 import { describeTraits } from "./traits.js";
 
+/** Short, since another host can accept the request at once. */
+export const stoppingRetryMs = 20;
+
 /** Executes one admitted request, with retries on other endpoints, until the caller has its final response. */
 export class RequestTask {
     readonly #context: RequestContext;
     readonly #request: AdmittedRequest;
     readonly #responder: CallerResponder;
+    readonly #onEnd: () => void;
     readonly #tried = new Set<EndpointId>();
     readonly #forwarded: ForwardedEvents;
     readonly #continuation: StreamContinuation;
@@ -39,10 +43,12 @@
     #cancelDeadline: () => void = () => undefined;
     #firstEventMs: number | undefined;
 
-    constructor(context: RequestContext, request: AdmittedRequest, responder: CallerResponder) {
+    /** `onEnd` is called once, when the caller has its final response. */
+    constructor(context: RequestContext, request: AdmittedRequest, responder: CallerResponder, onEnd: () => void) {
         this.#context = context;
         this.#request = request;
         this.#responder = responder;
+        this.#onEnd = onEnd;
         this.#forwarded = new ForwardedEvents(request.description.lastEventId);
         this.#continuation = new StreamContinuation(
             context,
@@ -97,6 +103,10 @@
             this.#fail("no endpoint", 503, estimateRetryAfterMs(this.#context, this.#request.service));
             return;
         }
+        if (!isEndedBeforeStop(this.#context, this.#request, selected.choice, this.#isRetryable())) {
+            this.#fail("this host stops", 503, stoppingRetryMs);
+            return;
+        }
         if (this.#attempts === 0 && !this.#admit(selected.choice)) {
             return;
         }
@@ -108,22 +118,18 @@
         return listOpenEndpoints(this.#context, this.#request.service).filter(endpoint => this.#continuation.accepts(endpoint));
     }
 
+    /** Ends the request, since the host stops now. */
+    endForStop(): void {
+        this.#fail("this host stops", 502, stoppingRetryMs);
+    }
+
     #admit(choice: EndpointChoice): boolean {
-        const { clock, timings } = this.#context;
-        const { caller, route, service, deadlineMs } = this.#request;
-        const nowMs = clock.monotonicMs();
-        const decision = decideStart({
-            expectedStartMs: choice.expectedStartMs,
-            workMs: route.kind === "stream" ? 0 : timings.slotHoldMs(service) ?? 0,
-            elapsedMs: nowMs - caller.arrivedMs,
-            objectiveMs: route.objectiveMs,
-            remainingMs: deadlineMs - nowMs,
-        });
-        if (decision.started) {
-            return true;
+        const decision = decideAdmission(this.#context, this.#request, choice);
+        if (!decision.started) {
+            const reason = `expected start ${Math.round(choice.expectedStartMs)} ms (${decision.reason})`;
+            this.#refuse(reason, decision.retryAfterMs);
         }
-        this.#refuse(`expected start ${Math.round(choice.expectedStartMs)} ms (${decision.reason})`, decision.retryAfterMs);
-        return false;
+        return decision.started;
     }
 
     #send(endpoint: EndpointRecord, choice: EndpointChoice, isStream: boolean): void {
@@ -208,7 +214,7 @@
         if (this.#isEnded || attempt !== this.#attempt) {
             return;
         }
-        const result = this.#checkComplete(attempt, ending);
+        const result = attempt.checkComplete(ending, this.#forwarded.isWithinEvent);
         this.#silence.cancel();
         this.#attempt = undefined;
         if (result.type !== "notRun") {
@@ -250,19 +256,6 @@
         this.#fail(result.type === "answered" ? "error" : result.detail, 502, undefined);
     }
 
-    /** A stream that breaks off with its channel can look like one that ends. */
-    #checkComplete(attempt: Attempt, result: AttemptResult): AttemptResult {
-        if (result.type === "answered" && result.isStream) {
-            if (this.#forwarded.isWithinEvent) {
-                return { type: "failed", detail: "the stream ended within an event", isConnectionLost: true };
-            }
-            if (!attempt.hasProgress && attempt.isDelimitedByClose) {
-                return { type: "failed", detail: "the stream ended with its channel before any event", isConnectionLost: true };
-            }
-        }
-        return result;
-    }
-
     /** Records whether the endpoint has survived the request; the promise resolves when that is known. */
     #recordOutcome(attempt: Attempt, result: AttemptResult): Promise<void> | undefined {
         if (result.type === "answered") {
@@ -357,22 +350,7 @@
     }
 
     #refuse(reason: string, retryAfterMs: number): void {
-        const { requestId, service, route } = this.#request;
-        sendErrorResponse(this.#responder, {
-            status: 503,
-            code: "request.refused",
-            message: `The request was not run: ${reason}.`,
-            executed: "no",
-            retryAfterMs,
-        });
-        this.#context.log.write(events.requestRefused, {
-            requestId,
-            service,
-            reason,
-            retryAfterMs: Math.round(retryAfterMs),
-            priority: priorityOf(this.#request),
-            route: route.name,
-        });
+        sendRefusal(this.#context, this.#request, this.#responder, { reason, retryAfterMs });
         this.#finish("refused", reason);
     }
 
@@ -391,6 +369,7 @@
         this.#cancelDeadline();
         this.#silence.cancel();
         this.#continuation.close();
+        this.#onEnd();
         this.#attempt?.cancel();
         this.#attempt = undefined;
         recordEnding(this.#context, this.#request, {
--- a/packages/policy/src/ingress/index.ts
+++ b/packages/policy/src/ingress/index.ts
@@ -30,6 +30,7 @@
 export * from "./silence.js";
 export * from "./slidingwindow.js";
 export * from "./startadmission.js";
+export * from "./stopadmission.js";
 export * from "./storecopy.js";
 export * from "./streamorigins.js";
 export * from "./usageledger.js";
--- a/packages/policy/src/ingress/servicetimings.ts
+++ b/packages/policy/src/ingress/servicetimings.ts
@@ -8,6 +8,8 @@
     tokenMs(service: string): number;
     /** Mean time that a request occupies a slot; `undefined` until one has ended. */
     slotHoldMs(service: string): number | undefined;
+    /** Time in a slot that few requests exceed: a slowly decaying maximum; `undefined` until one has ended. */
+    longSlotHoldMs(service: string): number | undefined;
 }
 
 /** Assumed until starts are measured: 50 tokens per millisecond. */
@@ -18,6 +20,7 @@
 /** Weights of one observation in the moving averages. */
 const tokenSmoothing = 0.03;
 const holdSmoothing = 0.05;
+const longHoldSmoothing = 0.01;
 /** Start latency without the prompt computation; see `baseStartMs`. */
 const startOverheadMs = 25;
 /** Shorter prompts are ignored, since they give an imprecise time per token. */
@@ -27,6 +30,7 @@
 export function createServiceTimings(): ServiceTimings {
     const tokens = new Map<string, number>();
     const holds = new Map<string, number>();
+    const longHolds = new Map<string, number>();
     return {
         recordStart: (service, startMs, computedTokens) => {
             if (computedTokens < minimumPromptTokens) {
@@ -40,8 +44,11 @@
         recordSlotHold: (service, durationMs) => {
             const known = holds.get(service);
             holds.set(service, known === undefined ? durationMs : known + holdSmoothing * (durationMs - known));
+            const long = longHolds.get(service) ?? 0;
+            longHolds.set(service, Math.max(durationMs, long + longHoldSmoothing * (durationMs - long)));
         },
         tokenMs: service => tokens.get(service) ?? defaultTokenMs,
         slotHoldMs: service => holds.get(service),
+        longSlotHoldMs: service => longHolds.get(service),
     };
 }
