Count the history of versions as complete from when open streams can have begun

The margin concerns versions that have gone, not when this host began to observe. Origins whose callers can no longer come back are not stored after an outage.

--- a/features/support/versionsimulation.ts
+++ b/features/support/versionsimulation.ts
@@ -139,7 +139,7 @@
     }
 
     #onlyVersion(host: VersionHost): string | undefined {
-        return host.history.onlyVersion(service, lifeMs + lateStartMs, this.#nowMs);
+        return host.history.onlyVersion(service, { lifeMs, lateStartMs }, this.#nowMs);
     }
 
     #takeUp(index: number, pick: number): void {
--- a/packages/ingress/src/fleet/originarchive.ts
+++ b/packages/ingress/src/fleet/originarchive.ts
@@ -86,7 +86,9 @@
     }
 
     async #write(): Promise<void> {
-        const { store, log, hostId, incarnation } = this.#options;
+        const { store, log, fleetClock, hostId, incarnation } = this.#options;
+        const nowMs = fleetClock.now().getTime();
+        this.#unwritten = this.#unwritten.filter(({ untilMs }) => untilMs > nowMs);
         const origins = this.#unwritten.slice(0, maxOrigins);
         const lease = await this.#provideLease();
         if (lease !== undefined) {
--- a/packages/ingress/src/fleet/streamversions.ts
+++ b/packages/ingress/src/fleet/streamversions.ts
@@ -22,7 +22,7 @@
     reply: z.object({}),
 });
 const findTopic = declareTopic("ingress.streams.find", {
-    request: z.object({ requestId: z.string(), service: z.string(), spanMs: z.number() }),
+    request: z.object({ requestId: z.string(), service: z.string(), timeLimitMs: z.number() }),
     reply: z.object({ version: z.string().optional(), onlyVersion: z.string().optional() }),
 });
 
@@ -94,9 +94,9 @@
             this.#options.archive(streams);
             return Promise.resolve({});
         });
-        peers.handle(findTopic, ({ requestId, service, spanMs }) => {
+        peers.handle(findTopic, ({ requestId, service, timeLimitMs }) => {
             const version = this.#origins.find(brandAs<RequestId>(requestId), this.#nowMs())?.version;
-            const onlyVersion = this.#onlyVersion(service, spanMs);
+            const onlyVersion = this.#onlyVersion(service, timeLimitMs);
             return Promise.resolve({
                 ...(version === undefined ? {} : { version }),
                 ...(onlyVersion === undefined ? {} : { onlyVersion }),
@@ -177,17 +177,17 @@
         const { history, fleetClock, copyAgeMs } = this.#options;
         return copyAgeMs() > maxCopyAgeMs ?
             undefined :
-            history.onlyVersion(service, timeLimitMs + returnMs + lateStartMs, fleetClock.now().getTime());
+            history.onlyVersion(service, { lifeMs: timeLimitMs + returnMs, lateStartMs }, fleetClock.now().getTime());
     }
 
     /** Resolves with all replies, or as soon as one names the version. */
-    #ask(requestId: RequestId, service: string, spanMs: number): Promise<readonly OriginReply[]> {
+    #ask(requestId: RequestId, service: string, timeLimitMs: number): Promise<readonly OriginReply[]> {
         const { peers, isReachable } = this.#options;
         const asked = this.#rankHolders(requestId).filter(isReachable).slice(0, askedHosts);
         const replies: OriginReply[] = [];
         return new Promise(resolve => {
             const calls = asked.map(async host => {
-                const body = { requestId, service, spanMs };
+                const body = { requestId, service, timeLimitMs };
                 const reply = await peers.call(host, findTopic, body, { timeoutMs: askTimeoutMs, isRepeatable: true });
                 if (reply.ok) {
                     replies.push(reply.value);
--- a/packages/policy/src/ingress/versionhistory.ts
+++ b/packages/policy/src/ingress/versionhistory.ts
@@ -56,10 +56,18 @@
         }
     }
 
-    /** The version that all endpoints of a service have had for a time; `undefined` if there were several, or if it is not known. */
-    onlyVersion(service: string, spanMs: number, nowMs: number): string | undefined {
-        const recent = [...this.#services.get(service) ?? []].filter(([, seenMs]) => seenMs >= nowMs - spanMs);
-        return this.#completeSinceMs <= nowMs - spanMs && recent.length === 1 ? recent[0]?.[0] : undefined;
+    /**
+     * The version at which every stream of a service has begun that is not older than `lifeMs`; `undefined` if there were several, or
+     * if it is not known. A stream may begin at a version for `lateStartMs` after this host has seen the last endpoint of it.
+     */
+    onlyVersion(
+        service: string,
+        { lifeMs, lateStartMs }: { readonly lifeMs: number; readonly lateStartMs: number; },
+        nowMs: number,
+    ): string | undefined {
+        const beganMs = nowMs - lifeMs;
+        const possible = [...this.#services.get(service) ?? []].filter(([, seenMs]) => seenMs + lateStartMs >= beganMs);
+        return this.#completeSinceMs <= beganMs && possible.length === 1 ? possible[0]?.[0] : undefined;
     }
 
     /** Returns what to store in an era. */
