--- a/features/ingress.fleet.feature
+++ b/features/ingress.fleet.feature
@@ -40,3 +40,12 @@
     When the fleet has run for 2 s
     And all hosts that watch the store crash
     Then a change of the store reaches all hosts within 3000 ms
+
+  # Guards against all hosts of a large fleet reading a restored store at once, and again and again.
+  Scenario: Most hosts learn of a restored store from their peers
+    Given a fleet of 24 hosts with a store stand-in
+    And requests that keep all hosts in the serving set
+    When the fleet has run for 3 s
+    And the store does not respond to the fleet for 1 s and comes back without its last 8 changes
+    Then a change of the store reaches all hosts within 2000 ms
+    And the hosts have made at most 3 calls each to the restored store after 2 s
--- a/features/steps/ingress.fleet.ts
+++ b/features/steps/ingress.fleet.ts
@@ -27,7 +27,10 @@
 const watchedEndpoint = brandAs<EndpointId>("engine-1");
 
 interface FleetWorld {
-    plans: { readonly hosts: readonly HostId[]; readonly plans: ReadonlyMap<HostId, policy.ExchangePlan>; }[];
+    plans: {
+        readonly hosts: readonly HostId[];
+        readonly plans: ReadonlyMap<HostId, policy.ExchangePlan>;
+    }[];
     ingressStore: StandinStore;
     ingressHosts: FleetHost[];
     /** Hosts that should count a recorded use; the first one recorded it. */
@@ -35,6 +38,8 @@
     crashedHosts: readonly HostId[];
     stopHeartbeats?: () => void;
     stopTimers?: (() => void)[];
+    restoredMs: number;
+    callsBefore: number;
 }
 
 function describeEntry(state: string, sequence: number): Record<string, unknown> {
@@ -227,6 +232,34 @@
     assert.ok(clock.monotonicMs() - startMs <= limitMs, `${clock.monotonicMs() - startMs} ms`);
 });
 
+When("the store does not respond to the fleet for {int} s and comes back without its last {int} changes", async function(
+    this: FleetWorld,
+    seconds: number,
+    lost: number,
+) {
+    const backup = this.ingressStore.backUp();
+    for (let change = 0; change < lost; change += 1) {
+        this.ingressStore.put("op/lost", { change });
+    }
+    await clock.sleep(300);
+    this.ingressStore.fault = "silent";
+    await clock.sleep(seconds * 1_000);
+    this.ingressStore.fault = "none";
+    this.ingressStore.restore(backup);
+    this.restoredMs = clock.monotonicMs();
+    this.callsBefore = this.ingressStore.calls.length;
+});
+
+Then("the hosts have made at most {int} calls each to the restored store after {int} s", async function(
+    this: FleetWorld,
+    most: number,
+    seconds: number,
+) {
+    await clock.sleep(this.restoredMs + seconds * 1_000 - clock.monotonicMs());
+    const calls = this.ingressStore.calls.length - this.callsBefore;
+    assert.ok(calls <= most * this.ingressHosts.length, `${calls} calls of ${this.ingressHosts.length} hosts`);
+});
+
 Then(
     "use of an endpoint that one host records is counted once by all hosts within {int} ms",
     async function(this: FleetWorld, limitMs: number) {
