Let only its customer take up a stream

Callers would see: a response that ends because another customer named its request id in 'Resumes'. Cause: the origins of streams were kept by request id alone, which customers choose themselves. Change: origins are scoped to the customer. What a host knows of versions may be 4 s old, since two watches without changes take up to 3.2 s. Evidence: 'A stream can only be taken up by its customer' failed before (the take-up was answered and the first response ended).

--- a/features/ingress.version.feature
+++ b/features/ingress.version.feature
@@ -29,6 +29,13 @@
     When a caller sends a stream and takes it up while it pauses
     Then the first response is cut and the second one is complete
 
+  # Guards against a customer that ends or learns of another customer's stream by its request id.
+  Scenario: A stream can only be taken up by its customer
+    Given an ingress with engines of the versions "v1" and "v1"
+    And engines that pause streams after the second event and complete those that are taken up
+    When another customer takes up the stream of a caller while it pauses
+    Then it is rejected as not run and the first response goes on
+
   # Guards against waiting, and against a run at a version that did not begin the stream.
   Scenario: A stream whose version no host knows is rejected at once
     Given an ingress with engines of the versions "v1" and "v2"
--- a/features/steps/ingress.version.ts
+++ b/features/steps/ingress.version.ts
@@ -8,7 +8,7 @@
 import { createPeerNetwork } from "@filbertrelay/wire";
 import fc from "fast-check";
 import assert from "node:assert/strict";
-import { findPort, IngressFixture, respondFully, waitFor } from "../support/ingress.js";
+import { findPort, IngressFixture, otherCustomerKey, respondFully, waitFor } from "../support/ingress.js";
 import type { CallerResponse } from "../support/ingress.js";
 import { VersionSimulation, versionSteps } from "../support/versionsimulation.js";
 import type { IngressWorld } from "./ingress.endpoint.js";
@@ -93,7 +93,7 @@
 Given(
     "an ingress with engines of the versions {string} and {string} whose store says that a stream began at {string}",
     async function(this: VersionWorld, first: string, second: string, version: string) {
-        const origin = { requestId: unknownStream, service: "assistant", version, untilMs: Date.now() + 10_000 };
+        const origin = { requestId: `crew/${unknownStream}`, service: "assistant", version, untilMs: Date.now() + 10_000 };
         await startIngress(this, [first, second], store => store.put("filbertrelay/streams/host-9/run/1", [origin]));
     },
 );
@@ -106,7 +106,7 @@
                 ({ requestId, version }) => `${requestId} ${version}`,
             )
         );
-    const expected = this.answers.map(({ requestId, body }) => `${requestId} ${body.match(/v\d/)?.[0]}`);
+    const expected = this.answers.map(({ requestId, body }) => `crew/${requestId} ${body.match(/v\d/)?.[0]}`);
     await waitFor(() => Promise.resolve(expected.every(origin => stored().includes(origin))));
     assert.ok(performance.now() - startMs <= limitMs);
 });
@@ -220,6 +220,22 @@
     assert.ok(second!.isComplete && second!.body.includes(`id: ${eventCount}`));
 });
 
+When("another customer takes up the stream of a caller while it pauses", async function(this: VersionWorld) {
+    const first = this.ingress.send("stream", { requestId: "stream-1" });
+    await waitFor(() => Promise.resolve(this.ingress.received().length === 1));
+    await pause(100);
+    const headers = { "Resumes": "stream-1", "Last-Event-Id": "2" };
+    const second = await this.ingress.send("stream", { key: otherCustomerKey, headers });
+    this.pairs = [{ first: await first, second }];
+});
+
+Then("it is rejected as not run and the first response goes on", function(this: VersionWorld) {
+    const [{ first, second }] = this.pairs as [VersionWorld["pairs"][number]];
+    assert.equal(second!.status, 503);
+    assert.match(second!.body, /"executed":"no"/);
+    assert.ok(first.elapsedMs > 1_000, String(first.elapsedMs));
+});
+
 When("a caller takes up a stream that no host knows", async function(this: VersionWorld) {
     this.answers = [await takeUp(this.ingress, unknownStream, 2)];
 });
--- a/features/support/ingress.ts
+++ b/features/support/ingress.ts
@@ -44,8 +44,9 @@
 
 /** The timeout of routes that set none of their own. */
 export const routeTimeoutMs = 1_200;
-/** The API key of the only customer. */
+/** The API key of the customer of most requests, and that of another one. */
 export const customerKey = "key-of-the-crew";
+export const otherCustomerKey = "key-of-others";
 
 /** The response as received by a caller. */
 export interface CallerResponse {
@@ -293,7 +294,7 @@
             public: false,
         })),
         backends: [{ name: "records", maxConnections: 100 }, { name: "assistant", maxConnections: 100 }],
-        tenants: [{ name: "crew", apiKeys: [customerKey] }],
+        tenants: [{ name: "crew", apiKeys: [customerKey] }, { name: "others", apiKeys: [otherCustomerKey] }],
         limits: { maxHeaderBytes: 16_384, maxBodyBytes: 100_000, headerTimeoutMs: 3_000, idleTimeoutMs: 5_000 },
     };
 }
--- a/packages/ingress/src/fleet/streamversions.ts
+++ b/packages/ingress/src/fleet/streamversions.ts
@@ -40,8 +40,8 @@
 const lateStartMs = 8_000;
 /** A caller may come back for this long after its stream must have ended. */
 const returnMs = 3_000;
-/** What a host knows of versions counts only if its copy of the store is not older than this. */
-const maxCopyAgeMs = 3_000;
+/** What a host knows of versions counts only if its copy of the store is not older than this; two watches without changes may take 3 s. */
+const maxCopyAgeMs = 4_000;
 
 /** Options of `StreamVersions`. */
 export interface StreamVersionsOptions {
--- a/packages/ingress/src/request/continuation.ts
+++ b/packages/ingress/src/request/continuation.ts
@@ -31,7 +31,8 @@
     /** Finds the version that began the stream of a resumed request; resolves with whether it is known. */
     async find(): Promise<boolean> {
         const { description: { resumedRequestId }, service, route: { timeLimitMs } } = this.#request;
-        this.#version = await this.#context.streamVersions.find({ requestId: resumedRequestId, service, timeLimitMs });
+        const requestId = resumedRequestId === undefined ? undefined : this.#scope(resumedRequestId);
+        this.#version = await this.#context.streamVersions.find({ requestId, service, timeLimitMs });
         return this.#version !== undefined;
     }
 
@@ -42,17 +43,20 @@
 
     /** Records that the caller gets an event that an endpoint has written. */
     recordEvent({ service, softwareVersion }: EndpointRecord): void {
-        const { route: { kind, isResumable, timeLimitMs }, description } = this.#request;
-        const ownId = brandAs<RequestId>(this.#request.requestId);
+        const { route: { kind, isResumable, timeLimitMs }, description, requestId } = this.#request;
+        const firstId = this.isResumed ? description.resumedRequestId ?? requestId : requestId;
         this.#version ??= softwareVersion;
         if (kind === "stream" && isResumable && this.#close === undefined) {
-            this.#close = this.#context.streamVersions.recordBegin(
-                this.isResumed ? description.resumedRequestId ?? ownId : ownId,
-                { service, version: this.#version, timeLimitMs, end: this.#end },
-            );
+            const begun = { service, version: this.#version, timeLimitMs, end: this.#end };
+            this.#close = this.#context.streamVersions.recordBegin(this.#scope(firstId), begun);
         }
     }
 
+    /** Customers choose request ids by themselves, so an id means nothing for another customer. */
+    #scope(requestId: string): RequestId {
+        return brandAs<RequestId>(`${this.#request.customer?.name ?? ""}/${requestId}`);
+    }
+
     /** Called when the response has ended. */
     close(): void {
         this.#close?.();
