Take up a stream of a split route at the service that began it

Callers would see: the rest of a stream from another service, whose endpoints may have the same version, where a route is split by weights. Cause: each request of a split route drew its service anew. Change: the draw follows from the request that brought the first event, which a take-up names; a host that remembers the stream at another service rejects the take-up. Evidence: before, 7 of 16 streams were taken up at the other service ('A stream of a split route is taken up at the service that began it'). Why it works: the same request id gives the same draw on every host, as long as the weights stay.

--- a/features/ingress.version.feature
+++ b/features/ingress.version.feature
@@ -22,6 +22,13 @@
     Then each stream holds events of one version
     And at least 11 of them are complete
 
+  # Guards against a take-up that is drawn to another service of a split route, which may have the same version.
+  Scenario: A stream of a split route is taken up at the service that began it
+    Given an ingress with engines of the versions "v1" and "v2"
+    And engines that break off streams after the second event and complete those that are taken up
+    When a caller sends 16 "splitStream" streams and takes up each that breaks off
+    Then both parts of each stream come from the same service, and both services began some
+
   # Guards against two responses to one stream, and a run that goes on for a caller that has left.
   Scenario: A stream that is taken up while its first response is open ends that response
     Given an ingress with engines of the versions "v1" and "v1"
--- a/features/steps/ingress.version.ts
+++ b/features/steps/ingress.version.ts
@@ -181,16 +181,44 @@
     assert.ok(this.answers.every(({ isComplete, body }) => isComplete && body.includes(`id: ${eventCount}`)));
 });
 
-function takeUp(ingress: IngressFixture, first: string, lastEventId: number): Promise<CallerResponse> {
-    return ingress.send("stream", { headers: { "Resumes": first, "Last-Event-Id": String(lastEventId) } });
+function takeUp(
+    ingress: IngressFixture,
+    first: string,
+    lastEventId: number,
+    route = "stream",
+): Promise<CallerResponse> {
+    return ingress.send(route, { headers: { "Resumes": first, "Last-Event-Id": String(lastEventId) } });
 }
 
 When("a caller sends {int} streams and takes up each that breaks off", async function(this: VersionWorld, count: number) {
-    this.pairs = [];
+    await sendAndTakeUp(this, "stream", count);
+});
+
+When(
+    "a caller sends {int} {string} streams and takes up each that breaks off",
+    async function(this: VersionWorld, count: number, route: string) {
+        await sendAndTakeUp(this, route, count);
+    },
+);
+
+async function sendAndTakeUp(world: VersionWorld, route: string, count: number): Promise<void> {
+    world.pairs = [];
     for (let sent = 0; sent < count; sent += 1) {
-        const first = await this.ingress.send("stream");
-        this.pairs.push({ first, second: first.isComplete ? undefined : await takeUp(this.ingress, first.requestId, 2) });
+        const first = await world.ingress.send(route);
+        const second = first.isComplete ? undefined : await takeUp(world.ingress, first.requestId, 2, route);
+        world.pairs.push({ first, second });
     }
+}
+
+Then("both parts of each stream come from the same service, and both services began some", function(this: VersionWorld) {
+    const serviceOf = ({ requestId }: CallerResponse): string | undefined =>
+        this.ingress.received().find(({ headers }) => headers["x-filbertrelay-attempt-id"] === requestId)
+            ?.headers["x-filbertrelay-target-instance"]?.split("-")[0];
+    const services = this.pairs.map((
+        { first, second },
+    ) => [serviceOf(first), second === undefined ? undefined : serviceOf(second)]);
+    assert.ok(services.every(([first, second]) => first === second), JSON.stringify(services));
+    assert.equal(new Set(services.flat()).size, 2);
 });
 
 Then("each stream holds events of one version", function(this: VersionWorld) {
--- a/features/support/ingress.ts
+++ b/features/support/ingress.ts
@@ -39,6 +39,14 @@
         timeoutMs: 6_000,
         targetLatencyMs: 6_000,
     },
+    {
+        name: "splitStream",
+        routeType: "streaming",
+        trafficSplit: [{ backend: "assistant", weight: 50 }, { backend: "records", weight: 50 }],
+        maxAttempts: 2,
+        streamResume: true,
+        itlTargetMs: 600,
+    },
     { name: "plainStream", routeType: "streaming", backend: "assistant", maxAttempts: 1, streamResume: false, itlTargetMs: 600 },
 ];
 
--- a/packages/ingress/src/daemon.ts
+++ b/packages/ingress/src/daemon.ts
@@ -275,7 +275,6 @@
         reach: () => exchange.reach(),
         isRefusing: () => lifecycle.isRefusing,
         stopLeftMs: () => lifecycle.stopLeftMs(),
-        draw,
     };
     const pipeline = new RequestPipeline(context);
     const server = new IngressServer({ clock, address: settings.host.callerAddress, configuration, pipeline });
--- a/packages/ingress/src/fleet/streamversions.ts
+++ b/packages/ingress/src/fleet/streamversions.ts
@@ -95,7 +95,12 @@
             return Promise.resolve({});
         });
         peers.handle(findTopic, ({ requestId, service, timeLimitMs }) => {
-            const version = this.#origins.find(brandAs<RequestId>(requestId), this.#nowMs())?.version;
+            const origin = this.#origins.find(brandAs<RequestId>(requestId), this.#nowMs());
+            if (origin !== undefined && origin.service !== service) {
+                // Disagrees with every host that takes the service's only version for that of the stream.
+                return Promise.resolve({});
+            }
+            const version = origin?.version;
             const onlyVersion = this.#onlyVersion(service, timeLimitMs);
             return Promise.resolve({
                 ...(version === undefined ? {} : { version }),
@@ -150,12 +155,15 @@
 
     /** Finds the version that began a stream whose caller comes back; ends the response to the former request, if it is still open. */
     async find({ requestId, service, timeLimitMs }: ResumedStream): Promise<string | undefined> {
-        const own = requestId === undefined ? undefined : this.#origins.find(requestId, this.#nowMs())?.version;
-        const replies = own === undefined && requestId !== undefined ? await this.#ask(requestId, service, timeLimitMs) : [];
+        const origin = requestId === undefined ? undefined : this.#origins.find(requestId, this.#nowMs());
+        const isAsked = origin === undefined && requestId !== undefined;
+        const replies = isAsked ? await this.#ask(requestId, service, timeLimitMs) : [];
         if (requestId !== undefined) {
             this.#open.get(requestId)?.();
         }
-        const onlyVersion = this.#onlyVersion(service, timeLimitMs);
+        const isElsewhere = origin !== undefined && origin.service !== service;
+        const own = isElsewhere ? undefined : origin?.version;
+        const onlyVersion = isElsewhere ? undefined : this.#onlyVersion(service, timeLimitMs);
         const version = decideStreamVersion({ own, replies, onlyVersion });
         this.#options.log.write(events.streamVersionDecided, {
             requestId,
--- a/packages/ingress/src/request/context.ts
+++ b/packages/ingress/src/request/context.ts
@@ -57,6 +57,4 @@
     readonly stopLeftMs: () => number;
     /** Tells the other hosts what has just become known, instead of at the next interval. */
     readonly announce: () => void;
-    /** Uniform in [0, 1). */
-    readonly draw: () => number;
 }
--- a/packages/ingress/src/request/pipeline.ts
+++ b/packages/ingress/src/request/pipeline.ts
@@ -1,5 +1,5 @@
 import type { IngressCustomer, IngressRoute } from "@filbertrelay/configuration";
-import { chooseService } from "@filbertrelay/policy/ingress";
+import { chooseService, rendezvousScore } from "@filbertrelay/policy/ingress";
 import type { RequestDescription } from "../contract.js";
 import { callersKey } from "../fleet/report.js";
 import type { ActiveConfiguration } from "../state/configuration.js";
@@ -82,8 +82,10 @@
         customer: IngressCustomer | undefined,
         description: RequestDescription & { readonly requestId: string; },
     ): void {
-        const { clock, quota, reach, draw } = this.#context;
-        const service = chooseService(route, draw());
+        const { clock, quota, reach } = this.#context;
+        // Drawn by the request that began the stream, so that a take-up goes to the same service.
+        const firstId = description.lastEventId === undefined ? undefined : description.resumedRequestId;
+        const service = chooseService(route, rendezvousScore("service", firstId ?? description.requestId));
         if (service === undefined) {
             this.#refuse(
                 caller,
--- a/packages/policy/src/ingress/index.ts
+++ b/packages/policy/src/ingress/index.ts
@@ -3,7 +3,7 @@
  * policies of other programs or their WebAssembly.
  */
 export * from "../planner/backoff.js";
-export { rankByRendezvous } from "../rendezvous.js";
+export { rankByRendezvous, rendezvousScore } from "../rendezvous.js";
 export { contentTrait, createCrashId, partTrait } from "../suspects/crash.js";
 export type { EndpointCrash, InterruptedRequest, RequestTrait, RequestTraits } from "../suspects/crash.js";
 export * from "../suspects/quarantine.js";
