--- a/features/ingress.stop.feature
+++ b/features/ingress.stop.feature
@@ -12,13 +12,13 @@
     Then it is answered with 200
 
   # Guards against streams of an unknown length, of which nothing was measured.
-  Scenario: A long stream is rejected until the durations of its service are known
+  Scenario: A long stream is rejected until the durations of its route are known
     Given an ingress with a store stand-in and two engines of each service
     And engines that stream 5 events
     When the host is asked to stop and a caller sends a "slowStream" request 200 ms later
     Then it is answered with 503 as not run within 300 ms and no engine got it
 
-  Scenario: A stream is served if streams of its service are short
+  Scenario: A stream is served if streams of its route are short
     Given an ingress with a store stand-in and two engines of each service
     And engines that stream 5 events
     And a caller has had 3 "slowStream" responses
--- a/packages/ingress/src/request/admission.ts
+++ b/packages/ingress/src/request/admission.ts
@@ -22,7 +22,7 @@
 /** Whether a request, or one more attempt, ends before this host stops. */
 export function isEndedBeforeStop(
     { clock, timings, stopLeftMs }: RequestContext,
-    { service, deadlineMs }: AdmittedRequest,
+    { route, deadlineMs }: AdmittedRequest,
     { expectedStartMs }: EndpointChoice,
     isRepeatable: boolean,
 ): boolean {
@@ -30,7 +30,7 @@
         stopLeftMs: stopLeftMs(),
         timeLimitLeftMs: deadlineMs - clock.monotonicMs(),
         expectedStartMs,
-        longDurationMs: timings.longSlotHoldMs(service),
+        longDurationMs: timings.longDurationMs(route.name),
         isRepeatable,
     });
 }
--- a/packages/ingress/src/request/task.ts
+++ b/packages/ingress/src/request/task.ts
@@ -279,6 +279,8 @@
     }
 
     #deliver(attempt: Attempt, result: Extract<AttemptResult, { type: "answered"; }>): void {
+        const { clock, timings } = this.#context;
+        timings.recordDuration(this.#request.route.name, clock.monotonicMs() - attempt.sentMs);
         this.#recordUsage(attempt.startedAt);
         if (!result.isStream) {
             this.#responder.answer(result.status, attempt.responseHeaders, result.body);
--- a/packages/policy/src/ingress/servicetimings.ts
+++ b/packages/policy/src/ingress/servicetimings.ts
@@ -8,8 +8,10 @@
     tokenMs(service: string): number;
     /** Mean time that a request occupies a slot; `undefined` until one has ended. */
     slotHoldMs(service: string): number | undefined;
-    /** Time in a slot that few requests exceed: a slowly decaying maximum; `undefined` until one has ended. */
-    longSlotHoldMs(service: string): number | undefined;
+    /** Records how long an endpoint took for a request of a route. */
+    recordDuration(route: string, durationMs: number): void;
+    /** Time that few requests of a route exceed at an endpoint: a slowly decaying maximum; `undefined` until one has ended. */
+    longDurationMs(route: string): number | undefined;
 }
 
 /** Assumed until starts are measured: 50 tokens per millisecond. */
@@ -20,7 +22,7 @@
 /** Weights of one observation in the moving averages. */
 const tokenSmoothing = 0.03;
 const holdSmoothing = 0.05;
-const longHoldSmoothing = 0.01;
+const longDurationSmoothing = 0.01;
 /** Start latency without the prompt computation; see `baseStartMs`. */
 const startOverheadMs = 25;
 /** Shorter prompts are ignored, since they give an imprecise time per token. */
@@ -30,7 +32,7 @@
 export function createServiceTimings(): ServiceTimings {
     const tokens = new Map<string, number>();
     const holds = new Map<string, number>();
-    const longHolds = new Map<string, number>();
+    const longDurations = new Map<string, number>();
     return {
         recordStart: (service, startMs, computedTokens) => {
             if (computedTokens < minimumPromptTokens) {
@@ -44,11 +46,13 @@
         recordSlotHold: (service, durationMs) => {
             const known = holds.get(service);
             holds.set(service, known === undefined ? durationMs : known + holdSmoothing * (durationMs - known));
-            const long = longHolds.get(service) ?? 0;
-            longHolds.set(service, Math.max(durationMs, long + longHoldSmoothing * (durationMs - long)));
         },
         tokenMs: service => tokens.get(service) ?? defaultTokenMs,
         slotHoldMs: service => holds.get(service),
-        longSlotHoldMs: service => longHolds.get(service),
+        recordDuration: (route, durationMs) => {
+            const long = longDurations.get(route) ?? 0;
+            longDurations.set(route, Math.max(durationMs, long + longDurationSmoothing * (durationMs - long)));
+        },
+        longDurationMs: route => longDurations.get(route),
     };
 }
--- a/packages/policy/src/ingress/stopadmission.ts
+++ b/packages/policy/src/ingress/stopadmission.ts
@@ -6,14 +6,14 @@
     readonly timeLimitLeftMs: number;
     /** Expected time until an endpoint starts with it. */
     readonly expectedStartMs: number;
-    /** Duration that few requests of the service exceed; `undefined` until some have been measured. */
+    /** Duration that few requests of the route exceed; `undefined` until some have been measured. */
     readonly longDurationMs: number | undefined;
     /** Whether the caller may send it once more after it was cut. */
     readonly isRepeatable: boolean;
 }
 
 /** Margin for durations beyond those that were measured. */
-const durationFactor = 1.5;
+const durationFactor = 1.2;
 
 /** Whether a request ends before the host stops: certainly if it may not be repeated, else in all likelihood. */
 export function endsBeforeStop(request: StopRequest): boolean {
