--- a/features/steps/ingress.copy.ts
+++ b/features/steps/ingress.copy.ts
@@ -6,13 +6,13 @@
 import { createPlatformStore } from "@filbertrelay/platform";
 import { StandinStore } from "@filbertrelay/platform/standins";
 import * as policy from "@filbertrelay/policy";
-import { createPeerNetwork } from "@filbertrelay/wire";
 import type { TcpPeerNetwork } from "@filbertrelay/wire";
 import fc from "fast-check";
 import assert from "node:assert/strict";
 import { CopySimulation, schedules } from "../support/copysimulation.js";
 import type { ScheduleStep } from "../support/copysimulation.js";
 import { findPort, waitFor } from "../support/ingress.js";
+import { createTestPeers } from "../support/peernetwork.js";
 import { createRandom } from "../support/random.js";
 
 // A failed property prints this seed with the counterexample.
@@ -45,14 +45,7 @@
         const { store, address, watcher, applyMs, others } = options;
         const client = createPlatformStore({ address: store.address, clock, timeoutMs: 600, onCall: () => undefined });
         this.mirror = new StoreMirror({ store: client, clock, log: silentEventLog, draw: Math.random, applyMs });
-        this.#peers = createPeerNetwork({
-            clock,
-            log: silentEventLog,
-            hostId,
-            listenAddress: address,
-            keys: ["a-key-of-sixteen-characters"],
-            frameBytes: 1_048_576,
-        });
+        this.#peers = createTestPeers(clock, hostId, address);
         others.forEach(other => this.#peers.setAddress(other.hostId, other.address));
         const watching = { hostId: watcher, failureDomain: brandAs<FailureDomainId>("domain-1") };
         this.sync = new StoreSync({
--- a/features/steps/ingress.fleet.ts
+++ b/features/steps/ingress.fleet.ts
@@ -1,23 +1,12 @@
 import { After, Given, Then, When } from "@cucumber/cucumber";
-import type { Store } from "@filbertrelay/connectors";
-import {
-    EndpointTable,
-    HostTable,
-    PeerExchange,
-    SharedFindings,
-    stateEvents,
-    StoreMirror,
-    StoreSync,
-} from "@filbertrelay/ingress";
-import type { ServingHosts } from "@filbertrelay/ingress";
-import { brandAs, createSystemClock, silentEventLog } from "@filbertrelay/kernel";
-import type { EndpointId, EventLog, HostId, Incarnation } from "@filbertrelay/kernel";
-import { createPlatformDecoder, createPlatformStore } from "@filbertrelay/platform";
+import { stateEvents } from "@filbertrelay/ingress";
+import { brandAs, createSystemClock } from "@filbertrelay/kernel";
+import type { EndpointId, HostId } from "@filbertrelay/kernel";
 import { describeEngine, StandinStore } from "@filbertrelay/platform/standins";
 import * as policy from "@filbertrelay/policy";
-import { createPeerNetwork } from "@filbertrelay/wire";
 import fc from "fast-check";
 import assert from "node:assert/strict";
+import { FleetHost } from "../support/fleethost.js";
 import { waitFor } from "../support/ingress.js";
 
 // A failed property prints this seed with the counterexample.
@@ -93,103 +82,6 @@
     }
 });
 
-/** The parts of a host that share state with other hosts, on loopback. */
-class FleetHost {
-    readonly loads = policy.createLoadTracker();
-    readonly mirror: StoreMirror;
-    readonly endpoints: EndpointTable;
-    readonly callerWork = policy.createDemandMeter({ spanMs: 3_000, shortestSpanMs: 1_000 });
-    readonly exchange: PeerExchange;
-    readonly serving: ServingHosts;
-    watches = 0;
-    /** Numbers of the logged events. */
-    logged: number[] = [];
-    readonly #services: readonly { start(): Promise<void>; stop(deadlineMs: number): Promise<void>; }[];
-
-    constructor(readonly hostId: HostId, peerAddress: string, store: StandinStore) {
-        const client = this.#countWatches(
-            createPlatformStore({ address: store.address, clock, timeoutMs: 600, onCall: () => undefined }),
-        );
-        const log: EventLog = { write: ({ number }) => void this.logged.push(number) };
-        this.mirror = new StoreMirror({ store: client, clock, log, draw: Math.random, applyMs: 2_000 });
-        this.endpoints = new EndpointTable({ mirror: this.mirror, decoder: createPlatformDecoder(), log });
-        const hosts = new HostTable({ mirror: this.mirror, log: silentEventLog });
-        const peers = createPeerNetwork({
-            clock,
-            log: silentEventLog,
-            hostId,
-            listenAddress: peerAddress,
-            keys: ["a-key-of-sixteen-characters"],
-            frameBytes: 1_048_576,
-        });
-        const exchange = this.exchange = new PeerExchange({
-            clock,
-            log: silentEventLog,
-            hostId,
-            incarnation: brandAs<Incarnation>("run-1"),
-            peers,
-            hosts,
-            counts: {
-                quota: policy.createUsageQuota({ windowMs: 8_000, tolerance: 0, nowMs: clock.monotonicMs() }),
-                usage: policy.createUsageLedger(5_000),
-                loads: this.loads,
-                demand: policy.createDemandMeter(),
-                callerWork: this.callerWork,
-            },
-            fleetClock: policy.createFleetClock({ clock }),
-            findings: new SharedFindings({
-                quarantine: policy.createQuarantine({ isTrialHost: () => true }),
-                limits: policy.createEndpointLimits({ hostId, listHosts: () => [] }),
-                finals: new policy.FinalCounts(),
-            }),
-            dutyHolder: () => undefined,
-        });
-        this.serving = exchange.serving;
-        const news = new StoreSync({
-            clock,
-            hostId,
-            peers,
-            mirror: this.mirror,
-            listReachable: () => exchange.listReachable(),
-            serving: exchange.serving,
-            applyMs: 2_000,
-        });
-        exchange.setStoreSync(news);
-        this.#services = [this.mirror, peers, news, exchange];
-    }
-
-    async start(): Promise<void> {
-        for (const service of this.#services) {
-            await service.start();
-        }
-    }
-
-    async stop(): Promise<void> {
-        for (const service of this.#services.toReversed()) {
-            await service.stop(clock.monotonicMs());
-        }
-    }
-
-    #countWatches(store: Store): Store {
-        return {
-            get era() {
-                return store.era;
-            },
-            onEra: listener => store.onEra(listener),
-            get: key => store.get(key),
-            list: prefix => store.list(prefix),
-            commit: transaction => store.commit(transaction),
-            grantLease: timeToLiveMs => store.grantLease(timeToLiveMs),
-            renewLease: leaseId => store.renewLease(leaseId),
-            endLease: leaseId => store.endLease(leaseId),
-            watch: (prefix, options) => {
-                this.watches += 1;
-                return store.watch(prefix, options);
-            },
-        };
-    }
-}
-
 Given("a fleet of {int} hosts with a store stand-in", async function(this: FleetWorld, count: number) {
     this.ingressStore = new StandinStore();
     await this.ingressStore.start();
--- a/features/steps/ingress.restore.ts
+++ b/features/steps/ingress.restore.ts
@@ -8,7 +8,6 @@
 import type { StoreBackup } from "@filbertrelay/platform/standins";
 import { createFleetClock, createUsageLedger } from "@filbertrelay/policy";
 import type { CustomerCounts } from "@filbertrelay/policy";
-import { createPeerNetwork } from "@filbertrelay/wire";
 import type { TcpPeerNetwork } from "@filbertrelay/wire";
 import fc from "fast-check";
 import assert from "node:assert/strict";
@@ -16,6 +15,7 @@
 import { DutySimulation, dutySteps } from "../support/dutysimulation.js";
 import { createConfiguration, findPort, waitFor } from "../support/ingress.js";
 import { ownedSteps, OwnedValuesSimulation } from "../support/ownedvaluessimulation.js";
+import { createTestPeers } from "../support/peernetwork.js";
 import { UsageSimulation, usageSteps } from "../support/usagesimulation.js";
 import type { IngressWorld } from "./ingress.endpoint.js";
 
@@ -126,14 +126,7 @@
             applyMs: 2_000,
             ownedPrefixes: createOwnedPrefixes(decoder, 1_200),
         });
-        this.#peers = createPeerNetwork({
-            clock,
-            log: silentEventLog,
-            hostId,
-            listenAddress,
-            keys: ["a-key-of-sixteen-characters"],
-            frameBytes: 1_048_576,
-        });
+        this.#peers = createTestPeers(clock, hostId, listenAddress);
         this.sync = new StoreSync({
             clock,
             hostId,
--- a/features/steps/ingress.version.ts
+++ b/features/steps/ingress.version.ts
@@ -1,15 +1,14 @@
 import { After, Given, Then, When } from "@cucumber/cucumber";
-import { StreamVersions } from "@filbertrelay/ingress";
-import { brandAs, createSystemClock, silentEventLog } from "@filbertrelay/kernel";
+import { brandAs, createSystemClock } from "@filbertrelay/kernel";
 import type { FailureDomainId, HostId, RequestId } from "@filbertrelay/kernel";
-import { describeEngine, renderStreamHead, StandinEngine, streamEnd } from "@filbertrelay/platform/standins";
+import { describeEngine, renderStreamHead, StandinEngine } from "@filbertrelay/platform/standins";
 import type { EngineBehaviour, StoreBackup } from "@filbertrelay/platform/standins";
-import { createFleetClock, VersionHistory } from "@filbertrelay/policy";
-import { createPeerNetwork } from "@filbertrelay/wire";
 import fc from "fast-check";
 import assert from "node:assert/strict";
 import { findPort, IngressFixture, otherCustomerKey, respondFully, waitFor } from "../support/ingress.js";
 import type { CallerResponse } from "../support/ingress.js";
+import { RememberingHost } from "../support/rememberinghost.js";
+import { breakOff, completeFrom, eventCount, renderVersionEvent } from "../support/versionengines.js";
 import { VersionSimulation, versionSteps } from "../support/versionsimulation.js";
 import type { IngressWorld } from "./ingress.endpoint.js";
 
@@ -28,35 +27,11 @@
 const clock = createSystemClock();
 /** A request that the host under test never got. */
 const unknownStream = "stream-of-before";
-/** Number of events of a whole stream. */
-const eventCount = 5;
 
 function pause(ms: number): Promise<void> {
     return new Promise(resolve => setTimeout(resolve, ms));
 }
 
-/** Sends the rest of a stream; each event names the engine's version. */
-function completeFrom(version: string): EngineBehaviour {
-    return (received, { send }) => {
-        const from = Number(received.headers["last-event-id"] ?? 0) + 1;
-        const events = Array.from({ length: eventCount - from + 1 }, (_, index) => renderVersionEvent(from + index, version));
-        send(renderStreamHead(received) + events.join("") + streamEnd);
-    };
-}
-
-function renderVersionEvent(id: number, version: string): string {
-    const event = `id: ${id}\ndata: ${version}\n\n`;
-    return `${event.length.toString(16)}\r\n${event}\r\n`;
-}
-
-function breakOff(version: string): EngineBehaviour {
-    return (received, { send, close }) => {
-        send(renderStreamHead(received) + renderVersionEvent(1, version) + renderVersionEvent(2, version));
-        // Longer than events are gathered before they are forwarded.
-        setTimeout(close, 100);
-    };
-}
-
 async function startIngress(
     world: VersionWorld,
     versions: readonly string[],
@@ -317,46 +292,6 @@
     this.added?.stop();
 });
 
-/** The part of a host that knows the versions of streams. */
-class RememberingHost {
-    readonly history = new VersionHistory(Date.now() - 600_000);
-    readonly network;
-    readonly streams: StreamVersions;
-
-    constructor(
-        readonly hostId: HostId,
-        readonly address: string,
-        listHosts: () => readonly { readonly hostId: HostId; readonly failureDomain: FailureDomainId; }[],
-    ) {
-        this.network = createPeerNetwork({
-            clock,
-            log: silentEventLog,
-            hostId,
-            listenAddress: address,
-            keys: ["a-key-of-sixteen-characters"],
-            frameBytes: 1_048_576,
-        });
-        this.streams = new StreamVersions({
-            clock,
-            fleetClock: createFleetClock({ clock }),
-            log: silentEventLog,
-            hostId,
-            peers: this.network,
-            history: this.history,
-            listHosts,
-            isReachable: () => true,
-            archive: () => undefined,
-            copyAgeMs: () => 0,
-        });
-    }
-
-    observe(versions: readonly string[]): void {
-        const present = new Map([["assistant", new Set(versions)]]);
-        this.history.observe(present, Date.now());
-        this.streams.recordVersions(present);
-    }
-}
-
 Given("{int} hosts that see the versions {string} and {string} of a service", async function(
     this: VersionWorld,
     count: number,
--- a/packages/ingress/src/state/mirror.ts
+++ b/packages/ingress/src/state/mirror.ts
@@ -1,5 +1,5 @@
-import type { Store, StoreIssue, StoreItem } from "@filbertrelay/connectors";
-import type { Clock, EventLog, Service } from "@filbertrelay/kernel";
+import type { StoreIssue, StoreItem } from "@filbertrelay/connectors";
+import type { Service } from "@filbertrelay/kernel";
 import { isAfter, StoreCopy } from "@filbertrelay/policy/ingress";
 import type {
     CopyChanges,
@@ -7,37 +7,16 @@
     CopyUpdate,
     DisputedItem,
     EraRevision,
-    OwnedPrefix,
     UpdateResult,
 } from "@filbertrelay/policy/ingress";
 import { stateEvents as events } from "./event.js";
 import { ItemView } from "./itemview.js";
 import type { ChangeOrigin, ChangeWay, ItemListener } from "./itemview.js";
+import type { PeerPosition, StoreMirrorOptions } from "./mirroroptions.js";
 import { StoreContact } from "./storecontact.js";
 import { trustedAgeMs } from "./watchrole.js";
 import type { WatchRole } from "./watchrole.js";
 
-/** How far a peer's copy of the store reaches. */
-export interface PeerPosition extends CopyPosition {
-    /** When the peer's position was the store's latest, in this host's monotonic milliseconds, if known. */
-    readonly confirmedMs?: number | undefined;
-}
-
-/** Options of `StoreMirror`. */
-export interface StoreMirrorOptions {
-    readonly store: Store;
-    readonly clock: Clock;
-    readonly log: EventLog;
-    /** Uniform in [0, 1); adds jitter to the hosts' retries. */
-    readonly draw: () => number;
-    /** Time within which a host must apply a change. */
-    readonly applyMs: number;
-    /** Keys whose values have versions of their own, which survive a restore of the store; none by default. */
-    readonly ownedPrefixes?: readonly OwnedPrefix[];
-    /** Called for each material change. */
-    readonly onUpdate?: (origin: ChangeOrigin) => void;
-}
-
 /** Long-poll time of a watch; a response within it shows that the connection is alive. */
 const watchWaitMs = 1_500;
 /** Long-poll time after a failure; short, so that a watch without a response does not delay the next one. */
