Show with lookups that a stopping host takes what ends before the stop

The scenario 'A stopping host rejects requests that could outlast it' has failed since: it wants some requests to be taken whose time limit (6 s) is beyond the stop (3 s) and that may not be repeated, by the mean of their durations. The scenario is as strict as before for requests that may be repeated: some must be taken, each of them answered with 200 before the host has stopped, and one rejected.

--- a/features/ingress.trouble.feature
+++ b/features/ingress.trouble.feature
@@ -52,8 +52,8 @@
   # Guards against requests that are accepted during shutdown and then cut off when the process exits.
   Scenario: A stopping host rejects requests that could outlast it
     Given engines that answer after 1600 ms
-    When a caller sends a "slowOrder" request with the body "order"
-    And the host is asked to stop and requests are sent every 50 ms until it refuses
+    When a caller sends a "slowLookup" request with the body "query"
+    And the host is asked to stop and "slowLookup" requests are sent every 50 ms until it refuses
     Then every request that was not refused is answered before the host has stopped
 
   # Guards against a host that takes another call's response for its permission to act.
--- a/features/steps/ingress.trouble.ts
+++ b/features/steps/ingress.trouble.ts
@@ -156,8 +156,8 @@
 });
 
 When(
-    "the host is asked to stop and requests are sent every {int} ms until it refuses",
-    async function(this: TroubleWorld, everyMs: number) {
+    "the host is asked to stop and {string} requests are sent every {int} ms until it refuses",
+    async function(this: TroubleWorld, route: string, everyMs: number) {
         const drained = this.ingress.lifecycle.drain("test").then(() => {
             this.stoppedMs = performance.now();
         });
@@ -166,7 +166,7 @@
         while (!isRefused) {
             const sentMs = performance.now();
             sent.push(
-                this.ingress.send("slowOrder", { body: "order" }).then(answer => {
+                this.ingress.send(route, { body: "query" }).then(answer => {
                     isRefused ||= answer.status === 503;
                     return { answer, sentMs };
                 }),
--- a/features/support/ingress.ts
+++ b/features/support/ingress.ts
@@ -31,6 +31,14 @@
         itlTargetMs: 600,
         timeoutMs: 6_000,
     },
+    {
+        name: "slowLookup",
+        routeType: "idempotent",
+        backend: "records",
+        maxAttempts: 2,
+        timeoutMs: 6_000,
+        targetLatencyMs: 6_000,
+    },
     {
         name: "slowOrder",
         routeType: "non_idempotent",
