Wait for the former holder after any restore that a host has seen

Cause: whether the store was restored was judged by the era alone, with 1 for a store that never was. A store that names its first era after a restore would have had no wait. Change: a host that has read the store in an earlier era knows of the restore. Property over schedules and scenarios of restores and of the duties pass (27 scenarios).

--- a/features/support/dutysimulation.ts
+++ b/features/support/dutysimulation.ts
@@ -1,4 +1,4 @@
-import { createFencingToken, mayContend } from "@filbertrelay/policy";
+import { createFencingToken, firstEra, mayContend } from "@filbertrelay/policy";
 import assert from "node:assert/strict";
 import { createSchedules, simulatedHosts, stepMs } from "./schedules.js";
 import type { Step } from "./schedules.js";
@@ -115,6 +115,7 @@
         const isFree = mayContend({
             nowMs: this.#nowMs,
             era: this.#era,
+            isRestored: this.#era > firstEra,
             eraKnownMs: host.eraKnownMs,
             ...(this.#entry === undefined ? {} : { entryEra: this.#entry.era }),
             ...(this.#term === undefined ? {} : { term: this.#term }),
--- a/packages/ingress/src/duty/lease.ts
+++ b/packages/ingress/src/duty/lease.ts
@@ -1,7 +1,7 @@
 import type { Store, StoreItem, StoreLease } from "@filbertrelay/connectors";
 import { brandAs, parseJson, RepeatedTask } from "@filbertrelay/kernel";
 import type { Clock, EventLog, HostId, Incarnation, Service } from "@filbertrelay/kernel";
-import { createFencingToken, mayContend } from "@filbertrelay/policy/ingress";
+import { createFencingToken, firstEra, mayContend } from "@filbertrelay/policy/ingress";
 import { z } from "zod";
 import type { DutyHolder } from "../contract.js";
 import { fleetEvents as events } from "../fleet/event.js";
@@ -60,6 +60,7 @@
     #pausedUntilMs: number;
     #era = 0;
     #eraKnownMs = 0;
+    #isRestored = false;
     /** Since when this host has held the duties, if it held them when the store was restored. */
     #continuedSinceMs: number | undefined;
 
@@ -115,6 +116,7 @@
         }
         const held = this.#held;
         this.#era = era;
+        this.#isRestored = era > firstEra || this.#mirror.revision > 0;
         this.#eraKnownMs = this.#clock.monotonicMs();
         // Nobody else can have held a lease that had not run out before the restore.
         const isContinuing = held !== undefined && this.#sinceRenewalMs(held) < this.#leaseMs;
@@ -183,6 +185,7 @@
         return isCurrent && mayContend({
             nowMs: this.#clock.monotonicMs(),
             era,
+            isRestored: this.#isRestored,
             eraKnownMs: this.#eraKnownMs,
             ...this.#describeEntry(this.#mirror.get(leaseKey), era),
             pausedUntilMs: this.#pausedUntilMs,
--- a/packages/policy/src/ingress/dutyterm.ts
+++ b/packages/policy/src/ingress/dutyterm.ts
@@ -1,3 +1,6 @@
+/** Highest era of a store that has never been restored. */
+export const firstEra = 1;
+
 /** Terms that an era can have; the era counts first, since a restore of the store undoes terms. */
 const termsPerEra = 1_000_000;
 
@@ -16,6 +19,8 @@
 export interface ContentionState {
     readonly nowMs: number;
     readonly era: number;
+    /** Whether the store has ever been restored, as far as this host knows. */
+    readonly isRestored: boolean;
     /** When this host learned of the era. */
     readonly eraKnownMs: number;
     /** The era in which the current lease entry was written; absent without an entry. */
@@ -31,8 +36,7 @@
 
 /** Whether a host may contend for the duty lease. */
 export function mayContend(state: ContentionState): boolean {
-    const { nowMs, era, eraKnownMs, entryEra, term, pausedUntilMs, leaseMs, isContinuing } = state;
-    const isRestored = era > firstEra;
+    const { nowMs, era, isRestored, eraKnownMs, entryEra, term, pausedUntilMs, leaseMs, isContinuing } = state;
     if (entryEra !== undefined && entryEra >= era) {
         return false;
     }
@@ -47,6 +51,3 @@
     // Without a term there has never been a holder to wait for, unless a restore has undone it.
     return nowMs >= pausedUntilMs || (term === undefined && !isRestored);
 }
-
-/** The era of a store that has never been restored; 0 for a store without eras. */
-const firstEra = 1;
