Show streams that mix two software versions after an upgrade in place

Cause: a stream is bound to the version in the engine's entry, which may be older than the process that answers.

--- a/review/1/case.mjs
+++ b/review/1/case.mjs
@@ -34,7 +34,7 @@
         const [faulty] = deployment.enginesOf("model");
         if (isTrouble) {
             spoilOneIn(deployment, faulty, {
-                spoil: (request, channel) => void stream(request, channel, "X-Trace: 5f\x01c2\r\n"),
+                spoil: (request, channel) => void stream(request, channel, { extra: "X-Trace: 5f\x01c2\r\n" }),
             });
         }
         const answers = [];
--- a/review/standins/deployment.mjs
+++ b/review/standins/deployment.mjs
@@ -17,6 +17,10 @@
 const restartMs = 400;
 
 export const hostname = "caller.example";
+/** A loopback network of this run, so that no port is taken by an outgoing connection of another process. */
+const network = `127.${16 + process.pid % 200}.${Math.floor(process.pid / 200) % 250}`;
+const platformIp = `${network}.250`;
+const engineIp = `${network}.200`;
 /** `X-Filbertrelay-Deadline-Ms` and time limits of the routes, as on the sheets. */
 const routes = [
     { prefix: "/look/", routeType: "idempotent", backend: "ledger", maxAttempts: 2 },
@@ -36,9 +40,9 @@
     ownEnds = [];
     #folder = mkdtempSync(join(tmpdir(), "filbertrelay-review-"));
     #record;
-    #sequence = 0;
-    #heartbeats;
+    #heartbeats = [];
     #isEnding = false;
+    #counts;
 
     constructor({ caseFolder, hosts = 2, engines = 3 }) {
         this.#record = join(caseFolder, "record.txt");
@@ -46,8 +50,6 @@
         this.#counts = { hosts, engines };
     }
 
-    #counts;
-
     /** Writes a line to the record. */
     note(event, fields = {}) {
         appendFileSync(this.#record, `${new Date().toISOString()} ${event} ${JSON.stringify(fields)}\n`);
@@ -55,18 +57,24 @@
 
     /** Starts everything and waits until each host serves. */
     async start() {
-        const storeAddress = await this.store.start("127.0.0.1");
+        const storeAddress = await this.store.start(platformIp);
         for (const service of ["ledger", "model"]) {
             for (let index = 0; index < this.#counts.engines; index += 1) {
                 const engine = new Engine(`i-${service}-${index}`);
-                await engine.start("127.0.0.1");
+                await engine.start(engineIp);
                 Object.assign(engine, { service, zone: `zone-${index % 3}` });
                 this.engines.push(engine);
             }
         }
         this.store.put("op/config", describeConfiguration());
-        this.#writeEntries();
-        this.#heartbeats = setInterval(() => this.#writeEntries(), heartbeatMs);
+        for (const [index, engine] of this.engines.entries()) {
+            this.#writeEntry(engine);
+            engine.onBack = async () => this.#writeEntry(engine);
+            // Each engine reports at a moment of its own.
+            setTimeout(() => {
+                this.#heartbeats.push(setInterval(() => this.#writeEntry(engine), heartbeatMs));
+            }, index * heartbeatMs / this.engines.length);
+        }
         for (let index = 0; index < this.#counts.hosts; index += 1) {
             this.hosts.push(await this.#createHost(index, storeAddress));
         }
@@ -92,7 +100,7 @@
     /** Ends all processes and sockets. */
     async stop() {
         this.#isEnding = true;
-        clearInterval(this.#heartbeats);
+        this.#heartbeats.forEach(timer => clearInterval(timer));
         await Promise.all(this.hosts.map(async ({ child }) => {
             if (child.exitCode === null && child.signalCode === null) {
                 const ended = new Promise(resolve => child.once("exit", resolve));
@@ -105,27 +113,31 @@
         rmSync(this.#folder, { recursive: true, force: true });
     }
 
-    #writeEntries() {
-        this.#sequence += 1;
-        for (const { id, service, zone, address } of this.engines) {
-            const isModel = service === "model";
-            this.store.put(`servers/${id}`, {
-                backend: service,
-                address,
-                zone,
-                version: "v1",
-                capacity: isModel ? 64 : 6,
-                state: "ready",
-                coldRemainingMs: 0,
-                ...(isModel ? { phase: "unified", modelList: [{ name: "m", version: 1, adapters: [] }] } : {}),
-                sequence: this.#sequence,
-                born: startedMs,
-            });
+    /** A report of an engine; while the store is down it fails, and the next one follows at its time. */
+    #writeEntry(engine) {
+        if (engine.isDown || this.store.isDown) {
+            return;
         }
+        const { id, service, zone, address, version, bornMs } = engine;
+        const isModel = service === "model";
+        engine.sequence = engine.bornMs === engine.reportedBornMs ? engine.sequence + 1 : 1;
+        engine.reportedBornMs = bornMs;
+        this.store.put(`servers/${id}`, {
+            backend: service,
+            address,
+            zone,
+            version,
+            capacity: isModel ? 64 : 6,
+            state: "ready",
+            coldRemainingMs: 0,
+            ...(isModel ? { phase: "unified", modelList: [{ name: "m", version: 1, adapters: [] }] } : {}),
+            sequence: engine.sequence,
+            born: bornMs,
+        });
     }
 
     async #createHost(index, storeAddress) {
-        const ip = "127.0.0.1";
+        const ip = `${network}.${index + 1}`;
         const [frontend, peer, directory, ready, metrics] = await findFreePorts(ip, 5);
         const name = `edge-zone-${index % 3}-${index}`;
         const settingsFile = join(this.#folder, `${name}.toml`);
@@ -226,8 +238,6 @@
     process.exit(status);
 }
 
-const startedMs = Date.now();
-
 function describeConfiguration() {
     return {
         version: 1,
--- a/review/standins/engine.mjs
+++ b/review/standins/engine.mjs
@@ -18,6 +18,12 @@
     runs = [];
     /** `fault(request, channel)` returns whether it answers the request by itself. */
     fault = () => false;
+    /** Options of `stream`. */
+    streamOptions = {};
+    /** The version of its software, and when the present process started. */
+    version = "v1";
+    bornMs = Date.now();
+    isDown = false;
     #id;
     #sockets = new Set();
     #server = createServer(socket => this.#accept(socket));
@@ -35,6 +41,22 @@
         this.address = `${ip}:${this.#server.address().port}`;
     }
 
+    /** Ends all channels and is back after a while under the same id and address, perhaps with other software. */
+    async crash(downMs, { version = this.version } = {}) {
+        const [ip, port] = this.address.split(":");
+        this.isDown = true;
+        this.#server.close();
+        this.#sockets.forEach(socket => socket.resetAndDestroy());
+        await new Promise(resolve => setTimeout(resolve, downMs));
+        this.#server = createServer(socket => this.#accept(socket));
+        await new Promise(resolve => this.#server.listen(Number(port), ip, resolve));
+        Object.assign(this, { version, bornMs: Date.now(), isDown: false });
+        await this.onBack();
+    }
+
+    /** Called when it is back after a crash. */
+    onBack = () => Promise.resolve();
+
     stop() {
         this.#server.close();
         this.#sockets.forEach(socket => socket.destroy());
@@ -76,7 +98,7 @@
             return;
         }
         if (request.target.startsWith("/stream/")) {
-            void stream(request, channel);
+            void stream(request, channel, { version: this.version, ...this.streamOptions });
         }
         else {
             setTimeout(() => channel.send(renderAnswer(request)), workMs);
@@ -104,18 +126,19 @@
     return `HTTP/1.1 200 OK\r\n${answerHeaders(request)}${extra}Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n`;
 }
 
-function renderEvent(number) {
-    const event = `id: ${number}\ndata: piece ${number}\n\n`;
+function renderEvent(number, version) {
+    const event = `id: ${number}\ndata: piece ${number} of ${version}\n\n`;
     return `${event.length.toString(16)}\r\n${event}\r\n`;
 }
 
 /** Sends a whole stream, or the rest of one, with further headers in its head. */
-export async function stream(request, channel, extra = "") {
+export async function stream(request, channel, { extra = "", version = "v1", events = streamEvents, pauseMs = eventMs, startMs = 0 } = {}) {
     const first = Number(request.headers["last-event-id"] ?? 0) + 1;
+    await new Promise(resolve => setTimeout(resolve, startMs));
     channel.send(renderStreamHead(request, extra));
-    for (let number = first; number <= streamEvents && channel.isOpen(); number += 1) {
-        await new Promise(resolve => setTimeout(resolve, eventMs));
-        channel.send(renderEvent(number));
+    for (let number = first; number <= events && channel.isOpen(); number += 1) {
+        await new Promise(resolve => setTimeout(resolve, pauseMs));
+        channel.send(renderEvent(number, version));
     }
     channel.send("0\r\n\r\n");
 }
--- a/review/standins/store.mjs
+++ b/review/standins/store.mjs
@@ -12,6 +12,8 @@
     #nextLease = 1;
     #server = createServer((request, response) => void this.#receive(request, response));
     #timer = setInterval(() => this.#expire(), pollMs);
+    /** While it is down it turns all calls away, and leases pause. */
+    isDown = false;
 
     /** Listens on a free port; resolves with the address. */
     async start(ip) {
@@ -43,6 +45,11 @@
         for await (const chunk of request) {
             chunks.push(chunk);
         }
+        if (this.isDown) {
+            response.writeHead(503, { "Content-Type": "application/json", "Content-Length": 2, "Store-Era": "1" });
+            response.end("{}");
+            return;
+        }
         const text = Buffer.concat(chunks).toString("utf8");
         const url = new URL(request.url, "http://store");
         const [status, body] = await this.#answer(url, text === "" ? {} : JSON.parse(text));
@@ -130,6 +137,10 @@
     }
 
     #expire() {
+        if (this.isDown) {
+            this.#leases.forEach(lease => lease.untilMs += pollMs);
+            return;
+        }
         [...this.#leases].filter(([, { untilMs }]) => Date.now() >= untilMs).forEach(([id]) => this.#endLease(id));
     }
 
