--- a/review/standins/deployment.mjs
+++ b/review/standins/deployment.mjs
@@ -43,11 +43,16 @@
     #heartbeats = [];
     #isEnding = false;
     #counts;
+    #cloudAddress;
+    #tenants;
 
-    constructor({ caseFolder, hosts = 2, engines = 3 }) {
+    /** `cloudAddress` and `tenants` are there where hosts have duties. */
+    constructor({ caseFolder, hosts = 2, engines = 3, cloudAddress, tenants }) {
         this.#record = join(caseFolder, "record.txt");
         writeFileSync(this.#record, "");
         this.#counts = { hosts, engines };
+        this.#cloudAddress = cloudAddress;
+        this.#tenants = tenants;
     }
 
     /** Writes a line to the record. */
@@ -66,7 +71,7 @@
                 this.engines.push(engine);
             }
         }
-        this.store.put("op/config", describeConfiguration());
+        this.writeConfiguration();
         for (const [index, engine] of this.engines.entries()) {
             this.#writeEntry(engine);
             engine.onBack = async () => this.#writeEntry(engine);
@@ -113,6 +118,11 @@
         rmSync(this.#folder, { recursive: true, force: true });
     }
 
+    /** The operator's write, which it repeats after a restore of the store. */
+    writeConfiguration() {
+        this.store.put("op/config", { ...describeConfiguration(), ...(this.#tenants === undefined ? {} : { tenants: this.#tenants }) });
+    }
+
     /** A report of an engine; while the store is down it fails, and the next one follows at its time. */
     #writeEntry(engine) {
         if (engine.isDown || this.store.isDown) {
@@ -159,6 +169,7 @@
 address = "${storeAddress}"
 readsPerSecond = 2000
 writesPerSecond = 400
+${this.#cloudAddress === undefined ? "" : `[duties]\naddress = "${this.#cloudAddress}"`}
 [promises]
 quotaWindowSeconds = 8
 quotaTolerance = 110000
@@ -177,6 +188,12 @@
         return { name, settingsFile, address: `${ip}:${frontend}`, ready: `${ip}:${ready}`, child: undefined, isAsked: false };
     }
 
+    /** Kills a process; the platform starts it again. */
+    kill(host) {
+        host.isAsked = true;
+        host.child.kill("SIGKILL");
+    }
+
     #startHost(host) {
         const [program, ...parts] = readRunCommand();
         const child = spawn(program === "node" ? process.execPath : program, parts, {
--- a/review/standins/keptload.mjs
+++ b/review/standins/keptload.mjs
@@ -5,18 +5,18 @@
 import { expectedBody } from "./engine.mjs";
 
 /** Channels of each path to each host. */
-const channelsPerPath = 4;
+const defaultChannelsPerPath = 4;
 const pauseMs = 60;
 /** What the rule LOST still allows. */
 const allowedLost = 3;
 
 /** Sends requests for a time; resolves with all answers. */
-export async function playKeptLoad(deployment, { playMs, isStopped = () => false }) {
+export async function playKeptLoad(deployment, { playMs, channelsPerPath = defaultChannelsPerPath }) {
     const untilMs = Date.now() + playMs;
     const answers = [];
     const work = async (host, path, method) => {
         const channel = new KeptChannel(host.address);
-        while (Date.now() < untilMs && !isStopped()) {
+        while (Date.now() < untilMs) {
             const id = nextId(path.slice(1, 5));
             answers.push(await channel.request({ id, method, path, host: hostname, body: method === "POST" ? `order ${id}` : "" }));
             await delay(pauseMs);
--- a/review/standins/store.mjs
+++ b/review/standins/store.mjs
@@ -12,6 +12,8 @@
     #nextLease = 1;
     #server = createServer((request, response) => void this.#receive(request, response));
     #timer = setInterval(() => this.#expire(), pollMs);
+    /** Rises by one with each restore. */
+    #era = 1;
     /** While it is down it turns all calls away, and leases pause. */
     isDown = false;
 
@@ -40,13 +42,34 @@
         }
     }
 
+    /** Returns a copy of what it holds, to be restored later. */
+    backUp() {
+        return {
+            entries: [...this.#entries],
+            leases: [...this.#leases].map(([id, lease]) => [id, { ...lease }]),
+            changes: [...this.#changes],
+            revision: this.#revision,
+            nextLease: this.#nextLease,
+        };
+    }
+
+    /** Comes back from a copy; revisions and leases are given out again. */
+    restore({ entries, leases, changes, revision, nextLease }) {
+        this.#entries = new Map(entries);
+        this.#leases = new Map(leases.map(([id, { ttlMs }]) => [id, { ttlMs, untilMs: Date.now() + ttlMs }]));
+        this.#changes = [...changes];
+        this.#revision = revision;
+        this.#nextLease = nextLease;
+        this.#era += 1;
+    }
+
     async #receive(request, response) {
         const chunks = [];
         for await (const chunk of request) {
             chunks.push(chunk);
         }
         if (this.isDown) {
-            response.writeHead(503, { "Content-Type": "application/json", "Content-Length": 2, "Store-Era": "1" });
+            response.writeHead(503, { "Content-Type": "application/json", "Content-Length": 2, "Store-Era": String(this.#era) });
             response.end("{}");
             return;
         }
@@ -54,7 +77,7 @@
         const url = new URL(request.url, "http://store");
         const [status, body] = await this.#answer(url, text === "" ? {} : JSON.parse(text));
         const bytes = Buffer.from(JSON.stringify(body));
-        response.writeHead(status, { "Content-Type": "application/json", "Content-Length": bytes.length, "Store-Era": "1" });
+        response.writeHead(status, { "Content-Type": "application/json", "Content-Length": bytes.length, "Store-Era": String(this.#era) });
         response.end(bytes);
     }
 
