--- a/review/standins/client.mjs
+++ b/review/standins/client.mjs
@@ -13,7 +13,7 @@
  * Sends one request on a channel of its own, which stays open until the answer is complete. Resolves with what came: `status` 0 if no
  * head came, `isComplete` if the answer ended as its framing says.
  */
-export function send(address, { id, method = "GET", path, host, headers = {}, body = "", waitMs = 4_000 }) {
+export function send(address, { id, method = "GET", path, host, headers = {}, body = "", waitMs = 4_000, cutMs }) {
     const [ip, port] = address.split(":");
     return new Promise(resolve => {
         const sentMs = Date.now();
@@ -26,6 +26,9 @@
             resolve({ id, address, path, isSent, sentMs, endedMs: Date.now(), ending, ...parseAnswer(received) });
         };
         const timer = setTimeout(() => finish("time limit"), waitMs + 500);
+        if (cutMs !== undefined) {
+            setTimeout(() => finish("cut"), Math.min(cutMs, waitMs));
+        }
         socket.on("connect", () => {
             isSent = true;
             const lines = Object.entries({
