End the processes of a case however it ends

Cause: an error outside of the case's own catch, or a signal, left the hosts running. Change: the stand-in deployment stops its processes on signals, uncaught errors and after 115 s.

--- a/review/standins/deployment.mjs
+++ b/review/standins/deployment.mjs
@@ -13,6 +13,8 @@
 const heartbeatMs = 1_200;
 /** Longest time that a deployment may take to serve; its start is no part of a case. */
 const startLimitMs = 15_000;
+/** A case has to end within 120 s. */
+const caseLimitMs = 115_000;
 /** The platform starts a process that has ended again after a short delay. */
 const restartMs = 400;
 
@@ -107,7 +109,7 @@
         this.#isEnding = true;
         this.#heartbeats.forEach(timer => clearInterval(timer));
         await Promise.all(this.hosts.map(async ({ child }) => {
-            if (child.exitCode === null && child.signalCode === null) {
+            if (child !== undefined && child.exitCode === null && child.signalCode === null) {
                 const ended = new Promise(resolve => child.once("exit", resolve));
                 child.kill("SIGKILL");
                 await ended;
@@ -237,6 +239,14 @@
         process.exit(2);
     }
     const deployment = new Deployment({ caseFolder, ...options });
+    const giveUp = async reason => {
+        deployment.note("the case could not run", { reason: String(reason) });
+        await deployment.stop();
+        process.exit(2);
+    };
+    // The processes of the deployment end with the case, however it ends.
+    ["uncaughtException", "unhandledRejection", "SIGTERM", "SIGINT"].forEach(event => process.on(event, giveUp));
+    setTimeout(() => void giveUp(`It took longer than ${caseLimitMs} ms.`), caseLimitMs).unref();
     let status = 2;
     try {
         await deployment.start();
