Record the head and the events of a stream when they have been sent

Cause: RequestTask noted the head as sent and ForwardedEvents noted event 1 as forwarded before response.writeHead had accepted the head. It threw, ResponseParser.push took the exception for a malformed answer, and the request went on at another endpoint with Last-Event-Id 1. Evidence: the second attempt carries that header; Node.js then wrote a head of its own at the first write.

CallerStream owns the head and the events of a response and records each after its effect. sendHead returns whether HTTP allows the head; if not, nothing was sent, the attempt is malformed and another endpoint begins the stream.

--- a/features/steps/ingress.endpoint.ts
+++ b/features/steps/ingress.endpoint.ts
@@ -90,7 +90,7 @@
 });
 
 /** The first request misbehaves, whichever engine receives it; later ones behave as `otherwise`. */
-function misbehaveOnce(misbehave: EngineBehaviour, otherwise: EngineBehaviour): EngineBehaviour {
+export function misbehaveOnce(misbehave: EngineBehaviour, otherwise: EngineBehaviour): EngineBehaviour {
     let isFirst = true;
     return (received, connection) => {
         const behave = isFirst ? misbehave : otherwise;
@@ -99,6 +99,13 @@
     };
 }
 
+/** Answers with what is missing of a stream of five events. */
+export const streamRest: EngineBehaviour = (received, { send }) => {
+    const from = Number(received.headers["last-event-id"] ?? 0) + 1;
+    const events = Array.from({ length: 6 - from }, (_, index) => renderEvent(from + index));
+    send(renderStreamHead(received) + events.join("") + streamEnd);
+};
+
 const respond: EngineBehaviour = (received, { send }) => send(renderResponse(received));
 
 Given("engines of which the first refuses without having run the request", function(this: IngressWorld) {
@@ -118,12 +125,7 @@
         send(renderStreamHead(received) + renderEvent(1) + renderEvent(2) + renderEvent(3).slice(0, -8));
         setTimeout(close, 20);
     };
-    const goOn: EngineBehaviour = (received, { send }) => {
-        const from = Number(received.headers["last-event-id"] ?? 0) + 1;
-        const events = Array.from({ length: 6 - from }, (_, index) => renderEvent(from + index));
-        send(renderStreamHead(received) + events.join("") + streamEnd);
-    };
-    this.ingress.setBehaviours(misbehaveOnce(breakOff, goOn));
+    this.ingress.setBehaviours(misbehaveOnce(breakOff, streamRest));
 });
 
 When("a caller sends a {string} request with the body {string}", async function(this: IngressWorld, route: string, body: string) {
--- a/features/steps/ingress.trouble.ts
+++ b/features/steps/ingress.trouble.ts
@@ -4,13 +4,14 @@
 import { brandAs, createSystemClock, silentEventLog } from "@filbertrelay/kernel";
 import type { FailureDomainId, HostId, Incarnation } from "@filbertrelay/kernel";
 import { createPlatformDuties, createPlatformStore } from "@filbertrelay/platform";
-import { notExecutedResponse, renderEvent, renderResponse, renderStreamHead, streamEnd } from "@filbertrelay/platform/standins";
+import { notExecutedResponse, renderEvent, renderResponse, renderStreamHead } from "@filbertrelay/platform/standins";
 import type { EngineBehaviour } from "@filbertrelay/platform/standins";
 import assert from "node:assert/strict";
 import { connect, createServer } from "node:net";
 import type { AddressInfo } from "node:net";
 import { customerKey, IngressFixture, waitFor } from "../support/ingress.js";
 import type { CallerResponse } from "../support/ingress.js";
+import { streamRest } from "./ingress.endpoint.js";
 import type { IngressWorld } from "./ingress.endpoint.js";
 
 const clock = createSystemClock();
@@ -78,14 +79,13 @@
         const bytes = stallBytes[kind];
         assert.ok(bytes !== undefined, `Unknown stall '${kind}'.`);
         let isFirst = true;
-        this.ingress.setBehaviours((received, { send, onClosed }) => {
+        this.ingress.setBehaviours((received, connection) => {
             if (!isFirst) {
-                const from = Number(received.headers["last-event-id"] ?? 0) + 1;
-                const events = Array.from({ length: 6 - from }, (_, index) => renderEvent(from + index));
-                send(renderStreamHead(received) + events.join("") + streamEnd);
+                streamRest(received, connection);
                 return;
             }
             isFirst = false;
+            const { send, onClosed } = connection;
             send(renderStreamHead(received) + renderEvent(1) + renderEvent(2));
             const timer = setInterval(() => send(`${bytes.length.toString(16)}\r\n${bytes}\r\n`), Number(everyMs));
             onClosed(() => clearInterval(timer));
--- a/packages/ingress/src/caller/server.ts
+++ b/packages/ingress/src/caller/server.ts
@@ -148,11 +148,7 @@
                 response.end(body);
             }
         },
-        sendHead: (status, headers) => {
-            if (!response.destroyed) {
-                response.writeHead(status, headers.flat());
-            }
-        },
+        sendHead: (status, headers) => response.destroyed || isWritten(() => response.writeHead(status, headers.flat())),
         write: bytes => response.destroyed || response.write(bytes),
         onDrain: callback => void response.on("drain", callback),
         end: () => void response.end(),
@@ -160,6 +156,17 @@
     };
 }
 
+/** Node.js checks a head as a whole before it sends any of it. */
+function isWritten(writeHead: () => void): boolean {
+    try {
+        writeHead();
+        return true;
+    }
+    catch {
+        return false;
+    }
+}
+
 function toPairs(flat: readonly string[]): HeaderList {
     return flat.flatMap((name, index) => index % 2 === 0 ? [[name, flat[index + 1] ?? ""] as const] : []);
 }
--- a/packages/ingress/src/request/forwardedevents.ts
+++ b/packages/ingress/src/request/forwardedevents.ts
@@ -3,6 +3,8 @@
 /** Stream events that have not been forwarded to the caller yet. */
 export interface NewEvents {
     readonly frames: readonly Buffer[];
+    /** Id of the last event forwarded to the caller once these are. */
+    readonly lastId: string | undefined;
     /** Whether any of them is not a comment; a stalled engine may still send comments. */
     readonly hasProgress: boolean;
 }
@@ -39,18 +41,24 @@
     }
 
     /** Parses bytes of an engine and returns the events that are new to the caller; `undefined` when an event is too long. */
-    take(bytes: Buffer): NewEvents | undefined {
+    read(bytes: Buffer): NewEvents | undefined {
         const frames = this.#reader.push(bytes);
         if (frames === undefined) {
             return undefined;
         }
+        let lastId = this.#lastId;
         const added = frames.filter(({ id }) => {
-            const isNew = id === undefined || isAfter(id, this.#lastId);
-            this.#lastId = isNew ? id ?? this.#lastId : this.#lastId;
+            const isNew = id === undefined || isAfter(id, lastId);
+            lastId = isNew ? id ?? lastId : lastId;
             return isNew;
         });
-        this.#count += added.length;
-        return { frames: added.map(frame => frame.bytes), hasProgress: added.some(({ isComment }) => !isComment) };
+        return { frames: added.map(frame => frame.bytes), lastId, hasProgress: added.some(({ isComment }) => !isComment) };
+    }
+
+    /** Records that events were forwarded. */
+    record({ frames, lastId }: NewEvents): void {
+        this.#lastId = lastId;
+        this.#count += frames.length;
     }
 }
 
--- a/packages/ingress/src/request/responder.ts
+++ b/packages/ingress/src/request/responder.ts
@@ -18,8 +18,8 @@
     onDisconnect(callback: () => void): void;
     /** Sends a complete response. */
     answer(status: number, headers: HeaderList, body: Buffer): void;
-    /** Sends the head of a response whose body follows. */
-    sendHead(status: number, headers: HeaderList): void;
+    /** Sends the head of a response whose body follows; returns false, with nothing sent, when HTTP does not allow the head. */
+    sendHead(status: number, headers: HeaderList): boolean;
     /** Sends a part of the body; returns false when the write buffer is full until `onDrain` calls back. */
     write(bytes: Buffer): boolean;
     onDrain(callback: () => void): void;
--- a/packages/ingress/src/request/task.ts
+++ b/packages/ingress/src/request/task.ts
@@ -5,6 +5,7 @@
 import type { AdmittedRequest } from "./admitted.js";
 import { Attempt } from "./attempt.js";
 import type { AttemptResult } from "./attempt.js";
+import { CallerStream } from "./callerstream.js";
 import type { RequestContext } from "./context.js";
 import { StreamContinuation } from "./continuation.js";
 import { recordEnding, sendRefusal } from "./ending.js";
@@ -12,7 +13,6 @@
 import { defaultRetryAfterMs, estimateRetryAfterMs, listOpenEndpoints, priorityOf, selectEndpoint } from "./endpointselection.js";
 import { sendErrorResponse } from "./errorresponse.js";
 import { requestEvents as events } from "./event.js";
-import { ForwardedEvents } from "./forwardedevents.js";
 import type { CallerResponder } from "./responder.js";
 import { SilenceTimer } from "./silencetimer.js";
 import type { AttemptProgress } from "./silencetimer.js";
@@ -28,14 +28,13 @@
     readonly #responder: CallerResponder;
     readonly #onEnd: () => void;
     readonly #tried = new Set<EndpointId>();
-    readonly #forwarded: ForwardedEvents;
+    readonly #stream: CallerStream;
     readonly #continuation: StreamContinuation;
     readonly #silence: SilenceTimer;
     readonly #traits: RequestTraits;
     #attempt: Attempt | undefined;
     #attempts = 0;
     #executions = 0;
-    #isHeadSent = false;
     #isEnded = false;
     #isUsageRecorded = false;
     /** A retry was already charged to the budget when the current attempt was ended for silence. */
@@ -49,7 +48,7 @@
         this.#request = request;
         this.#responder = responder;
         this.#onEnd = onEnd;
-        this.#forwarded = new ForwardedEvents(request.description.lastEventId);
+        this.#stream = new CallerStream(responder, request.description.lastEventId);
         this.#continuation = new StreamContinuation(
             context,
             request,
@@ -143,7 +142,7 @@
             remainingMs,
             ...(customer === undefined ? {} : { customer: customer.name }),
             ...(endpoint.hasPromptCache ? { priority: priorityOf(this.#request) } : {}),
-            ...(this.#forwarded.lastId === undefined ? {} : { lastEventId: this.#forwarded.lastId }),
+            ...(this.#stream.lastId === undefined ? {} : { lastEventId: this.#stream.lastId }),
         });
         log.write(events.attemptStarted, {
             requestId,
@@ -159,7 +158,7 @@
         if (description.prompt !== undefined && endpoint.hasPromptCache) {
             promptCaches.recordPrompt(endpoint.endpointId, description.prompt.parts);
         }
-        this.#forwarded.restart();
+        this.#stream.restart();
         const attempt = new Attempt(this.#context, {
             requestId,
             number: this.#attempts,
@@ -179,16 +178,16 @@
     }
 
     #receiveStream(attempt: Attempt, bytes: Buffer): void {
-        const taken = this.#forwarded.take(bytes);
-        if (taken === undefined) {
-            attempt.fail("malformed", "An event is too long.");
+        const forwarded = this.#stream.forward(attempt, bytes);
+        if (forwarded.type === "malformed") {
+            attempt.fail("malformed", forwarded.detail);
             return;
         }
-        if (taken.hasProgress) {
-            this.#continuation.recordEvent(attempt.endpoint);
+        if (forwarded.isFull) {
+            attempt.pause();
         }
-        this.#forward(attempt, taken.frames);
-        if (taken.hasProgress) {
+        if (forwarded.hasProgress) {
+            this.#continuation.recordEvent(attempt.endpoint);
             this.#restartSilenceTimer(0, true);
             this.#firstEventMs ??= this.#context.clock.monotonicMs();
             this.#recordProgress(attempt);
@@ -197,24 +196,11 @@
         }
     }
 
-    #forward(attempt: Attempt, frames: readonly Buffer[]): void {
-        if (frames.length === 0) {
-            return;
-        }
-        if (!this.#isHeadSent) {
-            this.#isHeadSent = true;
-            this.#responder.sendHead(attempt.status, attempt.responseHeaders);
-        }
-        if (!this.#responder.write(Buffer.concat(frames))) {
-            attempt.pause();
-        }
-    }
-
     #finishAttempt(attempt: Attempt, ending: AttemptResult): void {
         if (this.#isEnded || attempt !== this.#attempt) {
             return;
         }
-        const result = attempt.checkComplete(ending, this.#forwarded.isWithinEvent);
+        const result = attempt.checkComplete(ending, this.#stream.isWithinEvent);
         this.#silence.cancel();
         this.#attempt = undefined;
         if (result.type !== "notRun") {
@@ -222,7 +208,7 @@
         }
         const crashExamined = this.#recordOutcome(attempt, result);
         // Nothing but the rest of a stream can follow what the caller already has of it.
-        const isUsable = result.type === "answered" && (result.isStream || !this.#isHeadSent);
+        const isUsable = result.type === "answered" && (result.isStream || !this.#stream.isBegun);
         const isFinal = isUsable && (result.isStream || result.status < 500);
         // An attempt that never reached an endpoint is not charged to the retry budget.
         const isExempt = result.type === "notRun" && !result.hasArrived;
@@ -287,8 +273,9 @@
             this.#finish("answered", `status ${result.status}`);
             return;
         }
-        if (!this.#isHeadSent) {
-            this.#responder.sendHead(attempt.status, attempt.responseHeaders);
+        if (!this.#stream.begin(attempt)) {
+            this.#fail("the head can't be forwarded", 502, undefined);
+            return;
         }
         this.#responder.end();
         this.#finish("answered", `status ${result.status}`);
@@ -332,7 +319,7 @@
     /** Ends the request without an endpoint's response: rejected if it was certainly not executed, else with the given status. */
     #fail(reason: string, status: number, retryAfterMs: number | undefined): void {
         const mayHaveRun = this.#executions > 0 || this.#attempt !== undefined;
-        if (this.#isHeadSent) {
+        if (this.#stream.isBegun) {
             this.#responder.abort();
             this.#finish("cut", reason);
         }
@@ -378,7 +365,7 @@
             outcome,
             reason,
             sends: this.#attempts,
-            events: this.#forwarded.count,
+            events: this.#stream.count,
             firstEventMs: this.#firstEventMs,
         });
     }
