Read the heads of answers as strictly as the callers' side writes them

Cause: http-parser-js decodes heads as ASCII, skips lines that it can't read and takes any byte in a value and any three digits as a status. Node's writer refuses such heads, out of the socket's data event, where nothing catches the error.

ResponseParser checks each line of a head and each trailer with the grammar of RFC 9112 and RFC 9110 and decodes one character a byte, so what comes out can always be written. Other answers are malformed: the attempt fails alone. Bytes that can't begin a status line fail it at once instead of at the time limit.

--- a/features/ingress.spoiled.feature
+++ b/features/ingress.spoiled.feature
@@ -9,3 +9,42 @@
     When a caller sends a "stream" request with the body "prompt"
     Then the caller gets the events 1 to 5 once each in order and a complete answer
     And the caller gets 200 with the engine's signature
+
+  # Guards against heads that no writer accepts: the error of one answer ended the process with all its requests.
+  Scenario Outline: A plain answer with <bytes> is malformed and only its request fails
+    Given engines of which the first answers with <bytes>
+    When a caller sends a "nonIdempotent" request with the body "order"
+    Then the caller gets 502 and the request ran once
+    When a caller sends a "nonIdempotent" request with the body "order"
+    Then the caller gets 200 with the engine's signature
+
+    Examples:
+      | bytes                        |
+      | a control byte in a header   |
+      | a NUL in a header            |
+      | a DEL in a header            |
+      | a lone CR in a header        |
+      | a space in a header's name   |
+      | a header without a name      |
+      | a line without a colon       |
+      | a folded header              |
+      | status 099                   |
+      | status 600                   |
+      | a status of two digits       |
+      | a control byte in the reason |
+
+  # Guards against a decoder that drops the highest bit, which turns letters of other languages into control bytes.
+  Scenario: Text in UTF-8 in a header reaches the caller unchanged
+    Given engines of which the first answers with a dash in UTF-8 in a header
+    When a caller sends a "nonIdempotent" request with the body "order"
+    Then the caller gets 200 with the engine's signature
+    And the caller gets the header "x-spoiled" with the text "a–b" in UTF-8
+
+  # Guards against callers that wait for the time limit although the first bytes show that no answer will follow.
+  Scenario: Bytes that can't begin an answer fail the attempt at once
+    Given engines of which the first answers with text that is no HTTP and stays open
+    When a caller sends a "nonIdempotent" request with the body "order"
+    Then the caller gets 502 and the request ran once
+
+  Scenario: 3000 arbitrary heads are rejected or can be written to a caller
+    Then of 3000 arbitrary heads each one that is accepted can be written to a caller
--- a/features/steps/ingress.spoiled.ts
+++ b/features/steps/ingress.spoiled.ts
@@ -1,7 +1,12 @@
 import { Given, Then } from "@cucumber/cucumber";
+import { ResponseParser } from "@filbertrelay/ingress";
+import type { ResponseHead } from "@filbertrelay/ingress";
 import { renderResponse } from "@filbertrelay/platform/standins";
 import type { EngineBehaviour } from "@filbertrelay/platform/standins";
+import fc from "fast-check";
 import assert from "node:assert/strict";
+import { IncomingMessage, ServerResponse } from "node:http";
+import { Socket } from "node:net";
 import { misbehaveOnce, streamRest } from "./ingress.endpoint.js";
 import type { IngressWorld } from "./ingress.endpoint.js";
 
@@ -17,9 +22,31 @@
 }
 
 const spoiledAnswers: Readonly<Record<string, (bytes: string) => string>> = {
-    "a control byte in a header": bytes => bytes.replace("\r\n", "\r\nX-Spoiled: a\u0001b\r\n"),
+    "a control byte in a header": withLine("X-Spoiled: a\u0001b"),
+    "a NUL in a header": withLine("X-Spoiled: a\u0000b"),
+    "a DEL in a header": withLine("X-Spoiled: a\u007fb"),
+    "a lone CR in a header": withLine("X-Spoiled: a\rb"),
+    "a space in a header's name": withLine("X Spoiled: a"),
+    "a header without a name": withLine(": a"),
+    "a line without a colon": withLine("spoiled"),
+    "a folded header": withLine("X-Spoiled: a\r\n b"),
+    "a dash in UTF-8 in a header": withLine(`X-Spoiled: ${Buffer.from("a–b").toString("latin1")}`),
+    "status 099": withStatus("099 Answer"),
+    "status 600": withStatus("600 Answer"),
+    "a status of two digits": withStatus("20 Answer"),
+    "a control byte in the reason": withStatus("200 An\u0001swer"),
+    "text that is no HTTP and stays open": () => "<html>",
 };
 
+/** Adds a line behind the status line. */
+function withLine(line: string): (bytes: string) => string {
+    return bytes => bytes.replace("\r\n", `\r\n${line}\r\n`);
+}
+
+function withStatus(status: string): (bytes: string) => string {
+    return bytes => bytes.replace(/^HTTP\/1\.1 .*/, `HTTP/1.1 ${status}`);
+}
+
 Given(/^engines of which the first answers with (.+)$/, function(this: IngressWorld, kind: string) {
     const change = spoiledAnswers[kind];
     assert.ok(change !== undefined, `Unknown kind of answer '${kind}'.`);
@@ -31,3 +58,50 @@
     assert.equal(got!.status, status);
     assert.equal(got!.headers["x-filbertrelay-response-signature"], `signed-${got!.requestId}`);
 });
+
+Then(
+    "the caller gets the header {string} with the text {string} in UTF-8",
+    function(this: IngressWorld, name: string, text: string) {
+        assert.equal(Buffer.from(String(this.answers[0]!.headers[name]), "latin1").toString("utf8"), text);
+    },
+);
+
+const seed = 20_261_205;
+
+/** Bytes that often stand in a head, and others. */
+const headByte = fc.oneof(
+    { weight: 30, arbitrary: fc.constantFrom(...[..."HTP/1.:; \tax-Z0952,=\""].map(letter => letter.charCodeAt(0))) },
+    { weight: 1, arbitrary: fc.integer({ min: 0, max: 255 }) },
+);
+const anyText = fc.array(headByte, { maxLength: 12 }).map(bytes => Buffer.from(bytes).toString("latin1"));
+const anyStatus = fc.oneof(fc.integer({ min: 0, max: 1_099 }).map(status => String(status).padStart(3, "0")), anyText);
+const anyName = fc.oneof(fc.constantFrom("X-Name", "Date", "Set-Cookie", "Location", "Content-Type"), anyText);
+const anyHead = fc.record({
+    status: anyStatus,
+    reason: anyText,
+    fields: fc.array(fc.tuple(anyName, anyText), { maxLength: 4 }),
+}).map(({ status, reason, fields }) =>
+    `HTTP/1.1 ${status} ${reason}\r\n${fields.map(([name, value]) => `${name}: ${value}\r\n`).join("")}Content-Length: 0\r\n\r\n`
+);
+
+Then("of {int} arbitrary heads each one that is accepted can be written to a caller", function(numRuns: number) {
+    let accepted = 0;
+    fc.assert(
+        fc.property(anyHead, bytes => {
+            const heads: ResponseHead[] = [];
+            const handler = {
+                onHead: (head: ResponseHead) => void heads.push(head),
+                onBody: () => undefined,
+                onComplete: () => undefined,
+            };
+            new ResponseParser(handler, () => false).push(Buffer.from(bytes, "latin1"));
+            for (const { status, headers } of heads) {
+                accepted += 1;
+                const response = new ServerResponse(new IncomingMessage(new Socket()));
+                response.writeHead(status, headers.flat());
+            }
+        }),
+        { seed, numRuns },
+    );
+    assert.ok(accepted >= numRuns / 20, `${accepted} accepted`);
+});
--- a/packages/ingress/src/endpoint/responseparser.ts
+++ b/packages/ingress/src/endpoint/responseparser.ts
@@ -1,5 +1,6 @@
 import { HTTPParser } from "http-parser-js";
 import type { HeaderList } from "../contract.js";
+import { isFieldLine, isStatusLine, isStatusLineStart } from "./headgrammar.js";
 
 /** Status line and headers of a response. */
 export interface ResponseHead {
@@ -28,11 +29,14 @@
 /** Most trailer lines; the library limits only the header lines. */
 const maximumTrailerLines = 100;
 
+// One character a byte: with the default, ASCII, the library drops the highest bit of each byte of a header.
+HTTPParser.encoding = "latin1";
+
 const chunkSizePattern = /^[0-9a-f]{1,8}[ \t]*(;.*)?$/i;
 
 /**
- * Parses the responses on one connection. http-parser-js accepts any text as the size of the last chunk or as the content length,
- * which makes a damaged response look complete, and lines of unlimited length, which exhaust memory; these are rejected here.
+ * Parses the responses on one connection. http-parser-js accepts any text as a header, as the size of the last chunk or as the content
+ * length, and lines of unlimited length; these are rejected here, so that every head that is passed on is valid HTTP.
  */
 export class ResponseParser {
     readonly #parser = new HTTPParser(HTTPParser.RESPONSE);
@@ -48,13 +52,11 @@
             if ((line ?? internals.line).length > maximumLineLength) {
                 throw new Error(`A line is longer than ${maximumLineLength} characters.`);
             }
+            checkLine(internals.state, line, internals.line);
             trailerLines = internals.state === "BODY_CHUNKTRAILERS" ? trailerLines + Number(line !== undefined) : 0;
             if (trailerLines > maximumTrailerLines) {
                 throw new Error(`The answer has more than ${maximumTrailerLines} trailers.`);
             }
-            if (line !== undefined && internals.state === "BODY_CHUNKHEAD" && !chunkSizePattern.test(line)) {
-                throw new Error("The size of a chunk is malformed.");
-            }
             return line;
         };
         parser[HTTPParser.kOnHeadersComplete] = info => {
@@ -111,6 +113,25 @@
     return pairs;
 }
 
+/** Checks a line in a state of the parser; `line` is absent while only the start has arrived. An empty line ends headers. */
+function checkLine(state: string, line: string | undefined, start: string): void {
+    if (line === undefined) {
+        if (state === "RESPONSE_LINE" && !isStatusLineStart(start)) {
+            throw new Error("The answer does not begin with a status line.");
+        }
+        return;
+    }
+    if (state === "RESPONSE_LINE" && line !== "" && !isStatusLine(line)) {
+        throw new Error("The status line is malformed.");
+    }
+    if ((state === "HEADER" || state === "BODY_CHUNKTRAILERS") && line !== "" && !isFieldLine(line)) {
+        throw new Error("A header is malformed.");
+    }
+    if (state === "BODY_CHUNKHEAD" && !chunkSizePattern.test(line)) {
+        throw new Error("The size of a chunk is malformed.");
+    }
+}
+
 function checkFraming(headers: HeaderList): void {
     const lengths = headers.filter(([name]) => name.toLowerCase() === "content-length").map(([, value]) => value);
     const codings = headers.filter(([name]) => name.toLowerCase() === "transfer-encoding").map(([, value]) => value);
--- a/packages/ingress/src/index.ts
+++ b/packages/ingress/src/index.ts
@@ -4,6 +4,8 @@
 export * from "./daemon.js";
 export { DutyLease } from "./duty/lease.js";
 export { UsageReporter } from "./duty/usagereporter.js";
+export { ResponseParser } from "./endpoint/responseparser.js";
+export type { ResponseHandler, ResponseHead } from "./endpoint/responseparser.js";
 export { HostDirectory } from "./fleet/directory.js";
 export { PeerExchange } from "./fleet/exchange.js";
 export { SharedFindings } from "./fleet/findings.js";
