Use only addresses and numbers of entries that a host can work with

A part above 255 was looked up as a host name.

isRemoteAddress and isSocketAddress of the kernel decide for entries, registrations of hosts and settings. A sequence has to be a safe whole number, since the larger one is believed after a restore, and the id of an endpoint visible ASCII, since it is sent in a header.

--- /dev/null
+++ b/features/ingress.entries.feature
@@ -0,0 +1,35 @@
+Feature: Odd entries in the store
+
+  # Guards against an entry of another writer that ends the process of each host that reads it.
+  Scenario Outline: An entry with <oddity> names no endpoint and leaves the host running
+    Given an ingress with a store stand-in and two engines of each service
+    When another writer puts an entry with <oddity> beside the engines
+    And a caller sends 12 "idempotent" requests one after the other
+    Then every request is answered with 200
+    And the entry with <oddity> names no endpoint
+
+    Examples:
+      | oddity                 |
+      | port 80800             |
+      | port 0                 |
+      | no port                |
+      | a part above 255       |
+      | a name as address      |
+      | an infinite capacity   |
+      | a sequence of 1e300    |
+      | a fractional sequence  |
+      | a start time of 1e300  |
+      | a line end in its id   |
+      | a letter beyond ASCII in its id |
+
+  # Guards against settings that pass the check and then end the process when it listens or connects.
+  Scenario: Settings with an address that can't be used are rejected with their path
+    Then settings with "10.0.0.5:80800" or "10.0.0.256:7700" as the store's address are rejected at "store.address"
+
+  # Guards against peers that are registered under an address that no host can connect to.
+  Scenario: A registration of a host with a port out of range is skipped
+    Given an ingress with a store stand-in and two engines of each service
+    When a host registers with port 80800
+    And a caller sends 4 "idempotent" requests one after the other
+    Then every request is answered with 200
+    And the directory lists one address
--- /dev/null
+++ b/features/steps/ingress.entries.ts
@@ -0,0 +1,88 @@
+import { Then, When } from "@cucumber/cucumber";
+import { parseIngressSettings } from "@filbertrelay/ingress";
+import { createPlatformDecoder } from "@filbertrelay/platform";
+import { describeEngine } from "@filbertrelay/platform/standins";
+import assert from "node:assert/strict";
+import type { IngressWorld } from "./ingress.endpoint.js";
+
+interface Entry {
+    readonly id: string;
+    readonly text: string;
+}
+
+const soundEntry = JSON.stringify(describeEngine({ address: "127.0.0.1:9" }, { service: "records" }));
+
+/** An entry in which one field has a value of its own, as JSON text. */
+function withField(name: string, value: string): Entry {
+    const { [name]: _, ...others } = JSON.parse(soundEntry) as Record<string, unknown>;
+    return { id: "other", text: `{"${name}":${value},${JSON.stringify(others).slice(1)}` };
+}
+
+const oddEntries: Readonly<Record<string, Entry>> = {
+    "port 80800": withField("address", "\"127.0.0.1:80800\""),
+    "port 0": withField("address", "\"127.0.0.1:0\""),
+    "no port": withField("address", "\"127.0.0.1\""),
+    "a part above 255": withField("address", "\"127.0.0.256:80\""),
+    "a name as address": withField("address", "\"localhost:80\""),
+    "an infinite capacity": withField("capacity", "1e400"),
+    "a sequence of 1e300": withField("sequence", "1e300"),
+    "a fractional sequence": withField("sequence", "1.5"),
+    "a start time of 1e300": withField("born", "1e300"),
+    "a line end in its id": { id: "a\r\nX-Other: b", text: soundEntry },
+    "a letter beyond ASCII in its id": { id: "aĊb", text: soundEntry },
+};
+
+function findEntry(oddity: string): Entry {
+    const entry = oddEntries[oddity];
+    assert.ok(entry !== undefined, `Unknown oddity '${oddity}'.`);
+    return entry;
+}
+
+/** Time in which a host reads a change of the store. */
+const readMs = 300;
+
+When(/^another writer puts an entry with (.+) beside the engines$/, async function(this: IngressWorld, oddity: string) {
+    const { id, text } = findEntry(oddity);
+    this.ingress.store.put(`servers/${id}`, text);
+    await new Promise(resolve => setTimeout(resolve, readMs));
+});
+
+Then(/^the entry with (.+) names no endpoint$/, function(oddity: string) {
+    const { id, text } = findEntry(oddity);
+    assert.equal(createPlatformDecoder().readEndpoint(`servers/${id}`, text).ok, false);
+});
+
+Then(
+    "settings with {string} or {string} as the store's address are rejected at {string}",
+    function(first: string, second: string, path: string) {
+        for (const address of [first, second]) {
+            const parsed = parseIngressSettings(`
+[host]
+id = "host-1"
+failureDomain = "zone-a"
+callerAddress = "127.0.0.1:1"
+peerAddress = "127.0.0.1:2"
+[cluster]
+keys = ["a-secret-of-16-characters"]
+[store]
+address = "${address}"
+readsPerSecond = 100
+writesPerSecond = 100
+`);
+            assert.ok(!parsed.ok);
+            assert.deepEqual(parsed.issue.issues.map(issue => (issue.path ?? []).join(".")), [path]);
+        }
+    },
+);
+
+When("a host registers with port {int}", async function(this: IngressWorld, port: number) {
+    const address = `127.0.0.1:${port}`;
+    const entry = { incarnation: "run-1", callerAddress: address, peerAddress: address, failureDomain: "zone-a" };
+    this.ingress.store.put("filbertrelay/hosts/host-9", entry);
+    await new Promise(resolve => setTimeout(resolve, readMs));
+});
+
+Then("the directory lists one address", async function(this: IngressWorld) {
+    const listed = await this.ingress.directory() as { addresses: readonly string[]; };
+    assert.deepEqual(listed.addresses, [this.ingress.callerAddress]);
+});
--- a/packages/configuration/src/settings.ts
+++ b/packages/configuration/src/settings.ts
@@ -1,11 +1,11 @@
 import type { Issue, Outcome } from "@filbertrelay/kernel";
-import { failure, success } from "@filbertrelay/kernel";
+import { failure, isSocketAddress, success } from "@filbertrelay/kernel";
 import { parse } from "smol-toml";
 import { z } from "zod";
 
 /** An IPv4 address and a port in a settings file. */
-export const hostAndPortSchema = z.string().regex(
-    /^\d{1,3}(\.\d{1,3}){3}:\d{1,5}$/,
+export const hostAndPortSchema = z.string().refine(
+    isSocketAddress,
     "Expected an IPv4 address and a port, such as '10.0.0.5:7700'.",
 );
 
--- a/packages/ingress/src/fleet/hosts.ts
+++ b/packages/ingress/src/fleet/hosts.ts
@@ -1,5 +1,5 @@
 import type { StoreChange } from "@filbertrelay/connectors";
-import { brandAs, parseJson } from "@filbertrelay/kernel";
+import { brandAs, isRemoteAddress, parseJson } from "@filbertrelay/kernel";
 import type { EventLog, FailureDomainId, HostId, Incarnation } from "@filbertrelay/kernel";
 import { z } from "zod";
 import { stateEvents } from "../state/event.js";
@@ -11,10 +11,12 @@
 /** Prefix of the keys under which hosts register. */
 export const hostPrefix = `${ownPrefix}hosts/`;
 
+const addressSchema = z.string().refine(isRemoteAddress, "Expected an IPv4 address and a port.");
+
 const hostEntrySchema = z.object({
     incarnation: z.string().min(1),
-    callerAddress: z.string().min(1),
-    peerAddress: z.string().min(1),
+    callerAddress: addressSchema,
+    peerAddress: addressSchema,
     failureDomain: z.string().min(1),
     /** Processor capacity in CPU seconds per second; absent in entries that older versions wrote. */
     strength: z.number().positive().default(1),
