--- a/features/ingress.entries.feature
+++ b/features/ingress.entries.feature
@@ -33,3 +33,8 @@
     And a caller sends 4 "idempotent" requests one after the other
     Then every request is answered with 200
     And the directory lists one address
+
+  # Guards against a name that ends the header which tells it to endpoints, and against requests that are counted for another customer.
+  Scenario: A customer's name beyond Latin-1 reaches endpoints in UTF-8
+    Then the customer "Ċafé 東" is told to endpoints as one header in UTF-8
+    And a configuration with a line end in a customer's name is rejected
--- a/features/steps/ingress.entries.ts
+++ b/features/steps/ingress.entries.ts
@@ -1,8 +1,11 @@
 import { Then, When } from "@cucumber/cucumber";
 import { parseIngressSettings } from "@filbertrelay/ingress";
-import { createPlatformDecoder } from "@filbertrelay/platform";
+import { brandAs } from "@filbertrelay/kernel";
+import type { EndpointId } from "@filbertrelay/kernel";
+import { createPlatformDecoder, createPlatformDialect } from "@filbertrelay/platform";
 import { describeEngine } from "@filbertrelay/platform/standins";
 import assert from "node:assert/strict";
+import { createConfiguration } from "../support/ingress.js";
 import type { IngressWorld } from "./ingress.endpoint.js";
 
 interface Entry {
@@ -86,3 +89,18 @@
     const listed = await this.ingress.directory() as { addresses: readonly string[]; };
     assert.deepEqual(listed.addresses, [this.ingress.callerAddress]);
 });
+
+Then("the customer {string} is told to endpoints as one header in UTF-8", function(customer: string) {
+    const headers = createPlatformDialect().forwardHeaders([], {
+        endpointId: brandAs<EndpointId>("records-0"),
+        customer,
+        remainingMs: 100,
+    });
+    const values = headers.filter(([name]) => name === "X-Filbertrelay-Tenant").map(([, value]) => value);
+    assert.deepEqual(values.map(value => Buffer.from(value, "latin1").toString("utf8")), [customer]);
+});
+
+Then("a configuration with a line end in a customer's name is rejected", function() {
+    const configuration = { ...createConfiguration(8) as object, tenants: [{ name: "crew\r\nX: y", apiKeys: ["k"] }] };
+    assert.equal(createPlatformDecoder().readConfiguration(JSON.stringify(configuration)).ok, false);
+});
--- a/packages/configuration/src/ingress.ts
+++ b/packages/configuration/src/ingress.ts
@@ -73,7 +73,8 @@
 
 /** A customer of the ingress with its keys in plain text, as callers send them. */
 export const ingressCustomerSchema = z.object({
-    name: z.string().min(1),
+    /** Told to endpoints in a header. */
+    name: z.string().regex(/^\P{Cc}+$/u, "Expected a name without control characters."),
     keys: z.array(z.string().min(1)),
     /** Overrides the route's priority. */
     priority: z.number().min(0).optional(),
