Pass over interim heads before an answer

Cause: ResponseParser reported no head for a status below 200 but did report the end of the message, so that Attempt finished with status 0 and response.writeHead(0) ended the process. On a channel in use before, the answer counted as a late one instead.

Interim heads are passed over with both callbacks and without a body, at most 32 before an answer; 101 is malformed. 204 and 304 have no body either, whatever length they state.

--- a/features/ingress.spoiled.feature
+++ b/features/ingress.spoiled.feature
@@ -46,5 +46,43 @@
     When a caller sends a "nonIdempotent" request with the body "order"
     Then the caller gets 502 and the request ran once
 
+  # Guards against the end of an interim head that is taken for the end of the answer, which ended the process for want of a status.
+  Scenario Outline: <heads> before an answer are passed over
+    Given engines of which the first answers with <heads> before the answer
+    When a caller sends a "nonIdempotent" request with the body "order"
+    Then the caller gets 200 with the body "done" and the engine's signature
+    And the caller gets 200 and the request ran once
+
+    Examples:
+      | heads                     |
+      | a 102                     |
+      | a 100 in its own segment  |
+      | a 103 with headers        |
+      | twenty interim heads      |
+
+  Scenario: A stream behind an interim head is forwarded whole
+    Given engines of which the first answers with a 103 with headers before the answer
+    When a caller sends a "stream" request with the body "prompt"
+    Then the caller gets the events 1 to 5 once each in order and a complete answer
+    And the caller gets 200 with the engine's signature
+
+  # Guards against a caller that waits for the body of an answer that can't have one.
+  Scenario: A 304 that states a length is complete with its head
+    Given engines of which the first answers with a 304 that states a length
+    When a caller sends a "nonIdempotent" request with the body "order"
+    Then the caller gets 304 with the body "" and the engine's signature
+
+  # Guards against an endpoint that keeps a request waiting, or changes the protocol, with heads that are no answer.
+  Scenario Outline: <heads> are no answer
+    Given engines of which the first answers with <heads>
+    When a caller sends a "nonIdempotent" request with the body "order"
+    Then the caller gets 502 and the request ran once
+
+    Examples:
+      | heads                       |
+      | a 101                       |
+      | a hundred interim heads     |
+      | a 102 and an orderly close  |
+
   Scenario: 3000 arbitrary heads are rejected or can be written to a caller
     Then of 3000 arbitrary heads each one that is accepted can be written to a caller
--- a/features/steps/ingress.entries.ts
+++ b/features/steps/ingress.entries.ts
@@ -17,7 +17,8 @@
 
 /** An entry in which one field has a value of its own, as JSON text. */
 function withField(name: string, value: string): Entry {
-    const { [name]: _, ...others } = JSON.parse(soundEntry) as Record<string, unknown>;
+    const { [name]: replaced, ...others } = JSON.parse(soundEntry) as Record<string, unknown>;
+    assert.ok(replaced !== undefined, `An entry has no field '${name}'.`);
     return { id: "other", text: `{"${name}":${value},${JSON.stringify(others).slice(1)}` };
 }
 
--- a/features/steps/ingress.spoiled.ts
+++ b/features/steps/ingress.spoiled.ts
@@ -13,7 +13,7 @@
 const isStreamPath = (target: string): boolean => /^\/\w*stream/i.test(target);
 
 /** Answers in full, as an event stream where the request asks for one. */
-const answer: EngineBehaviour = (received, connection) =>
+export const answer: EngineBehaviour = (received, connection) =>
     isStreamPath(received.target) ? streamRest(received, connection) : connection.send(renderResponse(received));
 
 /** Changes the bytes with which an engine answers. */
@@ -21,6 +21,8 @@
     return (received, connection) => answer(received, { ...connection, send: bytes => connection.send(change(bytes)) });
 }
 
+const processing = "HTTP/1.1 102 Processing\r\n\r\n";
+
 const spoiledAnswers: Readonly<Record<string, (bytes: string) => string>> = {
     "a control byte in a header": withLine("X-Spoiled: a\u0001b"),
     "a NUL in a header": withLine("X-Spoiled: a\u0000b"),
@@ -36,6 +38,13 @@
     "a status of two digits": withStatus("20 Answer"),
     "a control byte in the reason": withStatus("200 An\u0001swer"),
     "text that is no HTTP and stays open": () => "<html>",
+    "a 102 before the answer": bytes => processing + bytes,
+    "a 103 with headers before the answer": bytes =>
+        `HTTP/1.1 103 Early Hints\r\nLink: </a>\r\nContent-Length: 7\r\n\r\n${bytes}`,
+    "twenty interim heads before the answer": bytes => processing.repeat(20) + bytes,
+    "a 304 that states a length": bytes => withStatus("304 Not Modified")(bytes).slice(0, -"done".length),
+    "a hundred interim heads": bytes => processing.repeat(100) + bytes,
+    "a 101": () => "HTTP/1.1 101 Switching Protocols\r\nConnection: upgrade\r\nUpgrade: other\r\n\r\n",
 };
 
 /** Adds a line behind the status line. */
@@ -47,7 +56,24 @@
     return bytes => bytes.replace(/^HTTP\/1\.1 .*/, `HTTP/1.1 ${status}`);
 }
 
+/** Faults that need more than other bytes. */
+const spoiledBehaviours: Readonly<Record<string, EngineBehaviour>> = {
+    "a 100 in its own segment before the answer": (received, connection) => {
+        connection.send("HTTP/1.1 100 Continue\r\n\r\n");
+        setTimeout(() => answer(received, connection), 20);
+    },
+    "a 102 and an orderly close": (_, { send, close }) => {
+        send(processing);
+        close();
+    },
+};
+
 Given(/^engines of which the first answers with (.+)$/, function(this: IngressWorld, kind: string) {
+    const behaviour = spoiledBehaviours[kind];
+    if (behaviour !== undefined) {
+        this.ingress.setBehaviours(misbehaveOnce(behaviour, answer));
+        return;
+    }
     const change = spoiledAnswers[kind];
     assert.ok(change !== undefined, `Unknown kind of answer '${kind}'.`);
     this.ingress.setBehaviours(misbehaveOnce(spoil(change), answer));
--- a/packages/ingress/src/endpoint/responseparser.ts
+++ b/packages/ingress/src/endpoint/responseparser.ts
@@ -32,6 +32,13 @@
 // One character a byte: with the default, ASCII, the library drops the highest bit of each byte of a header.
 HTTPParser.encoding = "latin1";
 
+/** Most interim heads before an answer. */
+const maximumInterimHeads = 32;
+/** No Content and Not Modified have no body, whatever length their heads state. */
+const bodilessStatuses: ReadonlySet<number> = new Set([204, 304]);
+/** Switching Protocols. */
+const upgradeStatus = 101;
+
 const chunkSizePattern = /^[0-9a-f]{1,8}[ \t]*(;.*)?$/i;
 
 /**
@@ -47,6 +54,8 @@
         const internals = parser as unknown as ParserInternals;
         const consumeLine = internals.consumeLine.bind(parser);
         let trailerLines = 0;
+        let isInterim = false;
+        let interimHeads = 0;
         internals.consumeLine = () => {
             const line = consumeLine();
             if ((line ?? internals.line).length > maximumLineLength) {
@@ -62,7 +71,10 @@
         parser[HTTPParser.kOnHeadersComplete] = info => {
             const headers = toPairs(info.headers);
             checkFraming(headers);
-            if (info.statusCode >= 200) {
+            isInterim = info.statusCode < 200;
+            interimHeads = isInterim ? interimHeads + 1 : 0;
+            checkInterim(info.statusCode, interimHeads);
+            if (!isInterim) {
                 handler.onHead({
                     status: info.statusCode,
                     statusText: info.statusMessage,
@@ -70,10 +82,14 @@
                     isReusable: info.shouldKeepAlive,
                 });
             }
-            return expectsNoBody() ? 1 : 0;
+            return isInterim || bodilessStatuses.has(info.statusCode) || expectsNoBody() ? 1 : 0;
         };
         parser[HTTPParser.kOnBody] = (chunk, offset, length) => handler.onBody(chunk.subarray(offset, offset + length));
-        parser[HTTPParser.kOnMessageComplete] = () => handler.onComplete();
+        parser[HTTPParser.kOnMessageComplete] = () => {
+            if (!isInterim) {
+                handler.onComplete();
+            }
+        };
     }
 
     /** Parses bytes; returns the error message if they are not a valid response. */
@@ -132,6 +148,16 @@
     }
 }
 
+/** Interim heads are passed over; a change of protocol was never asked for. */
+function checkInterim(status: number, interimHeads: number): void {
+    if (status === upgradeStatus) {
+        throw new Error("The endpoint switches to another protocol.");
+    }
+    if (interimHeads > maximumInterimHeads) {
+        throw new Error(`More than ${maximumInterimHeads} interim heads come before the answer.`);
+    }
+}
+
 function checkFraming(headers: HeaderList): void {
     const lengths = headers.filter(([name]) => name.toLowerCase() === "content-length").map(([, value]) => value);
     const codings = headers.filter(([name]) => name.toLowerCase() === "transfer-encoding").map(([, value]) => value);
