End only the request or entry in which an error of a host occurs

An unexpected error in the work of one request, or in the reading of one store entry, ended the process with all other requests.

ItemView reads each entry on its own; an error leaves the others in effect, with event 5312. Both count in filbertrelay_internal_errors_total. A violated invariant still ends the process.

--- a/features/support/ingress.ts
+++ b/features/support/ingress.ts
@@ -1,5 +1,5 @@
 import { createIngressDaemon, parseIngressSettings } from "@filbertrelay/ingress";
-import type { IngressLifecycle } from "@filbertrelay/ingress";
+import type { Environment, IngressLifecycle } from "@filbertrelay/ingress";
 import { createSystemClock, silentEventLog } from "@filbertrelay/kernel";
 import type { Kernel } from "@filbertrelay/kernel";
 import {
@@ -84,6 +84,7 @@
     #kernel: Kernel | undefined;
     #ports: number[] = [];
     #versions: readonly string[] = [];
+    #environment: Partial<Environment> = {};
     #nextId = 1;
 
     /** `promises` holds additional lines for the `[promises]` section of the settings. */
@@ -93,12 +94,15 @@
             readonly promises?: string;
             /** Software versions of the engines; `v1` by default. */
             readonly versions?: readonly string[];
+            /** Replaces parts of the host's environment. */
+            readonly environment?: Partial<Environment>;
             /** Called with the store before the host starts. */
             readonly prepare?: (store: StandinStore) => void;
         },
     ): Promise<void> {
         await this.store.start();
         this.#versions = options.versions ?? [];
+        this.#environment = options.environment ?? {};
         options.prepare?.(this.store);
         for (let index = 0; index < 2; index += 1) {
             const engine = new StandinEngine(respondFully);
@@ -286,6 +290,7 @@
                 createDuties: () => undefined,
                 createDirectoryRoutes,
                 createReadyRoutes,
+                ...this.#environment,
             },
         });
         await this.#kernel.start();
--- a/packages/ingress/src/daemon.ts
+++ b/packages/ingress/src/daemon.ts
@@ -120,6 +120,7 @@
         applyMs,
         ownedPrefixes: createOwnedPrefixes(environment.decoder, promises.endpointHeartbeatMs),
         onUpdate: ({ way, copyAgeMs }) => copyAgeMs === undefined ? undefined : metrics.recordChangeAge(way, copyAgeMs),
+        onListenerError: () => metrics.recordInternalError("entry"),
     });
     const configuration = new ConfigurationState({ mirror, decoder: environment.decoder, log, metrics });
     const endpoints = new EndpointTable({ mirror, decoder: environment.decoder, log });
--- a/packages/ingress/src/request/attempt.ts
+++ b/packages/ingress/src/request/attempt.ts
@@ -4,6 +4,7 @@
 import type { EndpointRecord, HeaderList, ResponseDescription } from "../contract.js";
 import type { ConnectionFailure, EndpointConnection, EndpointRequest, EndpointResponseHandler } from "../endpoint/connection.js";
 import type { ResponseHead } from "../endpoint/responseparser.js";
+import type { RequestBoundary } from "./boundary.js";
 import type { RequestContext } from "./context.js";
 import { requestEvents as events } from "./event.js";
 
@@ -56,6 +57,7 @@
     readonly #outgoing: EndpointRequest;
     readonly #loadKey: string;
     readonly #sentMs: number;
+    #boundary: RequestBoundary | undefined;
     #handler: AttemptHandler | undefined;
     #connection: EndpointConnection | undefined;
     #head: ResponseHead | undefined;
@@ -107,14 +109,27 @@
         return (this.#head?.headers ?? []).filter(([name]) => !droppedHeaders.has(name.toLowerCase()));
     }
 
-    start(handler: AttemptHandler): void {
+    /** Sends the request. All callbacks of the connection and of timers run within the boundary. */
+    start(boundary: RequestBoundary, handler: AttemptHandler): void {
         const { loads, connections, limits } = this.#context;
         const { endpoint, priority, tokens, isRepeatable } = this.#options;
         this.#handler = handler;
+        this.#boundary = boundary;
         limits.recordSend(endpoint.endpointId, this.#sentMs);
         loads.recordDispatch({ requestId: this.#loadKey, endpointId: endpoint.endpointId, priority, tokens });
         this.#connection = connections.acquire(endpoint, isRepeatable ? Infinity : nonRetryableIdleMs);
-        this.#connection.send(this.#outgoing, this);
+        this.#connection.send(this.#outgoing, {
+            onHead: head => {
+                let isOwn = false;
+                boundary.run(() => {
+                    isOwn = this.onHead(head);
+                });
+                return isOwn;
+            },
+            onBody: boundary.guard(chunk => this.onBody(chunk)),
+            onComplete: boundary.guard(() => this.onComplete()),
+            onFailure: boundary.guard(failure => this.onFailure(failure)),
+        });
     }
 
     /** Records that the first event has arrived, which means that the prompt has been processed. */
@@ -288,7 +303,7 @@
         }
         this.#batch.push(chunk);
         if (this.#batch.length === 1) {
-            this.#cancelBatchTimer = this.#context.clock.after(batchMs, () => this.#flushBatch());
+            this.#cancelBatchTimer = this.#context.clock.after(batchMs, () => this.#boundary?.run(() => this.#flushBatch()));
         }
     }
 
--- a/packages/ingress/src/request/event.ts
+++ b/packages/ingress/src/request/event.ts
@@ -56,6 +56,12 @@
         text: "It was decided at which software version a stream goes on for its caller.",
         action: "None; without `version` the request was rejected, since no host knows at which version the stream began.",
     },
+    requestBroken: {
+        number: 4313,
+        level: "error",
+        text: "An error of this host ended a request; the others are not affected.",
+        action: "Report `error` to the developers.",
+    },
     endpointCrashed: {
         number: 4305,
         level: "warn",
--- a/packages/ingress/src/request/pipeline.ts
+++ b/packages/ingress/src/request/pipeline.ts
@@ -1,8 +1,10 @@
 import type { IngressCustomer, IngressRoute } from "@filbertrelay/configuration";
 import { chooseService, rendezvousScore } from "@filbertrelay/policy/ingress";
 import type { RequestDescription } from "../contract.js";
+import { describeError } from "../describeerror.js";
 import { callersKey } from "../fleet/report.js";
 import type { ActiveConfiguration } from "../state/configuration.js";
+import { RequestBoundary } from "./boundary.js";
 import type { RequestContext } from "./context.js";
 import { sendErrorResponse } from "./errorresponse.js";
 import type { ErrorResponse } from "./errorresponse.js";
@@ -35,6 +37,16 @@
 
     /** Accepts a fully received request; the responder gets exactly one final response. */
     accept(caller: CallerRequest, responder: CallerResponder): void {
+        const { log, metrics } = this.#context;
+        const boundary = new RequestBoundary(error => {
+            metrics.recordInternalError("request");
+            log.write(events.requestBroken, { target: caller.target.slice(0, 200), error: describeError(error) });
+            responder.abort();
+        });
+        boundary.run(() => this.#accept(caller, responder));
+    }
+
+    #accept(caller: CallerRequest, responder: CallerResponder): void {
         const { configuration, callerWork, clock } = this.#context;
         callerWork.recordWork(callersKey, requestProcessorMs, clock.monotonicMs());
         const active = configuration.current();
--- a/packages/ingress/src/request/task.ts
+++ b/packages/ingress/src/request/task.ts
@@ -1,10 +1,12 @@
 import type { EndpointId } from "@filbertrelay/kernel";
 import type { EndpointChoice, RequestTraits } from "@filbertrelay/policy/ingress";
 import type { EndpointRecord } from "../contract.js";
+import { describeError } from "../describeerror.js";
 import { decideAdmission, isEndedBeforeStop } from "./admission.js";
 import type { AdmittedRequest } from "./admitted.js";
 import { Attempt } from "./attempt.js";
 import type { AttemptResult } from "./attempt.js";
+import { RequestBoundary } from "./boundary.js";
 import { CallerStream } from "./callerstream.js";
 import type { RequestContext } from "./context.js";
 import { StreamContinuation } from "./continuation.js";
@@ -27,6 +29,7 @@
     readonly #request: AdmittedRequest;
     readonly #responder: CallerResponder;
     readonly #onEnd: () => void;
+    readonly #boundary = new RequestBoundary(error => this.#breakDown(error));
     readonly #tried = new Set<EndpointId>();
     readonly #stream: CallerStream;
     readonly #continuation: StreamContinuation;
@@ -52,25 +55,30 @@
         this.#continuation = new StreamContinuation(
             context,
             request,
-            () => this.#fail("the caller has come back", 502, undefined),
+            this.#boundary.guard(() => this.#fail("the caller has come back", 502, undefined)),
         );
         this.#traits = describeTraits(request);
         this.#silence = new SilenceTimer({
             clock: context.clock,
             route: request.route,
-            onSilence: (limitMs, progress) => this.#handleSilence(limitMs, progress),
+            onSilence: this.#boundary.guard((limitMs, progress) => this.#handleSilence(limitMs, progress)),
         });
     }
 
     /** Sends the request to an endpoint or rejects it immediately. */
     start(): void {
+        this.#boundary.run(() => this.#start());
+    }
+
+    #start(): void {
         const { clock } = this.#context;
-        this.#responder.onDisconnect(() => this.#finish("gone", "caller"));
+        this.#responder.onDisconnect(this.#boundary.guard(() => this.#finish("gone", "caller")));
         this.#responder.onDrain(() => this.#attempt?.resume());
-        this.#cancelDeadline = clock.after(Math.max(0, this.#request.deadlineMs - clock.monotonicMs()), () => this.#expire());
+        const leftMs = Math.max(0, this.#request.deadlineMs - clock.monotonicMs());
+        this.#cancelDeadline = clock.after(leftMs, this.#boundary.guard(() => this.#expire()));
         this.#context.retryBudget.recordRequest(this.#request.service, clock.monotonicMs());
         if (this.#continuation.isResumed) {
-            void this.#continuation.find().then(isFound => this.#resume(isFound));
+            void this.#continuation.find().then(this.#boundary.guard(isFound => this.#resume(isFound)));
         }
         else {
             this.#dispatch();
@@ -119,7 +127,7 @@
 
     /** Ends the request, since the host stops now. */
     endForStop(): void {
-        this.#fail("this host stops", 502, stoppingRetryMs);
+        this.#boundary.run(() => this.#fail("this host stops", 502, stoppingRetryMs));
     }
 
     #admit(choice: EndpointChoice): boolean {
@@ -171,7 +179,7 @@
         }, { method: caller.method, target: caller.target, headers, body: caller.body });
         this.#attempt = attempt;
         this.#restartSilenceTimer(choice.expectedStartMs, false);
-        attempt.start({
+        attempt.start(this.#boundary, {
             onStreamBytes: bytes => this.#receiveStream(attempt, bytes),
             onEnd: result => this.#finishAttempt(attempt, result),
         });
@@ -230,7 +238,7 @@
         });
         if (isRepeated) {
             // A request that crashes endpoints is recognised before it is sent to the next one.
-            void crashExamined?.then(() => this.#dispatch());
+            void crashExamined?.then(this.#boundary.guard(() => this.#dispatch()));
             if (crashExamined === undefined) {
                 this.#dispatch();
             }
@@ -312,6 +320,21 @@
         this.#attempt?.fail("silent", `The endpoint was silent for ${Math.round(limitMs)} ms.`);
     }
 
+    /** Ends the request after an error of this host. */
+    #breakDown(error: unknown): void {
+        const { log, metrics } = this.#context;
+        const { requestId, route, service } = this.#request;
+        metrics.recordInternalError("request");
+        log.write(events.requestBroken, { requestId, route: route.name, service, error: describeError(error) });
+        try {
+            this.#fail("an internal error", 502, undefined);
+        }
+        catch {
+            this.#responder.abort();
+            this.#finish("cut", "an internal error");
+        }
+    }
+
     #expire(): void {
         this.#fail("time limit", 504, defaultRetryAfterMs);
     }
--- a/packages/ingress/src/state/event.ts
+++ b/packages/ingress/src/state/event.ts
@@ -62,6 +62,12 @@
         text: "An entry of the restored store is older than what this host knows and does not take effect yet.",
         action: "None; it takes effect if its owner does not write again in time.",
     },
+    entryBroken: {
+        number: 5312,
+        level: "error",
+        text: "An error of this host kept a store entry from taking effect; the others hold.",
+        action: "Report `error` to the developers.",
+    },
     versionsRecorded: {
         number: 5311,
         level: "info",
--- a/packages/ingress/src/state/itemview.ts
+++ b/packages/ingress/src/state/itemview.ts
@@ -1,7 +1,9 @@
 import type { StoreChange, StoreItem } from "@filbertrelay/connectors";
+import { InvariantError } from "@filbertrelay/kernel";
 import type { Clock, EventLog } from "@filbertrelay/kernel";
 import { OwnedValues } from "@filbertrelay/policy/ingress";
 import type { DisputedItem, OwnedPrefix } from "@filbertrelay/policy/ingress";
+import { describeError } from "../describeerror.js";
 import { stateEvents as events } from "./event.js";
 
 /** How changes reached this host: its own watch or listing of the store, a push from a peer, or a fetch from one. */
@@ -30,6 +32,8 @@
     readonly readStored: (key: string) => StoreItem | undefined;
     /** Called for each material change. */
     readonly onMaterialChange: (origin: ChangeOrigin) => void;
+    /** Called for each change that a listener failed to take. */
+    readonly onListenerError: () => void;
 }
 
 /** The items that are in effect on this host, and who is told of their changes. */
@@ -59,6 +63,10 @@
 
     /** Takes a change of the store; `isRestored` marks what a restore has changed. */
     apply(change: StoreChange, isRestored: boolean, origin: ChangeOrigin): ChangeKind {
+        return this.#contain(change, () => this.#apply(change, isRestored, origin));
+    }
+
+    #apply(change: StoreChange, isRestored: boolean, origin: ChangeOrigin): ChangeKind {
         if (!this.#owned.apply(change, isRestored, this.#nowMs())) {
             this.#options.log.write(events.entryDisputed, {
                 key: change.key,
@@ -109,7 +117,7 @@
 
     #notify(change: StoreChange, origin: ChangeOrigin): ChangeKind {
         const kinds = this.#listeners.filter(({ prefix }) => change.key.startsWith(prefix)).map(({ listener }) =>
-            listener(change, origin)
+            this.#contain(change, () => listener(change, origin))
         );
         const kind = kinds.length > 0 && kinds.every(each => each === "heartbeat") ? "heartbeat" : "material";
         if (kind === "material") {
@@ -117,4 +125,23 @@
         }
         return kind;
     }
+
+    /** An error in the reading of one entry leaves the others in effect. */
+    #contain(change: StoreChange, read: () => ChangeKind): ChangeKind {
+        try {
+            return read();
+        }
+        catch (error) {
+            if (error instanceof InvariantError) {
+                throw error;
+            }
+            this.#options.onListenerError();
+            this.#options.log.write(events.entryBroken, {
+                key: change.key,
+                revision: change.revision,
+                error: describeError(error),
+            });
+            return "material";
+        }
+    }
 }
--- a/packages/ingress/src/state/mirror.ts
+++ b/packages/ingress/src/state/mirror.ts
@@ -61,13 +61,14 @@
 
     constructor(options: StoreMirrorOptions) {
         this.#options = options;
-        const { clock, log, store, onUpdate, ownedPrefixes = [] } = options;
+        const { clock, log, store, onUpdate, onListenerError = () => undefined, ownedPrefixes = [] } = options;
         this.#view = new ItemView({
             clock,
             log,
             ownedPrefixes,
             readStored: key => this.#copy.get(key),
             onMaterialChange: origin => onUpdate?.(origin),
+            onListenerError,
         });
         this.#copy = new StoreCopy({
             onChange: (change, isRestored) => this.#view.apply(change, isRestored, this.#origin),
--- a/packages/ingress/src/state/mirroroptions.ts
+++ b/packages/ingress/src/state/mirroroptions.ts
@@ -22,4 +22,6 @@
     readonly ownedPrefixes?: readonly OwnedPrefix[];
     /** Called for each material change. */
     readonly onUpdate?: (origin: ChangeOrigin) => void;
+    /** Called for each change that a listener failed to take. */
+    readonly onListenerError?: () => void;
 }
--- a/packages/ingress/src/telemetry/metrics.ts
+++ b/packages/ingress/src/telemetry/metrics.ts
@@ -18,6 +18,13 @@
     readonly #connections = this.#counter("endpoint_connections_total", "Connections opened to endpoints, by service", [
         "service",
     ]);
+    readonly #internalErrors = this.#counter(
+        "internal_errors_total",
+        "Errors of this host that ended one unit of work, by scope",
+        [
+            "scope",
+        ],
+    );
     readonly #crashes = this.#counter("endpoint_crashes_total", "Crashes of endpoints with requests in progress, by service", [
         "service",
     ]);
@@ -52,6 +59,11 @@
         this.#connections.inc({ service });
     }
 
+    /** `scope` is what ended: a request, or the reading of an entry of the store. */
+    recordInternalError(scope: "request" | "entry"): void {
+        this.#internalErrors.inc({ scope });
+    }
+
     recordCrash(service: string): void {
         this.#crashes.inc({ service });
     }
