Hand a connection back after its last events were forwarded

Callers got 502 at the time limit for a request that reused the connection of a stream with a large end.

Cause: EndpointConnection#finish put the connection into the pool before the handler forwarded the last batch. With a full buffer of the caller, the ended attempt paused a connection that was idle or in use by the next request, and nothing resumed it.

--- a/packages/ingress/src/endpoint/connection.ts
+++ b/packages/ingress/src/endpoint/connection.ts
@@ -230,12 +230,13 @@
         if (this.#hasExcessBytes || !this.#isReusable) {
             this.#close();
         }
-        else if (!this.#isClosed) {
+        // The handler may still pause the connection, so it is handed back only afterwards.
+        handler?.onComplete();
+        if (!this.#isClosed) {
             this.#idleSinceMs = this.#clock.monotonicMs();
             this.#socket.resume();
             this.#onIdle(this);
         }
-        handler?.onComplete();
     }
 
     #fail(reason: ConnectionFailure["reason"], detail: string): void {
