Limit the memory and the work of answers that come in pieces

A faulty endpoint could take 430 MB of a host with a body, and 303 MB with events, in chunks of one byte to 24 callers for 2 s, though each answer was limited to 8 MB; the smallest hosts have 250 MB.

Cause: each piece kept a buffer object and the block of the socket that it was a view of, and each piece of an event joined and scanned all of the event again. The limit counted bytes of one answer, not the memory of all.

Bodies, batches and pending events are copied into one block that doubles; events are scanned once. AnswerMemory limits what is buffered for all endpoints and for one. Chunks need a mean size of 4 bytes from the 1,025th on, and comments or repeated events in a row end at 1 MB.

Properties: memory held equals what the open answers hold in 2000 schedules; 500 streams give the same events however they are split.

--- a/features/ingress.policy.feature
+++ b/features/ingress.policy.feature
@@ -89,3 +89,11 @@
     When work for 5 endpoints starts and is measured every 500 ms for 12 s
     Then from 3 s on the measured demand is between 4 and 6
     And no measurement is above 6
+
+  # Guards against memory that is counted twice, or never given back, so that a host rejects answers that it has room for.
+  Scenario: The memory of answers stays within its limits in 2000 seeded schedules
+    Then in 2000 seeded schedules of 60 changes the memory held equals what the open answers hold and exceeds no limit
+
+  # Guards against events that are cut, joined or read again where the pieces of a stream begin and end.
+  Scenario: Events are read alike however their bytes are split
+    Then 500 seeded streams give the same events in one piece and in pieces of any size
--- a/features/ingress.trouble.feature
+++ b/features/ingress.trouble.feature
@@ -99,3 +99,29 @@
       | where               |
       | within an event     |
       | without any event   |
+
+  # Guards against a connection that is handed back while the last events are still to be forwarded: a slow caller then paused it, and
+  # the next request on it got its answer at its time limit only.
+  Scenario: The request after a stream with a large end is answered on the same connection
+    Given engines of which one does not accept connections
+    And engines whose streams end with an event of 50000 bytes
+    When a caller sends 3 "stream" requests one after the other
+    Then every request is answered with 200 and ran once
+    And the engines accepted 1 connection
+
+  # Guards against memory that pieces of an answer take beyond their bytes, and against one engine that takes the memory of all answers.
+  Scenario Outline: 24 callers get <bytes> without end from one engine while the other one serves
+    Given two engines of which the first sends <bytes> without end
+    When 24 callers send a "<route>" request to it while others send "idempotent" requests for 2000 ms
+    Then the requests of the others are answered with 200
+    And the host's memory has grown by less than 128 MB
+
+    Examples:
+      | bytes                        | route       |
+      | a body                       | slowOrder   |
+      | chunks of one byte           | slowOrder   |
+      | interim heads                | slowOrder   |
+      | events in chunks of one byte | slowStream  |
+      | pieces of one event          | slowStream  |
+      | comments                     | slowStream  |
+      | the same event               | slowStream  |
--- a/packages/ingress/src/daemon.ts
+++ b/packages/ingress/src/daemon.ts
@@ -2,6 +2,7 @@
 import { brandAs, createKernel } from "@filbertrelay/kernel";
 import type { Clock, EventLog, FailureDomainId, HostId, Kernel } from "@filbertrelay/kernel";
 import {
+    AnswerMemory,
     createDemandMeter,
     createEndpointHealth,
     createEndpointLimits,
@@ -52,6 +53,11 @@
 import { VersionRecorder } from "./state/versionrecorder.js";
 import { IngressMetrics } from "./telemetry/metrics.js";
 
+/** Memory for buffered answers; the smallest hosts have 250 MB. */
+const answerMemoryBytes = 50_331_648;
+/** Share of one endpoint, in which two answers of the greatest length fit. */
+const endpointAnswerBytes = 16_777_216;
+
 /** The state of a host that the directory, readiness and metrics interfaces expose. */
 export interface HostView {
     readonly directory: HostDirectory;
@@ -245,6 +251,7 @@
         configuration,
         endpoints,
         connections,
+        answerMemory: new AnswerMemory({ totalBytes: answerMemoryBytes, endpointBytes: endpointAnswerBytes }),
         loads,
         promptCaches,
         health,
--- a/packages/ingress/src/endpoint/eventframe.ts
+++ b/packages/ingress/src/endpoint/eventframe.ts
@@ -1,3 +1,5 @@
+import { ByteBuffer } from "./bytebuffer.js";
+
 /** The bytes of one server-sent event with its trailing blank line. */
 export interface EventFrame {
     readonly bytes: Buffer;
@@ -9,10 +11,12 @@
 
 /** Longest event that is accepted; a longer one means that the bytes are not an event stream. */
 const maximumEventBytes = 1_048_576;
+/** Bytes of a blank line that may have arrived without its end. */
+const blankLineBytes = 3;
 
 /** Splits the bytes of a server-sent event stream into complete events without changing them. */
 export class EventFrameReader {
-    #pending = Buffer.alloc(0);
+    readonly #pending = new ByteBuffer();
 
     /** Length of the incomplete event at the end. */
     get pendingBytes(): number {
@@ -21,23 +25,36 @@
 
     /** Returns the events that the chunk completes; `undefined` when an event is too long. */
     push(chunk: Buffer): readonly EventFrame[] | undefined {
-        let rest = this.#pending.length === 0 ? chunk : Buffer.concat([this.#pending, chunk]);
+        const knownBytes = this.#pending.length;
+        if (knownBytes > 0) {
+            this.#pending.append(chunk);
+        }
+        const bytes = knownBytes > 0 ? this.#pending.view() : chunk;
         const frames: EventFrame[] = [];
-        for (let end = findEventEnd(rest); end !== -1; end = findEventEnd(rest)) {
-            const bytes = rest.subarray(0, end);
-            const text = bytes.toString("latin1");
-            const id = /^id:[ ]?(.*?)\r?$/m.exec(text)?.[1];
-            frames.push({ bytes, isComment: !/^[^:\r\n]/m.test(text), ...(id === undefined ? {} : { id }) });
-            rest = rest.subarray(end);
+        let start = 0;
+        // What was pending before holds no complete event, but may hold the beginning of a blank line.
+        let end = findEventEnd(bytes, Math.max(0, knownBytes - blankLineBytes));
+        for (; end !== -1; end = findEventEnd(bytes, start)) {
+            frames.push(readFrame(bytes.subarray(start, end)));
+            start = end;
+        }
+        if (knownBytes === 0 || start > 0) {
+            this.#pending.clear();
+            this.#pending.append(bytes.subarray(start));
         }
-        this.#pending = Buffer.from(rest);
         return this.#pending.length > maximumEventBytes ? undefined : frames;
     }
 }
 
-/** The offset after the blank line that ends the first event; -1 when there is none. */
-function findEventEnd(bytes: Buffer): number {
-    for (let index = bytes.indexOf(0x0a); index !== -1; index = bytes.indexOf(0x0a, index + 1)) {
+function readFrame(bytes: Buffer): EventFrame {
+    const text = bytes.toString("latin1");
+    const id = /^id:[ ]?(.*?)\r?$/m.exec(text)?.[1];
+    return { bytes, isComment: !/^[^:\r\n]/m.test(text), ...(id === undefined ? {} : { id }) };
+}
+
+/** The offset after the first blank line from an offset on; -1 when there is none. */
+function findEventEnd(bytes: Buffer, from: number): number {
+    for (let index = bytes.indexOf(0x0a, from); index !== -1; index = bytes.indexOf(0x0a, index + 1)) {
         if (bytes[index + 1] === 0x0a) {
             return index + 2;
         }
--- a/packages/ingress/src/endpoint/responseparser.ts
+++ b/packages/ingress/src/endpoint/responseparser.ts
@@ -34,6 +34,9 @@
 
 /** Most interim heads before an answer. */
 const maximumInterimHeads = 32;
+/** Chunks of a body that may be of any size; more of them need a mean size. */
+const uncheckedChunks = 1_024;
+const minimumMeanChunkBytes = 4;
 /** No Content and Not Modified have no body, whatever length their heads state. */
 const bodilessStatuses: ReadonlySet<number> = new Set([204, 304]);
 /** Switching Protocols. */
@@ -56,12 +59,19 @@
         let trailerLines = 0;
         let isInterim = false;
         let interimHeads = 0;
+        let chunks = 0;
+        let chunkBytes = 0;
         internals.consumeLine = () => {
             const line = consumeLine();
             if ((line ?? internals.line).length > maximumLineLength) {
                 throw new Error(`A line is longer than ${maximumLineLength} characters.`);
             }
             checkLine(internals.state, line, internals.line);
+            if (internals.state === "BODY_CHUNKHEAD" && line !== undefined) {
+                chunks += 1;
+                chunkBytes += Number.parseInt(line, 16);
+                checkChunks(chunks, chunkBytes);
+            }
             trailerLines = internals.state === "BODY_CHUNKTRAILERS" ? trailerLines + Number(line !== undefined) : 0;
             if (trailerLines > maximumTrailerLines) {
                 throw new Error(`The answer has more than ${maximumTrailerLines} trailers.`);
@@ -74,6 +84,7 @@
             isInterim = info.statusCode < 200;
             interimHeads = isInterim ? interimHeads + 1 : 0;
             checkInterim(info.statusCode, interimHeads);
+            [chunks, chunkBytes] = [0, 0];
             if (!isInterim) {
                 handler.onHead({
                     status: info.statusCode,
@@ -148,6 +159,13 @@
     }
 }
 
+/** Each chunk costs the work of reading a line, whatever it holds. */
+function checkChunks(chunks: number, bytes: number): void {
+    if (chunks > uncheckedChunks && bytes < chunks * minimumMeanChunkBytes) {
+        throw new Error(`The body has ${chunks} chunks for ${bytes} bytes.`);
+    }
+}
+
 /** Interim heads are passed over; a change of protocol was never asked for. */
 function checkInterim(status: number, interimHeads: number): void {
     if (status === upgradeStatus) {
--- a/packages/ingress/src/index.ts
+++ b/packages/ingress/src/index.ts
@@ -4,6 +4,7 @@
 export * from "./daemon.js";
 export { DutyLease } from "./duty/lease.js";
 export { UsageReporter } from "./duty/usagereporter.js";
+export { EventFrameReader } from "./endpoint/eventframe.js";
 export { ResponseParser } from "./endpoint/responseparser.js";
 export type { ResponseHandler, ResponseHead } from "./endpoint/responseparser.js";
 export { HostDirectory } from "./fleet/directory.js";
--- a/packages/ingress/src/request/attempt.ts
+++ b/packages/ingress/src/request/attempt.ts
@@ -1,7 +1,9 @@
 import { connectionHeaders } from "@filbertrelay/kernel";
 import type { EndpointId } from "@filbertrelay/kernel";
+import { AnswerReservation } from "@filbertrelay/policy/ingress";
 import type { AttemptFailure } from "@filbertrelay/policy/ingress";
 import type { EndpointRecord, HeaderList, ResponseDescription } from "../contract.js";
+import { ByteBuffer } from "../endpoint/bytebuffer.js";
 import type { ConnectionFailure, EndpointConnection, EndpointRequest, EndpointResponseHandler } from "../endpoint/connection.js";
 import type { ResponseHead } from "../endpoint/responseparser.js";
 import type { RequestBoundary } from "./boundary.js";
@@ -37,6 +39,8 @@
  * up to 200 ms of delay between an engine and a caller is acceptable.
  */
 const batchMs = 60;
+/** A batch of this size is flushed at once. */
+const batchBytes = 65_536;
 /** Longest idle time of a connection that is reused for a non-retryable request; a longer-idle connection may be closing. */
 const nonRetryableIdleMs = 3_000;
 /** Longest response that is buffered before it is forwarded. */
@@ -62,10 +66,10 @@
     #connection: EndpointConnection | undefined;
     #head: ResponseHead | undefined;
     #description: ResponseDescription | undefined;
-    #body: Buffer[] = [];
-    #bodyBytes = 0;
+    readonly #memory: AnswerReservation;
+    readonly #body = new ByteBuffer();
     #hasFirstEvent = false;
-    #batch: Buffer[] = [];
+    readonly #batch = new ByteBuffer();
     #cancelBatchTimer: () => void = () => undefined;
 
     constructor(context: RequestContext, options: AttemptOptions, outgoing: EndpointRequest) {
@@ -75,6 +79,7 @@
         this.#loadKey = `${options.requestId}#${options.number}`;
         this.#sentMs = context.clock.monotonicMs();
         this.startedAt = context.fleetClock.now();
+        this.#memory = new AnswerReservation(context.answerMemory, options.endpoint.endpointId);
     }
 
     get endpoint(): EndpointRecord {
@@ -169,6 +174,7 @@
         if (this.#handler !== undefined) {
             this.#handler = undefined;
             this.#cancelBatchTimer();
+            this.#memory.release();
             this.#context.loads.recordEnd(this.#loadKey);
             this.#connection?.close("The request was cancelled.");
         }
@@ -221,11 +227,22 @@
             this.#receiveStream(chunk);
             return;
         }
-        this.#body.push(chunk);
-        this.#bodyBytes += chunk.length;
-        if (this.#bodyBytes > responseLimitBytes) {
+        if (this.#body.length + chunk.length > responseLimitBytes) {
             this.fail("malformed", "The answer is too long.");
         }
+        else if (this.holdBytes(this.#body.capacityWith(chunk.length))) {
+            this.#body.append(chunk);
+        }
+    }
+
+    /** Reserves memory for what is buffered of the answer; returns false, with the attempt ended, when the host has not enough. */
+    holdBytes(bytes: number): boolean {
+        const refusal = this.#memory.resize(bytes);
+        if (refusal !== undefined) {
+            const holder = refusal === "endpoint" ? "this endpoint" : "all endpoints";
+            this.fail(refusal === "endpoint" ? "malformed" : "error", `The answers of ${holder} need too much memory.`);
+        }
+        return refusal === undefined;
     }
 
     onComplete(): void {
@@ -254,7 +271,7 @@
         else {
             const failure = status >= 500 ? "error" : undefined;
             this.#finish(
-                { type: "answered", status, body: Buffer.concat(this.#body), isStream: this.#isForwardedStream() },
+                { type: "answered", status, body: this.#body.take(), isStream: this.#isForwardedStream() },
                 failure,
             );
         }
@@ -281,6 +298,7 @@
         }
         this.#handler = undefined;
         this.#cancelBatchTimer();
+        this.#memory.release();
         const { loads, health, clock, timings } = this.#context;
         const { endpoint } = this.#options;
         loads.recordEnd(this.#loadKey);
@@ -301,18 +319,20 @@
             this.#handler?.onStreamBytes(chunk);
             return;
         }
-        this.#batch.push(chunk);
-        if (this.#batch.length === 1) {
+        const isFirst = this.#batch.length === 0;
+        this.#batch.append(chunk);
+        if (this.#batch.length > batchBytes) {
+            this.#flushBatch();
+        }
+        else if (isFirst) {
             this.#cancelBatchTimer = this.#context.clock.after(batchMs, () => this.#boundary?.run(() => this.#flushBatch()));
         }
     }
 
     #flushBatch(): void {
         this.#cancelBatchTimer();
-        const batch = this.#batch;
-        this.#batch = [];
-        if (batch.length > 0) {
-            this.#handler?.onStreamBytes(Buffer.concat(batch));
+        if (this.#batch.length > 0) {
+            this.#handler?.onStreamBytes(this.#batch.take());
         }
     }
 
--- a/packages/ingress/src/request/callerstream.ts
+++ b/packages/ingress/src/request/callerstream.ts
@@ -10,8 +10,8 @@
 
 /** What became of the bytes of an attempt. */
 export type ForwardingResult =
-    /** `isFull` asks to send nothing more until the caller has read. */
-    | { readonly type: "forwarded"; readonly hasProgress: boolean; readonly isFull: boolean; }
+    /** `isFull` asks to send nothing more until the caller has read; `pendingBytes` are kept until their event is complete. */
+    | { readonly type: "forwarded"; readonly hasProgress: boolean; readonly isFull: boolean; readonly pendingBytes: number; }
     /** Nothing was forwarded and nothing of the bytes counts as forwarded. */
     | { readonly type: "malformed"; readonly detail: string; };
 
@@ -56,17 +56,18 @@
     forward(head: CallerHead, bytes: Buffer): ForwardingResult {
         const added = this.#events.read(bytes);
         if (added === undefined) {
-            return { type: "malformed", detail: "An event is too long." };
+            return { type: "malformed", detail: "An event is too long, or too much comes without one." };
         }
+        const { pendingBytes } = this.#events;
         if (added.frames.length === 0) {
-            return { type: "forwarded", hasProgress: false, isFull: false };
+            return { type: "forwarded", hasProgress: false, isFull: false, pendingBytes };
         }
         if (!this.begin(head)) {
             return { type: "malformed", detail: "The head can't be forwarded." };
         }
         const isFull = !this.#responder.write(Buffer.concat(added.frames));
         this.#events.record(added);
-        return { type: "forwarded", hasProgress: added.hasProgress, isFull };
+        return { type: "forwarded", hasProgress: added.hasProgress, isFull, pendingBytes };
     }
 
     /** Sends the head unless it was sent; returns false when it can't be sent. */
--- a/packages/ingress/src/request/context.ts
+++ b/packages/ingress/src/request/context.ts
@@ -1,5 +1,6 @@
 import type { Clock, EventLog, FailureDomainId } from "@filbertrelay/kernel";
 import type {
+    AnswerMemory,
     DemandMeter,
     EndpointHealth,
     EndpointLimits,
@@ -33,6 +34,7 @@
     readonly configuration: ConfigurationState;
     readonly endpoints: EndpointTable;
     readonly connections: ConnectionPool;
+    readonly answerMemory: AnswerMemory;
     readonly loads: LoadTracker;
     readonly promptCaches: PromptCacheModel;
     readonly health: EndpointHealth;
--- a/packages/ingress/src/request/forwardedevents.ts
+++ b/packages/ingress/src/request/forwardedevents.ts
@@ -9,11 +9,15 @@
     readonly hasProgress: boolean;
 }
 
+/** Most bytes of comments and repeated events in a row; an engine that sends more sends them without end. */
+const maximumIdleBytes = 1_048_576;
+
 /** Tracks which events of a stream were forwarded to the caller, across all engines that produced it. */
 export class ForwardedEvents {
     #reader = new EventFrameReader();
     #lastId: string | undefined;
     #count = 0;
+    #idleBytes = 0;
 
     /** `lastId` is the last event that the caller had received before this request. */
     constructor(lastId: string | undefined) {
@@ -32,15 +36,24 @@
 
     /** Whether the bytes so far end in the middle of an event. */
     get isWithinEvent(): boolean {
-        return this.#reader.pendingBytes > 0;
+        return this.pendingBytes > 0;
+    }
+
+    /** Length of the incomplete event at the end. */
+    get pendingBytes(): number {
+        return this.#reader.pendingBytes;
     }
 
     /** Starts reading from another engine; an incomplete event of the previous one is dropped. */
     restart(): void {
         this.#reader = new EventFrameReader();
+        this.#idleBytes = 0;
     }
 
-    /** Parses bytes of an engine and returns the events that are new to the caller; `undefined` when an event is too long. */
+    /**
+     * Parses bytes of an engine and returns the events that are new to the caller; `undefined` when an event is too long or too many
+     * bytes come without a new one.
+     */
     read(bytes: Buffer): NewEvents | undefined {
         const frames = this.#reader.push(bytes);
         if (frames === undefined) {
@@ -52,7 +65,13 @@
             lastId = isNew ? id ?? lastId : lastId;
             return isNew;
         });
-        return { frames: added.map(frame => frame.bytes), lastId, hasProgress: added.some(({ isComment }) => !isComment) };
+        const hasProgress = added.some(({ isComment }) => !isComment);
+        const readBytes = frames.reduce((sum, frame) => sum + frame.bytes.length, 0);
+        this.#idleBytes = hasProgress ? 0 : this.#idleBytes + readBytes;
+        if (this.#idleBytes > maximumIdleBytes) {
+            return undefined;
+        }
+        return { frames: added.map(frame => frame.bytes), lastId, hasProgress };
     }
 
     /** Records that events were forwarded. */
--- a/packages/ingress/src/request/task.ts
+++ b/packages/ingress/src/request/task.ts
@@ -191,6 +191,9 @@
             attempt.fail("malformed", forwarded.detail);
             return;
         }
+        if (!attempt.holdBytes(forwarded.pendingBytes)) {
+            return;
+        }
         if (forwarded.isFull) {
             attempt.pause();
         }
