Bound the length and the depth of entries before they are read

Cause: any value was decoded, kept, parsed up to three times and passed on to peers; a response above the limit failed each watch anew.

parseBoundedJson checks length and depth first. Values of endpoints beyond the length are not decoded, kept or passed on, and entries that name no endpoint are no change for peers.

--- a/features/ingress.entries.feature
+++ b/features/ingress.entries.feature
@@ -38,3 +38,22 @@
   Scenario: A customer's name beyond Latin-1 reaches endpoints in UTF-8
     Then the customer "Ċafé 東" is told to endpoints as one header in UTF-8
     And a configuration with a line end in a customer's name is rejected
+
+  # Guards against entries whose reading or passing on keeps hosts from their work, however often they are written.
+  Scenario Outline: A host reads and keeps no more of <value> than shows that it names no endpoint
+    Then <value> names no endpoint, takes no effect when written again and is not kept if it is long
+
+    Examples:
+      | value                            |
+      | an entry of 500000 levels        |
+      | an entry of 40 levels            |
+      | a sound entry with a long model  |
+
+  # Guards against a watch that fails for ever, since the next one asks for the same changes and more.
+  Scenario: A host follows the store after more was written at once than a response may hold
+    Given an ingress with a store stand-in and two engines of each service
+    When another writer writes 6 entries of 1000000 bytes at once and then a route is added
+    Then a request on the added route is answered with 200
+
+  Scenario: The levels of 2000 arbitrary JSON texts are counted as they are
+    Then of 2000 seeded JSON values those within the bounds are parsed and no others
--- a/features/steps/ingress.entries.ts
+++ b/features/steps/ingress.entries.ts
@@ -1,11 +1,12 @@
 import { Then, When } from "@cucumber/cucumber";
-import { parseIngressSettings } from "@filbertrelay/ingress";
-import { brandAs } from "@filbertrelay/kernel";
+import { EndpointTable, parseIngressSettings, StoreMirror } from "@filbertrelay/ingress";
+import { brandAs, createSystemClock, parseBoundedJson, silentEventLog } from "@filbertrelay/kernel";
 import type { EndpointId } from "@filbertrelay/kernel";
-import { createPlatformDecoder, createPlatformDialect } from "@filbertrelay/platform";
-import { describeEngine } from "@filbertrelay/platform/standins";
+import { createPlatformDecoder, createPlatformDialect, createPlatformStore } from "@filbertrelay/platform";
+import { describeEngine, StandinStore } from "@filbertrelay/platform/standins";
+import fc from "fast-check";
 import assert from "node:assert/strict";
-import { createConfiguration } from "../support/ingress.js";
+import { createConfiguration, waitFor } from "../support/ingress.js";
 import type { IngressWorld } from "./ingress.endpoint.js";
 
 interface Entry {
@@ -13,7 +14,7 @@
     readonly text: string;
 }
 
-const soundEntry = JSON.stringify(describeEngine({ address: "127.0.0.1:9" }, { service: "records" }));
+const soundEntry = JSON.stringify(describeEngine({ address: "127.0.0.1:9" }, { service: "records", isModel: true }));
 
 /** An entry in which one field has a value of its own, as JSON text. */
 function withField(name: string, value: string): Entry {
@@ -105,3 +106,81 @@
     const configuration = { ...createConfiguration(8) as object, tenants: [{ name: "crew\r\nX: y", apiKeys: ["k"] }] };
     assert.equal(createPlatformDecoder().readConfiguration(JSON.stringify(configuration)).ok, false);
 });
+
+const longEntries: Readonly<Record<string, string>> = {
+    "an entry of 500000 levels": withField("modelList", `${"[".repeat(499_997)}${"]".repeat(499_997)}`).text,
+    "an entry of 40 levels": withField("zone", `${"[".repeat(40)}${"]".repeat(40)}`).text,
+    "a sound entry with a long model": withField("version", JSON.stringify("v".repeat(900_000))).text,
+};
+/** Longest value of an endpoint's entry that is kept, in characters. */
+const keptLength = 524_288;
+
+Then(
+    /^(.+) names no endpoint, takes no effect when written again and is not kept if it is long$/,
+    async function(this: IngressWorld, kind: string) {
+        const text = longEntries[kind];
+        assert.ok(text !== undefined, `Unknown entry '${kind}'.`);
+        const store = new StandinStore();
+        await store.start();
+        store.put("servers/other", text);
+        const clock = createSystemClock();
+        const client = createPlatformStore({ address: store.address, clock, timeoutMs: 2_000, onCall: () => undefined });
+        let updates = 0;
+        const mirror = new StoreMirror({
+            store: client,
+            clock,
+            log: silentEventLog,
+            draw: Math.random,
+            applyMs: 2_000,
+            onUpdate: () => {
+                updates += 1;
+            },
+        });
+        const endpoints = new EndpointTable({ mirror, decoder: createPlatformDecoder(), log: silentEventLog });
+        try {
+            await mirror.start();
+            await waitFor(() => Promise.resolve(mirror.get("servers/other") !== undefined));
+            const formerUpdates = updates;
+            const { revision } = mirror.get("servers/other")!;
+            store.put("servers/other", text);
+            await waitFor(() => Promise.resolve(mirror.get("servers/other")!.revision > revision));
+            assert.deepEqual([endpoints.ofService("records").length, updates], [0, formerUpdates]);
+            assert.ok(mirror.get("servers/other")!.value.length <= keptLength);
+        }
+        finally {
+            await mirror.stop();
+            store.stop();
+        }
+    },
+);
+
+When(
+    "another writer writes {int} entries of {int} bytes at once and then a route is added",
+    async function(this: IngressWorld, count: number, bytes: number) {
+        for (let index = 0; index < count; index += 1) {
+            this.ingress.store.put(`servers/other-${index}`, "x".repeat(bytes));
+        }
+        await new Promise(resolve => setTimeout(resolve, readMs));
+        this.ingress.store.put("op/config", createConfiguration(8, ["added"]));
+    },
+);
+
+const seed = 20_261_205;
+const bounds = { maximumLength: 60, maximumDepth: 3 };
+
+function depthOf(value: unknown): number {
+    return typeof value !== "object" || value === null ? 0 : 1 + Math.max(0, ...Object.values(value).map(depthOf));
+}
+
+Then("of {int} seeded JSON values those within the bounds are parsed and no others", function(numRuns: number) {
+    fc.assert(
+        fc.property(fc.jsonValue({ maxDepth: 5 }), value => {
+            const text = JSON.stringify(value);
+            const isWithin = text.length <= bounds.maximumLength && depthOf(value) <= bounds.maximumDepth;
+            const parsed = parseBoundedJson(text, bounds);
+            assert.equal(parsed.ok, isWithin, text);
+            assert.ok(!parsed.ok || JSON.stringify(parsed.value) === text);
+        }),
+        { seed, numRuns },
+    );
+});
--- a/packages/connectors/src/http.ts
+++ b/packages/connectors/src/http.ts
@@ -1,4 +1,4 @@
-import { failure, success } from "@filbertrelay/kernel";
+import { BaseError, failure, success } from "@filbertrelay/kernel";
 import type { Clock, Issue, Outcome } from "@filbertrelay/kernel";
 import { Agent } from "undici";
 import type { Dispatcher } from "undici";
@@ -43,7 +43,8 @@
 
 /** No usable response was received: the call may or may not have taken effect. */
 export interface NoResponseIssue extends Issue {
-    readonly code: "http.noAnswer";
+    /** `http.tooLong`: the response exceeds the limit, as it will when the call is repeated. */
+    readonly code: "http.noAnswer" | "http.tooLong";
 }
 
 const defaultTimeoutMs = 2_000;
@@ -85,7 +86,7 @@
         catch (error) {
             const reason = error instanceof Error ? error.message : String(error);
             return failure({
-                code: "http.noAnswer",
+                code: error instanceof LengthError ? "http.tooLong" : "http.noAnswer",
                 message: `'${call.method} ${this.#origin}${call.path}' got no response: ${reason}`,
             });
         }
@@ -137,13 +138,15 @@
     return new Agent({ pipelining: 1, headersTimeout: 0, bodyTimeout: 0, connect: { timeout: 2_000 } });
 }
 
+const LengthError = BaseError.subclass("LengthError");
+
 async function readText(body: AsyncIterable<Buffer>, limitBytes: number): Promise<string> {
     const chunks: Buffer[] = [];
     let bytes = 0;
     for await (const chunk of body) {
         bytes += chunk.length;
         if (bytes > limitBytes) {
-            throw new Error(`The response is longer than ${limitBytes} bytes.`);
+            throw new LengthError(`The response is longer than ${limitBytes} bytes.`);
         }
         chunks.push(chunk);
     }
--- a/packages/ingress/src/fleet/hosts.ts
+++ b/packages/ingress/src/fleet/hosts.ts
@@ -1,5 +1,5 @@
 import type { StoreChange } from "@filbertrelay/connectors";
-import { brandAs, isRemoteAddress, parseJson } from "@filbertrelay/kernel";
+import { brandAs, isRemoteAddress, parseBoundedJson } from "@filbertrelay/kernel";
 import type { EventLog, FailureDomainId, HostId, Incarnation } from "@filbertrelay/kernel";
 import { z } from "zod";
 import { stateEvents } from "../state/event.js";
@@ -13,6 +13,8 @@
 
 const addressSchema = z.string().refine(isRemoteAddress, "Expected an IPv4 address and a port.");
 
+const entryBounds = { maximumLength: 16_384, maximumDepth: 8 };
+
 const hostEntrySchema = z.object({
     incarnation: z.string().min(1),
     callerAddress: addressSchema,
@@ -92,7 +94,8 @@
 }
 
 function parseHost(hostId: HostId, value: string): HostRecord | undefined {
-    const entry = hostEntrySchema.safeParse(parseJson(value));
+    const parsed = parseBoundedJson(value, entryBounds);
+    const entry = hostEntrySchema.safeParse(parsed.ok ? parsed.value : undefined);
     return entry.success ?
         {
             ...entry.data,
--- a/packages/ingress/src/state/endpoints.ts
+++ b/packages/ingress/src/state/endpoints.ts
@@ -73,7 +73,8 @@
         if (!decoded.ok) {
             this.#log.write(events.entrySkipped, { key: change.key, code: decoded.issue.code, message: decoded.issue.message });
             this.#remove(change, origin);
-            return "material";
+            // An entry that named no endpoint before changes nothing, however often it is written.
+            return known === undefined ? "heartbeat" : "material";
         }
         const record = decoded.value;
         if (isDeepStrictEqual(known, record)) {
