Take streams up at the only known version only if other hosts agree

Two other hosts have to agree, or all others in a smaller fleet; else the take-up is rejected as not run. Endpoints begin no stream there after they have left, which an uncut simulation could not show.

--- a/features/support/versionsimulation.ts
+++ b/features/support/versionsimulation.ts
@@ -13,12 +13,12 @@
 /** Time within which hosts that live hear of a change. */
 const hearMs = 400;
 
-type VersionKind = "begin" | "takeUp" | "wait" | "hear" | "release" | "retire" | "kill" | "killAll" | "restore";
+type VersionKind = "begin" | "takeUp" | "wait" | "hear" | "release" | "retire" | "cut" | "heal" | "kill" | "killAll" | "restore";
 
 /** Schedules of versions that come and go, of streams and their take-ups, and of hosts that are killed and start again. */
 export const versionSteps = createSchedules<VersionKind>(
     ["begin", "begin", "takeUp", "takeUp", "wait"],
-    ["hear", "release", "retire", "kill", "killAll", "restore"],
+    ["hear", "release", "retire", "cut", "heal", "kill", "killAll", "restore"],
 );
 
 interface VersionHost {
@@ -26,8 +26,16 @@
     readonly origins: StreamOrigins;
     /** Versions that the host knows to serve. */
     versions: ReadonlySet<string>;
+    /** Whether it neither hears of changes nor reaches the hosts that are not cut off. */
+    isCut: boolean;
+    heardMs: number;
 }
 
+/** What a host knows of versions counts for this long after it has heard of them. */
+const maxCopyAgeMs = 2_000;
+/** Most hosts that are cut off from the others, and then together. */
+const mostCut = 2;
+
 interface BegunStream {
     readonly requestId: RequestId;
     readonly version: string;
@@ -47,6 +55,8 @@
     #records: (VersionRecord | undefined)[] = [undefined];
     readonly #hosts = Array.from({ length: simulatedHosts }, () => this.#createHost());
     readonly #streams: BegunStream[] = [];
+    /** When the last endpoint of each version left. */
+    readonly #leftMs = new Map<string, number>();
 
     run(steps: readonly Step<VersionKind>[]): void {
         this.#hosts.forEach(host => this.#hear(host));
@@ -60,7 +70,13 @@
     }
 
     #createHost(): VersionHost {
-        return { history: new VersionHistory(this.#nowMs), origins: new StreamOrigins(), versions: new Set() };
+        return {
+            history: new VersionHistory(this.#nowMs),
+            origins: new StreamOrigins(),
+            versions: new Set(),
+            isCut: false,
+            heardMs: -Infinity,
+        };
     }
 
     #step(kind: VersionKind, index: number, pick: number): void {
@@ -81,7 +97,11 @@
                 this.#changedMs = this.#nowMs;
                 return;
             case "retire":
-                this.#versions = this.#versions.filter((_, each, all) => all.length === 1 || each !== pick % all.length);
+                this.#versions = this.#versions.filter((version, each, all) => {
+                    const stays = all.length === 1 || each !== pick % all.length;
+                    this.#leftMs.set(version, stays ? Infinity : this.#nowMs);
+                    return stays;
+                });
                 this.#changedMs = this.#nowMs;
                 return;
             case "restore":
@@ -89,6 +109,15 @@
                 this.#records = this.#records.slice(0, Math.max(1, this.#records.length - pick));
                 this.#record = this.#records.at(-1);
                 return;
+            case "cut":
+                host.isCut ||= this.#hosts.filter(({ isCut }) => isCut).length < mostCut && host.versions.size > 0;
+                return;
+            case "heal":
+                this.#hosts.forEach(each => {
+                    each.isCut = false;
+                    this.#hear(each);
+                });
+                return;
             case "kill":
                 this.#hosts[index] = this.#createHost();
                 return this.#hear(this.#hosts[index]!);
@@ -105,7 +134,11 @@
     }
 
     #hear(host: VersionHost): void {
+        if (host.isCut) {
+            return;
+        }
         const known = host.versions;
+        host.heardMs = this.#nowMs;
         host.versions = new Set(this.#versions);
         if (this.#record !== undefined) {
             host.history.merge(this.#record, this.#era, this.#nowMs);
@@ -122,8 +155,11 @@
 
     #begin(index: number, pick: number): void {
         const host = this.#hosts[index]!;
-        const versions = [...host.versions];
-        const version = versions[pick % versions.length]!;
+        const versions = [...host.versions].filter(each => (this.#leftMs.get(each) ?? Infinity) + lateStartMs > this.#nowMs);
+        const version = versions[pick % versions.length];
+        if (version === undefined) {
+            return;
+        }
         const requestId = brandAs<RequestId>(`stream-${this.#streams.length}`);
         const origin = { requestId, service, version, leftMs: lifeMs };
         this.#streams.push({ requestId, version, beganMs: this.#nowMs });
@@ -135,11 +171,15 @@
 
     /** Another host keeps a copy. */
     #keep(index: number, origin: Parameters<StreamOrigins["remember"]>[0]): void {
-        this.#hosts[(index + 1) % simulatedHosts]!.origins.remember(origin, this.#nowMs);
+        const { isCut } = this.#hosts[index]!;
+        const holders = this.#hosts.filter((host, each) => each !== index && host.isCut === isCut);
+        holders[index % Math.max(1, holders.length)]?.origins.remember(origin, this.#nowMs);
     }
 
     #onlyVersion(host: VersionHost): string | undefined {
-        return host.history.onlyVersion(service, { lifeMs, lateStartMs }, this.#nowMs);
+        return this.#nowMs - host.heardMs > maxCopyAgeMs ?
+            undefined :
+            host.history.onlyVersion(service, { lifeMs, lateStartMs }, this.#nowMs);
     }
 
     #takeUp(index: number, pick: number): void {
@@ -151,13 +191,18 @@
         const { requestId, version } = stream;
         const find = (host: VersionHost): string | undefined => host.origins.find(requestId, this.#nowMs)?.version;
         const host = this.#hosts[index]!;
-        const replies = this.#hosts.filter(other => other !== host).map(other => ({
+        const replies = this.#hosts.filter(other => other !== host && other.isCut === host.isCut).map(other => ({
             version: find(other),
             onlyVersion: this.#onlyVersion(other),
         }));
-        const decided = decideStreamVersion({ own: find(host), replies, onlyVersion: this.#onlyVersion(host) });
+        const decided = decideStreamVersion({
+            own: find(host),
+            replies,
+            onlyVersion: this.#onlyVersion(host),
+            otherHosts: simulatedHosts - 1,
+        });
         assert.ok(decided === undefined || decided === version, `A stream of ${version} goes on at ${decided}.`);
-        if (this.#hosts.some(each => find(each) !== undefined)) {
+        if (this.#hosts.some(each => each.isCut === host.isCut && find(each) !== undefined)) {
             this.counts.known += 1;
             this.counts.continued += decided === version ? 1 : 0;
         }
--- a/packages/ingress/src/fleet/streamversions.ts
+++ b/packages/ingress/src/fleet/streamversions.ts
@@ -28,6 +28,8 @@
 
 /** Number of other hosts that keep the origin of a stream. */
 const copies = 2;
+/** Asked for when a caller does not name the request that began its stream; no request has this id. */
+const unnamedStream = brandAs<RequestId>("");
 /** Number of hosts that are asked; more than keep it, since hosts may have come or gone since the stream began. */
 const askedHosts = copies + 3;
 /** Origins are sent to the hosts that keep them after this time, several with one message. */
@@ -156,15 +158,15 @@
     /** Finds the version that began a stream whose caller comes back; ends the response to the former request, if it is still open. */
     async find({ requestId, service, timeLimitMs }: ResumedStream): Promise<string | undefined> {
         const origin = requestId === undefined ? undefined : this.#origins.find(requestId, this.#nowMs());
-        const isAsked = origin === undefined && requestId !== undefined;
-        const replies = isAsked ? await this.#ask(requestId, service, timeLimitMs) : [];
+        const isAsked = origin === undefined;
+        const replies = isAsked ? await this.#ask(requestId ?? unnamedStream, service, timeLimitMs) : [];
         if (requestId !== undefined) {
             this.#open.get(requestId)?.();
         }
         const isElsewhere = origin !== undefined && origin.service !== service;
         const own = isElsewhere ? undefined : origin?.version;
         const onlyVersion = isElsewhere ? undefined : this.#onlyVersion(service, timeLimitMs);
-        const version = decideStreamVersion({ own, replies, onlyVersion });
+        const version = decideStreamVersion({ own, replies, onlyVersion, otherHosts: this.#countOthers() });
         this.#options.log.write(events.streamVersionDecided, {
             requestId,
             service,
@@ -177,6 +179,11 @@
         return version;
     }
 
+    #countOthers(): number {
+        const { hostId, listHosts } = this.#options;
+        return listHosts().filter(host => host.hostId !== hostId).length;
+    }
+
     #nowMs(): number {
         return this.#options.clock.monotonicMs();
     }
--- a/packages/policy/src/ingress/streamorigins.ts
+++ b/packages/policy/src/ingress/streamorigins.ts
@@ -57,17 +57,24 @@
     readonly onlyVersion?: string | undefined;
 }
 
+/** Other hosts that have to agree that a service has had one version only; a host may be out of step with the fleet unknowingly. */
+const agreeingHosts = 2;
+
 /**
  * Decides at which version a stream may go on: the one that began it, as any host remembers, or else the only one that it can have
- * begun at. `undefined` if that is not known.
+ * begun at, if other hosts agree. `undefined` if that is not known.
  */
 export function decideStreamVersion(
-    { own, replies, onlyVersion }: {
+    { own, replies, onlyVersion, otherHosts }: {
         readonly own: string | undefined;
         readonly replies: readonly OriginReply[];
         readonly onlyVersion: string | undefined;
+        /** Number of other hosts in the fleet, reachable or not. */
+        readonly otherHosts: number;
     },
 ): string | undefined {
     const remembered = own ?? replies.find(reply => reply.version !== undefined)?.version;
-    return remembered ?? (replies.every(reply => reply.onlyVersion === onlyVersion) ? onlyVersion : undefined);
+    const isAgreed = replies.length >= Math.min(agreeingHosts, otherHosts) &&
+        replies.every(reply => reply.onlyVersion === onlyVersion);
+    return remembered ?? (isAgreed ? onlyVersion : undefined);
 }
