Bind a stream to the run of the endpoint that began it

Cause: the version was read from the entry under the endpoint's id, and nothing tied the entry to the process that answers.

EndpointRuns notes refused connections, which show that the process of the entry has ended. What begins there afterwards is of no known version until the entry changes or the copy of the store is four report intervals newer, and goes on nowhere else. Hosts tell each other.

--- a/features/steps/ingress.freshness.ts
+++ b/features/steps/ingress.freshness.ts
@@ -244,6 +244,7 @@
             findings: new SharedFindings({
                 quarantine: policy.createQuarantine({ isTrialHost: () => true }),
                 limits: policy.createEndpointLimits({ hostId: ownId, listHosts: () => [] }),
+                runs: new policy.EndpointRuns(4_800),
                 finals: new policy.FinalCounts(),
             }),
             dutyHolder: () => undefined,
--- a/features/support/fleethost.ts
+++ b/features/support/fleethost.ts
@@ -50,6 +50,7 @@
             findings: new SharedFindings({
                 quarantine: policy.createQuarantine({ isTrialHost: () => true }),
                 limits: policy.createEndpointLimits({ hostId, listHosts: () => [] }),
+                runs: new policy.EndpointRuns(4_800),
                 finals: new policy.FinalCounts(),
             }),
             dutyHolder: () => undefined,
--- a/packages/ingress/src/daemon.ts
+++ b/packages/ingress/src/daemon.ts
@@ -15,10 +15,12 @@
     createUsageLedger,
     createUsageQuota,
     createWindowedRetryBudget,
+    EndpointRuns,
     FinalCounts,
     rankByRendezvous,
     VersionHistory,
 } from "@filbertrelay/policy/ingress";
+import type { EndpointProcess } from "@filbertrelay/policy/ingress";
 import { createPeerNetwork } from "@filbertrelay/wire";
 import { IngressServer } from "./caller/server.js";
 import type { Dialect, DutyCalls, StoreDecoder } from "./contract.js";
@@ -53,6 +55,8 @@
 import { VersionRecorder } from "./state/versionrecorder.js";
 import { IngressMetrics } from "./telemetry/metrics.js";
 
+/** An entry is removed after three intervals without a report; the next process reports within one. */
+const entryReplacedHeartbeats = 4;
 /** Memory for buffered answers; the smallest hosts have 250 MB. */
 const answerMemoryBytes = 50_331_648;
 /** Share of one endpoint, in which two answers of the greatest length fit. */
@@ -140,6 +144,8 @@
     const callerWork = createDemandMeter(callerWorkAveraging);
     const health = createEndpointHealth();
     const notices = createEndpointNotices();
+    const runs = new EndpointRuns(entryReplacedHeartbeats * promises.endpointHeartbeatMs);
+    const storeConfirmedMs = (): number => clock.monotonicMs() - mirror.ageMs();
     const promptCaches = createPromptCacheModel(promptCacheTokens);
     const connections = new ConnectionPool(clock, { onOpened: service => metrics.recordConnection(service) });
     const peers = createPeerNetwork({
@@ -169,7 +175,7 @@
         hosts,
         counts: { quota, usage, loads, demand, callerWork },
         fleetClock,
-        findings: new SharedFindings({ quarantine, limits, finals }),
+        findings: new SharedFindings({ quarantine, limits, runs, finals }),
         dutyHolder: () => readDutyHolder(mirror),
     });
     const { serving } = exchange;
@@ -242,7 +248,14 @@
         listHosts: listVersionHosts,
     });
     endpoints.onChanged(() => streamVersions.recordVersions(endpoints.versions()));
+    const recordRefusal = (endpoint: EndpointProcess): void => {
+        if (runs.recordRefusal(endpoint, storeConfirmedMs(), clock.monotonicMs())) {
+            log.write(requestEvents.endpointRunUnknown, { endpoint: endpoint.endpointId });
+            exchange.announce();
+        }
+    };
     const context: RequestContext = {
+        recordRefusal,
         clock,
         fleetClock,
         log,
@@ -262,10 +275,13 @@
             endpoints,
             quarantine,
             probe: address => probeAddress(clock, address),
+            recordRefusal,
         }),
         quarantine,
         limits,
         notices,
+        runs,
+        storeConfirmedMs,
         streamVersions,
         announce: () => exchange.announce(),
         quota,
--- a/packages/ingress/src/endpoint/connection.ts
+++ b/packages/ingress/src/endpoint/connection.ts
@@ -20,6 +20,8 @@
     /** False only when no byte of the request was written to the socket. */
     readonly wasSent: boolean;
     readonly detail: string;
+    /** Whether nothing listened at the address. */
+    readonly isRefused: boolean;
 }
 
 /** Receives a response as it arrives; ends with exactly one call of `onComplete` or `onFailure`. */
@@ -59,6 +61,7 @@
     #isResponseComplete = false;
     #hasExcessBytes = false;
     #isClosed = false;
+    #isRefused = false;
     #isReusable = true;
     #idleSinceMs = 0;
     #idleLimitMs = defaultIdleMs;
@@ -136,6 +139,7 @@
         this.#socket.on("end", () => this.#receiveEnd());
         this.#socket.on("error", error => {
             cancelTimer();
+            this.#isRefused = "code" in error && error.code === "ECONNREFUSED";
             this.#fail(this.#isConnected ? "reset" : "unreachable", error.message);
         });
         this.#socket.on("close", () => {
@@ -243,7 +247,7 @@
         const handler = this.#current?.handler;
         this.#current = undefined;
         this.#close();
-        handler?.onFailure({ reason, wasSent: this.#isSent, detail });
+        handler?.onFailure({ reason, wasSent: this.#isSent, detail, isRefused: this.#isRefused });
     }
 
     #close(): void {
--- a/packages/ingress/src/fleet/findings.ts
+++ b/packages/ingress/src/fleet/findings.ts
@@ -1,16 +1,19 @@
 import type {
     CustomerCounts,
     EndpointLimits,
+    EndpointRuns,
     FinalCounts,
     LimitReport,
     Quarantine,
     QuarantineReport,
+    RunReport,
 } from "@filbertrelay/policy/ingress";
 
 /** The part of the reports between hosts that tells what they found out and others can't learn from the store. */
 export interface FindingsReport {
     readonly suspects?: QuarantineReport | undefined;
     readonly limits?: LimitReport | undefined;
+    readonly runs?: RunReport | undefined;
     readonly finalCounts?: Readonly<Record<string, CustomerCounts>> | undefined;
 }
 
@@ -18,6 +21,7 @@
 export interface ReportedFindings {
     suspects?: QuarantineReport;
     limits?: LimitReport;
+    runs?: RunReport;
     finalCounts?: Record<string, Record<string, number>>;
 }
 
@@ -25,6 +29,7 @@
 export interface SharedFindingsOptions {
     readonly quarantine: Quarantine;
     readonly limits: EndpointLimits;
+    readonly runs: EndpointRuns;
     readonly finals: FinalCounts;
 }
 
@@ -39,22 +44,27 @@
     describe(nowMs: number): ReportedFindings {
         const suspects = this.#options.quarantine.report(nowMs);
         const limits = this.#options.limits.report(nowMs);
+        const runs = this.#options.runs.report(nowMs);
         const finalCounts = this.#options.finals.missing();
         return {
             ...(suspects === undefined ? {} : { suspects }),
             ...(limits === undefined ? {} : { limits }),
+            ...(runs === undefined ? {} : { runs }),
             ...(finalCounts === undefined ? {} : { finalCounts }),
         };
     }
 
     /** `elapsedMs` is how long ago the report was written at most. */
-    merge({ suspects, limits, finalCounts = {} }: FindingsReport, nowMs: number, elapsedMs: number): void {
+    merge({ suspects, limits, runs, finalCounts = {} }: FindingsReport, nowMs: number, elapsedMs: number): void {
         if (suspects !== undefined) {
             this.#options.quarantine.merge(suspects, nowMs, elapsedMs);
         }
         if (limits !== undefined) {
             this.#options.limits.merge(limits, nowMs, elapsedMs);
         }
+        if (runs !== undefined) {
+            this.#options.runs.merge(runs, nowMs, elapsedMs);
+        }
         for (const [window, counts] of Object.entries(finalCounts)) {
             this.#options.finals.record(Number(window), counts, nowMs);
         }
--- a/packages/ingress/src/fleet/report.ts
+++ b/packages/ingress/src/fleet/report.ts
@@ -33,6 +33,9 @@
     disputes: z.string().optional(),
 });
 
+/** By the process of an endpoint, with the milliseconds since it first and last refused a connection. */
+const runReportSchema = z.record(z.string(), z.object({ firstAgeMs: z.number(), lastAgeMs: z.number() }));
+
 const limitReportSchema = z.record(z.string(), z.object({ perSecond: z.number().nullable(), ageMs: z.number() }));
 
 /** Lets the receiver bound when a report was written. Absent in older versions. */
@@ -62,6 +65,8 @@
     suspects: suspectReportSchema.optional(),
     /** Limits that endpoints named. Absent if there are none, and in older versions. */
     limits: limitReportSchema.optional(),
+    /** Endpoints whose entries may describe an earlier run. Absent if there are none, and in older versions. */
+    runs: runReportSchema.optional(),
     /** Final counts of usage windows that the store lacks. Absent if there are none, and in older versions. */
     finalCounts: z.record(z.string(), countsSchema).optional(),
 });
@@ -81,6 +86,8 @@
     suspects: suspectReportSchema.optional(),
     /** Limits that endpoints named. Absent if there are none, and in older versions. */
     limits: limitReportSchema.optional(),
+    /** Endpoints whose entries may describe an earlier run. Absent if there are none, and in older versions. */
+    runs: runReportSchema.optional(),
     /** Final counts of usage windows that the store lacks. Absent if there are none, and in older versions. */
     finalCounts: z.record(z.string(), countsSchema).optional(),
 });
@@ -100,6 +107,8 @@
     suspects: suspectReportSchema.optional(),
     /** Limits that endpoints named. Absent if there are none, and in older versions. */
     limits: limitReportSchema.optional(),
+    /** Endpoints whose entries may describe an earlier run. Absent if there are none, and in older versions. */
+    runs: runReportSchema.optional(),
     /** Final counts of usage windows that the store lacks. Absent if there are none, and in older versions. */
     finalCounts: z.record(z.string(), countsSchema).optional(),
 });
@@ -117,6 +126,8 @@
     suspects: suspectReportSchema.optional(),
     /** Limits that endpoints named. Absent if there are none, and in older versions. */
     limits: limitReportSchema.optional(),
+    /** Endpoints whose entries may describe an earlier run. Absent if there are none, and in older versions. */
+    runs: runReportSchema.optional(),
     /** Final counts of usage windows that the store lacks. Absent if there are none, and in older versions. */
     finalCounts: z.record(z.string(), countsSchema).optional(),
 });
--- a/packages/ingress/src/request/attempt.ts
+++ b/packages/ingress/src/request/attempt.ts
@@ -277,7 +277,10 @@
         }
     }
 
-    onFailure({ reason, wasSent, detail }: ConnectionFailure): void {
+    onFailure({ reason, wasSent, detail, isRefused }: ConnectionFailure): void {
+        if (isRefused) {
+            this.#context.recordRefusal(this.endpoint);
+        }
         this.#flushBatch();
         if (!wasSent) {
             this.#finish({ type: "notRun", hasArrived: false, detail }, "unreachable");
--- a/packages/ingress/src/request/context.ts
+++ b/packages/ingress/src/request/context.ts
@@ -5,6 +5,8 @@
     EndpointHealth,
     EndpointLimits,
     EndpointNotices,
+    EndpointProcess,
+    EndpointRuns,
     FleetClock,
     FleetReach,
     LoadTracker,
@@ -40,6 +42,9 @@
     readonly health: EndpointHealth;
     readonly limits: EndpointLimits;
     readonly notices: EndpointNotices;
+    readonly runs: EndpointRuns;
+    /** A monotonic time at which the copy of the store held everything that the store held. */
+    readonly storeConfirmedMs: () => number;
     readonly streamVersions: StreamVersions;
     readonly crashes: CrashMonitor;
     readonly quarantine: Quarantine;
@@ -57,6 +62,8 @@
     readonly isRefusing: () => boolean;
     /** Time until all responses must have ended, in milliseconds; infinite unless the host stops. */
     readonly stopLeftMs: () => number;
+    /** Records that nothing listened at the address of an endpoint. */
+    readonly recordRefusal: (endpoint: EndpointProcess) => void;
     /** Tells the other hosts what has just become known, instead of at the next interval. */
     readonly announce: () => void;
 }
--- a/packages/ingress/src/request/continuation.ts
+++ b/packages/ingress/src/request/continuation.ts
@@ -4,6 +4,9 @@
 import type { AdmittedRequest } from "./admitted.js";
 import type { RequestContext } from "./context.js";
 
+/** The version of an endpoint whose entry may describe an earlier run; a stream that begins there goes on nowhere else. */
+const unknownVersion = "\u0000unknown";
+
 /**
  * Binds a stream to the software version of the endpoint that began it, within one response and over the requests with which its
  * caller comes back. What two versions write does not fit together.
@@ -33,19 +36,30 @@
         const { description: { resumedRequestId }, service, route: { timeLimitMs } } = this.#request;
         const requestId = resumedRequestId === undefined ? undefined : this.#scope(resumedRequestId);
         this.#version = await this.#context.streamVersions.find({ requestId, service, timeLimitMs });
-        return this.#version !== undefined;
+        return this.#version !== undefined && this.#version !== unknownVersion;
     }
 
     /** Whether the stream may go on, or begin, at an endpoint. */
-    accepts({ softwareVersion }: EndpointRecord): boolean {
-        return this.#version === undefined || this.#version === softwareVersion;
+    accepts(endpoint: EndpointRecord): boolean {
+        if (this.#version === undefined) {
+            return true;
+        }
+        const version = this.#versionOf(endpoint, this.#context.clock.monotonicMs());
+        return version !== unknownVersion && version === this.#version;
+    }
+
+    /** The version that writes an answer which begins at a time. */
+    #versionOf(endpoint: EndpointRecord, beganMs: number): string {
+        const { runs, storeConfirmedMs } = this.#context;
+        return runs.isKnown(endpoint, beganMs, storeConfirmedMs()) ? endpoint.softwareVersion : unknownVersion;
     }
 
-    /** Records that the caller gets an event that an endpoint has written. */
-    recordEvent({ service, softwareVersion }: EndpointRecord): void {
+    /** Records that the caller gets an event that an endpoint has written; the request was sent there at a monotonic time. */
+    recordEvent(endpoint: EndpointRecord, sentMs: number): void {
+        const { service } = endpoint;
         const { route: { kind, isResumable, timeLimitMs }, description, requestId } = this.#request;
         const firstId = this.isResumed ? description.resumedRequestId ?? requestId : requestId;
-        this.#version ??= softwareVersion;
+        this.#version ??= this.#versionOf(endpoint, sentMs);
         if (kind === "stream" && isResumable && this.#close === undefined) {
             const begun = { service, version: this.#version, timeLimitMs, end: this.#end };
             this.#close = this.#context.streamVersions.recordBegin(this.#scope(firstId), begun);
--- a/packages/ingress/src/request/crashmonitor.ts
+++ b/packages/ingress/src/request/crashmonitor.ts
@@ -18,6 +18,8 @@
     readonly endpoints: EndpointTable;
     readonly quarantine: Quarantine;
     readonly probe: (address: string) => Promise<Reachability>;
+    /** Called for an endpoint at whose address nothing listens. */
+    readonly recordRefusal: (endpoint: EndpointRecord) => void;
 }
 
 interface Break {
@@ -39,24 +41,32 @@
         this.#options = options;
     }
 
-    /** Records a request whose connection broke off before the endpoint had answered any of it; resolves when the reason is known. */
-    recordInterruption(endpoint: EndpointRecord, interrupted: InterruptedRequest): Promise<void> {
+    /**
+     * Records a connection that broke off, with its request if the endpoint had answered nothing of it; resolves when the reason is
+     * known.
+     */
+    recordInterruption(endpoint: EndpointRecord, request: InterruptedRequest | undefined): Promise<void> {
+        const interrupted = request === undefined ? [] : [request];
         const nowMs = this.#options.clock.monotonicMs();
         const crashId = createCrashId(endpoint.endpointId, endpoint.startedAtMs);
         const known = this.#breaks.get(crashId);
         if (known === undefined || nowMs - known.atMs > sameCrashMs) {
-            const created = { atMs: nowMs, interrupted: [interrupted], isCrash: false, examined: Promise.resolve() };
+            const created = this.#createBreak(interrupted);
             this.#breaks.set(crashId, created);
             created.examined = this.#examine(endpoint, crashId, created);
             return created.examined;
         }
-        known.interrupted.push(interrupted);
-        if (known.isCrash) {
-            this.#options.quarantine.recordCrash({ crashId, crashedMs: known.atMs, interrupted: [interrupted] }, nowMs);
+        known.interrupted.push(...interrupted);
+        if (known.isCrash && request !== undefined) {
+            this.#options.quarantine.recordCrash({ crashId, crashedMs: known.atMs, interrupted }, nowMs);
         }
         return known.examined;
     }
 
+    #createBreak(interrupted: InterruptedRequest[]): Break {
+        return { atMs: this.#options.clock.monotonicMs(), interrupted, isCrash: false, examined: Promise.resolve() };
+    }
+
     async #examine(endpoint: EndpointRecord, crashId: string, lost: Break): Promise<void> {
         const { clock, log, metrics, endpoints, quarantine, probe } = this.#options;
         const reachability = await probe(endpoint.address);
@@ -65,10 +75,16 @@
                 this.#breaks.delete(crashId);
             }
         });
+        if (reachability === "refused") {
+            this.#options.recordRefusal(endpoint);
+        }
         if (reachability !== "refused" || !endpoints.isServing(endpoint)) {
             return;
         }
         lost.isCrash = true;
+        if (lost.interrupted.length === 0) {
+            return;
+        }
         metrics.recordCrash(endpoint.service);
         log.write(events.endpointCrashed, {
             endpoint: endpoint.endpointId,
--- a/packages/ingress/src/request/event.ts
+++ b/packages/ingress/src/request/event.ts
@@ -62,6 +62,13 @@
         text: "An error of this host ended a request; the others are not affected.",
         action: "Report `error` to the developers.",
     },
+    endpointRunUnknown: {
+        number: 4314,
+        level: "info",
+        text:
+            "An endpoint refuses connections; what begins there counts as of no known version until the store has its next entry.",
+        action: "None.",
+    },
     endpointCrashed: {
         number: 4305,
         level: "warn",
--- a/packages/ingress/src/request/task.ts
+++ b/packages/ingress/src/request/task.ts
@@ -198,7 +198,7 @@
             attempt.pause();
         }
         if (forwarded.hasProgress) {
-            this.#continuation.recordEvent(attempt.endpoint);
+            this.#continuation.recordEvent(attempt.endpoint, attempt.sentMs);
             this.#restartSilenceTimer(0, true);
             this.#firstEventMs ??= this.#context.clock.monotonicMs();
             this.#recordProgress(attempt);
@@ -258,13 +258,11 @@
         if (result.type === "answered") {
             this.#recordProgress(attempt);
         }
-        else if (result.type === "failed" && result.isConnectionLost === true && !attempt.hasProgress) {
+        else if (result.type === "failed" && result.isConnectionLost === true) {
             const { parts, content } = this.#traits;
-            return this.#context.crashes.recordInterruption(attempt.endpoint, {
-                parts,
-                content: content(),
-                sentMs: attempt.sentMs,
-            });
+            const interrupted = attempt.hasProgress ? undefined : { parts, content: content(), sentMs: attempt.sentMs };
+            const examined = this.#context.crashes.recordInterruption(attempt.endpoint, interrupted);
+            return interrupted === undefined ? undefined : examined;
         }
         return undefined;
     }
--- a/packages/policy/src/ingress/index.ts
+++ b/packages/policy/src/ingress/index.ts
@@ -15,6 +15,7 @@
 export * from "./endpointlimits.js";
 export * from "./endpointnotices.js";
 export * from "./endpointplan.js";
+export * from "./endpointruns.js";
 export * from "./enginechoice.js";
 export * from "./exchangegroups.js";
 export * from "./fleetclock.js";
