--- a/packages/ingress/src/caller/server.ts
+++ b/packages/ingress/src/caller/server.ts
@@ -57,7 +57,7 @@
     }
 
     start(): Promise<void> {
-        return listenOn(this.#server, this.#address);
+        return listenOn(this.#server, this.#address, this.#clock);
     }
 
     /** Closes each connection after its next response. */
--- a/packages/ingress/src/control/server.ts
+++ b/packages/ingress/src/control/server.ts
@@ -1,5 +1,5 @@
 import { listenOn } from "@filbertrelay/kernel";
-import type { Service } from "@filbertrelay/kernel";
+import type { Clock, Service } from "@filbertrelay/kernel";
 import { createServer } from "node:http";
 import type { Server } from "node:http";
 
@@ -19,11 +19,13 @@
  * anyway: a web framework's adapter also loaded the Fetch API and HTTP/2, which took half of the startup's processor time.
  */
 export class ControlServer implements Service {
+    readonly #clock: Clock;
     readonly #address: string;
     readonly #routes: ControlRoutes;
     readonly #server: Server;
 
-    constructor(options: { readonly address: string; readonly routes: ControlRoutes; }) {
+    constructor(options: { readonly clock: Clock; readonly address: string; readonly routes: ControlRoutes; }) {
+        this.#clock = options.clock;
         this.#address = options.address;
         this.#routes = options.routes;
         this.#server = createServer((request, response) => {
@@ -38,7 +40,7 @@
     }
 
     async start(): Promise<void> {
-        await listenOn(this.#server, this.#address);
+        await listenOn(this.#server, this.#address, this.#clock);
     }
 
     stop(): Promise<void> {
--- a/packages/ingress/src/daemon.ts
+++ b/packages/ingress/src/daemon.ts
@@ -347,7 +347,7 @@
     kernel.register("exchange", exchange);
     kernel.register("callers", server);
     kernel.register("registration", registration);
-    registerControl(kernel, settings, environment, view);
+    registerControl(kernel, clock, settings, environment, view);
     const duties = environment.createDuties((kind, result) => metrics.recordDutyCall(kind, result));
     if (duties !== undefined && settings.duties !== undefined) {
         const common = { clock, log, lead, duties };
@@ -365,11 +365,17 @@
     return kernel;
 }
 
-function registerControl(kernel: Kernel, settings: IngressSettings, environment: Environment, view: HostView): void {
+function registerControl(
+    kernel: Kernel,
+    clock: Clock,
+    settings: IngressSettings,
+    environment: Environment,
+    view: HostView,
+): void {
     const { directoryAddress, readyAddress, metricsAddress } = settings.host;
     const serve = (name: string, address: string | undefined, routes: ControlRoutes): void => {
         if (address !== undefined) {
-            kernel.register(name, new ControlServer({ address, routes }));
+            kernel.register(name, new ControlServer({ clock, address, routes }));
         }
     };
     serve("directory", directoryAddress, environment.createDirectoryRoutes(view));
--- a/packages/standins/src/proxyroute.ts
+++ b/packages/standins/src/proxyroute.ts
@@ -1,4 +1,4 @@
-import { listenOn, splitAddress } from "@filbertrelay/kernel";
+import { createSystemClock, listenOn, splitAddress } from "@filbertrelay/kernel";
 import { connect, createServer } from "node:net";
 import type { AddressInfo, Server, Socket } from "node:net";
 
@@ -68,7 +68,7 @@
 
     async listen(address: string): Promise<void> {
         const { host } = splitAddress(address);
-        await listenOn(this.#server, address);
+        await listenOn(this.#server, address, createSystemClock());
         this.#listen = `${host}:${(this.#server.address() as AddressInfo).port}`;
     }
 
--- a/packages/wire/src/tcpnetwork.ts
+++ b/packages/wire/src/tcpnetwork.ts
@@ -104,7 +104,7 @@
     }
 
     async start(): Promise<void> {
-        await listenOn(this.#server, this.#options.listenAddress);
+        await listenOn(this.#server, this.#options.listenAddress, this.#options.clock);
         this.#scheduleLivenessCheck();
     }
 
