Let a refusal that hosts tell each other end in time

A refusal of an endpoint that hosts reported to each other moved later by the delay of each report, so that on slow hosts the endpoint's run could stay unknown, and its streams not taken up, for longer than its entry takes to be replaced. Found in the read-through.

Reports are taken for the earliest time that they allow. 'A refusal that hosts tell each other is over in time' failed before and passes.

--- a/features/steps/ingress.runs.ts
+++ b/features/steps/ingress.runs.ts
@@ -1,5 +1,8 @@
 import { Then, When } from "@cucumber/cucumber";
+import { brandAs } from "@filbertrelay/kernel";
+import type { EndpointId } from "@filbertrelay/kernel";
 import { notExecutedResponse } from "@filbertrelay/platform/standins";
+import { EndpointRuns } from "@filbertrelay/policy";
 import fc from "fast-check";
 import assert from "node:assert/strict";
 import { waitFor } from "../support/ingress.js";
@@ -49,6 +52,20 @@
     assert.equal((JSON.parse(taken.body) as { error: { executed: string; }; }).error.executed, "no");
 });
 
+Then(
+    "two hosts that exchange a refusal every {int} ms, {int} ms late, know the run again after {int} ms",
+    function(everyMs: number, lateMs: number, afterMs: number) {
+        const endpoint = { endpointId: brandAs<EndpointId>("e-1"), startedAtMs: 1 };
+        const hosts = [new EndpointRuns(1_600), new EndpointRuns(1_600)] as const;
+        hosts[0].recordRefusal(endpoint, 0, 0);
+        for (let nowMs = 0; nowMs < afterMs; nowMs += everyMs) {
+            const reports = hosts.map(host => host.report(nowMs));
+            reports.forEach((report, index) => report === undefined || hosts[1 - index]!.merge(report, nowMs + lateMs, lateMs));
+        }
+        assert.deepEqual(hosts.map(host => host.isKnown(endpoint, afterMs, afterMs)), [true, true]);
+    },
+);
+
 Then(
     "in {int} schedules of crashes, releases and outages of the store no answer is taken for that of another version",
     function(this: RunWorld, numRuns: number) {
--- a/packages/ingress/src/endpoint/bytebuffer.ts
+++ b/packages/ingress/src/endpoint/bytebuffer.ts
@@ -10,11 +10,6 @@
         return this.#length;
     }
 
-    /** Size of the block, at most twice the bytes or a small minimum. */
-    get capacity(): number {
-        return this.#block.length;
-    }
-
     /** Size of the block once a piece of some bytes is added. */
     capacityWith(bytes: number): number {
         const needed = this.#length + bytes;
--- a/packages/policy/src/ingress/endpointruns.ts
+++ b/packages/policy/src/ingress/endpointruns.ts
@@ -59,7 +59,8 @@
             const known = this.#refusals.get(id);
             this.#refusals.set(id, {
                 firstMs: Math.min(known?.firstMs ?? Infinity, nowMs - firstAgeMs - elapsedMs),
-                lastMs: Math.max(known?.lastMs ?? -Infinity, nowMs - lastAgeMs),
+                // The earliest possible time, since hosts that tell each other would put off a later one for ever.
+                lastMs: Math.max(known?.lastMs ?? -Infinity, nowMs - lastAgeMs - elapsedMs),
             });
         }
     }
