Start endpoints slowly, and compare a request on a few of them

Cause: all hosts find an endpoint that starts idle at the same moment and hear of each other's requests 200 to 1,000 ms later; one that failed keeps its failures on record and gets no request that could show its recovery. The same late picture makes hosts follow each other between endpoints that run.

--- a/features/steps/ingress.freshness.ts
+++ b/features/steps/ingress.freshness.ts
@@ -245,6 +245,7 @@
                 quarantine: policy.createQuarantine({ isTrialHost: () => true }),
                 limits: policy.createEndpointLimits({ hostId: ownId, listHosts: () => [] }),
                 runs: new policy.EndpointRuns(4_800),
+                paces: policy.createEndpointPaces({ hostId: ownId, listHosts: () => [], onChange: () => undefined }),
                 finals: new policy.FinalCounts(),
             }),
             dutyHolder: () => undefined,
--- a/features/steps/ingress.policy.ts
+++ b/features/steps/ingress.policy.ts
@@ -207,7 +207,7 @@
     },
 );
 
-const idle: policy.EndpointLoad = { running: 0, tokensAhead: 0, waitingTokens: 0 };
+const idle: policy.EndpointLoad = { running: 0, ownRunning: 0, tokensAhead: 0, waitingTokens: 0 };
 
 function candidate(name: string, values: Partial<policy.EndpointCandidate> = {}): policy.EndpointCandidate {
     return {
@@ -218,6 +218,7 @@
         cachedTokens: 0,
         failureRatio: 0,
         isQuarantined: false,
+        allowance: Infinity,
         ...values,
     };
 }
@@ -231,6 +232,8 @@
         homeDomain: brandAs<FailureDomainId>("d0"),
         tokenMs: 0.02,
         slotHoldMs: 700,
+        objectiveMs: 800,
+        isRepeatable: true,
         ...values,
     };
 }
@@ -263,7 +266,10 @@
 );
 
 Given("an engine that has a session cached and 60,000 tokens waiting", function(this: IngressPolicyWorld) {
-    const loaded = candidate("e0", { cachedTokens: 6_200, load: { running: 12, tokensAhead: 60_000, waitingTokens: 60_000 } });
+    const loaded = candidate("e0", {
+        cachedTokens: 6_200,
+        load: { running: 12, ownRunning: 12, tokensAhead: 60_000, waitingTokens: 60_000 },
+    });
     this.choices = [[policy.chooseLowestCostEndpoint([loaded, candidate("e1")], demand("hot"))!.endpointId, "e1"]];
 });
 
@@ -285,7 +291,9 @@
     for (let atMs = 0; atMs < durationMs; atMs += 2 * random() * tokens * tokenMs / 3) {
         const waitMs = Math.max(0, freeAtMs - atMs);
         const choice = policy.chooseLowestCostEndpoint(
-            [candidate("e0", { load: { running: 0, tokensAhead: waitMs / tokenMs, waitingTokens: waitMs / tokenMs } })],
+            [candidate("e0", {
+                load: { running: 0, ownRunning: 0, tokensAhead: waitMs / tokenMs, waitingTokens: waitMs / tokenMs },
+            })],
             demand("load", { parts: [], promptTokens: tokens }),
         )!;
         const decision = policy.decideStart({
--- a/features/support/fleethost.ts
+++ b/features/support/fleethost.ts
@@ -51,6 +51,7 @@
                 quarantine: policy.createQuarantine({ isTrialHost: () => true }),
                 limits: policy.createEndpointLimits({ hostId, listHosts: () => [] }),
                 runs: new policy.EndpointRuns(4_800),
+                paces: policy.createEndpointPaces({ hostId, listHosts: () => [], onChange: () => undefined }),
                 finals: new policy.FinalCounts(),
             }),
             dutyHolder: () => undefined,
--- a/packages/ingress/src/daemon.ts
+++ b/packages/ingress/src/daemon.ts
@@ -7,6 +7,7 @@
     createEndpointHealth,
     createEndpointLimits,
     createEndpointNotices,
+    createEndpointPaces,
     createFleetClock,
     createLoadTracker,
     createPromptCacheModel,
@@ -99,6 +100,8 @@
     readonly environment: Environment;
 }
 
+/** An endpoint that started longer ago than this is taken for one that is in full use. */
+const slowStartMs = 10_000;
 /** Tokens of this host's prompts that one engine is assumed to cache; all hosts and running requests share the engine's memory. */
 const promptCacheTokens = 60_000;
 /** Largest message between hosts: a full copy of the store's items. */
@@ -166,6 +169,19 @@
         },
     });
     const limits = createEndpointLimits({ hostId, listHosts: () => exchange.listReachable() });
+    const paces = createEndpointPaces({
+        hostId,
+        listHosts: () => exchange.listReachable(),
+        onChange: (endpoint, change, window) => {
+            log.write(requestEvents.paceChanged, { endpoint, change, window });
+            metrics.setStartingEndpoints(paces.size);
+        },
+    });
+    endpoints.onStarted(record => {
+        if (fleetClock.now().getTime() - record.startedAtMs < slowStartMs) {
+            paces.start(record, clock.monotonicMs());
+        }
+    });
     const exchange = new PeerExchange({
         clock,
         log,
@@ -175,7 +191,7 @@
         hosts,
         counts: { quota, usage, loads, demand, callerWork },
         fleetClock,
-        findings: new SharedFindings({ quarantine, limits, runs, finals }),
+        findings: new SharedFindings({ quarantine, limits, runs, paces, finals }),
         dutyHolder: () => readDutyHolder(mirror),
     });
     const { serving } = exchange;
@@ -210,6 +226,7 @@
         health.forget(endpointId);
         limits.forget(endpointId);
         notices.forget(endpointId);
+        paces.forget(endpointId);
         promptCaches.forget(endpointId);
     });
     const history = new VersionHistory(fleetClock.now().getTime());
@@ -280,6 +297,7 @@
         quarantine,
         limits,
         notices,
+        paces,
         runs,
         storeConfirmedMs,
         streamVersions,
--- a/packages/ingress/src/fleet/findings.ts
+++ b/packages/ingress/src/fleet/findings.ts
@@ -1,9 +1,11 @@
 import type {
     CustomerCounts,
     EndpointLimits,
+    EndpointPaces,
     EndpointRuns,
     FinalCounts,
     LimitReport,
+    PaceReport,
     Quarantine,
     QuarantineReport,
     RunReport,
@@ -14,6 +16,7 @@
     readonly suspects?: QuarantineReport | undefined;
     readonly limits?: LimitReport | undefined;
     readonly runs?: RunReport | undefined;
+    readonly paces?: PaceReport | undefined;
     readonly finalCounts?: Readonly<Record<string, CustomerCounts>> | undefined;
 }
 
@@ -22,6 +25,7 @@
     suspects?: QuarantineReport;
     limits?: LimitReport;
     runs?: RunReport;
+    paces?: PaceReport;
     finalCounts?: Record<string, Record<string, number>>;
 }
 
@@ -30,6 +34,7 @@
     readonly quarantine: Quarantine;
     readonly limits: EndpointLimits;
     readonly runs: EndpointRuns;
+    readonly paces: EndpointPaces;
     readonly finals: FinalCounts;
 }
 
@@ -45,17 +50,19 @@
         const suspects = this.#options.quarantine.report(nowMs);
         const limits = this.#options.limits.report(nowMs);
         const runs = this.#options.runs.report(nowMs);
+        const paces = this.#options.paces.report(nowMs);
         const finalCounts = this.#options.finals.missing();
         return {
             ...(suspects === undefined ? {} : { suspects }),
             ...(limits === undefined ? {} : { limits }),
             ...(runs === undefined ? {} : { runs }),
+            ...(paces === undefined ? {} : { paces }),
             ...(finalCounts === undefined ? {} : { finalCounts }),
         };
     }
 
     /** `elapsedMs` is how long ago the report was written at most. */
-    merge({ suspects, limits, runs, finalCounts = {} }: FindingsReport, nowMs: number, elapsedMs: number): void {
+    merge({ suspects, limits, runs, paces, finalCounts = {} }: FindingsReport, nowMs: number, elapsedMs: number): void {
         if (suspects !== undefined) {
             this.#options.quarantine.merge(suspects, nowMs, elapsedMs);
         }
@@ -65,6 +72,9 @@
         if (runs !== undefined) {
             this.#options.runs.merge(runs, nowMs, elapsedMs);
         }
+        if (paces !== undefined) {
+            this.#options.paces.merge(paces, nowMs, elapsedMs);
+        }
         for (const [window, counts] of Object.entries(finalCounts)) {
             this.#options.finals.record(Number(window), counts, nowMs);
         }
--- a/packages/ingress/src/fleet/report.ts
+++ b/packages/ingress/src/fleet/report.ts
@@ -38,6 +38,17 @@
 
 const limitReportSchema = z.record(z.string(), z.object({ perSecond: z.number().nullable(), ageMs: z.number() }));
 
+/** The windows of endpoints in their slow start, by process; see `EndpointPaces`. */
+const paceReportSchema = z.record(
+    z.string(),
+    z.object({
+        window: z.number().positive(),
+        capacity: z.number().positive(),
+        ageMs: z.number(),
+        setbackAgeMs: z.number().optional(),
+    }),
+);
+
 /** Lets the receiver bound when a report was written. Absent in older versions. */
 const messageTimeSchema = z.object({
     /** The sender's run, and its monotonic time in milliseconds. */
@@ -67,6 +78,8 @@
     limits: limitReportSchema.optional(),
     /** Endpoints whose entries may describe an earlier run. Absent if there are none, and in older versions. */
     runs: runReportSchema.optional(),
+    /** Absent while no endpoint has started recently, and in older versions. */
+    paces: paceReportSchema.optional(),
     /** Final counts of usage windows that the store lacks. Absent if there are none, and in older versions. */
     finalCounts: z.record(z.string(), countsSchema).optional(),
 });
@@ -88,6 +101,8 @@
     limits: limitReportSchema.optional(),
     /** Endpoints whose entries may describe an earlier run. Absent if there are none, and in older versions. */
     runs: runReportSchema.optional(),
+    /** Absent while no endpoint has started recently, and in older versions. */
+    paces: paceReportSchema.optional(),
     /** Final counts of usage windows that the store lacks. Absent if there are none, and in older versions. */
     finalCounts: z.record(z.string(), countsSchema).optional(),
 });
@@ -109,6 +124,8 @@
     limits: limitReportSchema.optional(),
     /** Endpoints whose entries may describe an earlier run. Absent if there are none, and in older versions. */
     runs: runReportSchema.optional(),
+    /** Absent while no endpoint has started recently, and in older versions. */
+    paces: paceReportSchema.optional(),
     /** Final counts of usage windows that the store lacks. Absent if there are none, and in older versions. */
     finalCounts: z.record(z.string(), countsSchema).optional(),
 });
@@ -128,6 +145,8 @@
     limits: limitReportSchema.optional(),
     /** Endpoints whose entries may describe an earlier run. Absent if there are none, and in older versions. */
     runs: runReportSchema.optional(),
+    /** Absent while no endpoint has started recently, and in older versions. */
+    paces: paceReportSchema.optional(),
     /** Final counts of usage windows that the store lacks. Absent if there are none, and in older versions. */
     finalCounts: z.record(z.string(), countsSchema).optional(),
 });
--- a/packages/ingress/src/request/attempt.ts
+++ b/packages/ingress/src/request/attempt.ts
@@ -24,6 +24,8 @@
     readonly tokens: number;
     /** Whether no other prompt was queued at the endpoint when the request was sent. */
     readonly isEndpointIdle: boolean;
+    /** Latency objective of the response. */
+    readonly objectiveMs: number;
     readonly isRepeatable: boolean;
     readonly isStream: boolean;
 }
@@ -116,11 +118,12 @@
 
     /** Sends the request. All callbacks of the connection and of timers run within the boundary. */
     start(boundary: RequestBoundary, handler: AttemptHandler): void {
-        const { loads, connections, limits } = this.#context;
+        const { loads, connections, limits, paces } = this.#context;
         const { endpoint, priority, tokens, isRepeatable } = this.#options;
         this.#handler = handler;
         this.#boundary = boundary;
         limits.recordSend(endpoint.endpointId, this.#sentMs);
+        paces.recordSend(endpoint, this.#sentMs);
         loads.recordDispatch({ requestId: this.#loadKey, endpointId: endpoint.endpointId, priority, tokens });
         this.#connection = connections.acquire(endpoint, isRepeatable ? Infinity : nonRetryableIdleMs);
         this.#connection.send(this.#outgoing, {
@@ -141,10 +144,14 @@
     recordFirstEvent(): void {
         if (!this.#hasFirstEvent) {
             this.#hasFirstEvent = true;
-            this.#context.loads.recordFirstEvent(this.#loadKey);
-            if (this.#options.isEndpointIdle) {
-                const startMs = this.#context.clock.monotonicMs() - this.#sentMs;
-                this.#context.timings.recordStart(this.#options.endpoint.service, startMs, this.#options.tokens);
+            const { loads, clock, timings, paces } = this.#context;
+            const { endpoint, isEndpointIdle, objectiveMs, tokens } = this.#options;
+            const nowMs = clock.monotonicMs();
+            const startMs = nowMs - this.#sentMs;
+            loads.recordFirstEvent(this.#loadKey);
+            paces.recordAnswer(endpoint, { elapsedMs: startMs, objectiveMs }, nowMs);
+            if (isEndpointIdle) {
+                timings.recordStart(endpoint.service, startMs, tokens);
             }
         }
     }
@@ -302,16 +309,23 @@
         this.#handler = undefined;
         this.#cancelBatchTimer();
         this.#memory.release();
-        const { loads, health, clock, timings } = this.#context;
-        const { endpoint } = this.#options;
+        const { loads, health, clock, timings, paces } = this.#context;
+        const { endpoint, objectiveMs } = this.#options;
         loads.recordEnd(this.#loadKey);
         const nowMs = clock.monotonicMs();
         if (failure !== undefined) {
             health.recordFailure(endpoint.endpointId, failure, nowMs);
+            if (health.isQuarantined(endpoint.endpointId, nowMs)) {
+                paces.recordSetback(endpoint, nowMs);
+            }
         }
         else if (result.type === "answered") {
+            const elapsedMs = nowMs - this.#sentMs;
+            if (!result.isStream) {
+                paces.recordAnswer(endpoint, { elapsedMs, objectiveMs }, nowMs);
+            }
             health.recordSuccess(endpoint.endpointId);
-            timings.recordSlotHold(endpoint.service, nowMs - this.#sentMs);
+            timings.recordSlotHold(endpoint.service, elapsedMs);
         }
         handler.onEnd(result);
     }
--- a/packages/ingress/src/request/context.ts
+++ b/packages/ingress/src/request/context.ts
@@ -5,6 +5,7 @@
     EndpointHealth,
     EndpointLimits,
     EndpointNotices,
+    EndpointPaces,
     EndpointProcess,
     EndpointRuns,
     FleetClock,
@@ -42,6 +43,7 @@
     readonly health: EndpointHealth;
     readonly limits: EndpointLimits;
     readonly notices: EndpointNotices;
+    readonly paces: EndpointPaces;
     readonly runs: EndpointRuns;
     /** A monotonic time at which the copy of the store held everything that the store held. */
     readonly storeConfirmedMs: () => number;
--- a/packages/ingress/src/request/endpointselection.ts
+++ b/packages/ingress/src/request/endpointselection.ts
@@ -1,5 +1,6 @@
+import type { IngressRoute } from "@filbertrelay/configuration";
 import type { EndpointId } from "@filbertrelay/kernel";
-import { chooseLowestCostEndpoint } from "@filbertrelay/policy/ingress";
+import { chooseLowestCostEndpoint, consideredShare } from "@filbertrelay/policy/ingress";
 import type { EndpointChoice } from "@filbertrelay/policy/ingress";
 import type { EndpointRecord } from "../contract.js";
 import type { AdmittedRequest } from "./admitted.js";
@@ -55,19 +56,25 @@
     return Math.max(defaultRetryAfterMs, pauses.length === 0 ? 0 : Math.min(...pauses));
 }
 
+/** Whether a request of a route may be executed on a second endpoint. */
+export function isRepeatable({ kind, isResumable, maximumAttempts }: IngressRoute): boolean {
+    return maximumAttempts > 1 && (kind === "idempotent" || (kind === "stream" && isResumable));
+}
+
 /** The priority of a request; that of its customer takes precedence over that of its route. */
 export function priorityOf({ customer, route }: AdmittedRequest): number {
     return customer?.priority ?? route.priority;
 }
 
 function chooseEndpoint(
-    { health, loads, promptCaches, clock, homeDomain, timings }: RequestContext,
+    { health, loads, paces, promptCaches, clock, homeDomain, timings }: RequestContext,
     request: AdmittedRequest,
     { endpoints, tried }: { readonly endpoints: readonly EndpointRecord[]; readonly tried: ReadonlySet<EndpointId>; },
 ): EndpointChoice | undefined {
     const { description, service, requestId } = request;
     const nowMs = clock.monotonicMs();
     const parts = description.prompt?.parts ?? [];
+    const share = consideredShare(endpoints.length);
     const candidates = endpoints.map(endpoint => ({
         endpointId: endpoint.endpointId,
         failureDomain: endpoint.failureDomain,
@@ -76,6 +83,7 @@
         cachedTokens: endpoint.hasPromptCache ? promptCaches.cachedTokens(endpoint.endpointId, parts) : 0,
         failureRatio: health.failureRatio(endpoint.endpointId),
         isQuarantined: health.isQuarantined(endpoint.endpointId, nowMs),
+        allowance: paces.allowance(endpoint, share, nowMs),
     }));
     return chooseLowestCostEndpoint(candidates, {
         parts,
@@ -85,6 +93,8 @@
         homeDomain,
         tokenMs: timings.tokenMs(service),
         slotHoldMs: timings.slotHoldMs(service) ?? defaultServiceMs,
+        objectiveMs: request.route.objectiveMs,
+        isRepeatable: isRepeatable(request.route),
     });
 }
 
--- a/packages/ingress/src/request/event.ts
+++ b/packages/ingress/src/request/event.ts
@@ -87,4 +87,11 @@
         text: "Requests that were rejected no longer crash endpoints and are accepted again.",
         action: "None.",
     },
+    paceChanged: {
+        number: 4370,
+        level: "info",
+        text: "The slow start of an endpoint began, was set back or ended.",
+        action:
+            "None; `window` is the number of requests that all hosts together may have there. If endpoints are set back again and again, look at them.",
+    },
 });
--- a/packages/ingress/src/request/task.ts
+++ b/packages/ingress/src/request/task.ts
@@ -12,7 +12,14 @@
 import { StreamContinuation } from "./continuation.js";
 import { recordEnding, sendRefusal } from "./ending.js";
 import type { RequestOutcome } from "./ending.js";
-import { defaultRetryAfterMs, estimateRetryAfterMs, listOpenEndpoints, priorityOf, selectEndpoint } from "./endpointselection.js";
+import {
+    defaultRetryAfterMs,
+    estimateRetryAfterMs,
+    isRepeatable,
+    listOpenEndpoints,
+    priorityOf,
+    selectEndpoint,
+} from "./endpointselection.js";
 import { sendErrorResponse } from "./errorresponse.js";
 import { requestEvents as events } from "./event.js";
 import type { CallerResponder } from "./responder.js";
@@ -174,6 +181,7 @@
             priority: priorityOf(this.#request),
             tokens: choice.tokensToCompute,
             isEndpointIdle: choice.isIdle,
+            objectiveMs: this.#request.route.objectiveMs,
             isRepeatable: this.#isRetryable(),
             isStream,
         }, { method: caller.method, target: caller.target, headers, body: caller.body });
@@ -301,8 +309,7 @@
     }
 
     #isRetryable(): boolean {
-        const { kind, isResumable, maximumAttempts } = this.#request.route;
-        return maximumAttempts > 1 && (kind === "idempotent" || (kind === "stream" && isResumable));
+        return isRepeatable(this.#request.route);
     }
 
     #restartSilenceTimer(expectedStartMs: number, hasStarted: boolean): void {
--- a/packages/ingress/src/state/endpoints.ts
+++ b/packages/ingress/src/state/endpoints.ts
@@ -17,6 +17,7 @@
     readonly #records = new Map<string, EndpointRecord>();
     readonly #endedListeners: EndpointEndedListener[] = [];
     readonly #changedListeners: (() => void)[] = [];
+    readonly #startedListeners: ((record: EndpointRecord) => void)[] = [];
 
     constructor(
         options: { readonly mirror: StoreMirror; readonly decoder: StoreDecoder; readonly log: EventLog; },
@@ -58,6 +59,11 @@
         this.#changedListeners.push(listener);
     }
 
+    /** Registers a listener for endpoints that were not known before, and for new processes of known ones. */
+    onStarted(listener: (record: EndpointRecord) => void): void {
+        this.#startedListeners.push(listener);
+    }
+
     /** Registers a listener for endpoints that have ended. */
     onEnded(listener: EndpointEndedListener): void {
         this.#endedListeners.push(listener);
@@ -84,6 +90,9 @@
         if (known !== undefined && known.startedAtMs !== record.startedAtMs) {
             this.#endedListeners.forEach(listener => listener(record.endpointId));
         }
+        if (known?.startedAtMs !== record.startedAtMs) {
+            this.#startedListeners.forEach(listener => listener(record));
+        }
         this.#log.write(events.endpointChanged, {
             endpoint: record.endpointId,
             service: record.service,
--- a/packages/ingress/src/telemetry/metrics.ts
+++ b/packages/ingress/src/telemetry/metrics.ts
@@ -29,6 +29,7 @@
         "service",
     ]);
     readonly #quarantined = this.#gauge("quarantined_causes", "Causes of crashes for which requests are rejected");
+    readonly #starting = this.#gauge("starting_endpoints", "Endpoints in their slow start");
     readonly #storeCalls = this.#counter("store_calls_total", "Calls to the store, by kind and result", ["kind", "result"]);
     readonly #changeAge = new Histogram({
         name: "filbertrelay_store_change_age_seconds",
@@ -72,6 +73,10 @@
         this.#quarantined.set(count);
     }
 
+    setStartingEndpoints(count: number): void {
+        this.#starting.set(count);
+    }
+
     recordStoreCall(kind: string, result: string): void {
         this.#storeCalls.inc({ kind, result });
     }
--- a/packages/policy/src/ingress/enginechoice.ts
+++ b/packages/policy/src/ingress/enginechoice.ts
@@ -15,6 +15,8 @@
     /** Exponentially smoothed fraction of failed attempts, 0 to 1. */
     readonly failureRatio: number;
     readonly isQuarantined: boolean;
+    /** Requests that this host may have there at the same time; finite while the endpoint is in its slow start. */
+    readonly allowance: number;
 }
 
 /** The request for which an endpoint is chosen. */
@@ -31,6 +33,10 @@
     readonly tokenMs: number;
     /** Mean time that a request occupies a slot. */
     readonly slotHoldMs: number;
+    /** Latency objective of the request. */
+    readonly objectiveMs: number;
+    /** Whether another endpoint can run the request if the chosen one fails. */
+    readonly isRepeatable: boolean;
 }
 
 /** The chosen endpoint and the estimates behind it. */
@@ -45,6 +51,10 @@
     readonly candidates: number;
 }
 
+/** Endpoints that are compared for a request; twice as many whenever it would wait too long at those. */
+const consideredEndpoints = 3;
+/** A request waits too long at an endpoint that takes more than this fraction of the objective to start it. */
+const widenShare = 0.4;
 /** Start latency without the prompt: one engine step and the network round trip. */
 const baseStartMs = 25;
 /** Weight of the delay that computing the prompt causes for other requests, relative to the delay of the request itself. */
@@ -53,6 +63,11 @@
 const concurrencyPenaltyMs = 1.2;
 /** Cost of an endpoint that always fails; a retry costs about as much. */
 const failurePenaltyMs = 600;
+/**
+ * Cost of each request beyond the pace of an endpoint. Other hosts may send there at the same moment, but an endpoint that starts is
+ * still better than a longer queue.
+ */
+const beyondPacePenaltyMs = 250;
 /** Traffic between failure domains is charged, so endpoints in the home domain are preferred when otherwise equal. */
 const crossDomainPenaltyMs = 4;
 /** Probability that the engine preferred by all hosts for a prefix has it cached, if this host has not sent it there itself. */
@@ -60,7 +75,11 @@
 /** Cost spread between endpoints for requests without a prompt, so that hosts with equal load data choose different ones. */
 const tieSpreadMs = 6;
 
-/** Chooses the endpoint with the lowest expected cost, in milliseconds; `undefined` without a candidate. */
+/**
+ * Chooses an endpoint with a low expected cost, in milliseconds; `undefined` without a candidate. Only a few endpoints are compared
+ * for a request, others than for the next one: hosts know each other's requests late, so comparing all would send the requests of all
+ * hosts to the same endpoint. More are compared if the request would wait too long at those.
+ */
 export function chooseLowestCostEndpoint(
     candidates: readonly EndpointCandidate[],
     demand: EndpointDemand,
@@ -71,32 +90,56 @@
     const ranked = rankByRendezvous(affinityKey, usable, candidate => candidate.endpointId, {
         weight: candidate => candidate.capacity,
     });
-    let best: EndpointChoice | undefined;
-    let bestCost = Infinity;
-    ranked.forEach((candidate, rank) => {
-        const tokensToCompute = countTokensToCompute(candidate, demand, rank);
-        const computeMs = tokensToCompute * demand.tokenMs;
-        const expectedStartMs = baseStartMs + expectWaitMs(candidate, demand) + computeMs;
-        const cost = expectedStartMs + computeWeight * computeMs +
-            concurrencyPenaltyMs * candidate.load.running * (64 / candidate.capacity) +
-            failurePenaltyMs * candidate.failureRatio +
-            (candidate.failureDomain === demand.homeDomain ? 0 : crossDomainPenaltyMs) +
-            (demand.parts.length === 0 ? tieSpreadMs * rank / ranked.length : 0);
-        if (cost < bestCost) {
-            bestCost = cost;
-            best = {
-                endpointId: candidate.endpointId,
-                tokensToCompute,
-                expectedStartMs,
-                running: candidate.load.running,
-                isIdle: candidate.load.waitingTokens === 0,
-                candidates: ranked.length,
-            };
+    const limitMs = demand.objectiveMs * widenShare;
+    let best: (EndpointChoice & { readonly cost: number; }) | undefined;
+    for (const [rank, candidate] of ranked.entries()) {
+        if (isWidened(rank) && best !== undefined && best.expectedStartMs <= limitMs) {
+            break;
         }
-    });
+        const estimate = estimateChoice(candidate, demand, { rank, candidates: ranked.length });
+        if (best === undefined || estimate.cost < best.cost) {
+            best = estimate;
+        }
+    }
     return best;
 }
 
+/** Share of a number of endpoints that a request is placed on while none of them is busy. */
+export function consideredShare(endpoints: number): number {
+    return Math.min(1, consideredEndpoints / endpoints);
+}
+
+/** Whether the candidates before a rank are all those that are considered together. */
+function isWidened(rank: number): boolean {
+    return rank >= consideredEndpoints && Number.isInteger(Math.log2(rank / consideredEndpoints));
+}
+
+function estimateChoice(
+    candidate: EndpointCandidate,
+    demand: EndpointDemand,
+    { rank, candidates }: { readonly rank: number; readonly candidates: number; },
+): EndpointChoice & { readonly cost: number; } {
+    const { load, capacity, failureDomain, endpointId } = candidate;
+    const tokensToCompute = countTokensToCompute(candidate, demand, rank);
+    const computeMs = tokensToCompute * demand.tokenMs;
+    const expectedStartMs = baseStartMs + expectWaitMs(candidate, demand) + computeMs;
+    const cost = expectedStartMs + computeWeight * computeMs +
+        concurrencyPenaltyMs * load.running * (64 / capacity) +
+        failurePenaltyMs * expectedFailures(candidate, demand) +
+        beyondPacePenaltyMs * countBeyondPace(candidate) +
+        (failureDomain === demand.homeDomain ? 0 : crossDomainPenaltyMs) +
+        (demand.parts.length === 0 ? tieSpreadMs * rank / candidates : 0);
+    return {
+        endpointId,
+        tokensToCompute,
+        expectedStartMs,
+        running: load.running,
+        isIdle: load.waitingTokens === 0,
+        candidates,
+        cost,
+    };
+}
+
 /** Excludes endpoints that were tried already, and those in quarantine unless no others remain. */
 function selectUsable(candidates: readonly EndpointCandidate[], tried: ReadonlySet<EndpointId>): readonly EndpointCandidate[] {
     const untried = candidates.filter(candidate => !tried.has(candidate.endpointId));
@@ -104,6 +147,16 @@
     return healthy.length > 0 ? healthy : untried;
 }
 
+/** Requests that this host would have at an endpoint beyond its share of the endpoint's window. */
+function countBeyondPace({ load, allowance }: EndpointCandidate): number {
+    return allowance === Infinity ? 0 : Math.max(0, load.ownRunning + 1 - allowance);
+}
+
+/** Failures before a slow start say nothing of the endpoint now, and only new requests can show whether it has recovered. */
+function expectedFailures({ failureRatio, allowance }: EndpointCandidate, { isRepeatable }: EndpointDemand): number {
+    return isRepeatable && allowance !== Infinity ? 0 : failureRatio;
+}
+
 function countTokensToCompute(candidate: EndpointCandidate, demand: EndpointDemand, rank: number): number {
     const sharedTokens = demand.parts.slice(0, -1).reduce((sum, part) => sum + part.tokens, 0);
     const assumedCached = rank === 0 ?
--- a/packages/policy/src/ingress/index.ts
+++ b/packages/policy/src/ingress/index.ts
@@ -14,6 +14,7 @@
 export * from "./endpointhealth.js";
 export * from "./endpointlimits.js";
 export * from "./endpointnotices.js";
+export * from "./endpointpace.js";
 export * from "./endpointplan.js";
 export * from "./endpointruns.js";
 export * from "./enginechoice.js";
--- a/packages/policy/src/ingress/loadtracker.ts
+++ b/packages/policy/src/ingress/loadtracker.ts
@@ -21,6 +21,8 @@
 /** Load of one endpoint over all hosts. */
 export interface EndpointLoad {
     readonly running: number;
+    /** The part of `running` that this host sent. */
+    readonly ownRunning: number;
     /** Waiting prompt tokens of requests with equal or more urgent priority. */
     readonly tokensAhead: number;
     /** Waiting prompt tokens of all requests. */
@@ -135,8 +137,9 @@
                 }
             }
         }
+        const ownRunning = running;
         this.#peers.live(nowMs).forEach(({ report }) => add(report[endpointId]));
         this.#groups.live(nowMs).forEach(({ report }) => add(report[endpointId]));
-        return { running, tokensAhead, waitingTokens };
+        return { running, ownRunning, tokensAhead, waitingTokens };
     }
 }
