--- a/scripts/measure-request-cost.mjs
+++ b/scripts/measure-request-cost.mjs
@@ -108,32 +108,34 @@
         figures.push({ phase, kind, sent, answered, elapsedS, perSecond, memory: readMemory(host.pid) });
     }
     await deployment.stop();
-    return figures.map((figure, index) => ({ ...figure, restMsPerSecond: meanRest(figures, index) }));
+    return figures.map((figure, index) => ({ ...figure, restPerSecond: meanRest(figures, index) }));
 }
 
-/** The mean of the nearest phases at rest before and after a phase, in milliseconds of processor time per second. */
+/** The mean use per second of the nearest phases at rest before and after a phase. */
 function meanRest(figures, index) {
     const isRest = figure => figure.kind === "rest";
     const around = [figures.slice(0, index).findLast(isRest), figures.slice(index).find(isRest)].filter(Boolean);
-    return around.reduce((sum, { perSecond }) => sum + perSecond.processorMs, 0) / Math.max(1, around.length);
+    const mean = name => around.reduce((sum, { perSecond }) => sum + perSecond[name], 0) / Math.max(1, around.length);
+    return { processorMs: mean("processorMs"), reads: mean("reads"), writes: mean("writes"), wakeups: mean("wakeups") };
 }
 
-function renderRow(name, { phase, kind, sent, answered, elapsedS, perSecond, processorMs, restMsPerSecond, memory }) {
+function renderRow(name, { phase, kind, sent, answered, elapsedS, perSecond, processorMs, restPerSecond, memory }) {
     if (kind === "start") {
         return `| ${name} | start until ready | ${
             processorMs.toFixed(0)
         } ms | - | - | - | - | ${memory.nowMb} MB, peak ${memory.peakMb} |`;
     }
-    const perRequest = value => (value * elapsedS / sent).toFixed(1);
+    const counts = ["reads", "writes", "wakeups"];
+    const perRequest = field => (perSecond[field] - restPerSecond[field]) * elapsedS / sent;
     const cells = kind === "rest" ?
         [
             `${(perSecond.processorMs / 10).toFixed(2)}% of a core`,
-            ...["reads", "writes", "wakeups"].map(field => `${perSecond[field].toFixed(0)}/s`),
+            ...counts.map(field => `${perSecond[field].toFixed(0)}/s`),
             "-",
         ] :
         [
-            `${((perSecond.processorMs - restMsPerSecond) * elapsedS / sent).toFixed(2)} ms`,
-            ...["reads", "writes", "wakeups"].map(field => perRequest(perSecond[field])),
+            `${perRequest("processorMs").toFixed(2)} ms`,
+            ...counts.map(field => perRequest(field).toFixed(1)),
             `${answered}/${sent}`,
         ];
     return `| ${[name, phase, ...cells, `${memory.nowMb} MB, peak ${memory.peakMb}`].join(" | ")} |`;
@@ -277,7 +279,7 @@
 `,
     );
     const profiling = options.profile && index === 0 ?
-        ["--cpu-prof", `--cpu-prof-dir=${join(root, ".scratch/profiles", name)}`] :
+        ["--cpu-prof", "--cpu-prof-interval=200", `--cpu-prof-dir=${join(root, ".scratch/profiles", name)}`] :
         [];
     const child = spawn(process.execPath, [...flags, ...profiling, join(folder, "filbertrelayd.cjs")], {
         env: { PATH: process.env.PATH, FILBERTRELAY_NODE_FILE: settingsFile },
