Parse the entry of an endpoint again only when more than its sequence changes

Cause: a heartbeat was decoded three times (version, sequence, record), each with a loop over its characters, and described and compared anew; a log line was copied three times before it was rendered; each request listed all endpoints of its service. Change: HeartbeatReader keeps the record while the text around the only sequence is the same; the lists of a service's endpoints and the constant part of a line are made once.

--- a/packages/ingress/src/contract.ts
+++ b/packages/ingress/src/contract.ts
@@ -126,7 +126,8 @@
     readConfiguration(value: string): Outcome<IngressConfiguration>;
     /** Reads no more of a configuration than its version; `undefined` if the value has none. */
     readConfigurationVersion(value: string): number | undefined;
+    /** Values that say the same may give the same record. */
     readEndpoint(key: string, value: string): Outcome<EndpointRecord>;
     /** Reads the number that an endpoint counts up with each value it writes; `undefined` if the value has none. */
-    readEndpointSequence(value: string): number | undefined;
+    readEndpointSequence(key: string, value: string): number | undefined;
 }
--- a/packages/ingress/src/state/endpoints.ts
+++ b/packages/ingress/src/state/endpoints.ts
@@ -15,6 +15,9 @@
     readonly #mirror: StoreMirror;
     readonly #decoder: StoreDecoder;
     readonly #records = new Map<string, EndpointRecord>();
+    /** By service; made anew after each change of the records. */
+    readonly #ofService = new Map<string, readonly EndpointRecord[]>();
+    readonly #usable = new Map<string, readonly EndpointRecord[]>();
     readonly #endedListeners: EndpointEndedListener[] = [];
     readonly #changedListeners: (() => void)[] = [];
 
@@ -29,12 +32,16 @@
 
     /** The endpoints of a service that accept new requests. */
     usable(service: string): readonly EndpointRecord[] {
-        return this.ofService(service).filter(record => !record.isLeaving);
+        const known = this.#usable.get(service) ?? this.ofService(service).filter(record => !record.isLeaving);
+        this.#usable.set(service, known);
+        return known;
     }
 
     /** All endpoints of a service, including leaving ones. */
     ofService(service: string): readonly EndpointRecord[] {
-        return [...this.#records.values()].filter(record => record.service === service);
+        const known = this.#ofService.get(service) ?? [...this.#records.values()].filter(record => record.service === service);
+        this.#ofService.set(service, known);
+        return known;
     }
 
     /** Whether the process of an endpoint is registered and not leaving. */
@@ -77,10 +84,11 @@
             return known === undefined ? "heartbeat" : "material";
         }
         const record = decoded.value;
-        if (isDeepStrictEqual(known, record)) {
+        if (known === record || isDeepStrictEqual(known, record)) {
             return "heartbeat";
         }
         this.#records.set(change.key, record);
+        this.#dropLists();
         if (known !== undefined && known.startedAtMs !== record.startedAtMs) {
             this.#endedListeners.forEach(listener => listener(record.endpointId));
         }
@@ -102,6 +110,7 @@
         const record = this.#records.get(key);
         if (record !== undefined) {
             this.#records.delete(key);
+            this.#dropLists();
             this.#log.write(events.endpointGone, {
                 endpoint: record.endpointId,
                 service: record.service,
@@ -112,4 +121,9 @@
             this.#changedListeners.forEach(listener => listener());
         }
     }
+
+    #dropLists(): void {
+        this.#ofService.clear();
+        this.#usable.clear();
+    }
 }
--- a/packages/kernel/src/logger.ts
+++ b/packages/kernel/src/logger.ts
@@ -23,10 +23,11 @@
 export function createEventLog(options: EventLogOptions): EventLog {
     const { write } = options;
     if (write !== undefined) {
+        const lines = new LineRenderer(options);
         return {
             write: (event, fields = {}) => {
                 if (consolaLevels[event.level] <= consolaLevels[options.level]) {
-                    write(JSON.stringify(describeLine(options, event, fields)));
+                    write(lines.render(event, fields));
                 }
             },
         };
@@ -53,6 +54,39 @@
     output[event.level](`[${event.number}] ${event.text} ${details.join(" ")}`);
 }
 
+/** Renders lines as JSON; what is the same in all lines of an event is rendered once. */
+class LineRenderer {
+    readonly #options: EventLogOptions;
+    readonly #beginnings = new Map<EventDeclaration, string>();
+    readonly #ownNames: readonly string[];
+
+    constructor(options: EventLogOptions) {
+        this.#options = options;
+        this.#ownNames = ["time", "level", "event", "text", ...Object.keys(options.context)];
+    }
+
+    render(event: EventDeclaration, fields: EventFields): string {
+        if (this.#ownNames.some(name => name in fields)) {
+            return JSON.stringify(describeLine(this.#options, event, fields));
+        }
+        const rest = JSON.stringify(fields);
+        const time = this.#options.clock.now().toISOString();
+        return `{"time":"${time}",${this.#beginning(event)}${rest === "{}" ? "}" : `,${rest.slice(1)}`}`;
+    }
+
+    /** The fields after the time that are the same in all lines of an event. */
+    #beginning(event: EventDeclaration): string {
+        const known = this.#beginnings.get(event);
+        if (known !== undefined) {
+            return known;
+        }
+        const { level, number, text } = event;
+        const beginning = JSON.stringify({ level, event: number, text, ...this.#options.context }).slice(1, -1);
+        this.#beginnings.set(event, beginning);
+        return beginning;
+    }
+}
+
 function describeLine(options: EventLogOptions, event: EventDeclaration, fields: EventFields): Record<string, unknown> {
     const line = { time: options.clock.now().toISOString(), level: event.level, event: event.number, text: event.text };
     return { ...line, ...options.context, ...fields };
