--- a/packages/ingress/src/request/attempt.ts
+++ b/packages/ingress/src/request/attempt.ts
@@ -35,10 +35,10 @@
 }
 
 /**
- * Interval at which stream events after the first one are flushed. Each write costs a small host about 0.2 ms of processor time;
- * up to 200 ms of delay between an engine and a caller is acceptable.
+ * Time for which nothing more of a stream is read after its first event and each further read. Each read and write costs a small host
+ * about 0.2 ms of processor time; up to 200 ms of delay between an engine and a caller is acceptable.
  */
-const batchMs = 60;
+const batchMs = 80;
 /** A batch of this size is flushed at once. */
 const batchBytes = 65_536;
 /** Longest idle time of a connection that is reused for a non-retryable request; a longer-idle connection may be closing. */
@@ -70,6 +70,8 @@
     readonly #body = new ByteBuffer();
     #hasFirstEvent = false;
     readonly #batch = new ByteBuffer();
+    #isBatching = false;
+    #isCallerFull = false;
     #cancelBatchTimer: () => void = () => undefined;
 
     constructor(context: RequestContext, options: AttemptOptions, outgoing: EndpointRequest) {
@@ -182,11 +184,13 @@
 
     /** Stops reading from the endpoint until `resume`, for backpressure from the caller. */
     pause(): void {
+        this.#isCallerFull = true;
         this.#connection?.pause();
     }
 
     resume(): void {
-        this.#connection?.resume();
+        this.#isCallerFull = false;
+        this.#readOn();
     }
 
     /** Rejects a response with another request id: a late duplicate of an earlier response on the connection. */
@@ -316,24 +320,41 @@
         handler.onEnd(result);
     }
 
-    /** Forwards bytes at once until the first event is complete, then in batches, so that several events cost one write. */
+    /** Forwards bytes at once until the first event is complete, then all events of a read with one write. */
     #receiveStream(chunk: Buffer): void {
         if (!this.#hasFirstEvent) {
             this.#handler?.onStreamBytes(chunk);
             return;
         }
-        const isFirst = this.#batch.length === 0;
+        if (this.#batch.length === 0) {
+            queueMicrotask(() => this.#boundary?.run(() => this.#endRead()));
+        }
         this.#batch.append(chunk);
         if (this.#batch.length > batchBytes) {
             this.#flushBatch();
         }
-        else if (isFirst) {
-            this.#cancelBatchTimer = this.#context.clock.after(batchMs, () => this.#boundary?.run(() => this.#flushBatch()));
+    }
+
+    /** Forwards what was read and leaves further events to the socket's buffer for a while. */
+    #endRead(): void {
+        this.#flushBatch();
+        if (this.#handler !== undefined && !this.#isBatching) {
+            this.#isBatching = true;
+            this.#connection?.pause();
+            this.#cancelBatchTimer = this.#context.clock.after(batchMs, () => {
+                this.#isBatching = false;
+                this.#readOn();
+            });
+        }
+    }
+
+    #readOn(): void {
+        if (!this.#isBatching && !this.#isCallerFull) {
+            this.#connection?.resume();
         }
     }
 
     #flushBatch(): void {
-        this.#cancelBatchTimer();
         if (this.#batch.length > 0) {
             this.#handler?.onStreamBytes(this.#batch.take());
         }
--- a/packages/ingress/src/request/endpointselection.ts
+++ b/packages/ingress/src/request/endpointselection.ts
@@ -68,11 +68,12 @@
     const { description, service, requestId } = request;
     const nowMs = clock.monotonicMs();
     const parts = description.prompt?.parts ?? [];
+    const estimateLoad = loads.estimator(priorityOf(request), nowMs);
     const candidates = endpoints.map(endpoint => ({
         endpointId: endpoint.endpointId,
         failureDomain: endpoint.failureDomain,
         capacity: endpoint.capacity,
-        load: loads.estimate(endpoint.endpointId, priorityOf(request), nowMs),
+        load: estimateLoad(endpoint.endpointId),
         cachedTokens: endpoint.hasPromptCache ? promptCaches.cachedTokens(endpoint.endpointId, parts) : 0,
         failureRatio: health.failureRatio(endpoint.endpointId),
         isQuarantined: health.isQuarantined(endpoint.endpointId, nowMs),
--- a/packages/ingress/src/request/silencetimer.ts
+++ b/packages/ingress/src/request/silencetimer.ts
@@ -20,7 +20,10 @@
 /** Limits the time for which an endpoint may be silent during an attempt. */
 export class SilenceTimer {
     readonly #options: SilenceTimerOptions;
-    #cancel: () => void = () => undefined;
+    #cancel: (() => void) | undefined;
+    /** When the timer calls back next; it waits anew if the endpoint has been heard from since. */
+    #wakeMs = 0;
+    #wait: { readonly dueMs: number; readonly limitMs: number; readonly progress: AttemptProgress; } | undefined;
 
     constructor(options: SilenceTimerOptions) {
         this.#options = options;
@@ -28,8 +31,7 @@
 
     /** Starts waiting anew, as the endpoint has just been heard from. */
     restart(progress: AttemptProgress): void {
-        this.#cancel();
-        const { clock, route, onSilence } = this.#options;
+        const { clock, route } = this.#options;
         const limitMs = computeSilenceTimeout({
             kind: route.kind,
             isRepeatable: progress.isRepeatable,
@@ -38,12 +40,42 @@
             expectedStartMs: progress.expectedStartMs,
             hasStarted: progress.hasStarted,
         });
-        if (limitMs !== undefined) {
-            this.#cancel = clock.after(limitMs, () => onSilence(limitMs, progress));
+        if (limitMs === undefined) {
+            this.cancel();
+            return;
+        }
+        const dueMs = clock.monotonicMs() + limitMs;
+        this.#wait = { dueMs, limitMs, progress };
+        if (this.#cancel === undefined || dueMs < this.#wakeMs) {
+            this.#schedule(dueMs, limitMs);
         }
     }
 
     cancel(): void {
-        this.#cancel();
+        this.#cancel?.();
+        this.#cancel = undefined;
+        this.#wait = undefined;
+    }
+
+    #schedule(dueMs: number, delayMs: number): void {
+        this.#cancel?.();
+        this.#wakeMs = dueMs;
+        this.#cancel = this.#options.clock.after(delayMs, () => this.#wake());
+    }
+
+    #wake(): void {
+        this.#cancel = undefined;
+        const wait = this.#wait;
+        if (wait === undefined) {
+            return;
+        }
+        // Timers may call back a fraction of a millisecond early.
+        const leftMs = wait.dueMs - this.#options.clock.monotonicMs();
+        if (leftMs >= 1) {
+            this.#schedule(wait.dueMs, leftMs);
+            return;
+        }
+        this.#wait = undefined;
+        this.#options.onSilence(wait.limitMs, wait.progress);
     }
 }
--- a/packages/kernel/src/linewriter.ts
+++ b/packages/kernel/src/linewriter.ts
@@ -19,7 +19,7 @@
 
 const defaultBufferBytes = 262_144;
 /** Lines are batched for this long: on a small host a write system call costs as much as producing a line. */
-const batchMs = 25;
+const batchMs = 100;
 
 /**
  * Creates a line writer. Node.js writes to a standard output pipe synchronously, so a reader that stops reading would block the
--- a/packages/policy/src/ingress/loadtracker.ts
+++ b/packages/policy/src/ingress/loadtracker.ts
@@ -42,6 +42,8 @@
     /** Stores the load reported for another group of hosts. */
     recordGroupUse(group: string, use: Readonly<Record<string, EndpointUse>>, nowMs: number): void;
     estimate(endpointId: EndpointId, priority: number, nowMs: number): EndpointLoad;
+    /** Returns `estimate` for requests of a priority at one moment, to be asked for several endpoints. */
+    estimator(priority: number, nowMs: number): (endpointId: EndpointId) => EndpointLoad;
     /** Drops reports of peers and groups whose load is included in other reports after a regrouping. */
     forgetWhere(isOutdated: (name: string) => boolean): void;
 }
@@ -116,27 +118,34 @@
     }
 
     estimate(endpointId: EndpointId, priority: number, nowMs: number): EndpointLoad {
-        let running = 0;
-        let tokensAhead = 0;
-        let waitingTokens = 0;
-        const add = (use: EndpointUse | undefined): void => {
-            running += use?.running ?? 0;
-            for (const [level, tokens] of Object.entries(use?.waitingTokens ?? {})) {
-                waitingTokens += tokens;
-                tokensAhead += Number(level) <= priority ? tokens : 0;
-            }
-        };
+        return this.estimator(priority, nowMs)(endpointId);
+    }
+
+    estimator(priority: number, nowMs: number): (endpointId: EndpointId) => EndpointLoad {
+        const own = new Map<EndpointId, { running: number; tokensAhead: number; waitingTokens: number; }>();
         for (const request of this.#dispatched.values()) {
-            if (request.endpointId === endpointId) {
-                running += 1;
-                if (!request.isComputed) {
-                    waitingTokens += request.tokens;
-                    tokensAhead += request.priority <= priority ? request.tokens : 0;
-                }
+            const load = own.get(request.endpointId) ?? { running: 0, tokensAhead: 0, waitingTokens: 0 };
+            own.set(request.endpointId, load);
+            load.running += 1;
+            if (!request.isComputed) {
+                load.waitingTokens += request.tokens;
+                load.tokensAhead += request.priority <= priority ? request.tokens : 0;
             }
         }
-        this.#peers.live(nowMs).forEach(({ report }) => add(report[endpointId]));
-        this.#groups.live(nowMs).forEach(({ report }) => add(report[endpointId]));
-        return { running, tokensAhead, waitingTokens };
+        const reports = [...this.#peers.live(nowMs), ...this.#groups.live(nowMs)].map(({ report }) => report);
+        return endpointId => {
+            let { running, tokensAhead, waitingTokens } = own.get(endpointId) ?? { running: 0, tokensAhead: 0, waitingTokens: 0 };
+            for (const report of reports) {
+                const use = report[endpointId];
+                if (use !== undefined) {
+                    running += use.running;
+                    for (const [level, tokens] of Object.entries(use.waitingTokens)) {
+                        waitingTokens += tokens;
+                        tokensAhead += Number(level) <= priority ? tokens : 0;
+                    }
+                }
+            }
+            return { running, tokensAhead, waitingTokens };
+        };
     }
 }
