Look up the state of those endpoints only that are compared

Cause: each request looked up load, cache and failures of all endpoints, of which three are compared since. Change: candidates carry a function that looks their state up. Choices are the same (features/ingress.pace.feature, policy).

--- a/features/steps/ingress.pace.ts
+++ b/features/steps/ingress.pace.ts
@@ -134,11 +134,13 @@
             endpointId: brandAs<EndpointId>(`engine-${index}`),
             failureDomain,
             capacity: 16,
-            load: { running: index % 3, ownRunning: 0, tokensAhead: 0, waitingTokens: 0 },
-            cachedTokens: 0,
-            failureRatio: 0,
             isQuarantined: false,
-            allowance: Infinity,
+            observe: () => ({
+                load: { running: index % 3, ownRunning: 0, tokensAhead: 0, waitingTokens: 0 },
+                cachedTokens: 0,
+                failureRatio: 0,
+                allowance: Infinity,
+            }),
         }));
         const counts = new Map<string, number>();
         for (let host = 0; host < hosts; host += 1) {
--- a/features/steps/ingress.policy.ts
+++ b/features/steps/ingress.policy.ts
@@ -209,17 +209,13 @@
 
 const idle: policy.EndpointLoad = { running: 0, ownRunning: 0, tokensAhead: 0, waitingTokens: 0 };
 
-function candidate(name: string, values: Partial<policy.EndpointCandidate> = {}): policy.EndpointCandidate {
+function candidate(name: string, state: Partial<policy.EndpointState> = {}): policy.EndpointCandidate {
     return {
         endpointId: brandAs<EndpointId>(name),
         failureDomain: brandAs<FailureDomainId>(`d${Number(name.slice(1)) % 3}`),
         capacity: 64,
-        load: idle,
-        cachedTokens: 0,
-        failureRatio: 0,
         isQuarantined: false,
-        allowance: Infinity,
-        ...values,
+        observe: () => ({ load: idle, cachedTokens: 0, failureRatio: 0, allowance: Infinity, ...state }),
     };
 }
 
--- a/features/support/pacesimulation.ts
+++ b/features/support/pacesimulation.ts
@@ -125,11 +125,13 @@
             running.map(({ record }) => ({
                 ...record,
                 failureDomain: brandAs<FailureDomainId>("domain"),
-                load: loads.estimate(record.endpointId, 0, nowMs),
-                cachedTokens: 0,
-                failureRatio: 0,
                 isQuarantined: false,
-                allowance: paces.allowance(record, policy.consideredShare(running.length), nowMs),
+                observe: () => ({
+                    load: loads.estimate(record.endpointId, 0, nowMs),
+                    cachedTokens: 0,
+                    failureRatio: 0,
+                    allowance: paces.allowance(record, policy.consideredShare(running.length), nowMs),
+                }),
             })),
             {
                 parts: [],
--- a/packages/ingress/src/request/endpointselection.ts
+++ b/packages/ingress/src/request/endpointselection.ts
@@ -80,11 +80,13 @@
         endpointId: endpoint.endpointId,
         failureDomain: endpoint.failureDomain,
         capacity: endpoint.capacity,
-        load: estimateLoad(endpoint.endpointId),
-        cachedTokens: endpoint.hasPromptCache ? promptCaches.cachedTokens(endpoint.endpointId, parts) : 0,
-        failureRatio: health.failureRatio(endpoint.endpointId),
         isQuarantined: health.isQuarantined(endpoint.endpointId, nowMs),
-        allowance: paces.allowance(endpoint, share, nowMs),
+        observe: () => ({
+            load: estimateLoad(endpoint.endpointId),
+            cachedTokens: endpoint.hasPromptCache ? promptCaches.cachedTokens(endpoint.endpointId, parts) : 0,
+            failureRatio: health.failureRatio(endpoint.endpointId),
+            allowance: paces.allowance(endpoint, share, nowMs),
+        }),
     }));
     return chooseLowestCostEndpoint(candidates, {
         parts,
--- a/packages/policy/src/ingress/enginechoice.ts
+++ b/packages/policy/src/ingress/enginechoice.ts
@@ -3,22 +3,28 @@
 import type { EndpointLoad } from "./loadtracker.js";
 import type { PromptPart } from "./promptcache.js";
 
-/** An endpoint that may take a request, with its observed state. */
-export interface EndpointCandidate {
-    readonly endpointId: EndpointId;
-    readonly failureDomain: FailureDomainId;
-    /** Number of requests that it runs concurrently. */
-    readonly capacity: number;
+/** What a host knows of an endpoint at a moment. */
+export interface EndpointState {
     readonly load: EndpointLoad;
     /** Prompt tokens that this host knows to be cached there. */
     readonly cachedTokens: number;
     /** Exponentially smoothed fraction of failed attempts, 0 to 1. */
     readonly failureRatio: number;
-    readonly isQuarantined: boolean;
     /** Requests that this host may have there at the same time; finite while the endpoint is in its slow start. */
     readonly allowance: number;
 }
 
+/** An endpoint that may take a request. */
+export interface EndpointCandidate {
+    readonly endpointId: EndpointId;
+    readonly failureDomain: FailureDomainId;
+    /** Number of requests that it runs concurrently. */
+    readonly capacity: number;
+    readonly isQuarantined: boolean;
+    /** Looks up its state; called only for the few endpoints that are compared. */
+    readonly observe: () => EndpointState;
+}
+
 /** The request for which an endpoint is chosen. */
 export interface EndpointDemand {
     /** Parts of the prompt in order; empty for requests without a prompt. */
@@ -115,18 +121,19 @@
 }
 
 function estimateChoice(
-    candidate: EndpointCandidate,
+    { endpointId, failureDomain, capacity, observe }: EndpointCandidate,
     demand: EndpointDemand,
     { rank, candidates }: { readonly rank: number; readonly candidates: number; },
 ): EndpointChoice & { readonly cost: number; } {
-    const { load, capacity, failureDomain, endpointId } = candidate;
-    const tokensToCompute = countTokensToCompute(candidate, demand, rank);
+    const state = observe();
+    const { load } = state;
+    const tokensToCompute = countTokensToCompute(state, demand, rank);
     const computeMs = tokensToCompute * demand.tokenMs;
-    const expectedStartMs = baseStartMs + expectWaitMs(candidate, demand) + computeMs;
+    const expectedStartMs = baseStartMs + expectWaitMs(load, capacity, demand) + computeMs;
     const cost = expectedStartMs + computeWeight * computeMs +
         concurrencyPenaltyMs * load.running * (64 / capacity) +
-        failurePenaltyMs * expectedFailures(candidate, demand) +
-        beyondPacePenaltyMs * countBeyondPace(candidate) +
+        failurePenaltyMs * expectedFailures(state, demand) +
+        beyondPacePenaltyMs * countBeyondPace(state) +
         (failureDomain === demand.homeDomain ? 0 : crossDomainPenaltyMs) +
         (demand.parts.length === 0 ? tieSpreadMs * rank / candidates : 0);
     return {
@@ -148,25 +155,23 @@
 }
 
 /** Requests that this host would have at an endpoint beyond its share of the endpoint's window. */
-function countBeyondPace({ load, allowance }: EndpointCandidate): number {
+function countBeyondPace({ load, allowance }: EndpointState): number {
     return allowance === Infinity ? 0 : Math.max(0, load.ownRunning + 1 - allowance);
 }
 
 /** Failures before a slow start say nothing of the endpoint now, and only new requests can show whether it has recovered. */
-function expectedFailures({ failureRatio, allowance }: EndpointCandidate, { isRepeatable }: EndpointDemand): number {
+function expectedFailures({ failureRatio, allowance }: EndpointState, { isRepeatable }: EndpointDemand): number {
     return isRepeatable && allowance !== Infinity ? 0 : failureRatio;
 }
 
-function countTokensToCompute(candidate: EndpointCandidate, demand: EndpointDemand, rank: number): number {
+function countTokensToCompute({ cachedTokens }: EndpointState, demand: EndpointDemand, rank: number): number {
     const sharedTokens = demand.parts.slice(0, -1).reduce((sum, part) => sum + part.tokens, 0);
-    const assumedCached = rank === 0 ?
-        Math.max(candidate.cachedTokens, sharedTokens * sharedPrefixProbability) :
-        candidate.cachedTokens;
+    const assumedCached = rank === 0 ? Math.max(cachedTokens, sharedTokens * sharedPrefixProbability) : cachedTokens;
     return Math.max(0, demand.promptTokens - assumedCached);
 }
 
 /** Time until an endpoint starts a request: the prompts ahead of it, and the wait for a slot when all are taken. */
-function expectWaitMs({ load, capacity }: EndpointCandidate, demand: EndpointDemand): number {
+function expectWaitMs(load: EndpointLoad, capacity: number, demand: EndpointDemand): number {
     const missingSlots = Math.max(0, load.running + 1 - capacity);
     return load.tokensAhead * demand.tokenMs + missingSlots * demand.slotHoldMs / capacity;
 }
