Measure a host's queue by the requests that wait for their start

The gate estimated the work of admitted requests and let time take it away. Under load that requests don't cause, the estimate grew and ordinary callers were refused: seven scenarios of ingress.trouble failed, in which engines send bodies without end.

The queue is now the read delay plus the requests received and not yet started, at the measured time to start one. Load counts as lasting only if requests cause a part of it. ingress.trouble and ingress.pressure pass (37 scenarios).

--- a/features/support/pressurefleet.ts
+++ b/features/support/pressurefleet.ts
@@ -159,7 +159,9 @@
             this.#inputs = this.#inputs.filter(({ readyMs }) => readyMs > startMs);
             readable.forEach(input => this.#read(input, onRefused));
             starting.forEach(request => {
+                const startedMs = this.#freeMs;
                 this.#work(startCostMs);
+                this.#admission.recordStart(this.#freeMs - startedMs);
                 this.#inputs.push({ readyMs: this.#freeMs + endpointMs, request, isAnswer: true });
             });
             this.#turns.endTurn(this.#freeMs);
@@ -193,6 +195,7 @@
         this.#work(headCostMs);
         // The caller has left; the host finds out when it starts the request.
         if (this.#freeMs - readyMs < unreadMs) {
+            this.#admission.recordReceived();
             this.#admitted[0].push(request);
         }
     }
--- a/packages/ingress/src/caller/server.ts
+++ b/packages/ingress/src/caller/server.ts
@@ -117,6 +117,7 @@
             if (bytes > limitBytes) {
                 return;
             }
+            this.#gate.recordReceived();
             const accepted = {
                 method: request.method ?? "GET",
                 target: request.url ?? "/",
@@ -128,9 +129,12 @@
             afterPendingReads(() => {
                 if (isDisconnected(request, response)) {
                     response.destroy();
+                    this.#gate.recordStart(undefined);
                 }
                 else {
+                    const startedMs = this.#clock.monotonicMs();
                     this.#pipeline.accept(accepted, responder);
+                    this.#gate.recordStart(this.#clock.monotonicMs() - startedMs);
                 }
             });
         });
--- a/packages/ingress/src/pressure/arrivalgate.ts
+++ b/packages/ingress/src/pressure/arrivalgate.ts
@@ -78,6 +78,16 @@
         };
     }
 
+    /** Records that an admitted request was received as a whole. */
+    recordReceived(): void {
+        this.#admission.recordReceived();
+    }
+
+    /** Records how long it took to start a received request, in milliseconds; `undefined` if its caller had left. */
+    recordStart(elapsedMs: number | undefined): void {
+        this.#admission.recordStart(elapsedMs);
+    }
+
     #describe({ hostname, target, headers }: ArrivingHead): DescribedRequest | undefined {
         const active = this.#options.configuration.current();
         const route = active?.routes.find(hostname, target);
--- a/packages/policy/src/ingress/pressureadmission.ts
+++ b/packages/policy/src/ingress/pressureadmission.ts
@@ -30,27 +30,28 @@
     readonly busyMs: number;
 }
 
-/** Queueing time up to which the least urgent requests are admitted. An answer takes several turns, each of them about as long. */
+/** Queueing time up to which the least urgent requests are admitted while load lasts. An answer takes several turns as long. */
 const leastQueueMs = 30;
 /** The most urgent requests are admitted up to this multiple of it. */
 const urgentFactor = 3;
-/** Part of its objective that a request may spend in the queue, unless that is less than what the least urgent ones may. */
-const objectiveShare = 0.6;
-/** Without lasting load, a queue is the work of a moment, e.g. of a pause of the garbage collector. */
+/** Without lasting load, a queue is the work of a moment, e.g. a collector pause, and none is refused up to this multiple. */
 const calmFactor = 10;
 /** Load counts as lasting after so many windows of high utilization, until the utilization is low. */
 const pressedWindows = 2;
 const highUtilization = 0.9;
 const lowUtilization = 0.75;
+/** Part of the busy time that requests must cause; refusing them doesn't relieve a host of other work. */
+const requestsShare = 0.2;
+/** Part of its objective within which a request has to leave the queue to be answered in time. */
+const objectiveShare = 0.6;
 /** Part of the mean chance that each urgency keeps, so that no kind of request is refused altogether. */
 const guaranteedShare = 0.35;
-/** Weight of one request in the mean chance. */
+/** Weight of one request in the mean chance, and in the mean time to start a request. */
 const chanceWeight = 0.02;
-/** Weight of the last window in the mean processing time of a request, and the load below which a window says little about it. */
-const costWeight = 0.2;
-const costUtilization = 0.3;
-/** Processing time of a refusal in that of a request. */
-const refusalCostRatio = 0.05;
+const startWeight = 0.1;
+/** Processing time of a request, with its answer, and of a refusal in the time to start a request. */
+const requestStarts = 2.5;
+const refusalStarts = 0.125;
 /** Refused callers return within this part of the objective, so that they can still be answered in time. */
 const returnObjectiveShare = 0.4;
 const shortestReturnMs = 100;
@@ -73,12 +74,10 @@
     #highWindows = 0;
     #arrived = 0;
     #admitted = 0;
-    /** Mean time that a request keeps the host busy. */
-    #costMs: number | undefined;
-    /** Work of admitted requests that the host has not had time for. */
-    #backlog = { workMs: 0, atMs: 0 };
-    /** Part of the time that admitted requests get; refusals take the rest. */
-    #workShare = 1;
+    /** Mean time that the host needs to start a request. */
+    #startMs = 0;
+    /** Received requests that were not started yet. */
+    #pending = 0;
     /** Mean chance of a request to be admitted. */
     #chance = 1;
     /** Guaranteed admissions that are due, by urgency. */
@@ -115,7 +114,7 @@
         if (this.#meter.isDue(nowMs)) {
             this.#closeWindow(nowMs, busyMs());
         }
-        const queueMs = Math.max(readDelayMs, this.#updateBacklog(nowMs, delayMs === undefined));
+        const queueMs = readDelayMs + this.#pending * this.#startMs * requestStarts;
         if (queueMs < leastQueueMs * (this.#isPressed ? 1 : calmFactor)) {
             return this.#admit();
         }
@@ -131,15 +130,31 @@
         return { admitted: false, reason, retryAfterMs: this.#chooseReturn(request, readDelayMs) };
     }
 
+    /** Records that an admitted request was received as a whole. */
+    recordReceived(): void {
+        this.#pending += 1;
+    }
+
+    /** Records how long it took to start a received request, in milliseconds; `undefined` if its caller had left. */
+    recordStart(elapsedMs: number | undefined): void {
+        this.#pending -= 1;
+        if (elapsedMs === undefined) {
+            return;
+        }
+        this.#startMs = this.#startMs === 0 ? elapsedMs : this.#startMs + startWeight * (elapsedMs - this.#startMs);
+    }
+
     #findReason(request: ArrivingRequest, queueMs: number, readDelayMs: number): PressureReason | undefined {
         const { urgency, waitMs, objectiveMs } = request;
         if (readDelayMs >= Math.min(waitMs, objectiveMs)) {
             return "late";
         }
         const credit = (this.#credits.get(urgency) ?? 0) + this.#chance * guaranteedShare;
-        const longestMs = leastQueueMs * (1 + urgency * (urgentFactor - 1));
-        const isShort = queueMs < Math.max(leastQueueMs, Math.min(longestMs, objectiveMs * objectiveShare));
-        const isAdmitted = isShort || credit >= 1;
+        const inTimeMs = objectiveMs * objectiveShare;
+        const allowedMs = this.#isPressed ?
+            Math.max(leastQueueMs, Math.min(leastQueueMs * (1 + urgency * (urgentFactor - 1)), inTimeMs)) :
+            Math.max(leastQueueMs * calmFactor, inTimeMs);
+        const isAdmitted = queueMs < allowedMs || credit >= 1;
         this.#credits.set(urgency, isAdmitted ? Math.max(0, credit - 1) : credit);
         return isAdmitted ? undefined : "queue";
     }
@@ -147,28 +162,17 @@
     #admit(): PressureDecision {
         this.#admitted += 1;
         this.#chance += chanceWeight * (1 - this.#chance);
-        this.#backlog.workMs += this.#costMs ?? 0;
         return admission;
     }
 
-    /** Returns the time that the admitted requests will take, in milliseconds. */
-    #updateBacklog(nowMs: number, isIdle: boolean): number {
-        const { workMs, atMs } = this.#backlog;
-        this.#backlog = { workMs: isIdle ? 0 : Math.max(0, workMs - (nowMs - atMs) * this.#workShare), atMs: nowMs };
-        return this.#backlog.workMs / this.#workShare;
-    }
-
     #closeWindow(nowMs: number, busyMs: number): void {
         this.#pressure = this.#meter.close(nowMs, busyMs);
         const { utilization, windowMs } = this.#pressure;
-        this.#highWindows = utilization >= highUtilization ? this.#highWindows + 1 : 0;
+        const refusedMs = (this.#arrived - this.#admitted) * this.#startMs * refusalStarts;
+        const requestsMs = refusedMs + this.#admitted * this.#startMs * requestStarts;
+        const isHigh = utilization >= highUtilization && requestsMs >= requestsShare * windowMs;
+        this.#highWindows = isHigh ? this.#highWindows + 1 : 0;
         this.#isPressed = this.#highWindows >= pressedWindows || (this.#isPressed && utilization >= lowUtilization);
-        if (this.#admitted > 0 && utilization >= costUtilization) {
-            const refused = this.#arrived - this.#admitted;
-            const costMs = utilization * windowMs / (this.#admitted + refused * refusalCostRatio);
-            this.#workShare = this.#admitted / (this.#admitted + refused * refusalCostRatio);
-            this.#costMs = this.#costMs === undefined ? costMs : this.#costMs + costWeight * (costMs - this.#costMs);
-        }
         this.#arrived = 0;
         this.#admitted = 0;
     }
