Let the serving set grow when the serving hosts are full

The set is sized by a mean processor time for each request that a host reads. A full host reads fewer requests and counts less work, so the set kept its size while hosts fell over.

A host now counts with its whole processor while it is under lasting load, and a refused request counts like an answered one. All hosts serve when the serving ones are full (features/ingress.pressure.feature). Calm hosts count as before.

--- a/features/ingress.pressure.feature
+++ b/features/ingress.pressure.feature
@@ -49,3 +49,16 @@
   Scenario: A host turns slow
     When 8 hosts get 0.5 times the load that they carry for 30 s, and one of them is 5 times slower from 10 s
     Then callers get at least 90 percent of the answers that the room allows within their objective
+
+  # Guards against a serving set that stays small because full hosts read, and count, fewer requests.
+  Scenario: All hosts serve when the serving hosts are full
+    Given 22 hosts of 0.12 processors in 3 failure domains, a quarter of which serve
+    When the serving hosts are full for 3 s and have counted a request each 500 ms
+    Then all hosts are in the serving set
+
+  # Guards against refusals that cost as much as answers.
+  Scenario: A full host logs its refusals once a second
+    When a host whose turns last 100 ms gets a request each 5 ms for 4 s
+    Then it refuses some of them with 503 and a Retry-After
+    And it logs once that it is full and at most 4 lines about its refusals
+    And its callers' work is counted as at least its whole processor
--- a/features/steps/ingress.pressure.ts
+++ b/features/steps/ingress.pressure.ts
@@ -1,10 +1,21 @@
-import { Then, When } from "@cucumber/cucumber";
+import { Given, Then, When } from "@cucumber/cucumber";
+import type { IngressRoute } from "@filbertrelay/configuration";
+import { ArrivalGate, pressureEvents } from "@filbertrelay/ingress";
+import type { ActiveConfiguration } from "@filbertrelay/ingress";
+import { brandAs, createVirtualClock } from "@filbertrelay/kernel";
+import type { FailureDomainId, HostId } from "@filbertrelay/kernel";
+import { createPlatformDialect } from "@filbertrelay/platform";
+import * as policy from "@filbertrelay/policy";
 import assert from "node:assert/strict";
 import { fullRatePerSecond, playLoad, roomFor } from "../support/pressurefleet.js";
 import type { PlayedLoad, PlayedRequest } from "../support/pressurefleet.js";
 
 const seed = 20_261_206;
 const secondMs = 1_000;
+/** Counted for each request. */
+const requestMs = 6;
+/** Processors of the host that plays alone. */
+const hostStrength = 0.12;
 /** Requests that come earlier or later than this from the start or end of the play aren't counted. */
 const marginMs = 5_000;
 /** A kind of request that is answered less than a quarter as often as all is given up. */
@@ -20,6 +31,12 @@
     load: PlayedLoad;
     requests: readonly PlayedRequest[];
     loadEndMs: number;
+    candidates: readonly policy.ServingCandidate[];
+    serving: readonly policy.ServingCandidate[];
+    refusals: NonNullable<ReturnType<ArrivalGate["check"]>>[];
+    lines: number[];
+    workMs: number;
+    playedMs: number;
 }
 
 function play(world: PressureWorld, load: Omit<PlayedLoad, "kinds" | "seed">): void {
@@ -150,3 +167,102 @@
     const long = this.requests.filter(({ longestReturnShare }) => longestReturnShare > 1 / 3);
     assert.equal(long.length, 0);
 });
+
+Given(
+    "{int} hosts of {float} processors in {int} failure domains, a quarter of which serve",
+    function(this: PressureWorld, hosts: number, strength: number, domains: number) {
+        this.candidates = Array.from({ length: hosts }, (_, index) => ({
+            hostId: brandAs<HostId>(`edge-${index}`),
+            failureDomain: brandAs<FailureDomainId>(`domain-${index % domains}`),
+            strength,
+        }));
+        this.serving = this.candidates.slice(0, hosts / 4);
+    },
+);
+
+When(
+    "the serving hosts are full for {int} s and have counted a request each {int} ms",
+    function(this: PressureWorld, seconds: number, intervalMs: number) {
+        const pressedMs = seconds * secondMs;
+        const countedMs = pressedMs / intervalMs * requestMs;
+        const works = this.serving.map(({ strength }) => countedMs + policy.countPressedWork({ strength, pressedMs, countedMs }));
+        const work = works.reduce((sum, workMs) => sum + workMs, 0) / pressedMs;
+        this.serving = policy.chooseServingHosts(this.candidates, { work });
+    },
+);
+
+Then("all hosts are in the serving set", function(this: PressureWorld) {
+    assert.equal(this.serving.length, this.candidates.length);
+});
+
+When(
+    "a host whose turns last {int} ms gets a request each {int} ms for {int} s",
+    function(this: PressureWorld, turnMs: number, intervalMs: number, seconds: number) {
+        const clock = createVirtualClock();
+        Object.assign(this, { refusals: [], lines: [], workMs: 0, playedMs: seconds * secondMs });
+        let endTurn: (() => void) | undefined;
+        const gate = new ArrivalGate({
+            clock,
+            log: { write: ({ number }) => void this.lines.push(number) },
+            dialect: createPlatformDialect(),
+            configuration: createConfiguration(),
+            metrics: { setPressure: () => undefined, recordPressureRefusals: () => undefined },
+            draw: () => 0.5,
+            onRefused: () => this.workMs += requestMs,
+            onPressed: (pressedMs, requests) =>
+                this.workMs += policy.countPressedWork({ strength: hostStrength, pressedMs, countedMs: requests * requestMs }),
+            busyMs: () => clock.monotonicMs(),
+            afterTurn: callback => endTurn = callback,
+        });
+        for (let atMs = 0; atMs < this.playedMs; atMs += intervalMs) {
+            const refusal = gate.check({ hostname: "shop.example", target: "/a/", headers: () => [] }, clock.monotonicMs());
+            if (refusal === undefined) {
+                gate.recordReceived();
+                gate.recordStart(intervalMs);
+                this.workMs += requestMs;
+            }
+            else {
+                this.refusals.push(refusal);
+            }
+            clock.advance(intervalMs);
+            if (clock.monotonicMs() % turnMs === 0) {
+                endTurn?.();
+            }
+        }
+    },
+);
+
+Then("it refuses some of them with {int} and a Retry-After", function(this: PressureWorld, status: number) {
+    assert.ok(this.refusals.length > 0);
+    assert.ok(this.refusals.every(refusal => refusal.status === status && (refusal.retryAfterMs ?? 0) > 0));
+});
+
+Then("it logs once that it is full and at most {int} lines about its refusals", function(this: PressureWorld, count: number) {
+    assert.equal(this.lines.filter(number => number === pressureEvents.pressureStarted.number).length, 1);
+    assert.ok(this.lines.filter(number => number === pressureEvents.requestsShed.number).length <= count);
+});
+
+Then("its callers' work is counted as at least its whole processor", function(this: PressureWorld) {
+    // The load counts as lasting after the first windows.
+    assert.ok(this.workMs >= hostStrength * (this.playedMs - secondMs), `${this.workMs} ms`);
+});
+
+function createConfiguration(): { current(): ActiveConfiguration; } {
+    const route: IngressRoute = {
+        name: "a",
+        hostname: "shop.example",
+        pathPrefix: "/a/",
+        kind: "idempotent",
+        targets: [{ service: "orders", weight: 1 }],
+        timeLimitMs: 2_000,
+        objectiveMs: 500,
+        priority: 1,
+        maximumAttempts: 2,
+        isPublic: true,
+        isResumable: false,
+    };
+    const limits = { headerBytes: 1, bodyBytes: 1, headerTimeoutMs: 1, idleTimeoutMs: 1 };
+    const configuration = { version: 1, routes: [route], services: [], limits };
+    const routes = policy.createRouteTable([route]);
+    return { current: () => ({ configuration, routes, services: new Map(), customersByKey: undefined }) };
+}
--- a/packages/ingress/src/daemon.ts
+++ b/packages/ingress/src/daemon.ts
@@ -302,7 +302,7 @@
         stopLeftMs: () => lifecycle.stopLeftMs(),
     };
     const pipeline = new RequestPipeline(context);
-    const gate = createArrivalGate(context, draw);
+    const gate = createArrivalGate(context, settings, draw);
     const server = new IngressServer({ clock, address: settings.host.callerAddress, configuration, pipeline, gate });
     const lead = new DutyLease({
         store,
--- a/packages/ingress/src/pressure/arrivalgate.ts
+++ b/packages/ingress/src/pressure/arrivalgate.ts
@@ -28,42 +28,52 @@
     readonly clock: Clock;
     readonly log: EventLog;
     readonly dialect: Dialect;
-    readonly configuration: ConfigurationState;
-    readonly metrics: IngressMetrics;
+    readonly configuration: Pick<ConfigurationState, "current">;
+    readonly metrics: Pick<IngressMetrics, "recordPressureRefusals" | "setPressure">;
     /** Uniform in [0, 1). */
     readonly draw: () => number;
     /** Counts a refused request as demand. */
     readonly onRefused: () => void;
+    /** Told how long the host has been full, in milliseconds, and how many requests it has seen in that time. */
+    readonly onPressed: (pressedMs: number, requests: number) => void;
+    /** Time in which the host had work, in milliseconds from an arbitrary origin; that of the event loop by default. */
+    readonly busyMs?: () => number;
+    /** See `TurnMeter`. */
+    readonly afterTurn?: (callback: () => void) => void;
 }
 
 /** Refuses requests that the host has no time for when their heads have been read, before anything is spent on them. */
 export class ArrivalGate {
     readonly #options: ArrivalGateOptions;
     readonly #turns: TurnMeter;
+    readonly #busyMs: () => number;
     readonly #admission: PressureAdmission;
     readonly #refused = new Map<PressureReason, Map<number, number>>();
     #isSummaryDue = false;
+    #requests = 0;
     #isPressed = false;
     #urgencies: { readonly active: ActiveConfiguration; readonly byPriority: ReadonlyMap<number, number>; } | undefined;
 
     constructor(options: ArrivalGateOptions) {
         this.#options = options;
-        this.#turns = new TurnMeter(options.clock);
+        this.#turns = new TurnMeter(options.clock, options.afterTurn);
+        this.#busyMs = options.busyMs ?? measureBusyMs;
         this.#admission = new PressureAdmission({
             draw: options.draw,
             nowMs: options.clock.monotonicMs(),
-            busyMs: measureBusyMs(),
+            busyMs: this.#busyMs(),
         });
     }
 
     /** Returns the response of a request that the host doesn't take. */
     check(head: ArrivingHead, nowMs: number): ErrorResponse | undefined {
         let arriving: DescribedRequest | undefined;
-        const decision = this.#admission.decide(nowMs, this.#turns.recordRead(nowMs), measureBusyMs, () => {
+        const decision = this.#admission.decide(nowMs, this.#turns.recordRead(nowMs), this.#busyMs, () => {
             arriving = this.#describe(head);
             return arriving;
         });
         this.#recordPressure();
+        this.#reportPressed();
         if (decision.admitted || arriving === undefined) {
             return undefined;
         }
@@ -126,6 +136,17 @@
         this.#options.metrics.setPressure(pressure);
     }
 
+    #reportPressed(): void {
+        this.#requests += 1;
+        const pressedMs = this.#admission.takePressedMs();
+        if (pressedMs > 0) {
+            this.#options.onPressed(pressedMs, this.#requests);
+        }
+        if (pressedMs > 0 || !this.#admission.isPressed) {
+            this.#requests = 0;
+        }
+    }
+
     #recordRefusal(reason: PressureReason, priority: number): void {
         const counts = this.#refused.get(reason) ?? new Map<number, number>();
         this.#refused.set(reason, counts.set(priority, (counts.get(priority) ?? 0) + 1));
--- a/packages/policy/src/ingress/pressureadmission.ts
+++ b/packages/policy/src/ingress/pressureadmission.ts
@@ -72,6 +72,7 @@
     #pressure: HostPressure = { utilization: 0, readDelayMs: 0, windowMs: 0 };
     #isPressed = false;
     #highWindows = 0;
+    #pressedMs = 0;
     #arrived = 0;
     #admitted = 0;
     /** Mean time that the host needs to start a request. */
@@ -93,6 +94,13 @@
         return this.#pressure;
     }
 
+    /** Returns the time under lasting load since the last call, in milliseconds, and starts anew. */
+    takePressedMs(): number {
+        const pressedMs = this.#pressedMs;
+        this.#pressedMs = 0;
+        return pressedMs;
+    }
+
     /** Whether load has lasted for some hundred milliseconds. */
     get isPressed(): boolean {
         return this.#isPressed;
@@ -173,6 +181,7 @@
         const isHigh = utilization >= highUtilization && requestsMs >= requestsShare * windowMs;
         this.#highWindows = isHigh ? this.#highWindows + 1 : 0;
         this.#isPressed = this.#highWindows >= pressedWindows || (this.#isPressed && utilization >= lowUtilization);
+        this.#pressedMs += this.#isPressed ? windowMs : 0;
         this.#arrived = 0;
         this.#admitted = 0;
     }
--- a/packages/policy/src/ingress/servingset.ts
+++ b/packages/policy/src/ingress/servingset.ts
@@ -53,6 +53,16 @@
     return chosen;
 }
 
+/**
+ * Processor time that callers ask of a full host besides what was counted for their requests, in milliseconds: all that the host has.
+ * The count rests on a mean per request, and a host that can't read its callers counts too few of them.
+ */
+export function countPressedWork(
+    { strength, pressedMs, countedMs }: { readonly strength: number; readonly pressedMs: number; readonly countedMs: number; },
+): number {
+    return Math.max(0, strength * pressedMs - countedMs);
+}
+
 /** Groups hosts into rows with one host of each failure domain, strongest first. */
 function groupIntoRows<Candidate extends ServingCandidate>(candidates: readonly Candidate[]): readonly (readonly Candidate[])[] {
     const ranked = candidates.map(candidate => ({ candidate, tie: hashText(candidate.hostId) })).sort((left, right) =>
