Limit the memory, the connections and the requests ahead of callers

Cause: each body was kept until its end with a limit for one and none for all, whatever was sent ahead was parsed and answered, and no address limited its connections. Now a budget of memory for all callers ends the slowest transfers first, bodies are joined as they arrive and refused by their announced length, transfers without progress end, at most 8 requests of a connection are read ahead and run one after another, bodies in very small pieces take turns, and each address has a share of the descriptors.

--- a/packages/ingress/src/caller/server.ts
+++ b/packages/ingress/src/caller/server.ts
@@ -3,10 +3,15 @@
 import { createServer } from "node:http";
 import type { IncomingMessage, Server, ServerResponse } from "node:http";
 import type { HeaderList } from "../contract.js";
+import type { ErrorResponse } from "../request/errorresponse.js";
 import { sendErrorResponse } from "../request/errorresponse.js";
 import type { RequestPipeline } from "../request/pipeline.js";
 import type { CallerResponder } from "../request/responder.js";
 import type { ConfigurationState } from "../state/configuration.js";
+import { ConnectionGuard, GuardedRequest } from "./connectionguard.js";
+import { CallerExchange } from "./exchange.js";
+import type { CallerLimits } from "./limits.js";
+import { createResponder } from "./responder.js";
 
 /** Largest request head that is accepted; the configuration may only lower it. */
 const headerLimitBytes = 65_536;
@@ -16,6 +21,24 @@
 const timeoutCheckMs = 1_000;
 /** Time to receive a request with its body; far above any caller's time limit. */
 const requestTimeoutMs = 60_000;
+/** Time after which a caller may try again when memory was short, in milliseconds. */
+const memoryRetryMs = 500;
+
+const memoryShortResponse: ErrorResponse = {
+    status: 503,
+    code: "host.memoryShort",
+    message: "The memory for requests is used up.",
+    executed: "no",
+    retryAfterMs: memoryRetryMs,
+};
+
+const stalledResponse: ErrorResponse = {
+    status: 408,
+    code: "body.stalled",
+    message: "The body makes no progress.",
+    executed: "no",
+    retryAfterMs: memoryRetryMs,
+};
 
 /** HTTP server for callers' requests. Registered in the kernel as `callers`. */
 export class IngressServer implements Service {
@@ -23,7 +46,9 @@
     readonly #address: string;
     readonly #configuration: ConfigurationState;
     readonly #pipeline: RequestPipeline;
+    readonly #limits: CallerLimits;
     readonly #server: Server;
+    readonly #guard: ConnectionGuard;
     #isClosing = false;
     #inProgress = 0;
 
@@ -33,18 +58,28 @@
             readonly address: string;
             readonly configuration: ConfigurationState;
             readonly pipeline: RequestPipeline;
+            readonly limits: CallerLimits;
         },
     ) {
         this.#clock = options.clock;
         this.#address = options.address;
         this.#configuration = options.configuration;
         this.#pipeline = options.pipeline;
+        this.#limits = options.limits;
         this.#server = createServer({
+            IncomingMessage: GuardedRequest,
             maxHeaderSize: headerLimitBytes,
             connectionsCheckingInterval: timeoutCheckMs,
             requestTimeout: requestTimeoutMs,
             noDelay: true,
         }, (request, response) => this.#receive(request, response));
+        this.#guard = new ConnectionGuard({
+            server: this.#server,
+            connections: options.limits.connections.callers,
+            requestsAhead: options.limits.requestsAhead,
+            endBusy: () => options.limits.budget.endSlowest(this.#clock.monotonicMs()),
+            onLimit: limit => options.limits.report(limit === "connections" ? "connectionEvicted" : "requestsAhead"),
+        });
         options.configuration.listen(({ configuration: { limits } }) => {
             this.#server.keepAliveTimeout = limits.idleTimeoutMs;
             this.#server.headersTimeout = limits.headerTimeoutMs;
@@ -71,35 +106,44 @@
         return Promise.resolve();
     }
 
-    #receive(request: IncomingMessage, response: ServerResponse): void {
+    #receive(request: GuardedRequest, response: ServerResponse): void {
         const arrivedMs = this.#clock.monotonicMs();
         this.#inProgress += 1;
-        response.once("close", () => {
-            this.#inProgress -= 1;
-        });
         response.sendDate = false;
         if (this.#isClosing) {
             response.shouldKeepAlive = false;
         }
-        const responder = createResponder(response);
+        const exchange = new CallerExchange(request, response, {
+            clock: this.#clock,
+            limits: this.#limits,
+            reject: reason => rejectUnfinished(response, responder, reason),
+        });
+        const responder = createResponder(response, exchange);
+        const turn = this.#guard.begin(request, response, () => {
+            this.#inProgress -= 1;
+            exchange.release();
+        });
+        request.on("error", () => undefined);
         const limitBytes = this.#configuration.current()?.configuration.limits.bodyBytes ?? defaultBodyLimitBytes;
-        const chunks: Buffer[] = [];
-        let bytes = 0;
-        request.on("data", (chunk: Buffer) => {
-            bytes += chunk.length;
-            if (bytes <= limitBytes) {
-                chunks.push(chunk);
+        const announced = request.headers["content-length"];
+        const expectedBytes = announced === undefined ? limitBytes + 1 : Number(announced);
+        if (announced !== undefined && expectedBytes > limitBytes) {
+            this.#rejectTooLarge(response, responder, limitBytes);
+            return;
+        }
+        request.on("data", (piece: Buffer) => {
+            if (exchange.isEnded) {
+                return;
             }
-            else if (!response.headersSent) {
-                // The rest of the body may never end, so the connection is closed after the response.
-                response.shouldKeepAlive = false;
-                const message = `The body is longer than ${limitBytes} bytes.`;
-                sendErrorResponse(responder, { status: 413, code: "body.tooLarge", message, executed: "no" });
+            if (exchange.receivedBytes + piece.length > limitBytes) {
+                exchange.release();
+                this.#rejectTooLarge(response, responder, limitBytes);
+                return;
             }
+            exchange.receive(piece, expectedBytes);
         });
-        request.on("error", () => undefined);
         request.on("end", () => {
-            if (bytes > limitBytes) {
+            if (exchange.isEnded) {
                 return;
             }
             const accepted = {
@@ -107,19 +151,39 @@
                 target: request.url ?? "/",
                 hostname: request.headers.host ?? "",
                 headers: toPairs(request.rawHeaders),
-                body: Buffer.concat(chunks),
+                body: exchange.takeBody(),
                 arrivedMs,
             };
-            afterPendingReads(() => {
-                if (isDisconnected(request, response)) {
-                    response.destroy();
-                }
-                else {
-                    this.#pipeline.accept(accepted, responder);
-                }
-            });
+            turn.whenFirst(() =>
+                afterPendingReads(() => {
+                    if (isDisconnected(request, response)) {
+                        response.destroy();
+                    }
+                    else if (this.#limits.budget.isShort) {
+                        this.#limits.report("transferEnded", { phase: "endpoint", heldBytes: this.#limits.budget.heldBytes });
+                        sendErrorResponse(responder, memoryShortResponse);
+                    }
+                    else {
+                        this.#pipeline.accept(accepted, responder);
+                    }
+                })
+            );
         });
     }
+
+    #rejectTooLarge(response: ServerResponse, responder: CallerResponder, limitBytes: number): void {
+        this.#limits.report("bodyTooLarge");
+        // The rest of the body may never end, so the connection is closed after the response.
+        response.shouldKeepAlive = false;
+        const message = `The body is longer than ${limitBytes} bytes.`;
+        sendErrorResponse(responder, { status: 413, code: "body.tooLarge", message, executed: "no" });
+    }
+}
+
+/** Responds to a request whose body is not complete, and closes its connection. */
+function rejectUnfinished(response: ServerResponse, responder: CallerResponder, reason: "memory" | "stalled"): void {
+    response.shouldKeepAlive = false;
+    sendErrorResponse(responder, reason === "memory" ? memoryShortResponse : stalledResponse);
 }
 
 /**
@@ -134,39 +198,6 @@
     return response.destroyed || request.socket.destroyed || request.socket.readableEnded;
 }
 
-function createResponder(response: ServerResponse): CallerResponder {
-    return {
-        onDisconnect: callback =>
-            void response.once("close", () => {
-                if (!response.writableFinished) {
-                    callback();
-                }
-            }),
-        answer: (status, headers, body) => {
-            if (!response.headersSent && !response.destroyed) {
-                response.writeHead(status, [...headers.flat(), "Content-Length", String(body.length)]);
-                response.end(body);
-            }
-        },
-        sendHead: (status, headers) => response.destroyed || isWritten(() => response.writeHead(status, headers.flat())),
-        write: bytes => response.destroyed || response.write(bytes),
-        onDrain: callback => void response.on("drain", callback),
-        end: () => void response.end(),
-        abort: () => void response.destroy(),
-    };
-}
-
-/** Node.js checks a head as a whole before it sends any of it. */
-function isWritten(writeHead: () => void): boolean {
-    try {
-        writeHead();
-        return true;
-    }
-    catch {
-        return false;
-    }
-}
-
 function toPairs(flat: readonly string[]): HeaderList {
     return flat.flatMap((name, index) => index % 2 === 0 ? [[name, flat[index + 1] ?? ""] as const] : []);
 }
--- a/packages/ingress/src/control/server.ts
+++ b/packages/ingress/src/control/server.ts
@@ -2,6 +2,8 @@
 import type { Clock, Service } from "@filbertrelay/kernel";
 import { createServer } from "node:http";
 import type { Server } from "node:http";
+import { ConnectionGuard, GuardedRequest } from "../caller/connectionguard.js";
+import type { ConnectionLimit } from "../caller/connectionguard.js";
 
 export interface ControlResponse {
     readonly status: number;
@@ -12,6 +14,9 @@
 /** Handlers of GET requests by path; other paths and methods get 404. */
 export type ControlRoutes = Readonly<Record<string, (query: URLSearchParams) => ControlResponse | Promise<ControlResponse>>>;
 
+/** Largest request head that is accepted. */
+const headerLimitBytes = 16_384;
+
 const notFound: ControlResponse = { status: 404, contentType: "text/plain", body: "not found" };
 
 /**
@@ -24,19 +29,31 @@
     readonly #routes: ControlRoutes;
     readonly #server: Server;
 
-    constructor(options: { readonly clock: Clock; readonly address: string; readonly routes: ControlRoutes; }) {
+    constructor(options: {
+        readonly clock: Clock;
+        readonly address: string;
+        readonly routes: ControlRoutes;
+        /** Most connections at once, and most requests of each that are read before the first is answered. */
+        readonly connections: number;
+        readonly requestsAhead: number;
+        readonly onLimit: (limit: ConnectionLimit) => void;
+    }) {
         this.#clock = options.clock;
         this.#address = options.address;
         this.#routes = options.routes;
-        this.#server = createServer((request, response) => {
+        const { connections, requestsAhead, onLimit } = options;
+        this.#server = createServer({ IncomingMessage: GuardedRequest, maxHeaderSize: headerLimitBytes }, (request, response) => {
             // No handler reads a body, so it is discarded without waiting for its end.
             request.resume();
-            void this.#answer(request.method ?? "", request.url ?? "/").then(({ status, contentType, body }) => {
-                response.sendDate = false;
-                response.writeHead(status, { "Content-Type": contentType, "Content-Length": Buffer.byteLength(body) });
-                response.end(body);
-            });
+            guard.begin(request, response, () => undefined).whenFirst(() =>
+                void this.#answer(request.method ?? "", request.url ?? "/").then(({ status, contentType, body }) => {
+                    response.sendDate = false;
+                    response.writeHead(status, { "Content-Type": contentType, "Content-Length": Buffer.byteLength(body) });
+                    response.end(body);
+                })
+            );
         });
+        const guard = new ConnectionGuard({ server: this.#server, connections, requestsAhead, onLimit });
     }
 
     async start(): Promise<void> {
--- a/packages/ingress/src/daemon.ts
+++ b/packages/ingress/src/daemon.ts
@@ -20,8 +20,11 @@
     rankByRendezvous,
     VersionHistory,
 } from "@filbertrelay/policy/ingress";
-import type { EndpointProcess } from "@filbertrelay/policy/ingress";
+import type { ConnectionShares, EndpointProcess } from "@filbertrelay/policy/ingress";
 import { createPeerNetwork } from "@filbertrelay/wire";
+import type { ConnectionLimit } from "./caller/connectionguard.js";
+import { createCallerLimits } from "./caller/limits.js";
+import type { CallerLimits } from "./caller/limits.js";
 import { IngressServer } from "./caller/server.js";
 import type { Dialect, DutyCalls, StoreDecoder } from "./contract.js";
 import { ControlServer } from "./control/server.js";
@@ -57,10 +60,6 @@
 
 /** An entry is removed after three intervals without a report; the next process reports within one. */
 const entryReplacedHeartbeats = 4;
-/** Memory for buffered answers; the smallest hosts have 250 MB. */
-const answerMemoryBytes = 50_331_648;
-/** Share of one endpoint, in which two answers of the greatest length fit. */
-const endpointAnswerBytes = 16_777_216;
 
 /** The state of a host that the directory, readiness and metrics interfaces expose. */
 export interface HostView {
@@ -120,6 +119,7 @@
     const nowMs = clock.monotonicMs();
 
     const metrics = new IngressMetrics();
+    const callerLimits = createCallerLimits(settings, { clock, log, metrics });
     const store = environment.createStore((kind, result) => metrics.recordStoreCall(kind, result));
     const applyMs = Math.min(promises.endpointLeaveMs, promises.configurationApplyMs);
     const mirror = new StoreMirror({
@@ -264,7 +264,10 @@
         configuration,
         endpoints,
         connections,
-        answerMemory: new AnswerMemory({ totalBytes: answerMemoryBytes, endpointBytes: endpointAnswerBytes }),
+        answerMemory: new AnswerMemory({
+            totalBytes: callerLimits.memory.answerBytes,
+            endpointBytes: callerLimits.memory.endpointAnswerBytes,
+        }),
         loads,
         promptCaches,
         health,
@@ -301,7 +304,13 @@
         stopLeftMs: () => lifecycle.stopLeftMs(),
     };
     const pipeline = new RequestPipeline(context);
-    const server = new IngressServer({ clock, address: settings.host.callerAddress, configuration, pipeline });
+    const server = new IngressServer({
+        clock,
+        address: settings.host.callerAddress,
+        configuration,
+        pipeline,
+        limits: callerLimits,
+    });
     const lead = new DutyLease({
         store,
         mirror,
@@ -347,7 +356,7 @@
     kernel.register("exchange", exchange);
     kernel.register("callers", server);
     kernel.register("registration", registration);
-    registerControl(kernel, clock, settings, environment, view);
+    registerControl(kernel, clock, settings, environment, view, callerLimits);
     const duties = environment.createDuties((kind, result) => metrics.recordDutyCall(kind, result));
     if (duties !== undefined && settings.duties !== undefined) {
         const common = { clock, log, lead, duties };
@@ -371,11 +380,16 @@
     settings: IngressSettings,
     environment: Environment,
     view: HostView,
+    { connections, requestsAhead, report }: CallerLimits,
 ): void {
     const { directoryAddress, readyAddress, metricsAddress } = settings.host;
-    const serve = (name: string, address: string | undefined, routes: ControlRoutes): void => {
+    const serve = (name: keyof ConnectionShares, address: string | undefined, routes: ControlRoutes): void => {
         if (address !== undefined) {
-            kernel.register(name, new ControlServer({ clock, address, routes }));
+            const onLimit = (limit: ConnectionLimit): void => report(limit === "connections" ? "connectionEvicted" : limit);
+            kernel.register(
+                name,
+                new ControlServer({ clock, address, routes, connections: connections[name], requestsAhead, onLimit }),
+            );
         }
     };
     serve("directory", directoryAddress, environment.createDirectoryRoutes(view));
--- a/packages/ingress/src/index.ts
+++ b/packages/ingress/src/index.ts
@@ -1,4 +1,5 @@
 /** The HTTP ingress: accepts callers' requests and forwards them to endpoints. */
+export { RequestBody } from "./caller/requestbody.js";
 export * from "./contract.js";
 export type { ControlResponse, ControlRoutes } from "./control/server.js";
 export * from "./daemon.js";
--- a/packages/ingress/src/settings.ts
+++ b/packages/ingress/src/settings.ts
@@ -58,6 +58,16 @@
         /** Time to live of the directory's responses. */
         directoryKeepSeconds: seconds.default(2),
     }).prefault({}),
+    /** What callers may take of the host. */
+    limits: z.object({
+        /** Memory and descriptors of the process; by default those that the system allows. */
+        memoryMb: z.number().positive().optional(),
+        descriptors: z.number().int().positive().optional(),
+        /** Most requests of a connection that are read before the first one is answered. */
+        requestsAhead: z.number().int().min(1).default(8),
+        /** A body or an answer that makes no progress for this long ends. */
+        stallSeconds: seconds.default(20),
+    }).prefault({}),
     log: z.object({ level: z.enum(["debug", "info", "warn", "error"]).default("info") }).prefault({}),
 });
 
--- a/packages/ingress/src/telemetry/metrics.ts
+++ b/packages/ingress/src/telemetry/metrics.ts
@@ -44,6 +44,7 @@
     readonly #configuration = this.#gauge("configuration_version", "Version of the configuration in force");
     readonly #hosts = this.#gauge("reachable_hosts", "Hosts with which use is exchanged, this one included");
 
+    readonly #limits = this.#counter("caller_limits_total", "Limits for callers that took effect, by limit", ["limit"]);
     readonly #serving = this.#gauge("serving_hosts", "Hosts that callers are sent to, as this host knows them");
 
     recordRequest(service: string, outcome: string, elapsedMs: number): void {
@@ -97,6 +98,10 @@
         this.#serving.set(count);
     }
 
+    recordLimit(limit: string): void {
+        this.#limits.inc({ limit });
+    }
+
     /** Returns all metrics in the Prometheus text format. */
     render(): Promise<string> {
         return this.#registry.metrics();
--- /dev/null
+++ b/packages/policy/src/ingress/memorybudget.ts
@@ -0,0 +1,134 @@
+/** What a holding is for, which decides whether it may be ended. */
+export interface HoldingState {
+    /** Bytes still to come from a caller, or still to be taken by one. */
+    readonly remainingBytes: number;
+    /** Bytes that have come or were taken so far. */
+    readonly movedBytes: number;
+    readonly startedMs: number;
+    /** When bytes last moved. */
+    readonly movedMs: number;
+}
+
+/** Estimated time until a transfer is complete, in milliseconds: at its mean speed, and at least as long as it has stood still. */
+export function estimateCompletionMs(state: HoldingState, nowMs: number): number {
+    const { remainingBytes, movedBytes, startedMs, movedMs } = state;
+    const atMeanSpeedMs = remainingBytes * (nowMs - startedMs) / Math.max(1, movedBytes);
+    return Math.max(atMeanSpeedMs, nowMs - movedMs);
+}
+
+/** Memory of one host that callers' requests hold, with the load it answers: callers that leave bodies or answers unfinished. */
+export class MemoryBudget {
+    readonly #totalBytes: number;
+    readonly #transfers = new Set<MemoryHolding>();
+    #heldBytes = 0;
+
+    constructor(totalBytes: number) {
+        this.#totalBytes = totalBytes;
+    }
+
+    get heldBytes(): number {
+        return this.#heldBytes;
+    }
+
+    /** Whether more is held than planned, with no transfer left to end. */
+    get isShort(): boolean {
+        return this.#heldBytes > this.#totalBytes;
+    }
+
+    /** Opens a holding; `onShort` is called when it has to yield, and must release it. */
+    open(onShort: () => void): MemoryHolding {
+        return new MemoryHolding(onShort, {
+            change: (holding, bytes, nowMs) => this.#change(holding, bytes, nowMs),
+            setTransfer: (holding, isTransfer) =>
+                void (isTransfer ? this.#transfers.add(holding) : this.#transfers.delete(holding)),
+        });
+    }
+
+    /** Ends the transfer that is furthest from its end; returns false if there is none. */
+    endSlowest(nowMs: number): boolean {
+        let slowest: MemoryHolding | undefined;
+        let longestMs = -1;
+        for (const holding of this.#transfers) {
+            const completionMs = estimateCompletionMs(holding.state, nowMs);
+            if (completionMs > longestMs) {
+                slowest = holding;
+                longestMs = completionMs;
+            }
+        }
+        slowest?.end();
+        return slowest !== undefined;
+    }
+
+    #change(holding: MemoryHolding, bytes: number, nowMs: number): void {
+        this.#heldBytes += bytes;
+        while (bytes > 0 && this.#heldBytes > this.#totalBytes && !holding.isReleased && this.endSlowest(nowMs)) {
+            // Each pass releases one holding.
+        }
+    }
+}
+
+interface HoldingOwner {
+    readonly change: (holding: MemoryHolding, bytes: number, nowMs: number) => void;
+    readonly setTransfer: (holding: MemoryHolding, isTransfer: boolean) => void;
+}
+
+/** The memory of one request, in bytes. Only while bytes are moved from or to the caller may it be ended for others. */
+export class MemoryHolding {
+    readonly #onShort: () => void;
+    readonly #owner: HoldingOwner;
+    #bytes = 0;
+    #isReleased = false;
+    #state: HoldingState = { remainingBytes: 0, movedBytes: 0, startedMs: 0, movedMs: 0 };
+
+    constructor(onShort: () => void, owner: HoldingOwner) {
+        this.#onShort = onShort;
+        this.#owner = owner;
+    }
+
+    get state(): HoldingState {
+        return this.#state;
+    }
+
+    get isReleased(): boolean {
+        return this.#isReleased;
+    }
+
+    /** Records what is held and the state of the transfer from or to the caller; may end holdings, this one included. */
+    transfer(bytes: number, state: HoldingState, nowMs: number): void {
+        if (this.#isReleased) {
+            return;
+        }
+        this.#state = state;
+        this.#owner.setTransfer(this, true);
+        this.#resize(bytes, nowMs);
+    }
+
+    /** Keeps what is held while an endpoint works on the request; it can't be ended then. */
+    settle(bytes: number, nowMs: number): void {
+        if (!this.#isReleased) {
+            this.#owner.setTransfer(this, false);
+            this.#resize(bytes, nowMs);
+        }
+    }
+
+    /** Gives everything back. */
+    release(): void {
+        if (!this.#isReleased) {
+            this.#isReleased = true;
+            this.#owner.setTransfer(this, false);
+            this.#resize(0, 0);
+        }
+    }
+
+    /** Ends the request for others. */
+    end(): void {
+        this.release();
+        this.#onShort();
+    }
+
+    #resize(bytes: number, nowMs: number): void {
+        const added = bytes - this.#bytes;
+        this.#bytes = bytes;
+        this.#owner.change(this, added, nowMs);
+    }
+}
