--- a/features/steps/ingress.callers.ts
+++ b/features/steps/ingress.callers.ts
@@ -1,7 +1,7 @@
 import { Then, When } from "@cucumber/cucumber";
 import { RequestBody } from "@filbertrelay/ingress";
-import { ConnectionTable, estimateCompletionMs, MemoryBudget } from "@filbertrelay/policy/ingress";
-import type { HoldingState, MemoryHolding } from "@filbertrelay/policy/ingress";
+import { ConnectionTable, estimateCompletionMs, MemoryBudget, MemoryHolding } from "@filbertrelay/policy/ingress";
+import type { HoldingState } from "@filbertrelay/policy/ingress";
 import fc from "fast-check";
 import assert from "node:assert/strict";
 import { connect } from "node:net";
@@ -31,7 +31,7 @@
                 const nowMs = 100;
                 for (const { bytes, ...moved } of transfers) {
                     const state = { ...moved, startedMs: 0 };
-                    const holding = budget.open(() => {
+                    const holding = new MemoryHolding(budget, () => {
                         const held = [...open.values()].reduce((sum, other) => sum + other.bytes, 0);
                         assert.ok(held > budgetBytes, "A transfer ended though there was room.");
                         const slowestMs = Math.max(...[...open.values()].map(other => estimateCompletionMs(other.state, nowMs)));
--- a/packages/ingress/src/caller/exchange.ts
+++ b/packages/ingress/src/caller/exchange.ts
@@ -1,5 +1,5 @@
 import type { Clock } from "@filbertrelay/kernel";
-import type { MemoryHolding } from "@filbertrelay/policy/ingress";
+import { MemoryHolding } from "@filbertrelay/policy/ingress";
 import type { ServerResponse } from "node:http";
 import type { Socket } from "node:net";
 import type { GuardedRequest } from "./connectionguard.js";
@@ -12,6 +12,8 @@
 const smallPieceBytes = 256;
 const smallPiecesOfTurn = 256;
 
+const noBody = Buffer.alloc(0);
+
 export interface ExchangeOptions {
     readonly clock: Clock;
     readonly limits: CallerLimits;
@@ -25,8 +27,8 @@
     readonly #response: ServerResponse;
     readonly #options: ExchangeOptions;
     readonly #holding: MemoryHolding;
-    readonly #body = new RequestBody();
-    readonly #check = (nowMs: number): void => this.#checkProgress(nowMs);
+    #body: RequestBody | undefined;
+    #check: ((nowMs: number) => void) | undefined;
     #phase: "body" | "endpoint" | "answer" = "body";
     #expectedBytes = 0;
     #startedMs = 0;
@@ -42,12 +44,12 @@
         this.#request = request;
         this.#response = response;
         this.#options = options;
-        this.#holding = options.limits.budget.open(() => this.#endForOthers());
+        this.#holding = new MemoryHolding(options.limits.budget, () => this.#endForOthers());
     }
 
     /** Bytes of the body that have arrived. */
     get receivedBytes(): number {
-        return this.#body.length;
+        return this.#body?.length ?? 0;
     }
 
     /** Whether the host ended the request. */
@@ -57,31 +59,32 @@
 
     /** Takes a piece of the body, of which `expectedBytes` are to come in all. */
     receive(piece: Buffer, expectedBytes: number): void {
-        this.#body.append(piece);
-        if (this.#body.length === expectedBytes) {
+        const body = this.#body ??= new RequestBody();
+        body.append(piece);
+        if (body.length === expectedBytes) {
             return;
         }
         if (piece.length < smallPieceBytes) {
             this.#countSmallPiece();
         }
-        if (this.#body.heldBytes === this.#accountedBytes) {
+        if (body.heldBytes === this.#accountedBytes) {
             return;
         }
         const nowMs = this.#options.clock.monotonicMs();
         if (this.#expectedBytes === 0) {
             this.#startedMs = nowMs;
             this.#expectedBytes = expectedBytes;
-            this.#options.limits.watch.add(this.#check);
+            this.#beginWatch();
         }
-        this.#recordReceived(nowMs);
+        this.#recordReceived(body, nowMs);
     }
 
     /** Returns the complete body, which is held until the end of the request. */
-    takeBody(): Buffer {
+    takeBody(nowMs: number): Buffer {
         this.#phase = "endpoint";
-        this.#options.limits.watch.remove(this.#check);
-        const body = this.#body.take();
-        this.#holding.settle(requestBytes + body.length, this.#options.clock.monotonicMs());
+        this.#endWatch();
+        const body = this.#body?.take() ?? noBody;
+        this.#holding.settle(requestBytes + body.length, nowMs);
         return body;
     }
 
@@ -95,8 +98,7 @@
             this.#phase = "answer";
             this.#startedMs = nowMs;
             this.#movedMs = nowMs;
-            this.#body.clear();
-            this.#options.limits.watch.add(this.#check);
+            this.#beginWatch();
         }
         this.#answerBytes = this.#response.writableLength;
         this.#unsentBytes = this.#answerBytes;
@@ -107,16 +109,16 @@
     recordRead(): void {
         if (this.#phase === "answer") {
             this.#phase = "endpoint";
-            this.#options.limits.watch.remove(this.#check);
+            this.#endWatch();
             this.#holding.settle(requestBytes, this.#options.clock.monotonicMs());
         }
     }
 
     /** Gives back everything that the request holds. */
     release(): void {
-        this.#options.limits.watch.remove(this.#check);
+        this.#endWatch();
         this.#holding.release();
-        this.#body.clear();
+        this.#body = undefined;
     }
 
     #countSmallPiece(): void {
@@ -130,11 +132,23 @@
         }
     }
 
-    #recordReceived(nowMs: number): void {
-        const movedBytes = this.#body.length;
+    #beginWatch(): void {
+        this.#check ??= nowMs => this.#checkProgress(nowMs);
+        this.#options.limits.watch.add(this.#check);
+    }
+
+    #endWatch(): void {
+        if (this.#check !== undefined) {
+            this.#options.limits.watch.remove(this.#check);
+            this.#check = undefined;
+        }
+    }
+
+    #recordReceived(body: RequestBody, nowMs: number): void {
+        const movedBytes = body.length;
         this.#movedMs = nowMs;
         this.#recordedBytes = movedBytes;
-        this.#accountedBytes = this.#body.heldBytes;
+        this.#accountedBytes = body.heldBytes;
         this.#holding.transfer(requestBytes + this.#accountedBytes, {
             remainingBytes: this.#expectedBytes - movedBytes,
             movedBytes,
@@ -153,8 +167,8 @@
     }
 
     #checkProgress(nowMs: number): void {
-        if (this.#phase === "body" && this.#body.length !== this.#recordedBytes) {
-            this.#recordReceived(nowMs);
+        if (this.#phase === "body" && this.#body !== undefined && this.#body.length !== this.#recordedBytes) {
+            this.#recordReceived(this.#body, nowMs);
         }
         else if (this.#phase === "answer") {
             const unsentBytes = countUnsentBytes(this.#request.socket);
--- a/packages/ingress/src/caller/server.ts
+++ b/packages/ingress/src/caller/server.ts
@@ -151,7 +151,7 @@
                 target: request.url ?? "/",
                 hostname: request.headers.host ?? "",
                 headers: toPairs(request.rawHeaders),
-                body: exchange.takeBody(),
+                body: exchange.takeBody(arrivedMs),
                 arrivedMs,
             };
             turn.whenFirst(() =>
--- a/packages/policy/src/ingress/memorybudget.ts
+++ b/packages/policy/src/ingress/memorybudget.ts
@@ -35,13 +35,22 @@
         return this.#heldBytes > this.#totalBytes;
     }
 
-    /** Opens a holding; `onShort` is called when it has to yield, and must release it. */
-    open(onShort: () => void): MemoryHolding {
-        return new MemoryHolding(onShort, {
-            change: (holding, bytes, nowMs) => this.#change(holding, bytes, nowMs),
-            setTransfer: (holding, isTransfer) =>
-                void (isTransfer ? this.#transfers.add(holding) : this.#transfers.delete(holding)),
-        });
+    /** Changes what a holding has; ends the slowest transfers while more is held than planned. For `MemoryHolding` only. */
+    change(holding: MemoryHolding, bytes: number, nowMs: number): void {
+        this.#heldBytes += bytes;
+        while (bytes > 0 && this.#heldBytes > this.#totalBytes && !holding.isReleased && this.endSlowest(nowMs)) {
+            // Each pass releases one holding.
+        }
+    }
+
+    /** Records whether a holding may be ended. For `MemoryHolding` only. */
+    setTransfer(holding: MemoryHolding, isTransfer: boolean): void {
+        if (isTransfer) {
+            this.#transfers.add(holding);
+        }
+        else {
+            this.#transfers.delete(holding);
+        }
     }
 
     /** Ends the transfer that is furthest from its end; returns false if there is none. */
@@ -58,31 +67,23 @@
         slowest?.end();
         return slowest !== undefined;
     }
-
-    #change(holding: MemoryHolding, bytes: number, nowMs: number): void {
-        this.#heldBytes += bytes;
-        while (bytes > 0 && this.#heldBytes > this.#totalBytes && !holding.isReleased && this.endSlowest(nowMs)) {
-            // Each pass releases one holding.
-        }
-    }
 }
 
-interface HoldingOwner {
-    readonly change: (holding: MemoryHolding, bytes: number, nowMs: number) => void;
-    readonly setTransfer: (holding: MemoryHolding, isTransfer: boolean) => void;
-}
+const noTransfer: HoldingState = { remainingBytes: 0, movedBytes: 0, startedMs: 0, movedMs: 0 };
 
 /** The memory of one request, in bytes. Only while bytes are moved from or to the caller may it be ended for others. */
 export class MemoryHolding {
+    readonly #budget: MemoryBudget;
     readonly #onShort: () => void;
-    readonly #owner: HoldingOwner;
     #bytes = 0;
     #isReleased = false;
-    #state: HoldingState = { remainingBytes: 0, movedBytes: 0, startedMs: 0, movedMs: 0 };
+    #isTransfer = false;
+    #state = noTransfer;
 
-    constructor(onShort: () => void, owner: HoldingOwner) {
+    /** `onShort` is called when the holding has been ended for others. */
+    constructor(budget: MemoryBudget, onShort: () => void) {
+        this.#budget = budget;
         this.#onShort = onShort;
-        this.#owner = owner;
     }
 
     get state(): HoldingState {
@@ -99,14 +100,14 @@
             return;
         }
         this.#state = state;
-        this.#owner.setTransfer(this, true);
+        this.#setTransfer(true);
         this.#resize(bytes, nowMs);
     }
 
     /** Keeps what is held while an endpoint works on the request; it can't be ended then. */
     settle(bytes: number, nowMs: number): void {
         if (!this.#isReleased) {
-            this.#owner.setTransfer(this, false);
+            this.#setTransfer(false);
             this.#resize(bytes, nowMs);
         }
     }
@@ -115,7 +116,7 @@
     release(): void {
         if (!this.#isReleased) {
             this.#isReleased = true;
-            this.#owner.setTransfer(this, false);
+            this.#setTransfer(false);
             this.#resize(0, 0);
         }
     }
@@ -129,6 +130,13 @@
     #resize(bytes: number, nowMs: number): void {
         const added = bytes - this.#bytes;
         this.#bytes = bytes;
-        this.#owner.change(this, added, nowMs);
+        this.#budget.change(this, added, nowMs);
+    }
+
+    #setTransfer(isTransfer: boolean): void {
+        if (this.#isTransfer !== isTransfer) {
+            this.#isTransfer = isTransfer;
+            this.#budget.setTransfer(this, isTransfer);
+        }
     }
 }
