--- a/packages/ingress/src/caller/server.ts
+++ b/packages/ingress/src/caller/server.ts
@@ -4,10 +4,15 @@
 import type { IncomingMessage, Server, ServerResponse } from "node:http";
 import type { HeaderList } from "../contract.js";
 import type { ArrivalGate } from "../pressure/arrivalgate.js";
+import type { ErrorResponse } from "../request/errorresponse.js";
 import { sendErrorResponse } from "../request/errorresponse.js";
 import type { RequestPipeline } from "../request/pipeline.js";
-import type { CallerResponder } from "../request/responder.js";
+import type { CallerRequest, CallerResponder } from "../request/responder.js";
 import type { ConfigurationState } from "../state/configuration.js";
+import { ConnectionGuard, GuardedRequest } from "./connectionguard.js";
+import { CallerExchange } from "./exchange.js";
+import type { CallerLimits } from "./limits.js";
+import { createResponder } from "./responder.js";
 
 /** Largest request head that is accepted; the configuration may only lower it. */
 const headerLimitBytes = 65_536;
@@ -17,6 +22,24 @@
 const timeoutCheckMs = 1_000;
 /** Time to receive a request with its body; far above any caller's time limit. */
 const requestTimeoutMs = 60_000;
+/** Time after which a caller may try again when memory was short, in milliseconds. */
+const memoryRetryMs = 500;
+
+const memoryShortResponse: ErrorResponse = {
+    status: 503,
+    code: "host.memoryShort",
+    message: "The memory for requests is used up.",
+    executed: "no",
+    retryAfterMs: memoryRetryMs,
+};
+
+const stalledResponse: ErrorResponse = {
+    status: 408,
+    code: "body.stalled",
+    message: "The body makes no progress.",
+    executed: "no",
+    retryAfterMs: memoryRetryMs,
+};
 
 /** HTTP server for callers' requests. Registered in the kernel as `callers`. */
 export class IngressServer implements Service {
@@ -25,7 +48,9 @@
     readonly #configuration: ConfigurationState;
     readonly #pipeline: RequestPipeline;
     readonly #gate: ArrivalGate;
+    readonly #limits: CallerLimits;
     readonly #server: Server;
+    readonly #guard: ConnectionGuard;
     #isClosing = false;
     #inProgress = 0;
 
@@ -36,6 +61,7 @@
             readonly configuration: ConfigurationState;
             readonly pipeline: RequestPipeline;
             readonly gate: ArrivalGate;
+            readonly limits: CallerLimits;
         },
     ) {
         this.#clock = options.clock;
@@ -43,12 +69,21 @@
         this.#configuration = options.configuration;
         this.#pipeline = options.pipeline;
         this.#gate = options.gate;
+        this.#limits = options.limits;
         this.#server = createServer({
+            IncomingMessage: GuardedRequest,
             maxHeaderSize: headerLimitBytes,
             connectionsCheckingInterval: timeoutCheckMs,
             requestTimeout: requestTimeoutMs,
             noDelay: true,
         }, (request, response) => this.#receive(request, response));
+        this.#guard = new ConnectionGuard({
+            server: this.#server,
+            connections: options.limits.connections.callers,
+            requestsAhead: options.limits.requestsAhead,
+            endBusy: () => options.limits.budget.endSlowest(this.#clock.monotonicMs()),
+            onLimit: limit => options.limits.report(limit === "connections" ? "connectionEvicted" : "requestsAhead"),
+        });
         options.configuration.listen(({ configuration: { limits } }) => {
             this.#server.keepAliveTimeout = limits.idleTimeoutMs;
             this.#server.headersTimeout = limits.headerTimeoutMs;
@@ -75,70 +110,120 @@
         return Promise.resolve();
     }
 
-    #receive(request: IncomingMessage, response: ServerResponse): void {
+    #receive(request: GuardedRequest, response: ServerResponse): void {
         const arrivedMs = this.#clock.monotonicMs();
         this.#inProgress += 1;
-        response.once("close", () => {
-            this.#inProgress -= 1;
-        });
         response.sendDate = false;
         if (this.#isClosing) {
             response.shouldKeepAlive = false;
         }
-        const responder = createResponder(response);
+        const exchange = new CallerExchange(request, response, {
+            clock: this.#clock,
+            limits: this.#limits,
+            reject: reason => rejectUnfinished(response, responder, reason),
+        });
+        const responder = createResponder(response, exchange);
+        const turn = this.#guard.begin(request, response, () => {
+            this.#inProgress -= 1;
+            exchange.release();
+        });
+        request.on("error", () => undefined);
         const refusal = this.#gate.check({
             hostname: request.headers.host ?? "",
             target: request.url ?? "/",
             headers: () => toPairs(request.rawHeaders),
         }, arrivedMs);
         if (refusal !== undefined) {
-            request.on("error", () => undefined);
-            request.resume();
-            sendErrorResponse(responder, refusal);
+            this.#refuse(request, responder, refusal);
             return;
         }
-        const limitBytes = this.#configuration.current()?.configuration.limits.bodyBytes ?? defaultBodyLimitBytes;
-        const chunks: Buffer[] = [];
-        let bytes = 0;
-        request.on("data", (chunk: Buffer) => {
-            bytes += chunk.length;
-            if (bytes <= limitBytes) {
-                chunks.push(chunk);
+        const limitBytes = this.#bodyLimitBytes();
+        const announced = request.headers["content-length"];
+        const expectedBytes = announced === undefined ? limitBytes + 1 : Number(announced);
+        if (announced !== undefined && expectedBytes > limitBytes) {
+            this.#rejectTooLarge(response, responder, limitBytes);
+            return;
+        }
+        request.on("data", (piece: Buffer) => {
+            if (exchange.isEnded) {
+                return;
             }
-            else if (!response.headersSent) {
-                // The rest of the body may never end, so the connection is closed after the response.
-                response.shouldKeepAlive = false;
-                const message = `The body is longer than ${limitBytes} bytes.`;
-                sendErrorResponse(responder, { status: 413, code: "body.tooLarge", message, executed: "no" });
+            if (exchange.receivedBytes + piece.length > limitBytes) {
+                exchange.release();
+                this.#rejectTooLarge(response, responder, limitBytes);
+                return;
             }
+            exchange.receive(piece, expectedBytes);
         });
-        request.on("error", () => undefined);
         request.on("end", () => {
-            if (bytes > limitBytes) {
+            if (exchange.isEnded) {
                 return;
             }
-            this.#gate.recordReceived();
             const accepted = {
                 method: request.method ?? "GET",
                 target: request.url ?? "/",
                 hostname: request.headers.host ?? "",
                 headers: toPairs(request.rawHeaders),
-                body: Buffer.concat(chunks),
+                body: exchange.takeBody(arrivedMs),
                 arrivedMs,
             };
-            afterPendingReads(() => {
-                if (isDisconnected(request, response)) {
-                    response.destroy();
-                    this.#gate.recordStart(undefined);
-                }
-                else {
-                    const startedMs = this.#clock.monotonicMs();
-                    this.#pipeline.accept(accepted, responder);
-                    this.#gate.recordStart(this.#clock.monotonicMs() - startedMs);
-                }
+            turn.whenFirst(() => {
+                this.#gate.recordReceived();
+                afterPendingReads(() => this.#gate.recordStart(this.#begin(accepted, responder, { request, response })));
             });
         });
     }
+
+    /** Passes a request on unless it is no longer of use; returns the time that this took in milliseconds, `undefined` if it wasn't. */
+    #begin(
+        accepted: CallerRequest,
+        responder: CallerResponder,
+        { request, response }: { readonly request: IncomingMessage; readonly response: ServerResponse; },
+    ): number | undefined {
+        if (isDisconnected(request, response)) {
+            response.destroy();
+            return undefined;
+        }
+        if (this.#limits.budget.isShort) {
+            this.#limits.report("transferEnded", { phase: "endpoint", heldBytes: this.#limits.budget.heldBytes });
+            sendErrorResponse(responder, memoryShortResponse);
+            return undefined;
+        }
+        const startedMs = this.#clock.monotonicMs();
+        this.#pipeline.accept(accepted, responder);
+        return this.#clock.monotonicMs() - startedMs;
+    }
+
+    /** Refuses a request for which the host has no room; its body is read but not kept, so that the connection can be used again. */
+    #refuse(request: IncomingMessage, responder: CallerResponder, refusal: ErrorResponse): void {
+        const limitBytes = this.#bodyLimitBytes();
+        let bytes = 0;
+        request.on("data", (piece: Buffer) => {
+            bytes += piece.length;
+            if (bytes > limitBytes) {
+                request.socket.destroy();
+            }
+        });
+        sendErrorResponse(responder, refusal);
+    }
+
+    #bodyLimitBytes(): number {
+        return this.#configuration.current()?.configuration.limits.bodyBytes ?? defaultBodyLimitBytes;
+    }
+
+    #rejectTooLarge(response: ServerResponse, responder: CallerResponder, limitBytes: number): void {
+        this.#limits.report("bodyTooLarge");
+        // The rest of the body may never end, so the connection is closed after the response.
+        response.shouldKeepAlive = false;
+        const message = `The body is longer than ${limitBytes} bytes.`;
+        sendErrorResponse(responder, { status: 413, code: "body.tooLarge", message, executed: "no" });
+    }
+}
+
+/** Responds to a request whose body is not complete, and closes its connection. */
+function rejectUnfinished(response: ServerResponse, responder: CallerResponder, reason: "memory" | "stalled"): void {
+    response.shouldKeepAlive = false;
+    sendErrorResponse(responder, reason === "memory" ? memoryShortResponse : stalledResponse);
 }
 
 /**
@@ -153,39 +238,6 @@
     return response.destroyed || request.socket.destroyed || request.socket.readableEnded;
 }
 
-function createResponder(response: ServerResponse): CallerResponder {
-    return {
-        onDisconnect: callback =>
-            void response.once("close", () => {
-                if (!response.writableFinished) {
-                    callback();
-                }
-            }),
-        answer: (status, headers, body) => {
-            if (!response.headersSent && !response.destroyed) {
-                response.writeHead(status, [...headers.flat(), "Content-Length", String(body.length)]);
-                response.end(body);
-            }
-        },
-        sendHead: (status, headers) => response.destroyed || isWritten(() => response.writeHead(status, headers.flat())),
-        write: bytes => response.destroyed || response.write(bytes),
-        onDrain: callback => void response.on("drain", callback),
-        end: () => void response.end(),
-        abort: () => void response.destroy(),
-    };
-}
-
-/** Node.js checks a head as a whole before it sends any of it. */
-function isWritten(writeHead: () => void): boolean {
-    try {
-        writeHead();
-        return true;
-    }
-    catch {
-        return false;
-    }
-}
-
 function toPairs(flat: readonly string[]): HeaderList {
     return flat.flatMap((name, index) => index % 2 === 0 ? [[name, flat[index + 1] ?? ""] as const] : []);
 }
