--- a/packages/policy/src/ingress/index.ts
+++ b/packages/policy/src/ingress/index.ts
@@ -26,6 +26,7 @@
 export * from "./receivedreports.js";
 export * from "./requiredendpoints.js";
 export * from "./retrybudget.js";
+export * from "./rollout/index.js";
 export * from "./routetable.js";
 export * from "./servicetimings.js";
 export * from "./servingset.js";
