Carry out roll-outs: limit the versions of new requests, report results, and the holder's duty

Without them, and without an order, requests are routed as before. The scaler orders nothing for a service during its roll-out. Not yet played end to end.

--- a/packages/ingress/src/contract.ts
+++ b/packages/ingress/src/contract.ts
@@ -1,6 +1,6 @@
 import type { IngressConfiguration } from "@filbertrelay/configuration";
 import type { EndpointId, FailureDomainId, HostId, Issue, Outcome, RequestId } from "@filbertrelay/kernel";
-import type { CustomerCounts, PromptPart } from "@filbertrelay/policy/ingress";
+import type { CustomerCounts, PromptPart, RolloutOrder, RolloutRecord } from "@filbertrelay/policy/ingress";
 
 /** An endpoint's registration in the store. */
 export interface EndpointRecord {
@@ -117,12 +117,26 @@
     orderEndpoints(holder: DutyHolder, order: EndpointOrder): Promise<Outcome<undefined, DutyIssue>>;
 }
 
+/** Reads the operator's orders of roll-outs and writes their status. */
+export interface RolloutDecoder {
+    /** Key prefix of the orders, followed by the service. */
+    readonly orderPrefix: string;
+    /** Key prefix of the status, followed by the service. */
+    readonly statusPrefix: string;
+    /** Reads an order; what is missing or unreadable is empty or 0, and refused later. */
+    readOrder(service: string, value: string): RolloutOrder;
+    /** The target of a status that says that a roll-out is in progress. */
+    readTargetInProgress(value: string): string | undefined;
+    renderStatus(record: RolloutRecord): string;
+}
+
 /** Decodes the store entries that operators and endpoints write; an invalid entry yields an issue. */
 export interface StoreDecoder {
     /** Key prefix of the configuration. */
     readonly configurationPrefix: string;
     /** Key prefix of the endpoints' registrations. */
     readonly endpointPrefix: string;
+    readonly rollouts: RolloutDecoder;
     readConfiguration(value: string): Outcome<IngressConfiguration>;
     /** Reads no more of a configuration than its version; `undefined` if the value has none. */
     readConfigurationVersion(value: string): number | undefined;
--- a/packages/ingress/src/daemon.ts
+++ b/packages/ingress/src/daemon.ts
@@ -47,6 +47,7 @@
 import { CrashMonitor } from "./request/crashmonitor.js";
 import { requestEvents } from "./request/event.js";
 import { RequestPipeline } from "./request/pipeline.js";
+import { createRollouts } from "./rollout/rollouts.js";
 import type { IngressSettings } from "./settings.js";
 import { ConfigurationState } from "./state/configuration.js";
 import { EndpointTable } from "./state/endpoints.js";
@@ -254,7 +255,10 @@
             exchange.announce();
         }
     };
+    const own = { clock, fleetClock, log, store, mirror, hostId, incarnation, decoder: environment.decoder };
+    const rollouts = createRollouts({ ...own, promises, configuration, endpoints, loads, draw });
     const context: RequestContext = {
+        rollouts: rollouts.split,
         recordRefusal,
         clock,
         fleetClock,
@@ -345,6 +349,7 @@
     kernel.register("originArchive", originArchive);
     kernel.register("versionRecorder", versionRecorder);
     kernel.register("exchange", exchange);
+    kernel.register("rollouts", rollouts.split);
     kernel.register("callers", server);
     kernel.register("registration", registration);
     registerControl(kernel, clock, settings, environment, view);
@@ -352,13 +357,15 @@
     if (duties !== undefined && settings.duties !== undefined) {
         const common = { clock, log, lead, duties };
         kernel.register("lead", lead);
+        kernel.register("rolloutDuty", rollouts.createDuty(lead));
         if (settings.duties.usage) {
             const { usageWindowSeconds, usageDueSeconds } = promises;
             const windows = { windowMs: usageWindowSeconds * 1_000, dueMs: usageDueSeconds * 1_000 };
             kernel.register("usageDuty", new UsageReporter({ ...common, ...windows, store, mirror, usage, finals, fleetClock }));
         }
         if (settings.duties.scaling) {
-            kernel.register("scalingDuty", new EndpointScaler({ ...common, configuration, endpoints, demand }));
+            const isRollingOut = (service: string): boolean => rollouts.split.isInProgress(service);
+            kernel.register("scalingDuty", new EndpointScaler({ ...common, configuration, endpoints, demand, isRollingOut }));
         }
     }
     kernel.register("lifecycle", lifecycle);
--- a/packages/ingress/src/duty/endpointscaler.ts
+++ b/packages/ingress/src/duty/endpointscaler.ts
@@ -51,6 +51,7 @@
     readonly #configuration: ConfigurationState;
     readonly #endpoints: EndpointTable;
     readonly #demand: DemandMeter;
+    readonly #isRollingOut: (service: string) => boolean;
     readonly #required = new Map<string, RequiredEndpoints>();
     readonly #refusals: StartBackoff = createStartBackoff(refusalBackoff);
     readonly #orders = new Map<string, SentOrder>();
@@ -69,6 +70,8 @@
             readonly configuration: ConfigurationState;
             readonly endpoints: EndpointTable;
             readonly demand: DemandMeter;
+            /** Whether a roll-out of a service is in progress; its endpoints are not ordered then, since orders name no version. */
+            readonly isRollingOut: (service: string) => boolean;
         },
     ) {
         this.#clock = options.clock;
@@ -79,6 +82,7 @@
         this.#configuration = options.configuration;
         this.#endpoints = options.endpoints;
         this.#demand = options.demand;
+        this.#isRollingOut = options.isRollingOut;
         this.#createdMs = options.clock.monotonicMs();
     }
 
@@ -93,7 +97,7 @@
 
     async #run(): Promise<void> {
         for (const service of this.#configuration.current()?.configuration.services ?? []) {
-            if (service.scaling !== undefined) {
+            if (service.scaling !== undefined && !this.#isRollingOut(service.name)) {
                 await this.#scale(service, service.scaling);
             }
         }
--- a/packages/ingress/src/index.ts
+++ b/packages/ingress/src/index.ts
@@ -16,6 +16,8 @@
 export { StreamVersions } from "./fleet/streamversions.js";
 export { IngressLifecycle, lifecycleEvents as ingressLifecycleEvents } from "./lifecycle.js";
 export { requestEvents } from "./request/event.js";
+export { RolloutDuty } from "./rollout/rolloutduty.js";
+export { VersionSplit } from "./rollout/versionsplit.js";
 export * from "./settings.js";
 export { EndpointTable } from "./state/endpoints.js";
 export { stateEvents } from "./state/event.js";
--- a/packages/ingress/src/request/attempt.ts
+++ b/packages/ingress/src/request/attempt.ts
@@ -19,6 +19,7 @@
 export interface AttemptOptions {
     readonly requestId: string;
     readonly number: number;
+    readonly route: string;
     readonly endpoint: EndpointRecord;
     readonly priority: number;
     readonly tokens: number;
@@ -116,11 +117,12 @@
 
     /** Sends the request. All callbacks of the connection and of timers run within the boundary. */
     start(boundary: RequestBoundary, handler: AttemptHandler): void {
-        const { loads, connections, limits } = this.#context;
-        const { endpoint, priority, tokens, isRepeatable } = this.#options;
+        const { loads, connections, limits, rollouts } = this.#context;
+        const { endpoint, number, priority, tokens, isRepeatable } = this.#options;
         this.#handler = handler;
         this.#boundary = boundary;
         limits.recordSend(endpoint.endpointId, this.#sentMs);
+        rollouts.recordSent(endpoint, number === 1);
         loads.recordDispatch({ requestId: this.#loadKey, endpointId: endpoint.endpointId, priority, tokens });
         this.#connection = connections.acquire(endpoint, isRepeatable ? Infinity : nonRetryableIdleMs);
         this.#connection.send(this.#outgoing, {
@@ -142,6 +144,7 @@
         if (!this.#hasFirstEvent) {
             this.#hasFirstEvent = true;
             this.#context.loads.recordFirstEvent(this.#loadKey);
+            this.#recordResult("answered");
             if (this.#options.isEndpointIdle) {
                 const startMs = this.#context.clock.monotonicMs() - this.#sentMs;
                 this.#context.timings.recordStart(this.#options.endpoint.service, startMs, this.#options.tokens);
@@ -173,6 +176,10 @@
     cancel(): void {
         if (this.#handler !== undefined) {
             this.#handler = undefined;
+            if (!this.#hasFirstEvent) {
+                // At least as long as until now.
+                this.#recordResult("answered");
+            }
             this.#cancelBatchTimer();
             this.#memory.release();
             this.#context.loads.recordEnd(this.#loadKey);
@@ -305,6 +312,7 @@
         const { loads, health, clock, timings } = this.#context;
         const { endpoint } = this.#options;
         loads.recordEnd(this.#loadKey);
+        this.#recordEnd(result);
         const nowMs = clock.monotonicMs();
         if (failure !== undefined) {
             health.recordFailure(endpoint.endpointId, failure, nowMs);
@@ -316,6 +324,20 @@
         handler.onEnd(result);
     }
 
+    /** Records the end for the comparison of versions; a stream counted as answered at its first event. */
+    #recordEnd(result: AttemptResult): void {
+        if (result.type === "failed") {
+            this.#recordResult(result.isConnectionLost === true ? "lost" : "failed");
+        }
+        else if (result.type === "answered" && !this.#hasFirstEvent) {
+            this.#recordResult(result.status >= 500 ? "failed" : "answered");
+        }
+    }
+
+    #recordResult(type: "answered" | "failed" | "lost"): void {
+        this.#context.rollouts.recordResult(this.endpoint, { route: this.#options.route, type, sentMs: this.#sentMs });
+    }
+
     /** Forwards bytes at once until the first event is complete, then in batches, so that several events cost one write. */
     #receiveStream(chunk: Buffer): void {
         if (!this.#hasFirstEvent) {
--- a/packages/ingress/src/request/context.ts
+++ b/packages/ingress/src/request/context.ts
@@ -20,6 +20,7 @@
 import type { Dialect } from "../contract.js";
 import type { ConnectionPool } from "../endpoint/connectionpool.js";
 import type { StreamVersions } from "../fleet/streamversions.js";
+import type { VersionSplit } from "../rollout/versionsplit.js";
 import type { ConfigurationState } from "../state/configuration.js";
 import type { EndpointTable } from "../state/endpoints.js";
 import type { IngressMetrics } from "../telemetry/metrics.js";
@@ -46,6 +47,8 @@
     /** A monotonic time at which the copy of the store held everything that the store held. */
     readonly storeConfirmedMs: () => number;
     readonly streamVersions: StreamVersions;
+    /** Limits new requests to software versions during a roll-out. */
+    readonly rollouts: VersionSplit;
     readonly crashes: CrashMonitor;
     readonly quarantine: Quarantine;
     readonly quota: UsageQuota;
--- a/packages/ingress/src/request/continuation.ts
+++ b/packages/ingress/src/request/continuation.ts
@@ -31,6 +31,11 @@
         return route.kind === "stream" && route.isResumable && description.lastEventId !== undefined;
     }
 
+    /** Whether the rest of the answer can only come from one version. */
+    get isBound(): boolean {
+        return this.#version !== undefined;
+    }
+
     /** Finds the version that began the stream of a resumed request; resolves with whether it is known. */
     async find(): Promise<boolean> {
         const { description: { resumedRequestId }, service, route: { timeLimitMs } } = this.#request;
--- a/packages/ingress/src/request/task.ts
+++ b/packages/ingress/src/request/task.ts
@@ -122,7 +122,10 @@
 
     /** The endpoints that may take the request, or the rest of it, now. */
     #listOpenEndpoints(): readonly EndpointRecord[] {
-        return listOpenEndpoints(this.#context, this.#request.service).filter(endpoint => this.#continuation.accepts(endpoint));
+        const { service } = this.#request;
+        const open = listOpenEndpoints(this.#context, service).filter(endpoint => this.#continuation.accepts(endpoint));
+        const traits = { isContinued: this.#continuation.isBound, isRepeated: this.#attempts > 0 };
+        return this.#context.rollouts.select(service, open, traits);
     }
 
     /** Ends the request, since the host stops now. */
@@ -170,6 +173,7 @@
         const attempt = new Attempt(this.#context, {
             requestId,
             number: this.#attempts,
+            route: this.#request.route.name,
             endpoint,
             priority: priorityOf(this.#request),
             tokens: choice.tokensToCompute,
--- a/packages/ingress/src/settings.ts
+++ b/packages/ingress/src/settings.ts
@@ -55,6 +55,12 @@
         /** Interval at which endpoints report; their entries are removed after three intervals without a report. */
         endpointHeartbeatMs: z.number().positive().default(1_200),
         configurationApplyMs: z.number().positive().default(2_000),
+        /** Greatest share of a service's requests that may go to a version that is not proven; without it there are no roll-outs. */
+        exposureRatio: z.number().gt(0).lt(1).optional(),
+        /** Requests beyond that share that are permitted; kept as a margin. */
+        exposureTolerance: z.number().min(0).default(0),
+        /** Time after which a bad version gets no further requests. */
+        rollbackMs: z.number().positive().optional(),
         /** Time to live of the directory's responses. */
         directoryKeepSeconds: seconds.default(2),
     }).prefault({}),
--- a/packages/policy/src/ingress/rollout/rolloutorder.ts
+++ b/packages/policy/src/ingress/rollout/rolloutorder.ts
@@ -11,7 +11,7 @@
 
 /** Why an order is not carried out. */
 export interface RolloutOrderIssue extends Issue {
-    readonly code: "rollout.unknownService" | "rollout.alreadyRunning" | "rollout.tooShort";
+    readonly code: "rollout.unknownService" | "rollout.noTarget" | "rollout.alreadyRunning" | "rollout.tooShort";
     readonly field: "service" | "target" | "duration";
 }
 
@@ -35,6 +35,9 @@
     if (!services.includes(service)) {
         return { code: "rollout.unknownService", field: "service", message: `No service is named ${service}.` };
     }
+    if (target === "") {
+        return { code: "rollout.noTarget", field: "target", message: "The order names no version." };
+    }
     if (runningVersions.has(target)) {
         return { code: "rollout.alreadyRunning", field: "target", message: `Version ${target} serves already.` };
     }
