--- a/packages/ingress/src/index.ts
+++ b/packages/ingress/src/index.ts
@@ -19,6 +19,8 @@
 export { ArrivalGate } from "./pressure/arrivalgate.js";
 export { pressureEvents } from "./pressure/event.js";
 export { requestEvents } from "./request/event.js";
+export { RolloutDuty } from "./rollout/rolloutduty.js";
+export { VersionSplit } from "./rollout/versionsplit.js";
 export * from "./settings.js";
 export type { ActiveConfiguration } from "./state/configuration.js";
 export { EndpointTable } from "./state/endpoints.js";
