--- a/packages/ingress/src/caller/server.ts
+++ b/packages/ingress/src/caller/server.ts
@@ -10,6 +10,7 @@
 import type { ConfigurationState } from "../state/configuration.js";
 import { ConnectionGuard, GuardedRequest } from "./connectionguard.js";
 import { CallerExchange } from "./exchange.js";
+import type { ExchangeHost } from "./exchange.js";
 import type { CallerLimits } from "./limits.js";
 import { createResponder } from "./responder.js";
 
@@ -47,6 +48,7 @@
     readonly #configuration: ConfigurationState;
     readonly #pipeline: RequestPipeline;
     readonly #limits: CallerLimits;
+    readonly #exchangeHost: ExchangeHost;
     readonly #server: Server;
     readonly #guard: ConnectionGuard;
     #isClosing = false;
@@ -66,6 +68,17 @@
         this.#configuration = options.configuration;
         this.#pipeline = options.pipeline;
         this.#limits = options.limits;
+        this.#exchangeHost = {
+            clock: options.clock,
+            limits: options.limits,
+            reject: (exchange, response, reason) => {
+                response.shouldKeepAlive = false;
+                sendErrorResponse(
+                    createResponder(response, exchange),
+                    reason === "memory" ? memoryShortResponse : stalledResponse,
+                );
+            },
+        };
         this.#server = createServer({
             IncomingMessage: GuardedRequest,
             maxHeaderSize: headerLimitBytes,
@@ -113,11 +126,7 @@
         if (this.#isClosing) {
             response.shouldKeepAlive = false;
         }
-        const exchange = new CallerExchange(request, response, {
-            clock: this.#clock,
-            limits: this.#limits,
-            reject: reason => rejectUnfinished(response, responder, reason),
-        });
+        const exchange = new CallerExchange(request, response, this.#exchangeHost);
         const responder = createResponder(response, exchange);
         const turn = this.#guard.begin(request, response, () => {
             this.#inProgress -= 1;
@@ -159,7 +168,7 @@
                     if (isDisconnected(request, response)) {
                         response.destroy();
                     }
-                    else if (this.#limits.budget.isShort) {
+                    else if (!this.#limits.budget.makeRoom(this.#clock.monotonicMs())) {
                         this.#limits.report("transferEnded", { phase: "endpoint", heldBytes: this.#limits.budget.heldBytes });
                         sendErrorResponse(responder, memoryShortResponse);
                     }
@@ -180,12 +189,6 @@
     }
 }
 
-/** Responds to a request whose body is not complete, and closes its connection. */
-function rejectUnfinished(response: ServerResponse, responder: CallerResponder, reason: "memory" | "stalled"): void {
-    response.shouldKeepAlive = false;
-    sendErrorResponse(responder, reason === "memory" ? memoryShortResponse : stalledResponse);
-}
-
 /**
  * Calls back after all pending input on the connections has been read. On an overloaded host, a caller's disconnect may already be
  * pending together with its request.
--- a/packages/policy/src/ingress/memorybudget.ts
+++ b/packages/policy/src/ingress/memorybudget.ts
@@ -30,16 +30,24 @@
         return this.#heldBytes;
     }
 
-    /** Whether more is held than planned, with no transfer left to end. */
-    get isShort(): boolean {
-        return this.#heldBytes > this.#totalBytes;
+    /** Ends the slowest transfers while more is held than planned; returns false if that was not enough. */
+    makeRoom(nowMs: number): boolean {
+        while (this.#heldBytes > this.#totalBytes && this.endSlowest(nowMs)) {
+            // Each pass releases one holding.
+        }
+        return this.#heldBytes <= this.#totalBytes;
     }
 
-    /** Changes what a holding has; ends the slowest transfers while more is held than planned. For `MemoryHolding` only. */
-    change(holding: MemoryHolding, bytes: number, nowMs: number): void {
+    /** Counts bytes that no transfer has, or no longer counts them. */
+    add(bytes: number): void {
         this.#heldBytes += bytes;
-        while (bytes > 0 && this.#heldBytes > this.#totalBytes && !holding.isReleased && this.endSlowest(nowMs)) {
-            // Each pass releases one holding.
+    }
+
+    /** Changes what a holding has; ends the slowest transfers, perhaps this one, if that is too much. For `MemoryHolding` only. */
+    change(bytes: number, nowMs: number): void {
+        this.#heldBytes += bytes;
+        if (bytes > 0) {
+            this.makeRoom(nowMs);
         }
     }
 
@@ -130,7 +138,7 @@
     #resize(bytes: number, nowMs: number): void {
         const added = bytes - this.#bytes;
         this.#bytes = bytes;
-        this.#budget.change(this, added, nowMs);
+        this.#budget.change(added, nowMs);
     }
 
     #setTransfer(isTransfer: boolean): void {
