--- a/features/ingress.rollout.feature
+++ b/features/ingress.rollout.feature
@@ -69,3 +69,23 @@
   Scenario: Versions that serve side by side without an order are chosen as before
     Given a host that knows no roll-out
     Then it may send requests to endpoints of all versions
+
+  # Guards against a duty whose steps, reports and status do not meet in the store.
+  Scenario Outline: A host carries out an order end to end
+    Given an ingress with roll-outs whose services run version "v1"
+    When the operator orders a roll-out of records to "v2" and <answers> endpoint of it starts
+    And a caller sends requests until the roll-out has ended
+    Then its status is "<state>" with the target "v2" and <reason>
+    And at most two fifths of the requests went to the target before it moved
+    And requests now go to "<version>" alone
+
+    Examples:
+      | answers   | state     | version | reason      |
+      | a good    | completed | v2      | no reason   |
+      | a failing | reverted  | v1      | a reason    |
+
+  Scenario: An order that can't be carried out is refused in the status
+    Given an ingress with roll-outs whose services run version "v1"
+    When the operator orders a roll-out of records to "v1"
+    Then its status is "reverted" with the target "v1" and a reason
+    And requests now go to "v1" alone
--- a/packages/ingress/src/rollout/rolloutduty.ts
+++ b/packages/ingress/src/rollout/rolloutduty.ts
@@ -194,8 +194,9 @@
             era,
             expected: [{ key, revision: revision ?? 0 }],
             writes: [
-                { key, value: renderRecord(record, writtenAtMs) },
+                // The record is last, since the store may count a revision for each change and returns the last one.
                 ...(isStatusWritten ? [] : [{ key: statusKey, value: status }]),
+                { key, value: renderRecord(record, writtenAtMs) },
             ],
         });
         if (!committed.ok) {
