--- a/packages/ingress/src/endpoint/connection.ts
+++ b/packages/ingress/src/endpoint/connection.ts
@@ -40,6 +40,11 @@
 /** A connection is not reused this close to its keep-alive timeout, since the endpoint may be closing it. */
 const idleMarginMs = 1_200;
 
+/** Bytes of one read. A full buffer is read again at once, up to 32 times, so a larger one would delay other connections. */
+const readBytes = 16_384;
+/** Holds the bytes of one read until they have been copied; reads never overlap. */
+const readBuffer = Buffer.alloc(readBytes);
+
 /** Methods that send `Content-Length` even with an empty body. */
 const bodyMethods: ReadonlySet<string> = new Set(["POST", "PUT", "PATCH"]);
 
@@ -82,7 +87,19 @@
             onBody: chunk => this.#receiveBody(chunk),
             onComplete: () => this.#receiveComplete(),
         }, () => this.#current?.request.method === "HEAD");
-        this.#socket = connect({ ...splitAddress(options.address), noDelay: true, allowHalfOpen: true });
+        this.#socket = connect({
+            ...splitAddress(options.address),
+            noDelay: true,
+            allowHalfOpen: true,
+            // Without a buffer of its own, a paused socket still reads until it has buffered several packets.
+            onread: {
+                buffer: readBuffer,
+                callback: bytes => {
+                    this.#receive(Buffer.from(readBuffer.subarray(0, bytes)));
+                    return true;
+                },
+            },
+        });
         this.#listen();
     }
 
@@ -135,7 +152,6 @@
                 this.#write(this.#current.request);
             }
         });
-        this.#socket.on("data", bytes => this.#receive(bytes));
         this.#socket.on("end", () => this.#receiveEnd());
         this.#socket.on("error", error => {
             cancelTimer();
--- a/packages/ingress/src/request/attempt.ts
+++ b/packages/ingress/src/request/attempt.ts
@@ -38,7 +38,7 @@
  * Time for which nothing more of a stream is read after its first event and each further read. Each read and write costs a small host
  * about 0.2 ms of processor time; up to 200 ms of delay between an engine and a caller is acceptable.
  */
-const batchMs = 80;
+const batchMs = 120;
 /** A batch of this size is flushed at once. */
 const batchBytes = 65_536;
 /** Longest idle time of a connection that is reused for a non-retryable request; a longer-idle connection may be closing. */
--- a/packages/kernel/src/linewriter.ts
+++ b/packages/kernel/src/linewriter.ts
@@ -20,6 +20,8 @@
 const defaultBufferBytes = 262_144;
 /** Lines are batched for this long: on a small host a write system call costs as much as producing a line. */
 const batchMs = 100;
+/** A batch is written after this time if no later line does it; a timer alone costs as much as the write. */
+const longestBatchMs = 300;
 
 /**
  * Creates a line writer. Node.js writes to a standard output pipe synchronously, so a reader that stops reading would block the
@@ -33,8 +35,11 @@
     }
     const socket = new Socket({ fd: descriptor, readable: false, writable: true });
     let batch = "";
+    let begunMs = 0;
+    let cancelTimer = (): void => undefined;
     let dropped = 0;
     const flush = (): void => {
+        cancelTimer();
         const text = batch;
         batch = "";
         if (text !== "") {
@@ -54,10 +59,15 @@
                 "" :
                 `${JSON.stringify({ level: "warn", text: "Log lines were dropped.", dropped })}\n`;
             dropped = 0;
+            const nowMs = clock.monotonicMs();
             if (batch === "") {
-                clock.after(batchMs, flush);
+                begunMs = nowMs;
+                cancelTimer = clock.after(longestBatchMs, flush);
             }
             batch += `${notice}${line}\n`;
+            if (nowMs - begunMs >= batchMs) {
+                flush();
+            }
         },
     };
 }
--- a/packages/policy/src/ingress/demandmeter.ts
+++ b/packages/policy/src/ingress/demandmeter.ts
@@ -59,10 +59,7 @@
     }
 
     ownDemand(nowMs: number): Demand {
-        return Object.fromEntries([...this.#own].map(([service, { window, startedMs }]) => {
-            const countedMs = Math.min(this.#spanMs, Math.max(this.#shortestSpanMs, nowMs - startedMs));
-            return [service, window.sum(nowMs) / countedMs];
-        }));
+        return Object.fromEntries([...this.#own.keys()].map(service => [service, this.#ownDemandOf(service, nowMs)]));
     }
 
     groupDemand(nowMs: number): Demand {
@@ -83,8 +80,17 @@
     }
 
     demand(service: string, nowMs: number): number {
-        const groups = this.#groups.live(nowMs).map(({ report }) => report);
-        return addDemands([this.groupDemand(nowMs), ...groups])[service] ?? 0;
+        const received = [...this.#peers.live(nowMs), ...this.#groups.live(nowMs)];
+        return received.reduce((sum, { report }) => sum + (report[service] ?? 0), this.#ownDemandOf(service, nowMs));
+    }
+
+    #ownDemandOf(service: string, nowMs: number): number {
+        const own = this.#own.get(service);
+        if (own === undefined) {
+            return 0;
+        }
+        const countedMs = Math.min(this.#spanMs, Math.max(this.#shortestSpanMs, nowMs - own.startedMs));
+        return own.window.sum(nowMs) / countedMs;
     }
 }
 
--- a/packages/policy/src/ingress/ownedvalues.ts
+++ b/packages/policy/src/ingress/ownedvalues.ts
@@ -122,11 +122,13 @@
 
     /** Equal for hosts with the same disputes; empty without any. */
     digest(): string {
-        return [...this.#items].flatMap(([key, { value, owned, dispute }]) =>
-            dispute === undefined || owned === undefined ?
-                [] :
-                [`${key}=${owned.version.join(".")}${value === undefined ? "-" : ""}`]
-        ).sort().join();
+        const disputed: string[] = [];
+        for (const [key, { value, owned, dispute }] of this.#items) {
+            if (dispute !== undefined && owned !== undefined) {
+                disputed.push(`${key}=${owned.version.join(".")}${value === undefined ? "-" : ""}`);
+            }
+        }
+        return disputed.sort().join();
     }
 
     /** Takes over what a peer knows to be newer than the store. Returns what takes effect. */
--- a/packages/wire/src/call.ts
+++ b/packages/wire/src/call.ts
@@ -51,17 +51,8 @@
     /** Yields the peer's replies in order; a failure is the last item. */
     async *items(): AsyncGenerator<Outcome<z.output<Reply>, PeerIssue>, void, undefined> {
         try {
-            for (;;) {
-                const item = this.#queue.shift();
-                if (item !== undefined) {
-                    yield item;
-                }
-                else if (this.#isEnded) {
-                    return;
-                }
-                else {
-                    await new Promise<void>(resolve => this.#notify = resolve);
-                }
+            for (let item = await this.#next(); item !== undefined; item = await this.#next()) {
+                yield item;
             }
         }
         finally {
@@ -69,6 +60,20 @@
         }
     }
 
+    /** Waits for the first of the peer's replies and ends the call; `undefined` without any. */
+    async first(): Promise<Outcome<z.output<Reply>, PeerIssue> | undefined> {
+        const item = await this.#next();
+        this.#cancel();
+        return item;
+    }
+
+    async #next(): Promise<Outcome<z.output<Reply>, PeerIssue> | undefined> {
+        while (this.#queue.length === 0 && !this.#isEnded) {
+            await new Promise<void>(resolve => this.#notify = resolve);
+        }
+        return this.#queue.shift();
+    }
+
     #send(connection: PeerConnection, body: unknown): PeerIssue | undefined {
         const id = connection.request(body, {
             topic: this.#topic.name,
--- a/packages/wire/src/connection.ts
+++ b/packages/wire/src/connection.ts
@@ -1,6 +1,7 @@
 import type { Clock, HostId } from "@filbertrelay/kernel";
 import type { Frame } from "./frame.js";
 import type { FrameSocket } from "./framesocket.js";
+import { InboundCall } from "./handler.js";
 import type { HandlerTable } from "./handler.js";
 import type { PeerIssue } from "./network.js";
 import type { Traffic } from "./traffic.js";
@@ -49,7 +50,7 @@
     readonly #options: ConnectionOptions;
     readonly #outboundCalls = new Map<number, CallSink>();
     readonly #receiveCallbacks: ((isReceived: boolean) => void)[] = [];
-    readonly #inboundCalls = new Map<number, AbortController>();
+    readonly #inboundCalls = new Map<number, InboundCall>();
     #nextId = 1;
     #isDraining = false;
     #isPeerDraining = false;
@@ -247,14 +248,14 @@
             this.close(`The peer reused the id ${frame.id} of a call in progress.`);
             return;
         }
-        const abort = new AbortController();
-        this.#inboundCalls.set(frame.id, abort);
+        const call = new InboundCall(this.peer);
+        this.#inboundCalls.set(frame.id, call);
         this.#lastHeartbeatMs = this.#options.clock.monotonicMs();
         const channel = {
             send: (kind: "reply" | "chunk" | "end", body: unknown) => this.#sendReply(frame, kind, body),
             waitForDrain: () => this.#frames.waitForDrain(),
         };
-        void this.#options.handlers.run(frame.topic, frame.body, { from: this.peer, signal: abort.signal }, channel)
+        void this.#options.handlers.run(frame.topic, frame.body, call, channel)
             .then(issue => this.#finishRequest(frame, issue));
     }
 
@@ -278,6 +279,6 @@
         const sinks = [...this.#outboundCalls.values()];
         this.#outboundCalls.clear();
         sinks.forEach(sink => sink.onEnd({ code: "peer.closed", message: reason, sent: true }));
-        this.#inboundCalls.forEach(abort => abort.abort(new Error(reason)));
+        this.#inboundCalls.forEach(call => call.abort(new Error(reason)));
     }
 }
--- a/packages/wire/src/handler.ts
+++ b/packages/wire/src/handler.ts
@@ -1,4 +1,5 @@
 import { invariant } from "@filbertrelay/kernel";
+import type { HostId } from "@filbertrelay/kernel";
 import { z } from "zod";
 import type { Frame } from "./frame.js";
 import type { PeerContext, Topic } from "./network.js";
@@ -11,8 +12,39 @@
     waitForDrain(): Promise<void>;
 }
 
+/** A request that a peer waits for; most handlers never ask for the signal, which is made when one does. */
+export class InboundCall implements PeerContext {
+    readonly from: HostId;
+    #controller: AbortController | undefined;
+    #reason: Error | undefined;
+
+    constructor(from: HostId) {
+        this.from = from;
+    }
+
+    get signal(): AbortSignal {
+        if (this.#controller === undefined) {
+            this.#controller = new AbortController();
+            if (this.#reason !== undefined) {
+                this.#controller.abort(this.#reason);
+            }
+        }
+        return this.#controller.signal;
+    }
+
+    /** Whether the caller no longer waits for the reply. */
+    get isAborted(): boolean {
+        return this.#reason !== undefined;
+    }
+
+    abort(reason: Error): void {
+        this.#reason ??= reason;
+        this.#controller?.abort(reason);
+    }
+}
+
 type ReplyIssue = NonNullable<Frame["issue"]>;
-type Handler = (body: unknown, context: PeerContext, channel: ReplyChannel) => Promise<ReplyIssue | undefined>;
+type Handler = (body: unknown, context: InboundCall, channel: ReplyChannel) => Promise<ReplyIssue | undefined>;
 
 /** The request handlers of this process by topic. */
 export class HandlerTable {
@@ -30,7 +62,7 @@
     ): void {
         this.#set(topic, async (body, context, channel) => {
             const reply = await handler(body, context);
-            return context.signal.aborted ? undefined : toReplyIssue(channel.send("reply", reply));
+            return context.isAborted ? undefined : toReplyIssue(channel.send("reply", reply));
         });
     }
 
@@ -41,7 +73,7 @@
     ): void {
         this.#set(topic, async (body, context, channel) => {
             for await (const chunk of handler(body, context)) {
-                if (context.signal.aborted) {
+                if (context.isAborted) {
                     return undefined;
                 }
                 const failed = channel.send("chunk", chunk);
@@ -50,12 +82,12 @@
                 }
                 await channel.waitForDrain();
             }
-            return context.signal.aborted ? undefined : toReplyIssue(channel.send("end", undefined));
+            return context.isAborted ? undefined : toReplyIssue(channel.send("end", undefined));
         });
     }
 
     /** Runs the handler of a topic; returns the issue to report to the caller, if any. */
-    async run(topic: string, body: unknown, context: PeerContext, channel: ReplyChannel): Promise<ReplyIssue | undefined> {
+    async run(topic: string, body: unknown, context: InboundCall, channel: ReplyChannel): Promise<ReplyIssue | undefined> {
         const handler = this.#handlers.get(topic);
         if (handler === undefined) {
             return { code: "refused", message: `No handler is registered for topic '${topic}'.` };
@@ -70,7 +102,7 @@
 
     #set<Request extends z.ZodType, Reply extends z.ZodType>(
         topic: Topic<Request, Reply>,
-        handler: (body: z.output<Request>, context: PeerContext, channel: ReplyChannel) => Promise<ReplyIssue | undefined>,
+        handler: (body: z.output<Request>, context: InboundCall, channel: ReplyChannel) => Promise<ReplyIssue | undefined>,
     ): void {
         invariant(!this.#handlers.has(topic.name), `A handler is already registered for topic '${topic.name}'.`);
         this.#handlers.set(topic.name, (body, context, channel) => {
--- a/packages/wire/src/shape.ts
+++ b/packages/wire/src/shape.ts
@@ -86,17 +86,26 @@
 }
 
 function createObject(shape: Readonly<Record<string, z.core.$ZodType>>): Shape {
-    const properties = Object.entries(shape).map(([name, schema]) => [name, createShape(schema)] as const);
+    const properties = Object.entries(shape).map(([name, schema]) => ({
+        name,
+        matches: createShape(schema),
+        mayLack: (schema as z.core.$ZodTypes)._zod.def.type === "optional",
+    }));
     return value => {
         if (!isPlain(value)) {
             return false;
         }
         let known = 0;
-        for (const [name, matches] of properties) {
-            if (!matches(value[name])) {
+        for (const { name, matches, mayLack } of properties) {
+            if (Object.hasOwn(value, name)) {
+                known += 1;
+                if (!matches(value[name])) {
+                    return false;
+                }
+            }
+            else if (!mayLack) {
                 return false;
             }
-            known += Object.hasOwn(value, name) ? 1 : 0;
         }
         // The library removes unknown properties or rejects them.
         return known === Object.keys(value).length;
--- a/packages/wire/src/tcpnetwork.ts
+++ b/packages/wire/src/tcpnetwork.ts
@@ -130,10 +130,11 @@
         body: z.input<Request>,
         options: CallOptions,
     ): Promise<Outcome<z.output<Reply>, PeerIssue>> {
-        for await (const item of this.stream(peer, topic, body, options)) {
-            return item;
-        }
-        return failure({ code: "peer.invalid", message: "The peer ended the call without sending a reply.", sent: true });
+        const call = this.#begin(peer, topic, body, options);
+        return call instanceof Call ?
+            await call.first() ??
+                failure({ code: "peer.invalid", message: "The peer ended the call without sending a reply.", sent: true }) :
+            failure(call);
     }
 
     async *stream<Request extends z.ZodType, Reply extends z.ZodType>(
@@ -142,14 +143,29 @@
         body: z.input<Request>,
         options: CallOptions,
     ): AsyncGenerator<Outcome<z.output<Reply>, PeerIssue>, void, undefined> {
+        const call = this.#begin(peer, topic, body, options);
+        if (call instanceof Call) {
+            yield* call.items();
+        }
+        else {
+            yield failure(call);
+        }
+    }
+
+    /** Sends a call, unless its body is invalid. */
+    #begin<Reply extends z.ZodType>(
+        peer: HostId,
+        topic: Topic<z.ZodType, Reply>,
+        body: unknown,
+        options: CallOptions,
+    ): Call<Reply> | PeerIssue {
         const checked = validateShape(topic.request, body);
         if (!checked.success) {
-            yield failure({ code: "peer.invalid", message: z.prettifyError(checked.error), sent: false });
-            return;
+            return { code: "peer.invalid", message: z.prettifyError(checked.error), sent: false };
         }
         const call = new Call<Reply>(this.#options.clock, topic, options);
         void call.start(body, () => this.#connect(peer, options.isRepeatable === true));
-        yield* call.items();
+        return call;
     }
 
     handle<Request extends z.ZodType, Reply extends z.ZodType>(
--- a/scripts/measure-request-cost.mjs
+++ b/scripts/measure-request-cost.mjs
@@ -116,7 +116,13 @@
     const isRest = figure => figure.kind === "rest";
     const around = [figures.slice(0, index).findLast(isRest), figures.slice(index).find(isRest)].filter(Boolean);
     const mean = name => around.reduce((sum, { perSecond }) => sum + perSecond[name], 0) / Math.max(1, around.length);
-    return { processorMs: mean("processorMs"), reads: mean("reads"), writes: mean("writes"), wakeups: mean("wakeups") };
+    return {
+        processorMs: mean("processorMs"),
+        ownMs: mean("ownMs"),
+        reads: mean("reads"),
+        writes: mean("writes"),
+        wakeups: mean("wakeups"),
+    };
 }
 
 function renderRow(name, { phase, kind, sent, answered, elapsedS, perSecond, processorMs, restPerSecond, memory }) {
