--- a/packages/ingress/src/daemon.ts
+++ b/packages/ingress/src/daemon.ts
@@ -103,6 +103,8 @@
 
 /** An endpoint that started longer ago than this is taken for one that is in full use. */
 const slowStartMs = 10_000;
+/** Fraction of the delay of an event for which a stream isn't read: each read and write costs a small host about 0.2 ms. */
+const streamPauseShare = 0.5;
 /** Tokens of this host's prompts that one engine is assumed to cache; all hosts and running requests share the engine's memory. */
 const promptCacheTokens = 60_000;
 /** Largest message between hosts: a full copy of the store's items. */
@@ -321,6 +323,7 @@
         timings: createServiceTimings(),
         demand,
         callerWork,
+        streamPauseMs: streamPauseShare * promises.eventDelayMs,
         metrics,
         reach: () => exchange.reach(),
         isRefusing: () => lifecycle.isRefusing,
--- a/packages/ingress/src/request/context.ts
+++ b/packages/ingress/src/request/context.ts
@@ -60,6 +60,8 @@
     readonly demand: DemandMeter;
     /** Processor time spent on callers' requests. */
     readonly callerWork: DemandMeter;
+    /** Time for which nothing more of a stream is read after its first event and each further read, in milliseconds. */
+    readonly streamPauseMs: number;
     readonly metrics: IngressMetrics;
     /** How many hosts this host knows, and how many of them it exchanges usage with. */
     readonly reach: () => FleetReach;
--- a/packages/ingress/src/settings.ts
+++ b/packages/ingress/src/settings.ts
@@ -61,6 +61,8 @@
         exposureTolerance: z.number().min(0).default(0),
         /** Time after which a bad version gets no further requests. */
         rollbackMs: z.number().positive().optional(),
+        /** Longest time between an endpoint's sending of an event and its arrival at the caller. */
+        eventDelayMs: z.number().positive().default(120),
         /** Time to live of the directory's responses. */
         directoryKeepSeconds: seconds.default(2),
     }).prefault({}),
