--- a/packages/policy/src/ingress/pressureadmission.ts
+++ b/packages/policy/src/ingress/pressureadmission.ts
@@ -30,7 +30,10 @@
     readonly busyMs: number;
 }
 
-/** Queueing time up to which the least urgent requests are admitted while load lasts. An answer takes several turns as long. */
+/**
+ * Queueing time up to which the least urgent requests are admitted while load lasts, unless one request takes longer. An answer takes
+ * several turns as long.
+ */
 const leastQueueMs = 30;
 /** The most urgent requests are admitted up to this multiple of it. */
 const urgentFactor = 3;
@@ -123,7 +126,7 @@
             this.#closeWindow(nowMs, busyMs());
         }
         const queueMs = readDelayMs + this.#pending * this.#startMs * requestStarts;
-        if (queueMs < leastQueueMs * (this.#isPressed ? 1 : calmFactor)) {
+        if (queueMs < (this.#isPressed ? this.#pressedQueueMs() : leastQueueMs * calmFactor)) {
             return this.#admit();
         }
         const request = describe();
@@ -161,14 +164,20 @@
         }
         const credit = (this.#credits.get(urgency) ?? 0) + this.#chance * guaranteedShare;
         const inTimeMs = objectiveMs * objectiveShare;
+        const leastMs = this.#pressedQueueMs();
         const allowedMs = this.#isPressed ?
-            Math.max(leastQueueMs, Math.min(leastQueueMs * (1 + urgency * (urgentFactor - 1)), inTimeMs)) :
+            Math.max(leastMs, Math.min(leastMs * (1 + urgency * (urgentFactor - 1)), inTimeMs)) :
             Math.max(leastQueueMs * calmFactor, inTimeMs);
         const isAdmitted = queueMs < allowedMs || credit >= 1;
         this.#credits.set(urgency, isAdmitted ? Math.max(0, credit - 1) : credit);
         return isAdmitted ? undefined : "queue";
     }
 
+    /** A host that takes longer for a request would be idle after each if it took none behind it. */
+    #pressedQueueMs(): number {
+        return Math.max(leastQueueMs, this.#startMs * requestStarts);
+    }
+
     #admit(): PressureDecision {
         this.#admitted += 1;
         this.#chance += chanceWeight * (1 - this.#chance);
