--- a/features/steps/ingress.callers.ts
+++ b/features/steps/ingress.callers.ts
@@ -120,7 +120,7 @@
     "3 requests ahead of their answers": ahead(3),
     "40 requests ahead of their answers": ahead(40),
     "one request in chunks of one byte": `${head(0).replace("nonIdempotent", "slowOrder")}Transfer-Encoding: chunked\r\n\r\n${
-        "1\r\nx\r\n".repeat(20_000)
+        "1\r\nx\r\n".repeat(50_000)
     }0\r\n\r\n`,
     "one request that asks for an upgrade": `${head(0)}Connection: Upgrade\r\nUpgrade: h2c\r\nContent-Length: 5\r\n\r\norder`,
     "the head of a request with a body over the limit": `${head(0)}Content-Length: ${bodyLimitBytes + 1}\r\n\r\n`,
--- a/packages/ingress/src/daemon.ts
+++ b/packages/ingress/src/daemon.ts
@@ -21,14 +21,13 @@
     rankByRendezvous,
     VersionHistory,
 } from "@filbertrelay/policy/ingress";
-import type { ConnectionShares, EndpointProcess } from "@filbertrelay/policy/ingress";
+import type { EndpointProcess } from "@filbertrelay/policy/ingress";
 import { createPeerNetwork } from "@filbertrelay/wire";
-import type { ConnectionLimit } from "./caller/connectionguard.js";
 import { createCallerLimits } from "./caller/limits.js";
-import type { CallerLimits } from "./caller/limits.js";
 import { IngressServer } from "./caller/server.js";
 import type { Dialect, DutyCalls, StoreDecoder } from "./contract.js";
-import { ControlServer } from "./control/server.js";
+import type { HostView } from "./control/hostview.js";
+import { registerControl } from "./control/registration.js";
 import type { ControlRoutes } from "./control/server.js";
 import { chooseContendDelay } from "./duty/contention.js";
 import { EndpointScaler } from "./duty/endpointscaler.js";
@@ -64,19 +63,6 @@
 /** An entry is removed after three intervals without a report; the next process reports within one. */
 const entryReplacedHeartbeats = 4;
 
-/** The state of a host that the directory, readiness and metrics interfaces expose. */
-export interface HostView {
-    readonly directory: HostDirectory;
-    readonly metrics: IngressMetrics;
-    /** Whether the host accepts callers' requests. */
-    readonly isReady: () => boolean;
-    readonly directoryKeepMs: number;
-    /** Number of hosts with which usage is exchanged, including this one. */
-    readonly reachableHosts: () => number;
-    /** Number of hosts that callers are directed to. */
-    readonly servingHosts: () => number;
-}
-
 /** Records a call to an external service and its result in the metrics. */
 export type CallObserver = (kind: string, result: string) => void;
 
@@ -404,36 +390,3 @@
     kernel.register("lifecycle", lifecycle);
     return kernel;
 }
-
-function registerControl(
-    kernel: Kernel,
-    clock: Clock,
-    settings: IngressSettings,
-    environment: Environment,
-    view: HostView,
-    { connections, requestsAhead, report }: CallerLimits,
-): void {
-    const { directoryAddress, readyAddress, metricsAddress } = settings.host;
-    const serve = (name: keyof ConnectionShares, address: string | undefined, routes: ControlRoutes): void => {
-        if (address !== undefined) {
-            const onLimit = (limit: ConnectionLimit): void => report(limit === "connections" ? "connectionEvicted" : limit);
-            kernel.register(
-                name,
-                new ControlServer({ clock, address, routes, connections: connections[name], requestsAhead, onLimit }),
-            );
-        }
-    };
-    serve("directory", directoryAddress, environment.createDirectoryRoutes(view));
-    serve("metrics", metricsAddress, createMetricsRoutes(view));
-    serve("readiness", readyAddress, environment.createReadyRoutes(view));
-}
-
-function createMetricsRoutes(view: HostView): ControlRoutes {
-    return {
-        "/metrics": async () => {
-            view.metrics.setReachableHosts(view.reachableHosts());
-            view.metrics.setServingHosts(view.servingHosts());
-            return { status: 200, contentType: "text/plain", body: await view.metrics.render() };
-        },
-    };
-}
--- a/packages/ingress/src/index.ts
+++ b/packages/ingress/src/index.ts
@@ -1,6 +1,7 @@
 /** The HTTP ingress: accepts callers' requests and forwards them to endpoints. */
 export { RequestBody } from "./caller/requestbody.js";
 export * from "./contract.js";
+export type { HostView } from "./control/hostview.js";
 export type { ControlResponse, ControlRoutes } from "./control/server.js";
 export * from "./daemon.js";
 export { DutyLease } from "./duty/lease.js";
