--- a/packages/policy/src/ingress/pressureadmission.ts
+++ b/packages/policy/src/ingress/pressureadmission.ts
@@ -45,8 +45,6 @@
 const lowUtilization = 0.75;
 /** Part of the busy time that requests must cause; refusing them doesn't relieve a host of other work. */
 const requestsShare = 0.2;
-/** Work of a request until its end, with its connections and answer, in the time to start it. */
-const requestWorkStarts = 8;
 /** Part of its objective within which a request has to leave the queue to be answered in time. */
 const objectiveShare = 0.6;
 /** Part of the mean chance that each urgency keeps, so that no kind of request is refused altogether. */
@@ -54,7 +52,7 @@
 /** Weight of one request in the mean chance, and in the mean time to start a request. */
 const chanceWeight = 0.02;
 const startWeight = 0.1;
-/** Time until the next request can be started, and the work of a refusal, in the time to start a request. */
+/** Processing time of a request, with its answer, and of a refusal in the time to start a request. */
 const requestStarts = 2.5;
 const refusalStarts = 0.125;
 /** Refused callers return within this part of the objective, so that they can still be answered in time. */
@@ -188,14 +186,12 @@
 
     #closeWindow(nowMs: number, busyMs: number): void {
         this.#pressure = this.#meter.close(nowMs, busyMs);
-        const { utilization, readDelayMs, windowMs } = this.#pressure;
+        const { utilization, windowMs } = this.#pressure;
         const refusedMs = (this.#arrived - this.#admitted) * this.#startMs * refusalStarts;
-        const requestsMs = refusedMs + this.#admitted * this.#startMs * requestWorkStarts;
+        const requestsMs = refusedMs + this.#admitted * this.#startMs * requestStarts;
         const isHigh = utilization >= highUtilization && requestsMs >= requestsShare * windowMs;
         this.#highWindows = isHigh ? this.#highWindows + 1 : 0;
-        // Few requests are admitted while many are refused, so a queue counts as well.
-        const isQueueing = readDelayMs >= leastQueueMs && this.#arrived > this.#admitted;
-        const isLasting = utilization >= lowUtilization && (isQueueing || requestsMs >= requestsShare / 2 * windowMs);
+        const isLasting = utilization >= lowUtilization && requestsMs >= requestsShare / 2 * windowMs;
         this.#isPressed = this.#highWindows >= pressedWindows || (this.#isPressed && isLasting);
         this.#pressedMs += this.#isPressed ? windowMs : 0;
         this.#arrived = 0;
