Read one body in small pieces in a turn of the event loop

What callers saw: beside 80 connections that send chunks of one byte, an ordinary request had no answer for 40 s on a busy machine; on hosts with a small share of a processor it is the same. Cause: the input of all connections is ready in one turn, and each read runs through thousands of callbacks; ReadTurns took effect from the next turn on, and a paused socket reads once more, so that the first two turns lasted as long as 160 such reads. Change: the first body that shows small pieces stops the handles of the other connections until the next turn, pauses stop the handle itself, and while several bodies wait four times the length of a read passes before the next one. Why it works: between two such reads an ordinary request gets the turns that it needs.

--- a/packages/ingress/src/caller/connectionguard.ts
+++ b/packages/ingress/src/caller/connectionguard.ts
@@ -53,12 +53,19 @@
     resumeConnection(): void {
         guarded.get(this.socket)?.resume();
     }
+
+    /** Reads nothing from the other connections of the server until the next turn of the event loop. */
+    holdOtherConnections(): void {
+        guarded.get(this.socket)?.holdOthers();
+    }
 }
 
 /** Limits the connections of a server and the requests on each. The server must be created with `GuardedRequest`. */
 export class ConnectionGuard {
     readonly #options: ConnectionGuardOptions;
     readonly #table: ConnectionTable<GuardedConnection>;
+    readonly #connections = new Set<GuardedConnection>();
+    #isHolding = false;
 
     constructor(options: ConnectionGuardOptions) {
         this.#options = options;
@@ -86,10 +93,16 @@
     }
 
     #add(socket: Socket): void {
-        const connection = new GuardedConnection(socket, this.#options.requestsAhead, () => this.#table.end(connection));
+        const connection = new GuardedConnection(socket, {
+            limit: this.#options.requestsAhead,
+            onIdle: () => this.#table.end(connection),
+            onHold: () => this.#hold(connection),
+        });
         guarded.set(socket, connection);
+        this.#connections.add(connection);
         this.#table.add(connection);
         socket.once("close", () => {
+            this.#connections.delete(connection);
             this.#table.remove(connection);
             connection.endAll();
         });
@@ -98,6 +111,20 @@
         }
     }
 
+    /** Input of many connections is ready in the same turn, and each read of it runs to its end. */
+    #hold(reader: GuardedConnection): void {
+        if (this.#isHolding) {
+            return;
+        }
+        this.#isHolding = true;
+        const held = [...this.#connections].filter(connection => connection !== reader && !connection.isPaused);
+        held.forEach(connection => connection.stopHandle());
+        setImmediate(() => {
+            this.#isHolding = false;
+            held.filter(connection => !connection.isPaused).forEach(connection => connection.startHandle());
+        });
+    }
+
     #makeRoom(newest: GuardedConnection): void {
         const { endBusy, onLimit } = this.#options;
         const idle = this.#table.longestIdle;
@@ -120,23 +147,34 @@
     }
 }
 
+interface GuardedConnectionOptions {
+    readonly limit: number;
+    readonly onIdle: () => void;
+    readonly onHold: () => void;
+}
+
+/** The part of a socket that reads. Pausing a socket itself acts after one more read. */
+interface ReadingHandle {
+    reading: boolean;
+    readStart(): number;
+    readStop(): number;
+}
+
 class GuardedConnection {
     readonly socket: Socket;
-    readonly #limit: number;
-    readonly #onIdle: () => void;
+    readonly #options: GuardedConnectionOptions;
     readonly #turns: RequestTurn[] = [];
     #isPaused = false;
     #isStopped = false;
 
-    constructor(socket: Socket, limit: number, onIdle: () => void) {
+    constructor(socket: Socket, options: GuardedConnectionOptions) {
         this.socket = socket;
-        this.#limit = limit;
-        this.#onIdle = onIdle;
+        this.#options = options;
     }
 
     /** Whether no further request may be read before another one is answered. */
     get isFull(): boolean {
-        return this.#turns.length >= this.#limit;
+        return this.#turns.length >= this.#options.limit;
     }
 
     /** Whether nothing may be read from the connection. */
@@ -147,12 +185,34 @@
     pause(): void {
         this.#isPaused = true;
         this.socket.pause();
+        this.stopHandle();
     }
 
     resume(): void {
         if (!this.#isStopped) {
             this.#isPaused = false;
             this.socket.resume();
+            this.startHandle();
+        }
+    }
+
+    holdOthers(): void {
+        this.#options.onHold();
+    }
+
+    stopHandle(): void {
+        const handle = findHandle(this.socket);
+        if (handle?.reading === true) {
+            handle.reading = false;
+            handle.readStop();
+        }
+    }
+
+    startHandle(): void {
+        const handle = findHandle(this.socket);
+        if (handle?.reading === false && !this.socket.destroyed) {
+            handle.reading = true;
+            handle.readStart();
         }
     }
 
@@ -190,7 +250,7 @@
             this.#turns[0]?.start();
         }
         else {
-            this.#onIdle();
+            this.#options.onIdle();
             if (this.#isStopped) {
                 this.socket.destroySoon();
             }
@@ -228,3 +288,7 @@
         this.#onEnded();
     }
 }
+
+function findHandle(socket: Socket): ReadingHandle | undefined {
+    return (socket as unknown as { readonly _handle: ReadingHandle | null; })._handle ?? undefined;
+}
--- a/packages/ingress/src/caller/limits.ts
+++ b/packages/ingress/src/caller/limits.ts
@@ -40,7 +40,7 @@
         stallMs: limits.stallSeconds * 1_000,
         budget: new MemoryBudget(memory.callerBytes),
         watch: new TransferWatch(clock),
-        readTurns: new ReadTurns(),
+        readTurns: new ReadTurns(clock),
         report: (limit, fields = {}) => {
             metrics.recordLimit(limit);
             log.write(events[limit], fields);
