Contain errors of the gate that looks at requests first

What callers would see: an error while the gate describes a request ends the process, with all requests in progress; the pipeline's boundary begins after it. None is known; found by reading for calls that run outside of a catch. Cause: ArrivalGate.check runs in the callback of the server. Change: it has a boundary of its own, which records the error and lets the request on to the pipeline.

--- a/features/ingress.pressure.feature
+++ b/features/ingress.pressure.feature
@@ -62,3 +62,8 @@
     Then it refuses some of them with 503 and a Retry-After
     And it logs once that it is full and at most 4 lines about its refusals
     And its callers' work is counted as at least its whole processor
+
+  # Guards against an error in the gate, which runs outside of any request, that ends the process.
+  Scenario: An error in the gate ends neither the process nor the request
+    When an error occurs while a full host describes requests
+    Then the errors are counted and logged, and no request is refused
--- a/features/steps/ingress.pressure.ts
+++ b/features/steps/ingress.pressure.ts
@@ -1,6 +1,6 @@
 import { Given, Then, When } from "@cucumber/cucumber";
 import type { IngressRoute } from "@filbertrelay/configuration";
-import { ArrivalGate, pressureEvents } from "@filbertrelay/ingress";
+import { ArrivalGate, pressureEvents, requestEvents } from "@filbertrelay/ingress";
 import type { ActiveConfiguration } from "@filbertrelay/ingress";
 import { brandAs, createVirtualClock } from "@filbertrelay/kernel";
 import type { FailureDomainId, HostId } from "@filbertrelay/kernel";
@@ -35,6 +35,7 @@
     serving: readonly policy.ServingCandidate[];
     refusals: NonNullable<ReturnType<ArrivalGate["check"]>>[];
     lines: number[];
+    errors: number;
     workMs: number;
     playedMs: number;
 }
@@ -206,7 +207,11 @@
             log: { write: ({ number }) => void this.lines.push(number) },
             dialect: createPlatformDialect(),
             configuration: createConfiguration(),
-            metrics: { setPressure: () => undefined, recordPressureRefusals: () => undefined },
+            metrics: {
+                setPressure: () => undefined,
+                recordPressureRefusals: () => undefined,
+                recordInternalError: () => undefined,
+            },
             draw: () => 0.5,
             onRefused: () => this.workMs += requestMs,
             onPressed: (pressedMs, requests) =>
@@ -232,6 +237,41 @@
     },
 );
 
+When("an error occurs while a full host describes requests", function(this: PressureWorld) {
+    const clock = createVirtualClock();
+    Object.assign(this, { refusals: [], lines: [], errors: 0 });
+    const gate = new ArrivalGate({
+        clock,
+        log: { write: ({ number }) => void this.lines.push(number) },
+        dialect: createPlatformDialect(),
+        configuration: createConfiguration(),
+        metrics: {
+            setPressure: () => undefined,
+            recordPressureRefusals: () => undefined,
+            recordInternalError: () => this.errors += 1,
+        },
+        draw: () => 0.5,
+        onRefused: () => undefined,
+        onPressed: () => undefined,
+        busyMs: () => clock.monotonicMs(),
+        afterTurn: () => undefined,
+    });
+    const describe = (): never => {
+        throw new Error("A header can't be read.");
+    };
+    for (let count = 0; count < 20; count += 1) {
+        const refusal = gate.check({ hostname: "shop.example", target: "/a/", headers: describe }, clock.monotonicMs());
+        this.refusals.push(...(refusal === undefined ? [] : [refusal]));
+        clock.advance(200);
+    }
+});
+
+Then("the errors are counted and logged, and no request is refused", function(this: PressureWorld) {
+    assert.ok(this.errors > 0);
+    assert.equal(this.lines.filter(number => number === requestEvents.requestBroken.number).length, this.errors);
+    assert.equal(this.refusals.length, 0);
+});
+
 Then("it refuses some of them with {int} and a Retry-After", function(this: PressureWorld, status: number) {
     assert.ok(this.refusals.length > 0);
     assert.ok(this.refusals.every(refusal => refusal.status === status && (refusal.retryAfterMs ?? 0) > 0));
--- a/packages/ingress/src/pressure/arrivalgate.ts
+++ b/packages/ingress/src/pressure/arrivalgate.ts
@@ -2,7 +2,10 @@
 import { PressureAdmission, rankUrgencies } from "@filbertrelay/policy/ingress";
 import type { ArrivingRequest, HostPressure, PressureReason } from "@filbertrelay/policy/ingress";
 import type { Dialect, HeaderList } from "../contract.js";
+import { describeError } from "../describeerror.js";
+import { RequestBoundary } from "../request/boundary.js";
 import type { ErrorResponse } from "../request/errorresponse.js";
+import { requestEvents } from "../request/event.js";
 import type { ActiveConfiguration, ConfigurationState } from "../state/configuration.js";
 import type { IngressMetrics } from "../telemetry/metrics.js";
 import { pressureEvents as events } from "./event.js";
@@ -29,7 +32,7 @@
     readonly log: EventLog;
     readonly dialect: Dialect;
     readonly configuration: Pick<ConfigurationState, "current">;
-    readonly metrics: Pick<IngressMetrics, "recordPressureRefusals" | "setPressure">;
+    readonly metrics: Pick<IngressMetrics, "recordInternalError" | "recordPressureRefusals" | "setPressure">;
     /** Uniform in [0, 1). */
     readonly draw: () => number;
     /** Counts a refused request as demand. */
@@ -47,6 +50,10 @@
     readonly #options: ArrivalGateOptions;
     readonly #turns: TurnMeter;
     readonly #busyMs: () => number;
+    readonly #boundary = new RequestBoundary(error => {
+        this.#options.metrics.recordInternalError("request");
+        this.#options.log.write(requestEvents.requestBroken, { error: describeError(error) });
+    });
     readonly #admission: PressureAdmission;
     readonly #refused = new Map<PressureReason, Map<number, number>>();
     #isSummaryDue = false;
@@ -65,8 +72,16 @@
         });
     }
 
-    /** Returns the response of a request that the host doesn't take. */
+    /** Returns the response of a request that the host doesn't take. An error of this host is recorded, and the request taken. */
     check(head: ArrivingHead, nowMs: number): ErrorResponse | undefined {
+        let refusal: ErrorResponse | undefined;
+        this.#boundary.run(() => {
+            refusal = this.#check(head, nowMs);
+        });
+        return refusal;
+    }
+
+    #check(head: ArrivingHead, nowMs: number): ErrorResponse | undefined {
         let arriving: DescribedRequest | undefined;
         const decision = this.#admission.decide(nowMs, this.#turns.recordRead(nowMs), this.#busyMs, () => {
             arriving = this.#describe(head);
