--- a/packages/ingress/src/request/attempt.ts
+++ b/packages/ingress/src/request/attempt.ts
@@ -9,6 +9,7 @@
 import type { RequestBoundary } from "./boundary.js";
 import type { RequestContext } from "./context.js";
 import { requestEvents as events } from "./event.js";
+import { StreamReader } from "./streamreader.js";
 
 /** The result of an attempt. `notRun` guarantees that the endpoint has not executed the request and never will. */
 export type AttemptResult =
@@ -37,8 +38,6 @@
     onEnd(result: AttemptResult): void;
 }
 
-/** A batch of this size is flushed at once. */
-const batchBytes = 65_536;
 /** Longest idle time of a connection that is reused for a non-retryable request; a longer-idle connection may be closing. */
 const nonRetryableIdleMs = 3_000;
 /** Longest response that is buffered before it is forwarded. */
@@ -67,10 +66,7 @@
     readonly #memory: AnswerReservation;
     readonly #body = new ByteBuffer();
     #hasFirstEvent = false;
-    readonly #batch = new ByteBuffer();
-    #isBatching = false;
-    #isCallerFull = false;
-    #cancelBatchTimer: () => void = () => undefined;
+    readonly #reader: StreamReader;
 
     constructor(context: RequestContext, options: AttemptOptions, outgoing: EndpointRequest) {
         this.#context = context;
@@ -80,6 +76,14 @@
         this.#sentMs = context.clock.monotonicMs();
         this.startedAt = context.fleetClock.now();
         this.#memory = new AnswerReservation(context.answerMemory, options.endpoint.endpointId);
+        this.#reader = new StreamReader({
+            clock: context.clock,
+            pauseMs: context.streamPauseMs,
+            run: callback => this.#boundary?.run(callback),
+            forward: bytes => this.#handler?.onStreamBytes(bytes),
+            pause: () => this.#connection?.pause(),
+            resume: () => this.#connection?.resume(),
+        });
     }
 
     get endpoint(): EndpointRecord {
@@ -171,7 +175,7 @@
 
     /** Ends the attempt with a failure of the endpoint and closes the connection. */
     fail(failure: AttemptFailure | "malformed", detail: string): void {
-        this.#flushBatch();
+        this.#reader.flush();
         this.#finish({ type: "failed", detail }, failure === "malformed" ? "broken" : failure);
         this.#connection?.close(detail);
     }
@@ -184,7 +188,7 @@
                 // At least as long as until now.
                 this.#recordResult("answered");
             }
-            this.#cancelBatchTimer();
+            this.#reader.end();
             this.#memory.release();
             this.#context.loads.recordEnd(this.#loadKey);
             this.#connection?.close("The request was cancelled.");
@@ -193,13 +197,11 @@
 
     /** Stops reading from the endpoint until `resume`, for backpressure from the caller. */
     pause(): void {
-        this.#isCallerFull = true;
-        this.#connection?.pause();
+        this.#reader.hold();
     }
 
     resume(): void {
-        this.#isCallerFull = false;
-        this.#readOn();
+        this.#reader.continue();
     }
 
     /** Rejects a response with another request id: a late duplicate of an earlier response on the connection. */
@@ -259,7 +261,7 @@
     }
 
     onComplete(): void {
-        this.#flushBatch();
+        this.#reader.flush();
         const { status } = this;
         const description = this.#description;
         if (this.#mayBeStale()) {
@@ -294,7 +296,7 @@
         if (isRefused) {
             this.#context.recordRefusal(this.endpoint);
         }
-        this.#flushBatch();
+        this.#reader.flush();
         if (!wasSent) {
             this.#finish({ type: "notRun", hasArrived: false, detail }, "unreachable");
         }
@@ -313,7 +315,7 @@
             return;
         }
         this.#handler = undefined;
-        this.#cancelBatchTimer();
+        this.#reader.end();
         this.#memory.release();
         const { loads, health, clock, timings, paces } = this.#context;
         const { endpoint, objectiveMs } = this.#options;
@@ -351,43 +353,13 @@
         this.#context.rollouts.recordResult(this.endpoint, { route: this.#options.route, type, sentMs: this.#sentMs });
     }
 
-    /** Forwards bytes at once until the first event is complete, then all events of a read with one write. */
+    /** Forwards bytes at once until the first event is complete, then in steps. */
     #receiveStream(chunk: Buffer): void {
-        if (!this.#hasFirstEvent) {
-            this.#handler?.onStreamBytes(chunk);
-            return;
-        }
-        if (this.#batch.length === 0) {
-            queueMicrotask(() => this.#boundary?.run(() => this.#endRead()));
-        }
-        this.#batch.append(chunk);
-        if (this.#batch.length > batchBytes) {
-            this.#flushBatch();
-        }
-    }
-
-    /** Forwards what was read and leaves further events to the socket's buffer for a while. */
-    #endRead(): void {
-        this.#flushBatch();
-        if (this.#handler !== undefined && !this.#isBatching) {
-            this.#isBatching = true;
-            this.#connection?.pause();
-            this.#cancelBatchTimer = this.#context.clock.after(this.#context.streamPauseMs, () => {
-                this.#isBatching = false;
-                this.#readOn();
-            });
-        }
-    }
-
-    #readOn(): void {
-        if (!this.#isBatching && !this.#isCallerFull) {
-            this.#connection?.resume();
+        if (this.#hasFirstEvent) {
+            this.#reader.receive(chunk);
         }
-    }
-
-    #flushBatch(): void {
-        if (this.#batch.length > 0) {
-            this.#handler?.onStreamBytes(this.#batch.take());
+        else {
+            this.#handler?.onStreamBytes(chunk);
         }
     }
 
--- a/packages/ingress/src/request/ending.ts
+++ b/packages/ingress/src/request/ending.ts
@@ -66,3 +66,16 @@
         route: request.route.name,
     });
 }
+
+/** Tells the caller that its request may have run and has no complete answer; 503 would say that it has not run. */
+export function sendFailure(
+    responder: CallerResponder,
+    { reason, status }: { readonly reason: string; readonly status: number; },
+): void {
+    sendErrorResponse(responder, {
+        status: status === 503 ? 502 : status,
+        code: status === 504 ? "request.timeLimit" : "request.failed",
+        message: `No complete answer: ${reason}.`,
+        executed: "unknown",
+    });
+}
--- a/packages/ingress/src/request/task.ts
+++ b/packages/ingress/src/request/task.ts
@@ -10,7 +10,7 @@
 import { CallerStream } from "./callerstream.js";
 import type { RequestContext } from "./context.js";
 import { StreamContinuation } from "./continuation.js";
-import { recordEnding, sendRefusal } from "./ending.js";
+import { recordEnding, sendFailure, sendRefusal } from "./ending.js";
 import type { RequestOutcome } from "./ending.js";
 import {
     defaultRetryAfterMs,
@@ -20,7 +20,6 @@
     priorityOf,
     selectEndpoint,
 } from "./endpointselection.js";
-import { sendErrorResponse } from "./errorresponse.js";
 import { requestEvents as events } from "./event.js";
 import type { CallerResponder } from "./responder.js";
 import { SilenceTimer } from "./silencetimer.js";
@@ -359,13 +358,7 @@
             this.#finish("cut", reason);
         }
         else if (mayHaveRun) {
-            const code = status === 504 ? "request.timeLimit" : "request.failed";
-            sendErrorResponse(this.#responder, {
-                status: status === 503 ? 502 : status,
-                code,
-                message: `No complete answer: ${reason}.`,
-                executed: "unknown",
-            });
+            sendFailure(this.#responder, { reason, status });
             this.#finish("failed", reason);
         }
         else {
