End the hosts of a review case that is stopped

Cause: a case that was ended by its time limit left its hosts running. Change: the case ends what it started on SIGTERM and exits with 2.

--- a/review/standins-2/fleet.mjs
+++ b/review/standins-2/fleet.mjs
@@ -477,20 +477,24 @@
 export async function runCase(scriptUrl, play) {
     const record = new Record(scriptUrl);
     const parts = [];
-    let code = 2;
+    const finish = async code => {
+        for (const part of parts.reverse()) {
+            await (part.end?.() ?? part.stop?.());
+        }
+        record.write(code === 0 ? "the rule held" : code === 1 ? "the rule was broken" : "the case could not run");
+        record.save();
+        process.exit(code);
+    };
+    process.once("SIGTERM", () => void finish(2));
     try {
-        code = await play(record, part => {
+        const isHeld = await play(record, part => {
             parts.push(part);
             return part;
-        }) ? 0 : 1;
+        });
+        await finish(isHeld ? 0 : 1);
     }
     catch (error) {
         record.write(`could not run: ${error.stack}`);
+        await finish(2);
     }
-    for (const part of parts.reverse()) {
-        await (part.end?.() ?? part.stop?.());
-    }
-    record.write(code === 0 ? "the rule held" : code === 1 ? "the rule was broken" : "the case could not run");
-    record.save();
-    process.exit(code);
 }
