Give a silent endpoint up only for an attempt that starts in any case

Cause: the task ended a silent attempt as soon as another endpoint was open and the budget had room, and asked only then whether the next attempt may start. While the host stops and nothing is measured of the route, the answer is no, and the stream that the first endpoint would have finished was cut. The class: the old way is given up before the new one is certain.

Change: planAttempt and decideReplacement (packages/policy) plan the next attempt without effects on the current one; only a plan that is ready replaces it, in the same turn, and the retry is reserved last. The request's attempts are planned by AttemptPlanner, apart from the task.

Keeping both endpoints and taking the first that goes on was weighed and left: the users' rule TWICE forbids that a request goes on at another endpoint while the first one still works on it 400 ms later.

Evidence: 'A stream whose endpoint pauses while the host stops is whole' failed on (cut, not complete) and passes; in 3,000 seeded requests none is cut while its endpoint is sound.

--- a/features/ingress.stop.feature
+++ b/features/ingress.stop.feature
@@ -36,3 +36,15 @@
   Scenario: What is admitted ends before the stop
     Then in 2000 random stops no request that may not be repeated is admitted with a time limit beyond the stop
     And a repeatable one is admitted if it probably ends in time, including its wait for an endpoint
+
+  # Guards against giving up a sound endpoint for a pause when no other endpoint may take the rest of its stream any more.
+  Scenario: A stream whose endpoint pauses while the host stops is whole
+    Given an ingress with a store stand-in and two engines of each service
+    And engines that stream 3 events, pause for 1300 ms and stream 3 more
+    When a caller sends a "slowStream" request and the host is asked to stop
+    Then it is answered with 200
+    And its body has the events 1 to 6
+
+  Scenario: No attempt is given up before the next one is certain
+    Then in 3000 random requests none is cut while its endpoint is sound
+    And a silent endpoint is replaced whenever another one may take the request
--- a/features/steps/ingress.stop.ts
+++ b/features/steps/ingress.stop.ts
@@ -5,6 +5,7 @@
 import assert from "node:assert/strict";
 import { waitFor } from "../support/ingress.js";
 import type { CallerResponse } from "../support/ingress.js";
+import { replacementSchedules, simulateRequest } from "../support/replacementsimulation.js";
 import type { IngressWorld } from "./ingress.endpoint.js";
 
 interface StopWorld extends IngressWorld {
@@ -23,6 +24,18 @@
     );
 });
 
+Given(
+    "engines that stream {int} events, pause for {int} ms and stream {int} more",
+    function(this: StopWorld, before: number, pauseMs: number, after: number) {
+        const events = (from: number, count: number): string =>
+            Array.from({ length: count }, (_, index) => renderEvent(from + index)).join("");
+        this.ingress.setBehaviours((received, { send }) => {
+            send(renderStreamHead(received) + events(1, before));
+            setTimeout(() => send(events(before + 1, after) + streamEnd), pauseMs);
+        });
+    },
+);
+
 Given("engines that do not answer", function(this: StopWorld) {
     this.ingress.setBehaviours(() => undefined);
 });
@@ -67,6 +80,11 @@
     assert.ok(this.answer.isComplete);
 });
 
+Then("its body has the events {int} to {int}", function(this: StopWorld, first: number, last: number) {
+    const ids = [...this.answer.body.matchAll(/^id: (\d+)$/gm)].map(([, id]) => Number(id));
+    assert.deepEqual(ids, Array.from({ length: last - first + 1 }, (_, index) => first + index));
+});
+
 Then("it is answered with {int} before the stop ends", async function(this: StopWorld, status: number) {
     assert.equal(this.answer.status, status);
     assert.ok(this.answer.isComplete);
@@ -105,3 +123,22 @@
         { seed },
     );
 });
+
+Then("in {int} random requests none is cut while its endpoint is sound", (numRuns: number) => {
+    fc.assert(
+        fc.property(replacementSchedules, schedule => {
+            assert.equal(simulateRequest(schedule).isCut, false);
+        }),
+        { numRuns, seed },
+    );
+});
+
+Then("a silent endpoint is replaced whenever another one may take the request", () => {
+    fc.assert(
+        fc.property(replacementSchedules, schedule => {
+            const { silences } = simulateRequest(schedule);
+            silences.forEach(({ mayReplace, isReplaced }) => assert.equal(isReplaced, mayReplace));
+        }),
+        { seed },
+    );
+});
--- a/packages/ingress/src/request/attempt.ts
+++ b/packages/ingress/src/request/attempt.ts
@@ -11,9 +11,17 @@
 import { requestEvents as events } from "./event.js";
 import { StreamReader } from "./streamreader.js";
 
+/** A complete answer of an endpoint; a stream was forwarded already. */
+export interface AnsweredResult {
+    readonly type: "answered";
+    readonly status: number;
+    readonly body: Buffer;
+    readonly isStream: boolean;
+}
+
 /** The result of an attempt. `notRun` guarantees that the endpoint has not executed the request and never will. */
 export type AttemptResult =
-    | { readonly type: "answered"; readonly status: number; readonly body: Buffer; readonly isStream: boolean; }
+    | AnsweredResult
     | { readonly type: "notRun"; readonly hasArrived: boolean; readonly detail: string; }
     | { readonly type: "failed"; readonly detail: string; readonly isConnectionLost?: true; };
 
--- a/packages/ingress/src/request/endpointselection.ts
+++ b/packages/ingress/src/request/endpointselection.ts
@@ -23,7 +23,7 @@
     readonly choice: EndpointChoice;
 }
 
-/** Chooses one of the endpoints that was not tried yet and records the demand of the request; `undefined` without a candidate. */
+/** Chooses one of the endpoints that was not tried yet; `undefined` without a candidate. */
 export function selectEndpoint(
     context: RequestContext,
     request: AdmittedRequest,
@@ -31,7 +31,6 @@
     tried: ReadonlySet<EndpointId>,
 ): SelectedEndpoint | undefined {
     const choice = chooseEndpoint(context, request, { endpoints, tried });
-    recordDemand(context, request, choice);
     const endpoint = endpoints.find(({ endpointId }) => endpointId === choice?.endpointId);
     return choice === undefined || endpoint === undefined ? undefined : { endpoint, choice };
 }
@@ -102,7 +101,7 @@
 }
 
 /** Records the engine time that the prompt and its output will take, also for requests that are then rejected. */
-function recordDemand(
+export function recordDemand(
     { timings, demand, clock }: RequestContext,
     { description: { prompt }, service }: AdmittedRequest,
     choice: EndpointChoice | undefined,
--- a/packages/ingress/src/request/event.ts
+++ b/packages/ingress/src/request/event.ts
@@ -26,6 +26,12 @@
         text: "An attempt failed or its response is not usable.",
         action: "If it recurs, look for other failures of the same endpoint.",
     },
+    endpointSilent: {
+        number: 4315,
+        level: "info",
+        text: "An endpoint has been silent for long during an attempt.",
+        action: "None; `decision` says whether the request goes on elsewhere, or why it waits for this endpoint.",
+    },
     limitChanged: {
         number: 4308,
         level: "info",
--- a/packages/ingress/src/request/task.ts
+++ b/packages/ingress/src/request/task.ts
@@ -1,25 +1,19 @@
-import type { EndpointId } from "@filbertrelay/kernel";
 import type { EndpointChoice, RequestTraits } from "@filbertrelay/policy/ingress";
-import type { EndpointRecord } from "../contract.js";
+import { match } from "ts-pattern";
 import { describeError } from "../describeerror.js";
-import { decideAdmission, isEndedBeforeStop } from "./admission.js";
+import { decideAdmission } from "./admission.js";
 import type { AdmittedRequest } from "./admitted.js";
 import { Attempt } from "./attempt.js";
-import type { AttemptResult } from "./attempt.js";
+import type { AnsweredResult, AttemptResult } from "./attempt.js";
+import { AttemptPlanner } from "./attemptplanner.js";
 import { RequestBoundary } from "./boundary.js";
 import { CallerStream } from "./callerstream.js";
 import type { RequestContext } from "./context.js";
 import { StreamContinuation } from "./continuation.js";
 import { recordEnding, sendFailure, sendRefusal } from "./ending.js";
 import type { RequestOutcome } from "./ending.js";
-import {
-    defaultRetryAfterMs,
-    estimateRetryAfterMs,
-    isRepeatable,
-    listOpenEndpoints,
-    priorityOf,
-    selectEndpoint,
-} from "./endpointselection.js";
+import { defaultRetryAfterMs, estimateRetryAfterMs, priorityOf } from "./endpointselection.js";
+import type { SelectedEndpoint } from "./endpointselection.js";
 import { requestEvents as events } from "./event.js";
 import type { CallerResponder } from "./responder.js";
 import { SilenceTimer } from "./silencetimer.js";
@@ -36,18 +30,16 @@
     readonly #responder: CallerResponder;
     readonly #onEnd: () => void;
     readonly #boundary = new RequestBoundary(error => this.#breakDown(error));
-    readonly #tried = new Set<EndpointId>();
+    readonly #planner: AttemptPlanner;
     readonly #stream: CallerStream;
     readonly #continuation: StreamContinuation;
     readonly #silence: SilenceTimer;
     readonly #traits: RequestTraits;
     #attempt: Attempt | undefined;
-    #attempts = 0;
-    #executions = 0;
     #isEnded = false;
     #isUsageRecorded = false;
-    /** A retry was already charged to the budget when the current attempt was ended for silence. */
-    #isRetryReserved = false;
+    /** The attempt that follows the current one, which is being ended for it; charged to the budget already. */
+    #replacement: SelectedEndpoint | undefined;
     #cancelDeadline: () => void = () => undefined;
     #firstEventMs: number | undefined;
 
@@ -64,6 +56,7 @@
             this.#boundary.guard(() => this.#fail("the caller has come back", 502, undefined)),
         );
         this.#traits = describeTraits(request);
+        this.#planner = new AttemptPlanner(context, request, this.#continuation, this.#traits);
         this.#silence = new SilenceTimer({
             clock: context.clock,
             route: request.route,
@@ -106,32 +99,22 @@
         if (this.#isEnded) {
             return;
         }
-        const decision = this.#context.quarantine.decide(this.#traits, this.#context.clock.monotonicMs());
-        if (decision.type === "reject") {
-            this.#fail(`${decision.cause} crashes endpoints`, 503, decision.retryAfterMs);
-            return;
-        }
-        const selected = selectEndpoint(this.#context, this.#request, this.#listOpenEndpoints(), this.#tried);
-        if (selected === undefined) {
-            this.#fail("no endpoint", 503, estimateRetryAfterMs(this.#context, this.#request.service));
-            return;
-        }
-        if (!isEndedBeforeStop(this.#context, this.#request, selected.choice, this.#isRetryable())) {
-            this.#fail("this host stops", 503, stoppingRetryMs);
-            return;
-        }
-        if (this.#attempts === 0 && !this.#admit(selected.choice)) {
-            return;
-        }
-        this.#send(selected.endpoint, selected.choice, this.#request.route.kind === "stream");
-    }
-
-    /** The endpoints that may take the request, or the rest of it, now. */
-    #listOpenEndpoints(): readonly EndpointRecord[] {
-        const { service } = this.#request;
-        const open = listOpenEndpoints(this.#context, service).filter(endpoint => this.#continuation.accepts(endpoint));
-        const traits = { isContinued: this.#continuation.isBound, isRepeated: this.#attempts > 0 };
-        return this.#context.rollouts.select(service, open, traits);
+        match(this.#planner.plan())
+            .with(
+                { type: "quarantined" },
+                ({ cause, retryAfterMs }) => this.#fail(`${cause} crashes endpoints`, 503, retryAfterMs),
+            )
+            .with(
+                { type: "noEndpoint" },
+                () => this.#fail("no endpoint", 503, estimateRetryAfterMs(this.#context, this.#request.service)),
+            )
+            .with({ type: "stopping" }, () => this.#fail("this host stops", 503, stoppingRetryMs))
+            .with({ type: "ready" }, ({ selected }) => {
+                if (this.#planner.attempts > 0 || this.#admit(selected.choice)) {
+                    this.#send(selected);
+                }
+            })
+            .exhaustive();
     }
 
     /** Ends the request, since the host stops now. */
@@ -148,12 +131,11 @@
         return decision.started;
     }
 
-    #send(endpoint: EndpointRecord, choice: EndpointChoice, isStream: boolean): void {
+    #send({ endpoint, choice }: SelectedEndpoint): void {
         const { caller, description, requestId, customer, deadlineMs } = this.#request;
         const { clock, dialect, log, promptCaches } = this.#context;
         const remainingMs = Math.max(1, Math.floor(deadlineMs - clock.monotonicMs()));
-        this.#attempts += 1;
-        this.#tried.add(endpoint.endpointId);
+        this.#planner.recordSent(endpoint.endpointId);
         const headers = dialect.forwardHeaders(caller.headers, {
             endpointId: endpoint.endpointId,
             remainingMs,
@@ -165,7 +147,7 @@
             requestId,
             endpoint: endpoint.endpointId,
             softwareVersion: endpoint.softwareVersion,
-            attempt: this.#attempts,
+            attempt: this.#planner.attempts,
             expectedStartMs: Math.round(choice.expectedStartMs),
             tokensToCompute: Math.round(choice.tokensToCompute),
             running: choice.running,
@@ -178,15 +160,15 @@
         this.#stream.restart();
         const attempt = new Attempt(this.#context, {
             requestId,
-            number: this.#attempts,
+            number: this.#planner.attempts,
             route: this.#request.route.name,
             endpoint,
             priority: priorityOf(this.#request),
             tokens: choice.tokensToCompute,
             isEndpointIdle: choice.isIdle,
             objectiveMs: this.#request.route.objectiveMs,
-            isRepeatable: this.#isRetryable(),
-            isStream,
+            isRepeatable: this.#planner.isRepeatable,
+            isStream: this.#request.route.kind === "stream",
         }, { method: caller.method, target: caller.target, headers, body: caller.body });
         this.#attempt = attempt;
         this.#restartSilenceTimer(choice.expectedStartMs, false);
@@ -226,30 +208,25 @@
         this.#silence.cancel();
         this.#attempt = undefined;
         if (result.type !== "notRun") {
-            this.#executions += 1;
+            this.#planner.recordExecution();
         }
         const crashExamined = this.#recordOutcome(attempt, result);
         // Nothing but the rest of a stream can follow what the caller already has of it.
-        const isUsable = result.type === "answered" && (result.isStream || !this.#stream.isBegun);
-        const isFinal = isUsable && (result.isStream || result.status < 500);
-        // An attempt that never reached an endpoint is not charged to the retry budget.
-        const isExempt = result.type === "notRun" && !result.hasArrived;
-        const isRepeated = !isFinal && (result.type === "notRun" || this.#mayRetry()) &&
-            (isExempt || this.#isRetryReserved || this.#reserveRetry());
-        this.#isRetryReserved = false;
-        if (isUsable && !isRepeated) {
-            this.#deliver(attempt, result);
+        if (result.type === "answered" && (result.isStream || !this.#stream.isBegun)) {
+            this.#finishAnswered(attempt, result);
             return;
         }
-        this.#context.log.write(events.attemptFailed, {
-            requestId: this.#request.requestId,
-            endpoint: attempt.endpointId,
-            result: result.type,
-            detail: result.type === "answered" ? `status ${result.status}` : result.detail,
-            hasProgress: attempt.hasProgress,
-            parts: this.#request.description.prompt?.parts.map(({ id }) => id),
-            isRepeated,
-        });
+        const replacement = this.#replacement;
+        this.#replacement = undefined;
+        if (replacement !== undefined) {
+            this.#logFailure(attempt, result, true);
+            this.#send(replacement);
+            return;
+        }
+        // An attempt that never reached an endpoint is not charged to the retry budget.
+        const isExempt = result.type === "notRun" && !result.hasArrived;
+        const isRepeated = (result.type === "notRun" || this.#planner.mayRetry) && (isExempt || this.#planner.reserveRetry());
+        this.#logFailure(attempt, result, isRepeated);
         if (isRepeated) {
             // A request that crashes endpoints is recognised before it is sent to the next one.
             void crashExamined?.then(this.#boundary.guard(() => this.#dispatch()));
@@ -264,6 +241,30 @@
         this.#fail(result.type === "answered" ? "error" : result.detail, 502, undefined);
     }
 
+    /** Delivers what an endpoint has answered, unless it is a failure that another endpoint may replace. */
+    #finishAnswered(attempt: Attempt, result: AnsweredResult): void {
+        const isFailure = !result.isStream && result.status >= 500;
+        if (isFailure && this.#planner.mayRetry && this.#planner.reserveRetry()) {
+            this.#logFailure(attempt, result, true);
+            this.#dispatch();
+        }
+        else {
+            this.#deliver(attempt, result);
+        }
+    }
+
+    #logFailure(attempt: Attempt, result: AttemptResult, isRepeated: boolean): void {
+        this.#context.log.write(events.attemptFailed, {
+            requestId: this.#request.requestId,
+            endpoint: attempt.endpointId,
+            result: result.type,
+            detail: result.type === "answered" ? `status ${result.status}` : result.detail,
+            hasProgress: attempt.hasProgress,
+            parts: this.#request.description.prompt?.parts.map(({ id }) => id),
+            isRepeated,
+        });
+    }
+
     /** Records whether the endpoint has survived the request; the promise resolves when that is known. */
     #recordOutcome(attempt: Attempt, result: AttemptResult): Promise<void> | undefined {
         if (result.type === "answered") {
@@ -284,7 +285,7 @@
         }
     }
 
-    #deliver(attempt: Attempt, result: Extract<AttemptResult, { type: "answered"; }>): void {
+    #deliver(attempt: Attempt, result: AnsweredResult): void {
         const { clock, timings } = this.#context;
         timings.recordDuration(this.#request.route.name, clock.monotonicMs() - attempt.sentMs);
         this.#recordUsage(attempt.startedAt);
@@ -301,33 +302,26 @@
         this.#finish("answered", `status ${result.status}`);
     }
 
-    #reserveRetry(): boolean {
-        const { retryBudget, reach, clock } = this.#context;
-        return retryBudget.tryRetry(this.#request.service, reach().knownHosts, clock.monotonicMs());
-    }
-
-    /** Whether the request may be executed on one more endpoint. */
-    #mayRetry(): boolean {
-        return this.#isRetryable() && this.#executions < this.#request.route.maximumAttempts;
-    }
-
-    #isRetryable(): boolean {
-        return isRepeatable(this.#request.route);
-    }
-
     #restartSilenceTimer(expectedStartMs: number, hasStarted: boolean): void {
-        const isRepeatable = this.#isRetryable() && this.#executions + 1 < this.#request.route.maximumAttempts;
-        this.#silence.restart({ expectedStartMs, hasStarted, isRepeatable });
+        this.#silence.restart({ expectedStartMs, hasStarted, isRepeatable: this.#planner.mayRetryAfterCurrent });
     }
 
-    /** Retries on another endpoint; without another endpoint or retry budget, keeps waiting for the silent one. */
+    /** Goes on at another endpoint if one takes the request for certain; else keeps waiting for the silent one. */
     #handleSilence(limitMs: number, progress: AttemptProgress): void {
-        const hasAlternative = this.#listOpenEndpoints().some(({ endpointId }) => !this.#tried.has(endpointId));
-        if (!hasAlternative || !this.#reserveRetry()) {
+        const decision = this.#planner.decideReplacement();
+        this.#context.log.write(events.endpointSilent, {
+            requestId: this.#request.requestId,
+            endpoint: this.#attempt?.endpointId,
+            silentMs: Math.round(limitMs),
+            events: this.#stream.count,
+            decision: decision.type === "replace" ? decision.type : decision.reason,
+            stopLeftMs: finiteOrUndefined(this.#context.stopLeftMs()),
+        });
+        if (decision.type === "keep") {
             this.#silence.restart(progress);
             return;
         }
-        this.#isRetryReserved = true;
+        this.#replacement = decision.selected;
         this.#attempt?.fail("silent", `The endpoint was silent for ${Math.round(limitMs)} ms.`);
     }
 
@@ -352,7 +346,7 @@
 
     /** Ends the request without an endpoint's response: rejected if it was certainly not executed, else with the given status. */
     #fail(reason: string, status: number, retryAfterMs: number | undefined): void {
-        const mayHaveRun = this.#executions > 0 || this.#attempt !== undefined;
+        const mayHaveRun = this.#planner.executions > 0 || this.#attempt !== undefined;
         if (this.#stream.isBegun) {
             this.#responder.abort();
             this.#finish("cut", reason);
@@ -392,9 +386,14 @@
         recordEnding(this.#context, this.#request, {
             outcome,
             reason,
-            sends: this.#attempts,
+            sends: this.#planner.attempts,
             events: this.#stream.count,
             firstEventMs: this.#firstEventMs,
         });
     }
 }
+
+/** A rounded number for a log line, which holds no infinity. */
+function finiteOrUndefined(value: number): number | undefined {
+    return Number.isFinite(value) ? Math.round(value) : undefined;
+}
--- a/packages/policy/src/ingress/index.ts
+++ b/packages/policy/src/ingress/index.ts
@@ -8,6 +8,7 @@
 export type { EndpointCrash, InterruptedRequest, RequestTrait, RequestTraits } from "../suspects/crash.js";
 export * from "../suspects/quarantine.js";
 export * from "./answermemory.js";
+export * from "./attemptplan.js";
 export * from "./connectiontable.js";
 export * from "./demandmeter.js";
 export * from "./directorychoice.js";
