Pass on the failure of an endpoint if no other endpoint may take the request

What callers saw: in a planned stop, 502 of the host in place of the endpoint's own 500 with its signature.

Cause: the same class as the silent endpoint: the answer was dropped once the budget had paid for a retry, and only then it was found that no endpoint may take the request any more (stop, quarantine, no endpoint).

Change: the answer is replaced only if decideReplacement has an attempt that starts; else it is delivered.

Evidence: 'The failure of an endpoint is passed on if no other endpoint may take the request' failed on (502, expected 500) and passes.

--- a/features/ingress.stop.feature
+++ b/features/ingress.stop.feature
@@ -45,6 +45,14 @@
     Then it is answered with 200
     And its body has the events 1 to 6
 
+  # Guards against replacing an endpoint's own answer by a failure of this host.
+  Scenario: The failure of an endpoint is passed on if no other endpoint may take the request
+    Given an ingress with a store stand-in and two engines of each service
+    And engines that answer 500 after 300 ms
+    When a caller sends a "slowLookup" request and the host is asked to stop
+    Then it is answered with 500
+    And its body is that of the endpoint
+
   Scenario: No attempt is given up before the next one is certain
     Then in 3000 random requests none is cut while its endpoint is sound
     And a silent endpoint is replaced whenever another one may take the request
--- a/features/steps/ingress.stop.ts
+++ b/features/steps/ingress.stop.ts
@@ -1,5 +1,5 @@
 import { Given, Then, When } from "@cucumber/cucumber";
-import { renderEvent, renderStreamHead, streamEnd } from "@filbertrelay/platform/standins";
+import { renderEvent, renderResponse, renderStreamHead, streamEnd } from "@filbertrelay/platform/standins";
 import { endsBeforeStop } from "@filbertrelay/policy";
 import fc from "fast-check";
 import assert from "node:assert/strict";
@@ -13,6 +13,9 @@
     answer: CallerResponse;
 }
 
+/** The body of a failure that an endpoint has answered. */
+const endpointBody = "the endpoint's own words";
+
 // A failed property prints this seed with the counterexample.
 const seed = 20_261_205;
 
@@ -36,6 +39,12 @@
     },
 );
 
+Given("engines that answer {int} after {int} ms", function(this: StopWorld, status: number, delayMs: number) {
+    this.ingress.setBehaviours((received, { send }) =>
+        void setTimeout(() => send(renderResponse(received, { status, body: endpointBody })), delayMs)
+    );
+});
+
 Given("engines that do not answer", function(this: StopWorld) {
     this.ingress.setBehaviours(() => undefined);
 });
@@ -85,6 +94,10 @@
     assert.deepEqual(ids, Array.from({ length: last - first + 1 }, (_, index) => first + index));
 });
 
+Then("its body is that of the endpoint", function(this: StopWorld) {
+    assert.equal(this.answer.body, endpointBody);
+});
+
 Then("it is answered with {int} before the stop ends", async function(this: StopWorld, status: number) {
     assert.equal(this.answer.status, status);
     assert.ok(this.answer.isComplete);
--- a/packages/ingress/src/request/task.ts
+++ b/packages/ingress/src/request/task.ts
@@ -244,9 +244,10 @@
     /** Delivers what an endpoint has answered, unless it is a failure that another endpoint may replace. */
     #finishAnswered(attempt: Attempt, result: AnsweredResult): void {
         const isFailure = !result.isStream && result.status >= 500;
-        if (isFailure && this.#planner.mayRetry && this.#planner.reserveRetry()) {
+        const decision = isFailure && this.#planner.mayRetry ? this.#planner.decideReplacement() : undefined;
+        if (decision?.type === "replace") {
             this.#logFailure(attempt, result, true);
-            this.#dispatch();
+            this.#send(decision.selected);
         }
         else {
             this.#deliver(attempt, result);
