--- a/packages/standins/src/proxyroute.ts
+++ b/packages/standins/src/proxyroute.ts
@@ -10,6 +10,8 @@
     readonly dropRate?: number | undefined;
     /** `silent`: nothing passes until it is healed; `refuse`: new connections are closed and existing ones reset. */
     readonly partition?: "none" | "silent" | "refuse" | undefined;
+    /** Whether nothing listens for new connections, while existing ones live on. */
+    readonly refusesNew?: boolean | undefined;
     /** The next N replies are lost after the request was passed on. */
     readonly loseReplies?: number | undefined;
 }
@@ -92,6 +94,9 @@
         if (faults.partition !== undefined) {
             this.#setPartition(faults.partition);
         }
+        if (faults.refusesNew !== undefined && faults.refusesNew === this.#server.listening) {
+            this.#setListening(!faults.refusesNew);
+        }
     }
 
     /** Existing connections go silent for good; new ones work. */
@@ -115,6 +120,16 @@
         return new Promise(resolve => this.#server.close(() => resolve()));
     }
 
+    #setListening(isListening: boolean): void {
+        if (isListening) {
+            const { host, port } = splitAddress(this.#listen);
+            this.#server.listen(port, host);
+        }
+        else {
+            this.#server.close();
+        }
+    }
+
     #setPartition(partition: "none" | "silent" | "refuse"): void {
         this.#partition = partition;
         if (partition === "refuse") {
