--- a/features/steps/ingress.stop.ts
+++ b/features/steps/ingress.stop.ts
@@ -1,10 +1,11 @@
 import { Given, Then, When } from "@cucumber/cucumber";
-import { renderEvent, renderStreamHead, streamEnd } from "@filbertrelay/platform/standins";
+import { renderEvent, renderResponse, renderStreamHead, streamEnd } from "@filbertrelay/platform/standins";
 import { endsBeforeStop } from "@filbertrelay/policy";
 import fc from "fast-check";
 import assert from "node:assert/strict";
 import { waitFor } from "../support/ingress.js";
 import type { CallerResponse } from "../support/ingress.js";
+import { replacementSchedules, simulateRequest } from "../support/replacementsimulation.js";
 import type { IngressWorld } from "./ingress.endpoint.js";
 
 interface StopWorld extends IngressWorld {
@@ -12,6 +13,9 @@
     answer: CallerResponse;
 }
 
+/** The body of a failure that an endpoint has answered. */
+const endpointBody = "the endpoint's own words";
+
 // A failed property prints this seed with the counterexample.
 const seed = 20_261_205;
 
@@ -23,6 +27,24 @@
     );
 });
 
+Given(
+    "engines that stream {int} events, pause for {int} ms and stream {int} more",
+    function(this: StopWorld, before: number, pauseMs: number, after: number) {
+        const events = (from: number, count: number): string =>
+            Array.from({ length: count }, (_, index) => renderEvent(from + index)).join("");
+        this.ingress.setBehaviours((received, { send }) => {
+            send(renderStreamHead(received) + events(1, before));
+            setTimeout(() => send(events(before + 1, after) + streamEnd), pauseMs);
+        });
+    },
+);
+
+Given("engines that answer {int} after {int} ms", function(this: StopWorld, status: number, delayMs: number) {
+    this.ingress.setBehaviours((received, { send }) =>
+        void setTimeout(() => send(renderResponse(received, { status, body: endpointBody })), delayMs)
+    );
+});
+
 Given("engines that do not answer", function(this: StopWorld) {
     this.ingress.setBehaviours(() => undefined);
 });
@@ -67,6 +89,15 @@
     assert.ok(this.answer.isComplete);
 });
 
+Then("its body has the events {int} to {int}", function(this: StopWorld, first: number, last: number) {
+    const ids = [...this.answer.body.matchAll(/^id: (\d+)$/gm)].map(([, id]) => Number(id));
+    assert.deepEqual(ids, Array.from({ length: last - first + 1 }, (_, index) => first + index));
+});
+
+Then("its body is that of the endpoint", function(this: StopWorld) {
+    assert.equal(this.answer.body, endpointBody);
+});
+
 Then("it is answered with {int} before the stop ends", async function(this: StopWorld, status: number) {
     assert.equal(this.answer.status, status);
     assert.ok(this.answer.isComplete);
@@ -105,3 +136,22 @@
         { seed },
     );
 });
+
+Then("in {int} random requests none is cut while its endpoint is sound", (numRuns: number) => {
+    fc.assert(
+        fc.property(replacementSchedules, schedule => {
+            assert.equal(simulateRequest(schedule).isCut, false);
+        }),
+        { numRuns, seed },
+    );
+});
+
+Then("a silent endpoint is replaced whenever another one may take the request", () => {
+    fc.assert(
+        fc.property(replacementSchedules, schedule => {
+            const { silences } = simulateRequest(schedule);
+            silences.forEach(({ mayReplace, isReplaced }) => assert.equal(isReplaced, mayReplace));
+        }),
+        { seed },
+    );
+});
