Bound streamed replies between hosts by what their receiver takes

A streamed reply was bounded by the socket's buffer only, so a receiver that reads slowly queued it without bound, and all streams of a connection wrote one frame each whenever the buffer had drained.

A topic may now declare a window; the receiver says what it has taken with an event on the same connection. Streams that wait for the buffer take turns. A call may have a time limit of its own for sending, after which it is certain that nothing was sent.

--- a/packages/wire/src/call.ts
+++ b/packages/wire/src/call.ts
@@ -5,12 +5,21 @@
 import type { CallOptions, PeerIssue, Topic } from "./network.js";
 import { validateShape } from "./shape.js";
 
+/** Part of the window of a topic after which its receiver says what it has taken. */
+const takenShare = 0.25;
+
+interface Received<Item> {
+    readonly item: Item;
+    readonly bytes: number;
+}
+
 /** A call in progress, from choosing a connection to the end of the reply. */
 export class Call<Reply extends z.ZodType> {
     readonly #clock: Clock;
     readonly #topic: Topic<z.ZodType, Reply>;
     readonly #options: CallOptions;
-    readonly #queue: Outcome<z.output<Reply>, PeerIssue>[] = [];
+    readonly #queue: Received<Outcome<z.output<Reply>, PeerIssue>>[] = [];
+    #takenBytes = 0;
     #isEnded = false;
     #isSent = false;
     #notify: (() => void) | undefined;
@@ -32,7 +41,7 @@
             return;
         }
         this.#options.signal?.addEventListener("abort", this.#onAbort, { once: true });
-        this.#restartTimer();
+        this.#restartTimer(this.#options.sendTimeoutMs);
         for (let attempt = 1; !this.#isEnded; attempt++) {
             const connection = await connect();
             if (this.#isEnded) {
@@ -71,13 +80,24 @@
         while (this.#queue.length === 0 && !this.#isEnded) {
             await new Promise<void>(resolve => this.#notify = resolve);
         }
-        return this.#queue.shift();
+        const received = this.#queue.shift();
+        this.#recordTaken(received?.bytes ?? 0);
+        return received?.item;
+    }
+
+    #recordTaken(bytes: number): void {
+        const { windowBytes } = this.#topic;
+        this.#takenBytes += bytes;
+        if (windowBytes !== undefined && this.#takenBytes >= windowBytes * takenShare && !this.#isEnded && this.#id !== undefined) {
+            this.#connection?.recordTaken(this.#id, this.#takenBytes);
+            this.#takenBytes = 0;
+        }
     }
 
     #send(connection: PeerConnection, body: unknown): PeerIssue | undefined {
         const id = connection.request(body, {
             topic: this.#topic.name,
-            onBody: received => this.#receive(received),
+            onBody: (received, bytes) => this.#receive(received, bytes),
             onEnd: issue => this.#end(issue === undefined ? undefined : failure(issue)),
         });
         if (typeof id !== "number") {
@@ -86,23 +106,23 @@
         this.#isSent = true;
         this.#connection = connection;
         this.#id = id;
+        this.#restartTimer();
         return undefined;
     }
 
-    #receive(body: unknown): void {
+    #receive(body: unknown, bytes: number): void {
         const checked = validateShape(this.#topic.reply, body);
         if (!checked.success) {
             this.#fail("peer.invalid", z.prettifyError(checked.error));
             return;
         }
         this.#restartTimer();
-        this.#queue.push(success(checked.data));
+        this.#queue.push({ item: success(checked.data), bytes });
         this.#notify?.();
     }
 
-    #restartTimer(): void {
+    #restartTimer(timeoutMs = this.#options.timeoutMs): void {
         this.#cancelTimer?.();
-        const { timeoutMs } = this.#options;
         this.#cancelTimer = this.#clock.after(timeoutMs, () => {
             this.#fail("peer.timeout", `No reply from the peer within ${timeoutMs} ms.`);
         });
@@ -121,8 +141,8 @@
     }
 
     #end(last: Outcome<z.output<Reply>, PeerIssue> | undefined): void {
-        if (last !== undefined && !this.#queue.some(item => !item.ok)) {
-            this.#queue.push(last);
+        if (last !== undefined && !this.#queue.some(({ item }) => !item.ok)) {
+            this.#queue.push({ item: last, bytes: 0 });
         }
         this.#settle();
     }
--- a/packages/wire/src/connection.ts
+++ b/packages/wire/src/connection.ts
@@ -10,12 +10,13 @@
 const heartbeatReplyTopic = "connection.heartbeatReply";
 const cancelTopic = "connection.cancel";
 const goodbyeTopic = "connection.goodbye";
+const takenTopic = "connection.taken";
 
 /** Receives the reply to one call. */
 export interface CallSink {
     readonly topic: string;
-    /** One reply, or one chunk of a streamed reply. */
-    onBody(body: unknown): void;
+    /** One reply, or one chunk of a streamed reply, with the size of its frame. */
+    onBody(body: unknown, bytes: number): void;
     /** The reply is complete; `issue` is present when it failed. */
     onEnd(issue?: PeerIssue): void;
 }
@@ -128,6 +129,13 @@
         }
     }
 
+    /** Tells the peer how many bytes of its streamed reply were taken since the last time. */
+    recordTaken(id: number, bytes: number): void {
+        if (this.#frames.isOpen) {
+            this.#send({ kind: "event", topic: takenTopic, id, body: bytes }, takenTopic);
+        }
+    }
+
     /** Resets the silence timeout after a pause of this process, which may have left received bytes unread. */
     resetSilence(): void {
         this.#waitingSinceMs = undefined;
@@ -177,12 +185,13 @@
         return this.#waitingSinceMs === undefined ? 0 : this.#options.clock.monotonicMs() - this.#waitingSinceMs;
     }
 
-    #send(frame: Frame, topic: string): string | undefined {
+    #send(frame: Frame, topic: string, onSent?: (bytes: number) => void): string | undefined {
         const sent = this.#frames.send(frame);
         if (!sent.ok) {
             return sent.issue.message;
         }
         this.#options.traffic.sent(topic, sent.value);
+        onSent?.(sent.value);
         return undefined;
     }
 
@@ -200,7 +209,7 @@
                 this.#receiveEvent(frame);
                 break;
             default:
-                this.#receiveReply(frame);
+                this.#receiveReply(frame, bytes);
         }
     }
 
@@ -217,13 +226,16 @@
         else if (frame.topic === cancelTopic) {
             this.#inboundCalls.get(frame.id)?.abort(new Error("The caller cancelled the call."));
         }
+        else if (frame.topic === takenTopic && typeof frame.body === "number") {
+            this.#inboundCalls.get(frame.id)?.window.recordTaken(frame.body);
+        }
         else if (frame.topic === goodbyeTopic) {
             this.#isPeerDraining = true;
             this.drain();
         }
     }
 
-    #receiveReply(frame: Frame): void {
+    #receiveReply(frame: Frame, bytes: number): void {
         const sink = this.#outboundCalls.get(frame.id);
         if (sink === undefined) {
             return;
@@ -236,7 +248,7 @@
             return;
         }
         if (frame.kind !== "end") {
-            sink.onBody(frame.body);
+            sink.onBody(frame.body, bytes);
         }
         if (frame.kind !== "chunk") {
             sink.onEnd();
@@ -252,18 +264,18 @@
         this.#inboundCalls.set(frame.id, call);
         this.#lastHeartbeatMs = this.#options.clock.monotonicMs();
         const channel = {
-            send: (kind: "reply" | "chunk" | "end", body: unknown) => this.#sendReply(frame, kind, body),
+            send: (kind: "reply" | "chunk" | "end", body: unknown) => this.#sendReply(frame, call, { kind, body }),
             waitForDrain: () => this.#frames.waitForDrain(),
         };
         void this.#options.handlers.run(frame.topic, frame.body, call, channel)
             .then(issue => this.#finishRequest(frame, issue));
     }
 
-    #sendReply(request: Frame, kind: "reply" | "chunk" | "end", body: unknown): string | undefined {
+    #sendReply(request: Frame, call: InboundCall, reply: Pick<Frame, "kind" | "body">): string | undefined {
         if (!this.#frames.isOpen) {
             return "The connection closed.";
         }
-        return this.#send({ kind, topic: "", id: request.id, body }, request.topic);
+        return this.#send({ ...reply, topic: "", id: request.id }, request.topic, bytes => call.window.recordSent(bytes));
     }
 
     #finishRequest(request: Frame, issue: Frame["issue"]): void {
--- a/packages/wire/src/framesocket.ts
+++ b/packages/wire/src/framesocket.ts
@@ -10,6 +10,7 @@
     readonly #socket: Socket;
     readonly #reader: FrameReader;
     readonly #closeCallbacks: ((reason: string) => void)[] = [];
+    readonly #drainCallbacks: (() => void)[] = [];
     #handler: FrameHandler | undefined;
     #closeReason: string | undefined;
 
@@ -18,6 +19,7 @@
         this.#reader = new FrameReader(limitBytes);
         socket.setNoDelay(true);
         socket.on("data", (chunk: Buffer) => this.#receive(chunk));
+        socket.on("drain", () => this.#wakeNext());
         socket.on("error", error => this.close(error.message));
         socket.on("close", () => this.close("The peer closed the connection."));
     }
@@ -59,15 +61,14 @@
         return { ok: true, value: encoded.value.length };
     }
 
-    /** Resolves when the socket's write buffer has drained or the socket has closed. */
-    waitForDrain(): Promise<void> {
-        if (!this.isOpen || !this.#socket.writableNeedDrain) {
-            return Promise.resolve();
+    /**
+     * Resolves when the socket's write buffer has drained or the socket has closed. Those who wait take turns, so that other frames
+     * queue behind one frame of a long reply and not behind one of each.
+     */
+    async waitForDrain(): Promise<void> {
+        while (this.isOpen && this.#socket.writableNeedDrain) {
+            await new Promise<void>(resolve => this.#drainCallbacks.push(resolve));
         }
-        return new Promise(resolve => {
-            this.#socket.once("drain", resolve);
-            this.#socket.once("close", () => resolve());
-        });
     }
 
     /** Registers a callback for when the socket closes; called immediately if it is already closed. */
@@ -88,6 +89,16 @@
         this.#handler = undefined;
         this.#socket.destroy();
         this.#closeCallbacks.splice(0).forEach(callback => callback(reason));
+        this.#drainCallbacks.splice(0).forEach(callback => callback());
+    }
+
+    /** Lets the one that waits longest send before the next one, unless the buffer is full again. */
+    #wakeNext(): void {
+        const next = this.#socket.writableNeedDrain ? undefined : this.#drainCallbacks.shift();
+        if (next !== undefined) {
+            next();
+            setImmediate(() => this.#wakeNext());
+        }
     }
 
     #receive(chunk: Buffer): void {
--- a/packages/wire/src/handler.ts
+++ b/packages/wire/src/handler.ts
@@ -3,6 +3,7 @@
 import { z } from "zod";
 import type { Frame } from "./frame.js";
 import type { PeerContext, Topic } from "./network.js";
+import { SendWindow } from "./sendwindow.js";
 import { validateShape } from "./shape.js";
 
 /** Sends the frames of one reply; `send` returns an error message if nothing was sent. */
@@ -15,6 +16,7 @@
 /** A request that a peer waits for; most handlers never ask for the signal, which is made when one does. */
 export class InboundCall implements PeerContext {
     readonly from: HostId;
+    readonly window = new SendWindow();
     #controller: AbortController | undefined;
     #reason: Error | undefined;
 
@@ -40,6 +42,7 @@
     abort(reason: Error): void {
         this.#reason ??= reason;
         this.#controller?.abort(reason);
+        this.window.close();
     }
 }
 
@@ -80,6 +83,7 @@
                 if (failed !== undefined) {
                     return toReplyIssue(failed);
                 }
+                await context.window.waitBelow(topic.windowBytes ?? Infinity);
                 await channel.waitForDrain();
             }
             return context.isAborted ? undefined : toReplyIssue(channel.send("end", undefined));
--- a/packages/wire/src/network.ts
+++ b/packages/wire/src/network.ts
@@ -12,14 +12,17 @@
     readonly name: string;
     readonly request: Request;
     readonly reply: Reply;
+    /** Bytes of a streamed reply that are sent ahead of what its receiver has taken; without it only the socket bounds them. */
+    readonly windowBytes?: number;
 }
 
 /** Declares a topic; bodies are validated on receipt. */
 export function declareTopic<Request extends z.ZodType, Reply extends z.ZodType>(
     name: string,
     schemas: { readonly request: Request; readonly reply: Reply; },
+    options: { readonly windowBytes?: number; } = {},
 ): Topic<Request, Reply> {
-    return { name, ...schemas };
+    return { name, ...schemas, ...options };
 }
 
 /** The context of a request in its handler. */
@@ -34,6 +37,8 @@
 export interface CallOptions {
     /** The timeout for the reply, or for each chunk of a stream, in milliseconds. */
     readonly timeoutMs: number;
+    /** The timeout for sending the request, in milliseconds; a call that exceeds it is never sent. */
+    readonly sendTimeoutMs?: number;
     readonly signal?: AbortSignal;
     /** Whether the caller repeats the call if it is lost; an idle connection is then not verified first. */
     readonly isRepeatable?: boolean;
