Send requests to an endpoint through another host

A host that loses its links to the endpoints has no other way to them, though other hosts reach them and it reaches the other hosts.

A link is what an attempt sends its request on: a connection of this host, or a relayed link, which asks another host to send the request on a connection of its own. Nothing opens relayed links yet.

--- a/packages/ingress/src/endpoint/connection.ts
+++ b/packages/ingress/src/endpoint/connection.ts
@@ -3,6 +3,8 @@
 import { connect } from "node:net";
 import type { Socket } from "node:net";
 import type { HeaderList } from "../contract.js";
+import type { RelayRefusal } from "../relay/message.js";
+import type { EndpointLink } from "./link.js";
 import { ResponseParser } from "./responseparser.js";
 import type { ResponseHead } from "./responseparser.js";
 
@@ -22,6 +24,8 @@
     readonly detail: string;
     /** Whether nothing listened at the address. */
     readonly isRefused: boolean;
+    /** Present when another host was asked to send the request and failed or refused, which says nothing of the endpoint. */
+    readonly relay?: RelayRefusal | "lost";
 }
 
 /** Receives a response as it arrives; ends with exactly one call of `onComplete` or `onFailure`. */
@@ -52,7 +56,8 @@
 const resetProbe = "\r\n";
 
 /** An HTTP/1.1 connection to an endpoint; carries one request at a time. */
-export class EndpointConnection {
+export class EndpointConnection implements EndpointLink {
+    readonly isRelayed = false;
     readonly #clock: Clock;
     readonly #socket: Socket;
     readonly #parser: ResponseParser;
--- a/packages/ingress/src/request/attempt.ts
+++ b/packages/ingress/src/request/attempt.ts
@@ -4,7 +4,8 @@
 import type { AttemptFailure } from "@filbertrelay/policy/ingress";
 import type { EndpointRecord, HeaderList, ResponseDescription } from "../contract.js";
 import { ByteBuffer } from "../endpoint/bytebuffer.js";
-import type { ConnectionFailure, EndpointConnection, EndpointRequest, EndpointResponseHandler } from "../endpoint/connection.js";
+import type { ConnectionFailure, EndpointRequest, EndpointResponseHandler } from "../endpoint/connection.js";
+import type { EndpointLink } from "../endpoint/link.js";
 import type { ResponseHead } from "../endpoint/responseparser.js";
 import type { RequestBoundary } from "./boundary.js";
 import type { RequestContext } from "./context.js";
@@ -60,7 +61,7 @@
     readonly #sentMs: number;
     #boundary: RequestBoundary | undefined;
     #handler: AttemptHandler | undefined;
-    #connection: EndpointConnection | undefined;
+    #connection: EndpointLink | undefined;
     #head: ResponseHead | undefined;
     #description: ResponseDescription | undefined;
     readonly #memory: AnswerReservation;
--- a/packages/ingress/src/telemetry/metrics.ts
+++ b/packages/ingress/src/telemetry/metrics.ts
@@ -19,6 +19,10 @@
     readonly #connections = this.#counter("endpoint_connections_total", "Connections opened to endpoints, by service", [
         "service",
     ]);
+    readonly #relayed = this.#counter("relayed_requests_total", "Requests through another host, by side and result", [
+        "side",
+        "result",
+    ]);
     readonly #internalErrors = this.#counter(
         "internal_errors_total",
         "Errors of this host that ended one unit of work, by scope",
@@ -81,6 +85,11 @@
         this.#connections.inc({ service });
     }
 
+    /** Records the end of a request that went to an endpoint through another host, at either of the two. */
+    recordRelayed(side: "calling" | "relaying", result: string): void {
+        this.#relayed.inc({ side, result });
+    }
+
     /** `scope` is what ended: a request, or the reading of an entry of the store. */
     recordInternalError(scope: "request" | "entry"): void {
         this.#internalErrors.inc({ scope });
--- a/packages/wire/src/call.ts
+++ b/packages/wire/src/call.ts
@@ -88,7 +88,9 @@
     #recordTaken(bytes: number): void {
         const { windowBytes } = this.#topic;
         this.#takenBytes += bytes;
-        if (windowBytes !== undefined && this.#takenBytes >= windowBytes * takenShare && !this.#isEnded && this.#id !== undefined) {
+        if (
+            windowBytes !== undefined && this.#takenBytes >= windowBytes * takenShare && !this.#isEnded && this.#id !== undefined
+        ) {
             this.#connection?.recordTaken(this.#id, this.#takenBytes);
             this.#takenBytes = 0;
         }
