--- a/features/steps/wire.ts
+++ b/features/steps/wire.ts
@@ -17,6 +17,7 @@
 const waitMs = 20_000;
 const echo = declareTopic("test.echo", { request: z.object({ value: z.int(), delayMs: z.int() }), reply: z.int() });
 const endless = declareTopic("test.endless", { request: z.object({}), reply: z.int() });
+const windowed = declareTopic("test.windowed", { request: z.int(), reply: z.string() }, { windowBytes: 20_000 });
 const looseEcho = declareTopic("test.echo", { request: z.unknown(), reply: z.int() });
 const missing = declareTopic("test.missing", { request: z.object({}), reply: z.object({}) });
 const broken = declareTopic("test.broken", { request: z.object({}), reply: z.object({}) });
@@ -36,6 +37,9 @@
     forwarder: Forwarder;
     replies: Outcome<number, PeerIssue>[];
     isCancelled: boolean;
+    chunks: AsyncIterator<Outcome<string, PeerIssue>>;
+    chunkCount: number;
+    chunksSent: number;
     callsRun: number;
     callsBefore: number;
     pending: Promise<Outcome<number, PeerIssue>>;
@@ -74,6 +78,12 @@
             await delay(1);
         }
     });
+    network.handleStream(windowed, async function*(count) {
+        for (world.chunksSent = 0; world.chunksSent < count;) {
+            yield String(world.chunksSent++).padStart(1_000);
+            await Promise.resolve();
+        }
+    });
     network.handle(broken, () => Promise.reject(new Error("The handler failed.")));
     network.handle(wrong, () => Promise.resolve(5 as unknown as string));
     await network.start();
@@ -142,6 +152,31 @@
     assert.deepEqual(chunks, [0, 1, 2]);
 });
 
+When(
+    "{string} reads the first of {int} chunks of 1000 bytes within a window of 20000 bytes and pauses",
+    async function(this: WireWorld, name: string, count: number) {
+        const options = { timeoutMs: waitMs };
+        const chunks = network(this, name).stream(brandAs<HostId>("birch"), windowed, count, options)[Symbol.asyncIterator]();
+        this.chunks = chunks;
+        this.chunkCount = count;
+        const first = await chunks.next();
+        assert.ok(first.done !== true && first.value.ok && Number(first.value.value) === 0);
+        await delay(200);
+    },
+);
+
+Then(
+    "no more than {int} chunks are sent until it reads on, and all arrive in order",
+    async function(this: WireWorld, most: number) {
+        assert.ok(this.chunksSent >= 15 && this.chunksSent <= most, `${this.chunksSent} chunks were sent`);
+        for (let expected = 1; expected < this.chunkCount; expected += 1) {
+            const next = await this.chunks.next();
+            assert.ok(next.done !== true && next.value.ok && Number(next.value.value) === expected);
+        }
+        assert.equal((await this.chunks.next()).done, true);
+    },
+);
+
 Then("the handler of the stream is aborted", async function(this: WireWorld) {
     await waitUntil(() => this.isCancelled);
 });
--- a/features/wire.feature
+++ b/features/wire.feature
@@ -10,6 +10,12 @@
     When "alder" reads 3 chunks of an endless stream and stops
     Then the handler of the stream is aborted
 
+  # Guards against a slow reader that makes its host queue a reply without bound.
+  Scenario: A stream is sent ahead of its reader by no more than its window
+    Given two connected peers "alder" and "birch"
+    When "alder" reads the first of 400 chunks of 1000 bytes within a window of 20000 bytes and pauses
+    Then no more than 24 chunks are sent until it reads on, and all arrive in order
+
   Scenario: A failed call is reported as unsent only if none of its bytes were sent
     Given two connected peers "alder" and "birch"
     Then a call to a peer without address fails with "peer.unreachable" and is unsent
