--- a/packages/policy/src/ingress/index.ts
+++ b/packages/policy/src/ingress/index.ts
@@ -29,6 +29,7 @@
 export * from "./ownedvalues.js";
 export * from "./pressureadmission.js";
 export * from "./promptcache.js";
+export * from "./reach/index.js";
 export * from "./receivedreports.js";
 export * from "./requiredendpoints.js";
 export * from "./retrybudget.js";
