--- a/packages/policy/src/ingress/reach/endpointlink.ts
+++ b/packages/policy/src/ingress/reach/endpointlink.ts
@@ -13,6 +13,8 @@
 const failureTtlMs = 5_000;
 /** Bytes that an endpoint sent before it crashed may be read this long after the crash was noticed elsewhere. */
 const inFlightMs = 150;
+/** For so long after a pause, bytes may come that were sent before or during it. */
+const resumptionMs = 300;
 /** An endpoint that failed here counts as alive for this long after it was last heard anywhere. */
 const aliveTtlMs = 3_000;
 /** An open connection from which nothing has come for this long may be dead. */
@@ -36,6 +38,9 @@
     probedMs = -Infinity;
     /** When each request that is waited for was sent. */
     readonly awaited = new Map<string, { readonly sentMs: number; readonly awakeMs: number; }>();
+    /** What came just after `#resumedMs` may have been sent at any time after `#heldSinceMs`. */
+    #heldSinceMs = -Infinity;
+    #resumedMs = -Infinity;
 
     constructor(endpoint: ReachedEndpoint, group: EndpointGroup) {
         this.endpoint = endpoint;
@@ -49,10 +54,17 @@
         return Math.max(failedMs, this.lostMs > Math.max(this.heardMs, this.connectedMs) ? this.lostMs : -Infinity);
     }
 
+    /** `arrivedMs` is the earliest time at which the bytes may have arrived. */
     hear(nowMs: number, awakeMs: number, arrivedMs: number): void {
+        if (nowMs - this.heardMs > inFlightMs) {
+            this.#heldSinceMs = Math.max(this.heardMs, this.#firstAwaited()?.sentMs ?? -Infinity);
+            this.#resumedMs = nowMs;
+        }
+        // Packets that were held up and sent again may come long after their endpoint crashed.
+        const sentMs = nowMs - this.#resumedMs <= resumptionMs ? this.#heldSinceMs : nowMs;
+        this.answeredMs = Math.max(this.answeredMs, Math.min(arrivedMs, sentMs));
         this.heardMs = nowMs;
         this.heardAwakeMs = awakeMs;
-        this.answeredMs = Math.max(this.answeredMs, arrivedMs);
     }
 
     connect(nowMs: number, arrivedMs: number): void {
--- a/packages/policy/src/ingress/reach/endpointreach.ts
+++ b/packages/policy/src/ingress/reach/endpointreach.ts
@@ -272,7 +272,8 @@
     }
 
     #hasDoubts(nowMs: number): boolean {
-        return !this.#table.isCalm || this.#table.waiting.size >= 2 || this.#sightings.suspects(nowMs).size > 0;
+        return this.#table.lost.size > 0 || this.#sightings.suspects(nowMs).size > 0 ||
+            this.#table.listSilent(silenceMs, this.#time.awakeMs, nowMs).length > 0;
     }
 
     #assess(nowMs: number): void {
--- a/packages/policy/src/ingress/reach/linktable.ts
+++ b/packages/policy/src/ingress/reach/linktable.ts
@@ -8,7 +8,9 @@
     readonly #links = new Map<EndpointId, EndpointLink>();
     readonly #byProcess = new Map<string, EndpointLink>();
     readonly #byKey = new Map<string, EndpointLink>();
-    readonly #groups = new Map<string, EndpointGroup>();
+    /** By failure domain and service. */
+    readonly #groups = new Map<FailureDomainId, Map<string, EndpointGroup>>();
+    #list: readonly EndpointGroup[] = [];
     /** Links on which connections fail. */
     readonly failing = new Set<EndpointLink>();
     /** Links on which a connection with a request was lost; may hold some that are sound again. */
@@ -17,12 +19,7 @@
     readonly waiting = new Set<EndpointLink>();
 
     get groups(): readonly EndpointGroup[] {
-        return [...this.#groups.values()];
-    }
-
-    /** Whether nothing has failed. */
-    get isCalm(): boolean {
-        return this.failing.size === 0 && this.lost.size === 0;
+        return this.#list;
     }
 
     find({ endpointId, startedAtMs }: ReachedEndpoint): EndpointLink | undefined {
@@ -48,13 +45,14 @@
     }
 
     groupOf({ failureDomain, service }: ReachedEndpoint): EndpointGroup {
-        const key = `${failureDomain}/${service}`;
-        const known = this.#groups.get(key);
+        const known = this.#groups.get(failureDomain)?.get(service);
         if (known !== undefined) {
             return known;
         }
         const group = new EndpointGroup(failureDomain, service);
-        this.#groups.set(key, group);
+        const groups = this.#groups.get(failureDomain) ?? new Map<string, EndpointGroup>();
+        this.#groups.set(failureDomain, groups.set(service, group));
+        this.#list = [...this.#list, group];
         return group;
     }
 
@@ -86,10 +84,11 @@
             }
         }
         const used = new Set([...this.#links.values()].map(link => link.group));
-        for (const [key, group] of this.#groups) {
+        for (const group of this.groups) {
             group.size = members.get(group)?.length ?? 0;
             if (group.size === 0 && !used.has(group)) {
-                this.#groups.delete(key);
+                this.#groups.get(group.failureDomain)?.delete(group.service);
+                this.#list = this.#list.filter(other => other !== group);
             }
         }
         return members;
