Close connections such that the last answer arrives

Seen by callers: an answer of 600 KB that was read slowly ended in the middle when the host stopped and the caller sent anything behind its request; a caller that still sent its body, or too many requests ahead, had its connection reset under the refusal or the answers.

Cause: a process that exits, and Node.js after a last answer, close a connection without reading on. Bytes of the caller that are unread then, or come later, make the system reset the connection and drop what it has not sent yet; a response counts as complete once the system holds it.

The stop does so with all connections once no request is in progress, and exits at 97% of its limit at the latest. The listening socket is closed first; close() of the HTTP server would have reset idle connections.

--- /dev/null
+++ b/features/ingress.close.feature
@@ -0,0 +1,32 @@
+Feature: The end of a caller's connection
+
+  # Guards against a reset that overtakes the rest of an answer, when the process ends while its caller still sends.
+  Scenario Outline: An answer arrives whole when the process ends while its caller reads slowly and sends <what>
+    Given a host process that answers with 600 KB
+    When a caller reads slowly and sends <what> while the host is stopped
+    Then the caller got the whole answer and the process ended within 4 s
+
+    Examples:
+      | what                                     |
+      | nothing                                  |
+      | the head of a next request in pieces     |
+      | a next request after the answer was sent |
+
+  # Guards against a refusal that is lost since its caller still sends the body.
+  Scenario: A caller that still sends its body gets the refusal
+    Given an ingress with a store stand-in and two engines of each service
+    When a caller sends 1 MB of a body beyond the limit before it reads
+    Then the caller got a 413 and the end of the connection
+
+  # Guards against answers cut by the reset of a connection whose caller sends too far ahead.
+  Scenario: Answers arrive whole at a caller that sends too many requests ahead and reads late
+    Given an ingress with a store stand-in and two engines of each service
+    And engines whose answers of 100 KB take 50 ms
+    When a caller sends 1000 requests ahead of their answers and reads 600 ms later
+    Then the caller got 8 whole answers and the end of the connection
+
+  # Guards against a stop that waits for callers which never close their side.
+  Scenario: The process ends though a caller keeps its side of the connection open and sends on
+    Given a host process that answers with 1 KB
+    When a caller sends on without end while the host is stopped
+    Then the caller got the whole answer and the process ended within 4 s
--- /dev/null
+++ b/features/steps/ingress.close.ts
@@ -0,0 +1,130 @@
+import { After, Given, Then, When } from "@cucumber/cucumber";
+import { renderResponse } from "@filbertrelay/platform/standins";
+import assert from "node:assert/strict";
+import { spawnSync } from "node:child_process";
+import { HostProcessFixture } from "../support/hostprocess.js";
+import { customerKey, waitFor } from "../support/ingress.js";
+import { SlowCaller } from "../support/slowcaller.js";
+import type { IngressWorld } from "./ingress.endpoint.js";
+
+interface CloseWorld extends IngressWorld {
+    closing: HostProcessFixture | undefined;
+    caller: SlowCaller | undefined;
+    answerBytes: number;
+    stopMs: number;
+}
+
+const stopLimitSeconds = 4;
+const bytesPerKb = 1_000;
+
+const renderPost = (id: string, bodyBytes: number, body = "x".repeat(bodyBytes)): string =>
+    `POST /nonIdempotent/item HTTP/1.1\r\nHost: shop.example\r\nAuthorization: Bearer ${customerKey}\r\n` +
+    `X-Filbertrelay-Deadline-Ms: 5000\r\nX-Filbertrelay-Attempt-Id: ${id}\r\nContent-Length: ${bodyBytes}\r\n\r\n${body}`;
+
+const pause = (delayMs: number): Promise<void> => new Promise(resolve => setTimeout(resolve, delayMs));
+
+Given("a host process that answers with {int} KB", { timeout: 60_000 }, async function(this: CloseWorld, answerKb: number) {
+    const bundled = spawnSync(process.execPath, ["scripts/bundle.mjs"], { encoding: "utf8" });
+    assert.equal(bundled.status, 0, bundled.stderr);
+    this.answerBytes = answerKb * bytesPerKb;
+    this.closing = new HostProcessFixture();
+    this.closing.engine.behaviour = (received, { send }) =>
+        send(renderResponse(received, { body: "y".repeat(this.answerBytes) }));
+    await this.closing.start(`memoryMb = 200\n[promises]\nstopLimitSeconds = ${stopLimitSeconds}\ndirectoryKeepSeconds = 0.3`);
+});
+
+Given("engines whose answers of {int} KB take {int} ms", function(this: CloseWorld, answerKb: number, delayMs: number) {
+    this.answerBytes = answerKb * bytesPerKb;
+    this.ingress.setBehaviours((received, { send }) =>
+        void setTimeout(() => send(renderResponse(received, { body: "y".repeat(this.answerBytes) })), delayMs)
+    );
+});
+
+/** What a caller sends behind its request from the stop on, one piece at a time. */
+const pieces: Readonly<Record<string, (index: number) => string>> = {
+    "nothing": () => "",
+    "the head of a next request in pieces": index =>
+        index === 0 ? "POST /nonIdempotent/item HTTP/1.1\r\n" : `X-Piece-${index}: a\r\n`,
+    "a next request after the answer was sent": index => index === 40 ? renderPost("next", 5) : "",
+};
+
+When(
+    /^a caller reads slowly and sends (.+) while the host is stopped$/,
+    { timeout: 20_000 },
+    async function(this: CloseWorld, what: string) {
+        await stopWhileSending(this, pieces[what]!, 300);
+    },
+);
+
+When("a caller sends on without end while the host is stopped", { timeout: 20_000 }, async function(this: CloseWorld) {
+    await stopWhileSending(this, index => index === 0 ? renderPost("next", 90_000, "") : "x".repeat(100), 0, true);
+});
+
+async function stopWhileSending(
+    world: CloseWorld,
+    piece: (index: number) => string,
+    readDelayMs: number,
+    isHalfOpen = false,
+): Promise<void> {
+    const host = world.closing!;
+    const caller = new SlowCaller(host.ports.callers, isHalfOpen);
+    world.caller = caller;
+    caller.send(renderPost("first", 5));
+    await waitFor(() => Promise.resolve(host.engine.requests.length === 1));
+    await pause(200);
+    const startMs = performance.now();
+    const stopped = host.terminate();
+    for (let index = 0; !caller.isEnded && index < 400; index += 1) {
+        caller.send(piece(index));
+        if (performance.now() - startMs >= readDelayMs) {
+            caller.read(10_000);
+        }
+        await pause(20);
+    }
+    await stopped;
+    world.stopMs = performance.now() - startMs;
+    await caller.readAll();
+}
+
+When("a caller sends 1 MB of a body beyond the limit before it reads", async function(this: CloseWorld) {
+    this.caller = new SlowCaller(Number(this.ingress.callerAddress.split(":")[1]));
+    this.caller.send(renderPost("large", 1_000_000, ""));
+    for (let index = 0; index < 50; index += 1) {
+        this.caller.send("x".repeat(20_000));
+        await pause(30);
+    }
+    await this.caller.readAll();
+});
+
+When(
+    "a caller sends {int} requests ahead of their answers and reads {int} ms later",
+    async function(this: CloseWorld, count: number, delayMs: number) {
+        this.caller = new SlowCaller(Number(this.ingress.callerAddress.split(":")[1]));
+        this.caller.send(Array.from({ length: count }, (_, index) => renderPost(`ahead-${index}`, 5)).join(""));
+        await pause(delayMs);
+        await this.caller.readAll();
+    },
+);
+
+Then("the caller got the whole answer and the process ended within {int} s", function(this: CloseWorld, limitSeconds: number) {
+    assert.deepEqual(this.caller!.answers(), [{ status: 200, bodyBytes: this.answerBytes }]);
+    assert.ok(this.stopMs <= limitSeconds * 1_000, `${this.stopMs} ms`);
+});
+
+Then("the caller got {int} whole answers and the end of the connection", function(this: CloseWorld, count: number) {
+    assert.deepEqual(
+        this.caller!.answers(),
+        Array.from({ length: count }, () => ({ status: 200, bodyBytes: this.answerBytes })),
+    );
+    assert.ok(this.caller!.isClean, "The connection was reset.");
+});
+
+Then("the caller got a {int} and the end of the connection", function(this: CloseWorld, status: number) {
+    assert.deepEqual(this.caller!.answers().map(answer => answer.status), [status]);
+    assert.ok(this.caller!.isClean, "The connection was reset.");
+});
+
+After(function(this: Partial<CloseWorld>) {
+    this.caller?.close();
+    this.closing?.stop();
+});
--- a/features/support/hostprocess.ts
+++ b/features/support/hostprocess.ts
@@ -102,6 +102,12 @@
         await waitFor(async () => (await fetch(`http://127.0.0.1:${readiness}/readyz`)).status === 200);
     }
 
+    /** Sends SIGTERM and waits for the end of the process. */
+    async terminate(): Promise<void> {
+        this.#child!.kill("SIGTERM");
+        await waitFor(() => Promise.resolve(!this.isRunning));
+    }
+
     stop(): void {
         clearInterval(this.#counting);
         this.#child?.kill("SIGKILL");
--- a/packages/ingress/src/caller/connectionguard.ts
+++ b/packages/ingress/src/caller/connectionguard.ts
@@ -1,12 +1,15 @@
+import type { Clock } from "@filbertrelay/kernel";
 import { ConnectionTable } from "@filbertrelay/policy/ingress";
 import { IncomingMessage } from "node:http";
 import type { Server, ServerResponse } from "node:http";
 import type { Socket } from "node:net";
+import { LingeringClose } from "./lingeringclose.js";
 
 /** Why a connection was closed. */
 export type ConnectionLimit = "connections" | "requestsAhead";
 
 export interface ConnectionGuardOptions {
+    readonly clock: Clock;
     readonly server: Server;
     /** Most connections at once. */
     readonly connections: number;
@@ -66,6 +69,7 @@
     readonly #table: ConnectionTable<GuardedConnection>;
     readonly #connections = new Set<GuardedConnection>();
     #isHolding = false;
+    #isClosing = false;
 
     constructor(options: ConnectionGuardOptions) {
         this.#options = options;
@@ -82,6 +86,17 @@
         });
     }
 
+    /** Open connections, with those that only wait for their caller to close. */
+    get size(): number {
+        return this.#connections.size;
+    }
+
+    /** Closes all connections, those with a request after its answer. */
+    closeAll(): void {
+        this.#isClosing = true;
+        this.#connections.forEach(connection => connection.closeWhenIdle());
+    }
+
     /** Registers a request; `onEnded` is called once when its response is complete or its connection is closed. */
     begin(request: IncomingMessage, response: ServerResponse, onEnded: () => void): Turn {
         const connection = guarded.get(request.socket);
@@ -94,6 +109,7 @@
 
     #add(socket: Socket): void {
         const connection = new GuardedConnection(socket, {
+            clock: this.#options.clock,
             limit: this.#options.requestsAhead,
             onIdle: () => this.#table.end(connection),
             onHold: () => this.#hold(connection),
@@ -106,7 +122,10 @@
             this.#table.remove(connection);
             connection.endAll();
         });
-        if (this.#table.isOverLimit) {
+        if (this.#isClosing) {
+            connection.closeWhenIdle();
+        }
+        else if (this.#table.isOverLimit) {
             this.#makeRoom(connection);
         }
     }
@@ -148,6 +167,7 @@
 }
 
 interface GuardedConnectionOptions {
+    readonly clock: Clock;
     readonly limit: number;
     readonly onIdle: () => void;
     readonly onHold: () => void;
@@ -166,10 +186,14 @@
     readonly #turns: RequestTurn[] = [];
     #isPaused = false;
     #isStopped = false;
+    #isClosing = false;
+    #isLingering = false;
 
     constructor(socket: Socket, options: GuardedConnectionOptions) {
         this.socket = socket;
         this.#options = options;
+        // Node.js calls this after the last answer of a connection; by itself it would close the caller's side as well.
+        socket.destroySoon = () => this.#close();
     }
 
     /** Whether no further request may be read before another one is answered. */
@@ -235,6 +259,14 @@
         this.socket.on("drain", () => this.#turns[0]?.response.emit("drain"));
     }
 
+    /** Closes the connection, after the answers that are due if there are any. */
+    closeWhenIdle(): void {
+        this.#isClosing = true;
+        if (this.#turns.length === 0) {
+            this.#close();
+        }
+    }
+
     endAll(): void {
         this.#turns.splice(0).forEach(turn => turn.end());
     }
@@ -251,11 +283,20 @@
         }
         else {
             this.#options.onIdle();
-            if (this.#isStopped) {
-                this.socket.destroySoon();
+            if (this.#isStopped || this.#isClosing) {
+                this.#close();
             }
         }
     }
+
+    #close(): void {
+        if (!this.#isLingering) {
+            this.#isLingering = true;
+            LingeringClose.begin(this.socket, this.#options.clock);
+            this.#isPaused = false;
+            this.startHandle();
+        }
+    }
 }
 
 class RequestTurn implements Turn {
--- a/packages/ingress/src/caller/server.ts
+++ b/packages/ingress/src/caller/server.ts
@@ -2,6 +2,7 @@
 import type { Clock, Service } from "@filbertrelay/kernel";
 import { createServer } from "node:http";
 import type { IncomingMessage, Server, ServerResponse } from "node:http";
+import { Server as NetServer } from "node:net";
 import type { HeaderList } from "../contract.js";
 import type { ArrivalGate } from "../pressure/arrivalgate.js";
 import type { ErrorResponse } from "../request/errorresponse.js";
@@ -91,6 +92,7 @@
             noDelay: true,
         }, (request, response) => this.#receive(request, response));
         this.#guard = new ConnectionGuard({
+            clock: options.clock,
             server: this.#server,
             connections: options.limits.connections.callers,
             requestsAhead: options.limits.requestsAhead,
@@ -112,11 +114,23 @@
         return listenOn(this.#server, this.#address, this.#clock);
     }
 
+    /** Connections that are open, with those whose answer is on its way to the caller. */
+    get openConnections(): number {
+        return this.#guard.size;
+    }
+
     /** Closes each connection after its next response. */
     closeConnections(): void {
         this.#isClosing = true;
     }
 
+    /** Accepts nothing more and closes all connections such that answers on their way arrive. */
+    endConnections(): void {
+        // The method of the HTTP server also resets idle connections with unread bytes.
+        NetServer.prototype.close.call(this.#server);
+        this.#guard.closeAll();
+    }
+
     stop(): Promise<void> {
         this.#server.close();
         this.#server.closeAllConnections();
--- a/packages/ingress/src/control/server.ts
+++ b/packages/ingress/src/control/server.ts
@@ -53,7 +53,7 @@
                 })
             );
         });
-        const guard = new ConnectionGuard({ server: this.#server, connections, requestsAhead, onLimit });
+        const guard = new ConnectionGuard({ clock: options.clock, server: this.#server, connections, requestsAhead, onLimit });
     }
 
     async start(): Promise<void> {
--- a/packages/ingress/src/lifecycle.ts
+++ b/packages/ingress/src/lifecycle.ts
@@ -28,8 +28,10 @@
 const directoryKeepFactor = 1.5;
 /** Fraction of the stop time limit after which all new requests are rejected; earlier requests are expected to be served. */
 const acceptTimeRatio = 0.35;
-/** Fraction of the stop time limit after which requests in progress are ended and the process exits. */
+/** Fraction of the stop time limit after which requests in progress are ended. */
 const exitTimeRatio = 0.93;
+/** Fraction of the stop time limit after which the process exits, whatever answers are still on their way. */
+const closeTimeRatio = 0.97;
 /** Time in which a response that ends at its time limit reaches the caller. */
 const lastResponseMs = 100;
 /** How often a stopping host checks whether requests are in progress. */
@@ -117,6 +119,10 @@
             this.#endRequests();
             await this.#clock.sleep(pollMs);
         }
+        this.#server.endConnections();
+        while (this.#server.openConnections > 0 && this.#clock.monotonicMs() - startMs < this.#stopLimitMs * closeTimeRatio) {
+            await this.#clock.sleep(pollMs);
+        }
         this.#log.write(lifecycleEvents.hostStopped, { inProgress });
     }
 }
