Answer requests sent ahead before a stopping host closes their connection

Seen by callers: of three requests sent one behind the other to a host that stops, the first was answered and the connection closed; the two others had been read whole and got nothing.

Cause: whether an answer closes its connection was decided when its request arrived, so that the first one closed it under the others.

Fix: it is decided when the head of the answer is written, by whether later requests of the connection have been read. A request that was in progress at the signal now closes its connection too, if its head was not written yet.

--- a/features/ingress.close.feature
+++ b/features/ingress.close.feature
@@ -25,6 +25,13 @@
     When a caller sends 1000 requests ahead of their answers and reads 600 ms later
     Then the caller got 8 whole answers and the end of the connection
 
+  # Guards against requests that were read while the host stops and are dropped by the close after an earlier answer.
+  Scenario: Requests sent ahead while the host stops are all answered
+    Given an ingress with a store stand-in and two engines of each service
+    And engines whose answers of 1 KB take 200 ms
+    When the host is asked to stop and a caller sends 3 requests ahead of their answers
+    Then the caller got 3 whole answers and the end of the connection
+
   # Guards against a stop that waits for callers which never close their side.
   Scenario: The process ends though a caller keeps its side of the connection open and sends on
     Given a host process that answers with 1 KB
--- a/features/steps/ingress.close.ts
+++ b/features/steps/ingress.close.ts
@@ -106,6 +106,18 @@
     },
 );
 
+When(
+    "the host is asked to stop and a caller sends {int} requests ahead of their answers",
+    { timeout: 20_000 },
+    async function(this: CloseWorld, count: number) {
+        const stopped = this.ingress.lifecycle.drain("test");
+        this.caller = new SlowCaller(Number(this.ingress.callerAddress.split(":")[1]));
+        this.caller.send(Array.from({ length: count }, (_, index) => renderPost(`ahead-${index}`, 5)).join(""));
+        await this.caller.readAll();
+        await stopped;
+    },
+);
+
 Then("the caller got the whole answer and the process ended within {int} s", function(this: CloseWorld, limitSeconds: number) {
     assert.deepEqual(this.caller!.answers(), [{ status: 200, bodyBytes: this.answerBytes }]);
     assert.ok(this.stopMs <= limitSeconds * 1_000, `${this.stopMs} ms`);
--- a/packages/ingress/src/caller/connectionguard.ts
+++ b/packages/ingress/src/caller/connectionguard.ts
@@ -24,6 +24,8 @@
 export interface Turn {
     /** Calls back as soon as all earlier requests of the connection are answered; not at all if it closes first. */
     whenFirst(callback: () => void): void;
+    /** Whether no later request of the connection has been read. */
+    readonly isLast: boolean;
 }
 
 const guarded = new WeakMap<Socket, GuardedConnection>();
@@ -241,7 +243,7 @@
     }
 
     begin(response: ServerResponse, onEnded: () => void): Turn {
-        const turn = new RequestTurn(response, onEnded);
+        const turn: RequestTurn = new RequestTurn(response, { onEnded, isLast: (): boolean => this.#turns.at(-1) === turn });
         this.#turns.push(turn);
         if (this.#turns.length === 1) {
             turn.start();
@@ -299,15 +301,24 @@
     }
 }
 
+interface RequestTurnOptions {
+    readonly onEnded: () => void;
+    readonly isLast: () => boolean;
+}
+
 class RequestTurn implements Turn {
     readonly response: ServerResponse;
-    readonly #onEnded: () => void;
+    readonly #options: RequestTurnOptions;
     #isFirst = false;
     #callback: (() => void) | undefined;
 
-    constructor(response: ServerResponse, onEnded: () => void) {
+    constructor(response: ServerResponse, options: RequestTurnOptions) {
         this.response = response;
-        this.#onEnded = onEnded;
+        this.#options = options;
+    }
+
+    get isLast(): boolean {
+        return this.#options.isLast();
     }
 
     whenFirst(callback: () => void): void {
@@ -326,7 +337,7 @@
 
     end(): void {
         this.#callback = undefined;
-        this.#onEnded();
+        this.#options.onEnded();
     }
 }
 
--- a/packages/ingress/src/caller/responder.ts
+++ b/packages/ingress/src/caller/responder.ts
@@ -2,8 +2,12 @@
 import type { CallerResponder } from "../request/responder.js";
 import type { CallerExchange } from "./exchange.js";
 
-/** Creates the writer of a response. */
-export function createResponder(response: ServerResponse, exchange: CallerExchange): CallerResponder {
+/** Creates the writer of a response; `beforeHead` is called before its head is written. */
+export function createResponder(
+    response: ServerResponse,
+    exchange: CallerExchange,
+    beforeHead: () => void = () => undefined,
+): CallerResponder {
     const recordUnread = (): void => {
         if (response.writableLength > 0) {
             exchange.recordUnread();
@@ -18,12 +22,16 @@
             }),
         answer: (status, headers, body) => {
             if (!response.headersSent && !response.destroyed) {
+                beforeHead();
                 response.writeHead(status, [...headers.flat(), "Content-Length", String(body.length)]);
                 response.end(body);
                 recordUnread();
             }
         },
-        sendHead: (status, headers) => response.destroyed || isWritten(() => response.writeHead(status, headers.flat())),
+        sendHead: (status, headers) => {
+            beforeHead();
+            return response.destroyed || isWritten(() => response.writeHead(status, headers.flat()));
+        },
         write: bytes => {
             if (response.destroyed || response.write(bytes)) {
                 return true;
--- a/packages/ingress/src/caller/server.ts
+++ b/packages/ingress/src/caller/server.ts
@@ -141,15 +141,17 @@
         const arrivedMs = this.#clock.monotonicMs();
         this.#inProgress += 1;
         response.sendDate = false;
-        if (this.#isClosing) {
-            response.shouldKeepAlive = false;
-        }
         const exchange = new CallerExchange(request, response, this.#exchangeHost);
-        const responder = createResponder(response, exchange);
         const turn = this.#guard.begin(request, response, () => {
             this.#inProgress -= 1;
             exchange.release();
         });
+        const responder = createResponder(response, exchange, () => {
+            // Requests that were read behind this one get their answers before the connection is closed.
+            if (this.#isClosing && turn.isLast) {
+                response.shouldKeepAlive = false;
+            }
+        });
         request.on("error", () => undefined);
         const refusal = this.#gate.check({
             hostname: request.headers.host ?? "",
