--- a/packages/ingress/src/caller/server.ts
+++ b/packages/ingress/src/caller/server.ts
@@ -2,6 +2,7 @@
 import type { Clock, Service } from "@filbertrelay/kernel";
 import { createServer } from "node:http";
 import type { IncomingMessage, Server, ServerResponse } from "node:http";
+import { Server as NetServer } from "node:net";
 import type { HeaderList } from "../contract.js";
 import type { ArrivalGate } from "../pressure/arrivalgate.js";
 import type { ErrorResponse } from "../request/errorresponse.js";
@@ -91,6 +92,7 @@
             noDelay: true,
         }, (request, response) => this.#receive(request, response));
         this.#guard = new ConnectionGuard({
+            clock: options.clock,
             server: this.#server,
             connections: options.limits.connections.callers,
             requestsAhead: options.limits.requestsAhead,
@@ -112,11 +114,23 @@
         return listenOn(this.#server, this.#address, this.#clock);
     }
 
+    /** Connections that are open, with those whose answer is on its way to the caller. */
+    get openConnections(): number {
+        return this.#guard.size;
+    }
+
     /** Closes each connection after its next response. */
     closeConnections(): void {
         this.#isClosing = true;
     }
 
+    /** Accepts nothing more and closes all connections such that answers on their way arrive. */
+    endConnections(): void {
+        // The method of the HTTP server also resets idle connections with unread bytes.
+        NetServer.prototype.close.call(this.#server);
+        this.#guard.closeAll();
+    }
+
     stop(): Promise<void> {
         this.#server.close();
         this.#server.closeAllConnections();
@@ -127,15 +141,17 @@
         const arrivedMs = this.#clock.monotonicMs();
         this.#inProgress += 1;
         response.sendDate = false;
-        if (this.#isClosing) {
-            response.shouldKeepAlive = false;
-        }
         const exchange = new CallerExchange(request, response, this.#exchangeHost);
-        const responder = createResponder(response, exchange);
         const turn = this.#guard.begin(request, response, () => {
             this.#inProgress -= 1;
             exchange.release();
         });
+        const responder = createResponder(response, exchange, () => {
+            // Requests that were read behind this one get their answers before the connection is closed.
+            if (this.#isClosing && turn.isLast) {
+                response.shouldKeepAlive = false;
+            }
+        });
         request.on("error", () => undefined);
         const refusal = this.#gate.check({
             hostname: request.headers.host ?? "",
--- a/packages/ingress/src/lifecycle.ts
+++ b/packages/ingress/src/lifecycle.ts
@@ -28,8 +28,10 @@
 const directoryKeepFactor = 1.5;
 /** Fraction of the stop time limit after which all new requests are rejected; earlier requests are expected to be served. */
 const acceptTimeRatio = 0.35;
-/** Fraction of the stop time limit after which requests in progress are ended and the process exits. */
+/** Fraction of the stop time limit after which requests in progress are ended. */
 const exitTimeRatio = 0.93;
+/** Fraction of the stop time limit after which the process exits, whatever answers are still on their way. */
+const closeTimeRatio = 0.97;
 /** Time in which a response that ends at its time limit reaches the caller. */
 const lastResponseMs = 100;
 /** How often a stopping host checks whether requests are in progress. */
@@ -90,20 +92,27 @@
         return this.#stopRequestedMs === undefined ? 0 : this.#clock.monotonicMs() - this.#stopRequestedMs;
     }
 
-    /** Removes the host from the directory, then waits for callers to move and requests to finish; repeated calls share one promise. */
-    drain(reason: string): Promise<void> {
-        this.#drained ??= this.#drain(reason);
+    /**
+     * Removes the host from the directory, then waits for callers to move and requests to finish; repeated calls share one promise. The
+     * time limit began `delayMs` ago.
+     */
+    drain(reason: string, delayMs = 0): Promise<void> {
+        this.#drained ??= this.#drain(reason, delayMs);
         return this.#drained;
     }
 
-    async #drain(reason: string): Promise<void> {
-        const startMs = this.#clock.monotonicMs();
+    async #drain(reason: string, delayMs: number): Promise<void> {
+        const startMs = this.#clock.monotonicMs() - delayMs;
         this.#stopRequestedMs = startMs;
-        this.#log.write(lifecycleEvents.hostStopping, { reason, inProgress: this.#server.inProgress });
+        this.#log.write(lifecycleEvents.hostStopping, {
+            reason,
+            inProgress: this.#server.inProgress,
+            delayMs: Math.round(delayMs),
+        });
         this.#server.closeConnections();
         void this.#registration.leave();
         void this.#dutyLease.release();
-        const minimumMs = Math.min(this.#directoryKeepMs * directoryKeepFactor, this.#stopLimitMs * acceptTimeRatio);
+        const minimumMs = Math.min(delayMs + this.#directoryKeepMs * directoryKeepFactor, this.#stopLimitMs * acceptTimeRatio);
         for (;;) {
             const elapsedMs = this.#clock.monotonicMs() - startMs;
             const isIdle = elapsedMs >= minimumMs && this.#server.inProgress === 0;
@@ -117,6 +126,10 @@
             this.#endRequests();
             await this.#clock.sleep(pollMs);
         }
+        this.#server.endConnections();
+        while (this.#server.openConnections > 0 && this.#clock.monotonicMs() - startMs < this.#stopLimitMs * closeTimeRatio) {
+            await this.#clock.sleep(pollMs);
+        }
         this.#log.write(lifecycleEvents.hostStopped, { inProgress });
     }
 }
