--- a/features/ingress.stranded.feature
+++ b/features/ingress.stranded.feature
@@ -14,6 +14,7 @@
       | hang                 |
       | are reset and hang   |
       | refuse new ones      |
+      | accept and hang      |
 
   # Guards against treating a part of the endpoints as all of them or as none.
   Scenario: Callers are served while a host has lost its links to one failure domain
--- a/features/steps/ingress.freshness.ts
+++ b/features/steps/ingress.freshness.ts
@@ -246,6 +246,7 @@
                 limits: policy.createEndpointLimits({ hostId: ownId, listHosts: () => [] }),
                 runs: new policy.EndpointRuns(4_800),
                 paces: policy.createEndpointPaces({ hostId: ownId, listHosts: () => [], onChange: () => undefined }),
+                reach: policy.createEndpointReach({ hostId: ownId, onChange: () => undefined, listHosts: () => [] }),
                 finals: new policy.FinalCounts(),
             }),
             dutyHolder: () => undefined,
--- a/features/steps/ingress.stranded.ts
+++ b/features/steps/ingress.stranded.ts
@@ -1,9 +1,8 @@
 import { After, Given, Then, When } from "@cucumber/cucumber";
-import type { RouteFaults } from "@filbertrelay/standins";
 import assert from "node:assert/strict";
 import { waitFor } from "../support/ingress.js";
 import { LinkedFleet } from "../support/linkedfleet.js";
-import type { FleetAnswer } from "../support/linkedfleet.js";
+import type { FleetAnswer, LinkFault } from "../support/linkedfleet.js";
 
 interface StrandedWorld {
     fleet: LinkedFleet | undefined;
@@ -14,7 +13,7 @@
 }
 
 const requestIntervalMs = 15;
-const whole: RouteFaults = { partition: "none", refusesNew: false };
+const faultsOfWords: Readonly<Record<string, LinkFault>> = { "refuse new ones": "refuse", "accept and hang": "accept" };
 
 After(async function(this: Partial<StrandedWorld>) {
     await this.fleet?.stop();
@@ -39,13 +38,13 @@
 }
 
 When(
-    /^the links of the hosts ([\d, and]+) to all engines (hang|are reset and hang|refuse new ones) while callers press for (\d+) ms$/,
+    /^the links of the hosts ([\d, and]+) to all engines (hang|are reset and hang|refuse new ones|accept and hang) while callers press for (\d+) ms$/,
     { timeout: 30_000 },
     async function(this: StrandedWorld, hosts: string, fault: string, forMs: string) {
         this.cut = readIndexes(hosts);
         this.cutMs = performance.now();
         for (const host of this.cut) {
-            this.fleet!.setLinks(host, fault === "refuse new ones" ? { refusesNew: true } : { partition: "silent" });
+            this.fleet!.setLinks(host, faultsOfWords[fault] ?? "hang");
             if (fault === "are reset and hang") {
                 this.fleet!.resetLinks(host);
             }
@@ -60,7 +59,7 @@
     async function(this: StrandedWorld, hosts: string, forMs: string) {
         this.cut = readIndexes(hosts);
         this.cutMs = performance.now();
-        this.cut.forEach(host => this.fleet!.setLinks(host, { partition: "silent" }, engine => engine % 3 === 0));
+        this.cut.forEach(host => this.fleet!.setLinks(host, "hang", engine => engine % 3 === 0));
         await this.fleet!.press({ forMs: Number(forMs), intervalMs: requestIntervalMs });
     },
 );
@@ -69,7 +68,7 @@
     "the links are whole again and callers press for {int} ms",
     { timeout: 30_000 },
     async function(this: StrandedWorld, forMs: number) {
-        this.cut.forEach(host => this.fleet!.setLinks(host, whole));
+        this.cut.forEach(host => this.fleet!.setLinks(host, "none"));
         await this.fleet!.press({ forMs, intervalMs: requestIntervalMs });
         await this.fleet!.drain();
     },
@@ -82,8 +81,8 @@
         const fleet = this.fleet!;
         const all = Array.from({ length: this.hosts }, (_, host) => host);
         const untilMs = performance.now() + forMs;
-        all.forEach(host => fleet.setLinks(host, { partition: "silent" }));
-        setTimeout(() => all.forEach(host => fleet.setLinks(host, whole)), pauseMs);
+        all.forEach(host => fleet.setLinks(host, "accept"));
+        setTimeout(() => all.forEach(host => fleet.setLinks(host, "none")), pauseMs);
         const pressing = fleet.press({ forMs, intervalMs: requestIntervalMs });
         this.isDirectoryComplete = true;
         while (performance.now() < untilMs) {
--- a/features/support/fleethost.ts
+++ b/features/support/fleethost.ts
@@ -52,6 +52,7 @@
                 limits: policy.createEndpointLimits({ hostId, listHosts: () => [] }),
                 runs: new policy.EndpointRuns(4_800),
                 paces: policy.createEndpointPaces({ hostId, listHosts: () => [], onChange: () => undefined }),
+                reach: policy.createEndpointReach({ hostId, onChange: () => undefined, listHosts: () => [] }),
                 finals: new policy.FinalCounts(),
             }),
             dutyHolder: () => undefined,
--- a/features/support/linkedfleet.ts
+++ b/features/support/linkedfleet.ts
@@ -1,4 +1,5 @@
 import { createIngressDaemon, parseIngressSettings } from "@filbertrelay/ingress";
+import type { OpenSocket } from "@filbertrelay/ingress";
 import { createSystemClock, silentEventLog } from "@filbertrelay/kernel";
 import type { Kernel } from "@filbertrelay/kernel";
 import {
@@ -20,9 +21,9 @@
 } from "@filbertrelay/platform/standins";
 import type { EngineBehaviour } from "@filbertrelay/platform/standins";
 import { ProxyRoute } from "@filbertrelay/standins";
-import type { RouteFaults } from "@filbertrelay/standins";
 import assert from "node:assert/strict";
 import { Agent, request } from "node:http";
+import { connect, Socket } from "node:net";
 import { createConfiguration, customerKey, findPort, waitFor } from "./ingress.js";
 
 const failureDomains = ["zone-a", "zone-b", "zone-c"];
@@ -43,12 +44,20 @@
     readonly body: string;
 }
 
+/**
+ * `hang`: nothing passes, and new connections are not answered; `accept`: nothing passes, but something on the way accepts connections;
+ * `refuse`: only open connections go on.
+ */
+export type LinkFault = "none" | "hang" | "accept" | "refuse";
+
 interface FleetHost {
     readonly kernel: Kernel;
     readonly ports: readonly number[];
     readonly view: StoreView;
     /** The links to the engines, in their order. */
     readonly links: readonly ProxyRoute[];
+    /** Addresses of links on which new connections are not answered. */
+    readonly hanging: Set<string>;
 }
 
 /** Whole hosts in one process, each with links of its own to the engines, which can be cut. */
@@ -82,9 +91,20 @@
         }
     }
 
-    /** Sets the faults of all links of a host, or of those to some engines. */
-    setLinks(host: number, faults: RouteFaults, isCut: (engine: number) => boolean = () => true): void {
-        this.#hosts[host]!.links.filter((_, engine) => isCut(engine)).forEach(link => link.setFaults(faults));
+    /** Sets the fault of all links of a host, or of those to some engines. */
+    setLinks(host: number, fault: LinkFault, isCut: (engine: number) => boolean = () => true): void {
+        const { links, hanging } = this.#hosts[host]!;
+        for (const link of links.filter((_, engine) => isCut(engine))) {
+            const isSilent = fault === "hang" || fault === "accept";
+            link.setFaults({ partition: isSilent ? "silent" : "none", refusesNew: fault === "refuse" });
+            const { listen } = link.report();
+            if (fault === "hang") {
+                hanging.add(listen);
+            }
+            else {
+                hanging.delete(listen);
+            }
+        }
     }
 
     /** Resets the connections of a host to all engines. */
@@ -162,10 +182,13 @@
 `);
         assert.ok(settings.ok);
         const clock = createSystemClock();
+        const hanging = new Set<string>();
+        const openSocket: OpenSocket = target => hanging.has(`${target.host}:${target.port}`) ? new Socket() : connect(target);
         const kernel = createIngressDaemon(settings.value, {
             clock,
             log: silentEventLog,
             draw: Math.random,
+            openSocket,
             environment: {
                 createStore: onCall => createPlatformStore({ address: view.address, clock, timeoutMs: 500, onCall }),
                 decoder: createPlatformDecoder(),
@@ -176,7 +199,7 @@
             },
         });
         await kernel.start();
-        return { kernel, ports, view, links };
+        return { kernel, ports, view, links, hanging };
     }
 
     #ask(host: number, route: string): Promise<FleetAnswer> {
--- a/packages/ingress/src/daemon.ts
+++ b/packages/ingress/src/daemon.ts
@@ -19,13 +19,12 @@
     EndpointRuns,
     FinalCounts,
     rankByRendezvous,
-    VersionHistory,
 } from "@filbertrelay/policy/ingress";
-import type { EndpointProcess } from "@filbertrelay/policy/ingress";
 import { createPeerNetwork } from "@filbertrelay/wire";
+import { connect } from "node:net";
 import { createCallerLimits } from "./caller/limits.js";
 import { IngressServer } from "./caller/server.js";
-import type { Dialect, DutyCalls, StoreDecoder } from "./contract.js";
+import type { Dialect, DutyCalls, EndpointRecord, StoreDecoder } from "./contract.js";
 import type { HostView } from "./control/hostview.js";
 import { registerControl } from "./control/registration.js";
 import type { ControlRoutes } from "./control/server.js";
@@ -33,20 +32,20 @@
 import { EndpointScaler } from "./duty/endpointscaler.js";
 import { DutyLease, readDutyHolder } from "./duty/lease.js";
 import { UsageReporter } from "./duty/usagereporter.js";
-import { ConnectionPool } from "./endpoint/connectionpool.js";
 import { probeAddress } from "./endpoint/reachability.js";
+import type { OpenSocket } from "./endpoint/socket.js";
 import { HostDirectory } from "./fleet/directory.js";
 import { PeerExchange } from "./fleet/exchange.js";
 import { SharedFindings } from "./fleet/findings.js";
 import { HostTable } from "./fleet/hosts.js";
-import type { HostRecord } from "./fleet/hosts.js";
 import { createIncarnation } from "./fleet/incarnation.js";
-import { OriginArchive } from "./fleet/originarchive.js";
 import { Registration } from "./fleet/registration.js";
 import { StoreSync } from "./fleet/storesync.js";
-import { StreamVersions } from "./fleet/streamversions.js";
+import { createVersionServices } from "./fleet/versions.js";
 import { IngressLifecycle } from "./lifecycle.js";
 import { createArrivalGate } from "./pressure/creategate.js";
+import { createEndpointAccess } from "./relay/access.js";
+import { createRelayLimits } from "./relay/room.js";
 import type { RequestContext } from "./request/context.js";
 import { CrashMonitor } from "./request/crashmonitor.js";
 import { requestEvents } from "./request/event.js";
@@ -57,7 +56,6 @@
 import { EndpointTable } from "./state/endpoints.js";
 import { StoreMirror } from "./state/mirror.js";
 import { createOwnedPrefixes } from "./state/ownedprefixes.js";
-import { VersionRecorder } from "./state/versionrecorder.js";
 import { IngressMetrics } from "./telemetry/metrics.js";
 
 /** An entry is removed after three intervals without a report; the next process reports within one. */
@@ -85,6 +83,8 @@
     /** Uniform in [0, 1). */
     readonly draw: () => number;
     readonly environment: Environment;
+    /** Opens connections to endpoints; that of `node:net` by default. */
+    readonly openSocket?: OpenSocket;
 }
 
 /** An endpoint that started longer ago than this is taken for one that is in full use. */
@@ -103,7 +103,7 @@
 
 /** Creates an ingress host and registers its services in start order. */
 export function createIngressDaemon(settings: IngressSettings, options: IngressDaemonOptions): Kernel {
-    const { clock, log, draw, environment } = options;
+    const { clock, log, draw, environment, openSocket = connect } = options;
     const { promises } = settings;
     const kernel = createKernel({ clock, log });
     const hostId = brandAs<HostId>(settings.host.id);
@@ -140,7 +140,6 @@
     const runs = new EndpointRuns(entryReplacedHeartbeats * promises.endpointHeartbeatMs);
     const storeConfirmedMs = (): number => clock.monotonicMs() - mirror.ageMs();
     const promptCaches = createPromptCacheModel(promptCacheTokens);
-    const connections = new ConnectionPool(clock, { onOpened: service => metrics.recordConnection(service) });
     const peers = createPeerNetwork({
         clock,
         log,
@@ -158,6 +157,10 @@
             exchange.announce();
         },
     });
+    const answerMemory = new AnswerMemory({
+        totalBytes: callerLimits.memory.answerBytes,
+        endpointBytes: callerLimits.memory.endpointAnswerBytes,
+    });
     const limits = createEndpointLimits({ hostId, listHosts: () => exchange.listReachable() });
     const paces = createEndpointPaces({
         hostId,
@@ -172,6 +175,27 @@
             paces.start(record, clock.monotonicMs());
         }
     });
+    const access = createEndpointAccess({
+        clock,
+        log,
+        metrics,
+        dialect: environment.dialect,
+        hostId,
+        homeDomain: failureDomain,
+        peers,
+        hosts,
+        endpoints,
+        limits,
+        notices,
+        answerMemory,
+        relayLimits: createRelayLimits(callerLimits.memory),
+        openSocket,
+        callerWork,
+        exchange: () => exchange,
+        isRefusing: () => lifecycle.isRefusing,
+        recordRefusal: endpoint => recordRefusal(endpoint),
+        onCheck: () => pipeline.leaveCutLinks(),
+    });
     const exchange = new PeerExchange({
         clock,
         log,
@@ -181,7 +205,7 @@
         hosts,
         counts: { quota, usage, loads, demand, callerWork },
         fleetClock,
-        findings: new SharedFindings({ quarantine, limits, runs, paces, finals }),
+        findings: new SharedFindings({ quarantine, limits, runs, paces, reach: access.reach, finals }),
         dutyHolder: () => readDutyHolder(mirror),
     });
     const { serving } = exchange;
@@ -212,55 +236,34 @@
         draw,
     });
     endpoints.onEnded(endpointId => {
-        connections.forget(endpointId);
+        access.connections.forget(endpointId);
+        access.reach.forget(endpointId);
         health.forget(endpointId);
         limits.forget(endpointId);
         notices.forget(endpointId);
         paces.forget(endpointId);
         promptCaches.forget(endpointId);
     });
-    const history = new VersionHistory(fleetClock.now().getTime());
-    const listVersionHosts = (): readonly HostRecord[] => serving.isFullFleet ? hosts.list() : serving.serving;
-    const streamVersions = new StreamVersions({
-        clock,
-        fleetClock,
-        log,
-        hostId,
-        peers,
-        history,
-        listHosts: listVersionHosts,
-        isReachable: other => exchange.isReachable(other),
-        archive: origins => originArchive.add(origins),
-        copyAgeMs: () => mirror.ageMs(),
-    });
-    const originArchive = new OriginArchive({
+    const { streamVersions, originArchive, versionRecorder } = createVersionServices({
         store,
         clock,
         fleetClock,
         log,
         hostId,
         incarnation,
-        mirror,
-        onStored: origin => streamVersions.remember(origin),
-    });
-    const versionRecorder = new VersionRecorder({
-        store,
-        clock,
-        fleetClock,
-        log,
-        hostId,
+        peers,
         mirror,
         endpoints,
-        history,
-        listHosts: listVersionHosts,
+        hosts,
+        exchange,
     });
-    endpoints.onChanged(() => streamVersions.recordVersions(endpoints.versions()));
-    const recordRefusal = (endpoint: EndpointProcess): void => {
-        if (runs.recordRefusal(endpoint, storeConfirmedMs(), clock.monotonicMs())) {
-            log.write(requestEvents.endpointRunUnknown, { endpoint: endpoint.endpointId });
-            exchange.announce();
-        }
-    };
+    const recordRefusal = (endpoint: EndpointRecord): void =>
+        access.monitor.whenConfirmed(endpoint, () => {
+            if (runs.recordRefusal(endpoint, storeConfirmedMs(), clock.monotonicMs())) {
+                log.write(requestEvents.endpointRunUnknown, { endpoint: endpoint.endpointId });
+                exchange.announce();
+            }
+        });
     const own = { clock, fleetClock, log, store, mirror, hostId, incarnation, decoder: environment.decoder };
     const rollouts = createRollouts({ ...own, promises, configuration, endpoints, loads, draw });
     const context: RequestContext = {
@@ -273,11 +276,11 @@
         homeDomain: failureDomain,
         configuration,
         endpoints,
-        connections,
-        answerMemory: new AnswerMemory({
-            totalBytes: callerLimits.memory.answerBytes,
-            endpointBytes: callerLimits.memory.endpointAnswerBytes,
-        }),
+        endpointReach: access.reach,
+        links: access.links,
+        router: access.router,
+        linkMonitor: access.monitor,
+        answerMemory,
         loads,
         promptCaches,
         health,
@@ -287,7 +290,8 @@
             metrics,
             endpoints,
             quarantine,
-            probe: address => probeAddress(clock, address),
+            probe: address => probeAddress(clock, address, openSocket),
+            confirmFailure: endpoint => access.monitor.confirmFailure(endpoint),
             recordRefusal,
         }),
         quarantine,
@@ -346,12 +350,14 @@
         server,
         stopLimitMs: promises.stopLimitSeconds * 1_000,
         directoryKeepMs: promises.directoryKeepSeconds * 1_000,
+        relayed: () => access.relay.inProgress,
         endRequests: () => pipeline.endAll(),
     });
     const view: HostView = {
         directory: new HostDirectory({
             clock,
             serving,
+            strandedHosts: () => access.strandedHosts(),
             hostId,
             ownAddress: () => lifecycle.isStopping ? undefined : settings.host.callerAddress,
         }),
@@ -368,6 +374,8 @@
     kernel.register("originArchive", originArchive);
     kernel.register("versionRecorder", versionRecorder);
     kernel.register("exchange", exchange);
+    kernel.register("relay", access.relay);
+    kernel.register("links", access.monitor);
     kernel.register("rollouts", rollouts.split);
     kernel.register("callers", server);
     kernel.register("registration", registration);
--- a/packages/ingress/src/endpoint/connection.ts
+++ b/packages/ingress/src/endpoint/connection.ts
@@ -1,12 +1,13 @@
 import { splitAddress } from "@filbertrelay/kernel";
 import type { Clock } from "@filbertrelay/kernel";
-import { connect } from "node:net";
 import type { Socket } from "node:net";
-import type { HeaderList } from "../contract.js";
+import type { EndpointRecord, HeaderList } from "../contract.js";
 import type { RelayRefusal } from "../relay/message.js";
 import type { EndpointLink } from "./link.js";
+import type { LinkObserver } from "./linkobserver.js";
 import { ResponseParser } from "./responseparser.js";
 import type { ResponseHead } from "./responseparser.js";
+import type { OpenSocket } from "./socket.js";
 
 /** A request to an endpoint. */
 export interface EndpointRequest {
@@ -59,6 +60,9 @@
 export class EndpointConnection implements EndpointLink {
     readonly isRelayed = false;
     readonly #clock: Clock;
+    readonly #endpoint: EndpointRecord;
+    readonly #observer: LinkObserver;
+    readonly #name: string;
     readonly #socket: Socket;
     readonly #parser: ResponseParser;
     readonly #onIdle: (connection: EndpointConnection) => void;
@@ -79,12 +83,19 @@
     constructor(
         options: {
             readonly clock: Clock;
-            readonly address: string;
+            readonly openSocket: OpenSocket;
+            readonly endpoint: EndpointRecord;
+            readonly observer: LinkObserver;
+            /** Unique among the connections of the observer. */
+            readonly name: string;
             readonly onIdle: (connection: EndpointConnection) => void;
             readonly onClosed: (connection: EndpointConnection) => void;
         },
     ) {
         this.#clock = options.clock;
+        this.#endpoint = options.endpoint;
+        this.#observer = options.observer;
+        this.#name = options.name;
         this.#onIdle = options.onIdle;
         this.#onClosed = options.onClosed;
         this.#parser = new ResponseParser({
@@ -92,8 +103,8 @@
             onBody: chunk => this.#receiveBody(chunk),
             onComplete: () => this.#receiveComplete(),
         }, () => this.#current?.request.method === "HEAD");
-        this.#socket = connect({
-            ...splitAddress(options.address),
+        this.#socket = options.openSocket({
+            ...splitAddress(options.endpoint.address),
             noDelay: true,
             allowHalfOpen: true,
             // Without a buffer of its own, a paused socket still reads until it has buffered several packets.
@@ -153,6 +164,7 @@
         this.#socket.on("connect", () => {
             cancelTimer();
             this.#isConnected = true;
+            this.#observer.connected(this.#endpoint);
             if (this.#current !== undefined) {
                 this.#write(this.#current.request);
             }
@@ -171,6 +183,7 @@
 
     #write(request: EndpointRequest): void {
         this.#isSent = true;
+        this.#observer.sent(this.#name, this.#endpoint);
         const hasBody = request.body.length > 0 || bodyMethods.has(request.method);
         const framing = hasBody ? [["Content-Length", String(request.body.length)] as const] : [];
         const lines = [...request.headers, ...framing].map(([name, value]) => `${name}: ${value}\r\n`).join("");
@@ -179,6 +192,7 @@
     }
 
     #receive(bytes: Buffer): void {
+        this.#observer.heard(this.#endpoint);
         if (this.#current === undefined) {
             // No request is in flight, so these bytes belong to none.
             this.#fail("malformed", "The endpoint sent data on an idle connection.");
@@ -252,6 +266,7 @@
     #finish(): void {
         const handler = this.#current?.handler;
         this.#current = undefined;
+        this.#observer.ended(this.#name);
         if (this.#hasExcessBytes || !this.#isReusable) {
             this.#close();
         }
@@ -267,10 +282,26 @@
     #fail(reason: ConnectionFailure["reason"], detail: string): void {
         const handler = this.#current?.handler;
         this.#current = undefined;
+        this.#observeFailure(reason, handler !== undefined);
         this.#close();
         handler?.onFailure({ reason, wasSent: this.#isSent, detail, isRefused: this.#isRefused });
     }
 
+    #observeFailure(reason: ConnectionFailure["reason"], isInUse: boolean): void {
+        if (this.#isClosed) {
+            return;
+        }
+        if (reason === "unreachable") {
+            this.#observer.connectFailed(this.#endpoint);
+        }
+        if (isInUse && this.#isSent) {
+            this.#observer.ended(this.#name);
+            if (reason === "reset" || reason === "truncated") {
+                this.#observer.lost(this.#endpoint);
+            }
+        }
+    }
+
     #close(): void {
         if (!this.#isClosed) {
             this.#isClosed = true;
--- a/packages/ingress/src/endpoint/connectionpool.ts
+++ b/packages/ingress/src/endpoint/connectionpool.ts
@@ -1,6 +1,10 @@
 import type { Clock, EndpointId } from "@filbertrelay/kernel";
+import { connect } from "node:net";
 import type { EndpointRecord } from "../contract.js";
 import { EndpointConnection } from "./connection.js";
+import { silentLinkObserver } from "./linkobserver.js";
+import type { LinkObserver } from "./linkobserver.js";
+import type { OpenSocket } from "./socket.js";
 
 /** Idle connections per endpoint; more are rarely reused before they time out. */
 const maximumIdleConnections = 12;
@@ -19,11 +23,20 @@
 export class ConnectionPool {
     readonly #clock: Clock;
     readonly #onOpened: ConnectionObserver;
+    readonly #links: LinkObserver;
+    readonly #openSocket: OpenSocket;
+    #opened = 0;
     readonly #endpoints = new Map<EndpointId, EndpointConnections>();
 
-    constructor(clock: Clock, options: { readonly onOpened?: ConnectionObserver; } = {}) {
+    constructor(
+        clock: Clock,
+        options: { readonly onOpened?: ConnectionObserver; readonly links?: LinkObserver; readonly openSocket?: OpenSocket; } =
+            {},
+    ) {
         this.#clock = clock;
         this.#onOpened = options.onOpened ?? (() => undefined);
+        this.#links = options.links ?? silentLinkObserver;
+        this.#openSocket = options.openSocket ?? connect;
     }
 
     /** Returns a connection that was idle for less than `maximumIdleMs`, or opens one. */
@@ -35,9 +48,13 @@
             }
             connection.close("The connection was idle for too long.");
         }
+        this.#opened += 1;
         const opened = new EndpointConnection({
             clock: this.#clock,
-            address: endpoint.address,
+            openSocket: this.#openSocket,
+            endpoint,
+            observer: this.#links,
+            name: String(this.#opened),
             onIdle: connection => {
                 connections.idle.push(connection);
                 if (
@@ -57,6 +74,11 @@
         return opened;
     }
 
+    /** Whether a connection is open that was idle for less than `maximumIdleMs`. */
+    hasIdle(endpoint: EndpointRecord, maximumIdleMs: number): boolean {
+        return this.#connectionsOf(endpoint).idle.some(connection => connection.isUsable(maximumIdleMs));
+    }
+
     /** Closes the idle connections of an endpoint that was removed; those in use stay open until their response is complete. */
     forget(endpointId: EndpointId): void {
         const connections = this.#endpoints.get(endpointId);
--- a/packages/ingress/src/endpoint/reachability.ts
+++ b/packages/ingress/src/endpoint/reachability.ts
@@ -1,6 +1,7 @@
 import { splitAddress } from "@filbertrelay/kernel";
 import type { Clock } from "@filbertrelay/kernel";
 import { connect } from "node:net";
+import type { OpenSocket } from "./socket.js";
 
 /** Whether an address accepts connections: `refused` means that no process listens there, `unknown` that nothing answered. */
 export type Reachability = "accepted" | "refused" | "unknown";
@@ -9,9 +10,9 @@
 const connectTimeoutMs = 400;
 
 /** Opens a connection to find out whether a process listens, and closes it. */
-export function probeAddress(clock: Clock, address: string): Promise<Reachability> {
+export function probeAddress(clock: Clock, address: string, openSocket: OpenSocket = connect): Promise<Reachability> {
     return new Promise(resolve => {
-        const socket = connect(splitAddress(address));
+        const socket = openSocket(splitAddress(address));
         const finish = (reachability: Reachability): void => {
             cancelTimer();
             socket.destroy();
--- a/packages/ingress/src/fleet/directory.ts
+++ b/packages/ingress/src/fleet/directory.ts
@@ -1,5 +1,5 @@
 import type { Clock, FailureDomainId, HostId } from "@filbertrelay/kernel";
-import { chooseHostsForCaller } from "@filbertrelay/policy/ingress";
+import { chooseHostsForCaller, preferConnectedHosts } from "@filbertrelay/policy/ingress";
 import type { ServingHosts } from "./servinghosts.js";
 
 /** Maximum number of addresses in a response. */
@@ -12,18 +12,22 @@
     readonly #clock: Clock;
     readonly #serving: ServingHosts;
     readonly #hostId: HostId;
+    readonly #strandedHosts: () => ReadonlySet<HostId>;
     readonly #ownAddress: () => string | undefined;
 
     constructor(options: {
         readonly clock: Clock;
         readonly serving: ServingHosts;
         readonly hostId: HostId;
+        /** Hosts that have lost their links to all endpoints, including this one. */
+        readonly strandedHosts: () => ReadonlySet<HostId>;
         /** Address at which this host accepts callers; `undefined` while it stops. */
         readonly ownAddress: () => string | undefined;
     }) {
         this.#clock = options.clock;
         this.#ownAddress = options.ownAddress;
         this.#serving = options.serving;
+        this.#strandedHosts = options.strandedHosts;
         this.#hostId = options.hostId;
     }
 
@@ -31,7 +35,8 @@
     addresses(failureDomain: FailureDomainId | undefined): readonly string[] {
         this.#serving.refresh();
         const key = `${this.#hostId}/${Math.floor(this.#clock.monotonicMs() / responseTtlMs)}`;
-        const chosen = chooseHostsForCaller(this.#serving.serving, { failureDomain, limit: addressLimit, key });
+        const listed = preferConnectedHosts(this.#serving.serving, this.#strandedHosts());
+        const chosen = chooseHostsForCaller(listed, { failureDomain, limit: addressLimit, key });
         const own = this.#ownAddress();
         return chosen.length > 0 || own === undefined ? chosen.map(host => host.callerAddress) : [own];
     }
--- a/packages/ingress/src/fleet/report.ts
+++ b/packages/ingress/src/fleet/report.ts
@@ -49,6 +49,14 @@
     }),
 );
 
+/** What hosts tell each other while some of them fail to reach endpoints; see `EndpointReach`. Ages in milliseconds. */
+const reachReportSchema = z.object({
+    suspects: countsSchema.optional(),
+    silent: countsSchema.optional(),
+    answers: countsSchema.optional(),
+    stranded: countsSchema.optional(),
+});
+
 /** Lets the receiver bound when a report was written. Absent in older versions. */
 const messageTimeSchema = z.object({
     /** The sender's run, and its monotonic time in milliseconds. */
@@ -80,6 +88,8 @@
     runs: runReportSchema.optional(),
     /** Absent while no endpoint has started recently, and in older versions. */
     paces: paceReportSchema.optional(),
+    /** Absent while all hosts reach the endpoints, and in older versions. */
+    reach: reachReportSchema.optional(),
     /** Final counts of usage windows that the store lacks. Absent if there are none, and in older versions. */
     finalCounts: z.record(z.string(), countsSchema).optional(),
 });
@@ -103,6 +113,8 @@
     runs: runReportSchema.optional(),
     /** Absent while no endpoint has started recently, and in older versions. */
     paces: paceReportSchema.optional(),
+    /** Absent while all hosts reach the endpoints, and in older versions. */
+    reach: reachReportSchema.optional(),
     /** Final counts of usage windows that the store lacks. Absent if there are none, and in older versions. */
     finalCounts: z.record(z.string(), countsSchema).optional(),
 });
@@ -126,6 +138,8 @@
     runs: runReportSchema.optional(),
     /** Absent while no endpoint has started recently, and in older versions. */
     paces: paceReportSchema.optional(),
+    /** Absent while all hosts reach the endpoints, and in older versions. */
+    reach: reachReportSchema.optional(),
     /** Final counts of usage windows that the store lacks. Absent if there are none, and in older versions. */
     finalCounts: z.record(z.string(), countsSchema).optional(),
 });
@@ -147,6 +161,8 @@
     runs: runReportSchema.optional(),
     /** Absent while no endpoint has started recently, and in older versions. */
     paces: paceReportSchema.optional(),
+    /** Absent while all hosts reach the endpoints, and in older versions. */
+    reach: reachReportSchema.optional(),
     /** Final counts of usage windows that the store lacks. Absent if there are none, and in older versions. */
     finalCounts: z.record(z.string(), countsSchema).optional(),
 });
--- a/packages/ingress/src/index.ts
+++ b/packages/ingress/src/index.ts
@@ -12,6 +12,7 @@
 export type { EndpointLink, LinkSource } from "./endpoint/link.js";
 export { ResponseParser } from "./endpoint/responseparser.js";
 export type { ResponseHandler, ResponseHead } from "./endpoint/responseparser.js";
+export type { OpenSocket } from "./endpoint/socket.js";
 export { HostDirectory } from "./fleet/directory.js";
 export { PeerExchange } from "./fleet/exchange.js";
 export { SharedFindings } from "./fleet/findings.js";
--- a/packages/ingress/src/lifecycle.ts
+++ b/packages/ingress/src/lifecycle.ts
@@ -46,6 +46,7 @@
     readonly #server: IngressServer;
     readonly #stopLimitMs: number;
     readonly #directoryKeepMs: number;
+    readonly #relayed: () => number;
     readonly #endRequests: () => void;
     #stopRequestedMs: number | undefined;
     #drained: Promise<void> | undefined;
@@ -58,6 +59,8 @@
             readonly server: IngressServer;
             readonly stopLimitMs: number;
             readonly directoryKeepMs: number;
+            /** Number of other hosts' requests that this host sends to endpoints. */
+            readonly relayed: () => number;
             /** Gives all requests in progress their final response. */
             readonly endRequests: () => void;
         },
@@ -69,6 +72,7 @@
         this.#server = options.server;
         this.#stopLimitMs = options.stopLimitMs;
         this.#directoryKeepMs = options.directoryKeepMs;
+        this.#relayed = options.relayed;
         this.#endRequests = options.endRequests;
     }
 
@@ -115,7 +119,7 @@
         const minimumMs = Math.min(delayMs + this.#directoryKeepMs * directoryKeepFactor, this.#stopLimitMs * acceptTimeRatio);
         for (;;) {
             const elapsedMs = this.#clock.monotonicMs() - startMs;
-            const isIdle = elapsedMs >= minimumMs && this.#server.inProgress === 0;
+            const isIdle = elapsedMs >= minimumMs && this.#server.inProgress === 0 && this.#relayed() === 0;
             if (isIdle || elapsedMs >= this.#stopLimitMs * exitTimeRatio) {
                 break;
             }
--- a/packages/ingress/src/request/attempt.ts
+++ b/packages/ingress/src/request/attempt.ts
@@ -7,9 +7,10 @@
 import type { ConnectionFailure, EndpointRequest, EndpointResponseHandler } from "../endpoint/connection.js";
 import type { EndpointLink } from "../endpoint/link.js";
 import type { ResponseHead } from "../endpoint/responseparser.js";
+import type { AttemptWay } from "../relay/router.js";
 import type { RequestBoundary } from "./boundary.js";
 import type { RequestContext } from "./context.js";
-import { requestEvents as events } from "./event.js";
+import { recordStatements } from "./statements.js";
 import { StreamReader } from "./streamreader.js";
 
 /** A complete answer of an endpoint; a stream was forwarded already. */
@@ -37,7 +38,11 @@
     readonly isEndpointIdle: boolean;
     /** Latency objective of the response. */
     readonly objectiveMs: number;
-    readonly isRepeatable: boolean;
+    /** Longest idle time of a connection that is reused, in milliseconds. */
+    readonly maximumIdleMs: number;
+    /** Time left for the answer, in milliseconds. */
+    readonly remainingMs: number;
+    readonly way: AttemptWay;
     readonly isStream: boolean;
 }
 
@@ -47,8 +52,6 @@
     onEnd(result: AttemptResult): void;
 }
 
-/** Longest idle time of a connection that is reused for a non-retryable request; a longer-idle connection may be closing. */
-const nonRetryableIdleMs = 3_000;
 /** Longest response that is buffered before it is forwarded. */
 const responseLimitBytes = 8_388_608;
 /** Statuses that tell the caller that the request was not executed. */
@@ -99,6 +102,10 @@
         return this.#options.endpoint;
     }
 
+    get way(): AttemptWay {
+        return this.#options.way;
+    }
+
     get endpointId(): EndpointId {
         return this.#options.endpoint.endpointId;
     }
@@ -129,15 +136,16 @@
 
     /** Sends the request. All callbacks of the connection and of timers run within the boundary. */
     start(boundary: RequestBoundary, handler: AttemptHandler): void {
-        const { loads, connections, limits, paces, rollouts } = this.#context;
-        const { endpoint, number, priority, tokens, isRepeatable } = this.#options;
+        const { loads, links, limits, paces, rollouts } = this.#context;
+        const { endpoint, number, priority, tokens, maximumIdleMs, remainingMs, way } = this.#options;
         this.#handler = handler;
         this.#boundary = boundary;
         limits.recordSend(endpoint.endpointId, this.#sentMs);
         paces.recordSend(endpoint, this.#sentMs);
         rollouts.recordSent(endpoint, number === 1);
         loads.recordDispatch({ requestId: this.#loadKey, endpointId: endpoint.endpointId, priority, tokens });
-        this.#connection = connections.acquire(endpoint, isRepeatable ? Infinity : nonRetryableIdleMs);
+        const relay = way.type === "relay" ? way.relay : undefined;
+        this.#connection = links.open(endpoint, { maximumIdleMs, remainingMs, relay });
         this.#connection.send(this.#outgoing, {
             onHead: head => {
                 let isOwn = false;
@@ -189,6 +197,11 @@
         this.#connection?.close(detail);
     }
 
+    /** Counts the attempt as load of its endpoint no longer, since it waits for a link and not for the endpoint. */
+    dropLoad(): void {
+        this.#context.loads.recordEnd(this.#loadKey);
+    }
+
     /** Ends the attempt without a result, because the response is no longer needed. */
     cancel(): void {
         if (this.#handler !== undefined) {
@@ -221,31 +234,11 @@
         if (isOwn) {
             this.#head = head;
             this.#description = description;
-            this.#recordStatements(description);
+            recordStatements(this.#context, this.endpoint, description);
         }
         return isOwn;
     }
 
-    /** Records what the endpoint says of itself beside the answer. */
-    #recordStatements({ limitPerSecond, isLeaving, pauseMs, invalid }: ResponseDescription): void {
-        const { limits, notices, clock, log, announce } = this.#context;
-        const { endpointId } = this;
-        if (invalid !== undefined) {
-            log.write(events.statementInvalid, { requestId: this.#options.requestId, endpoint: endpointId, headers: invalid });
-        }
-        if (isLeaving && notices.recordLeaving(this.endpoint)) {
-            log.write(events.endpointLeaving, { endpoint: endpointId });
-        }
-        if (pauseMs !== undefined) {
-            notices.recordPause(this.endpoint, clock.monotonicMs() + pauseMs);
-            log.write(events.endpointPaused, { endpoint: endpointId, pauseMs });
-        }
-        if (limits.recordAnswer(endpointId, limitPerSecond, clock.monotonicMs())) {
-            log.write(events.limitChanged, { endpoint: endpointId, perSecond: limitPerSecond });
-            announce();
-        }
-    }
-
     onBody(chunk: Buffer): void {
         if (this.#isForwardedStream()) {
             this.#receiveStream(chunk);
@@ -301,19 +294,20 @@
         }
     }
 
-    onFailure({ reason, wasSent, detail, isRefused }: ConnectionFailure): void {
+    onFailure({ reason, wasSent, detail, isRefused, relay }: ConnectionFailure): void {
         if (isRefused) {
             this.#context.recordRefusal(this.endpoint);
         }
         this.#reader.flush();
         if (!wasSent) {
-            this.#finish({ type: "notRun", hasArrived: false, detail }, "unreachable");
+            this.#finish({ type: "notRun", hasArrived: false, detail }, relay === undefined ? "unreachable" : undefined);
         }
         else {
-            const isLost = reason === "reset" || reason === "truncated";
+            // Whether a relay or its connection to the endpoint broke off, the endpoint itself may be sound.
+            const isLost = (reason === "reset" || reason === "truncated") && this.way.type === "direct";
             this.#finish(
                 { type: "failed", detail: `${reason}: ${detail}`, ...(isLost ? { isConnectionLost: true } : {}) },
-                "broken",
+                relay === undefined ? "broken" : undefined,
             );
         }
     }
@@ -332,10 +326,7 @@
         this.#recordEnd(result);
         const nowMs = clock.monotonicMs();
         if (failure !== undefined) {
-            health.recordFailure(endpoint.endpointId, failure, nowMs);
-            if (health.isQuarantined(endpoint.endpointId, nowMs)) {
-                paces.recordSetback(endpoint, nowMs);
-            }
+            this.#recordFailure(failure);
         }
         else if (result.type === "answered") {
             const elapsedMs = nowMs - this.#sentMs;
@@ -348,9 +339,22 @@
         handler.onEnd(result);
     }
 
+    /** Records a failure against the endpoint, and tells the other hosts once it is certain that this host's links are not its cause. */
+    #recordFailure(failure: AttemptFailure): void {
+        const { health, clock, paces, linkMonitor } = this.#context;
+        const { endpoint } = this;
+        health.recordFailure(endpoint.endpointId, failure, clock.monotonicMs());
+        if (health.isQuarantined(endpoint.endpointId, clock.monotonicMs())) {
+            linkMonitor.whenConfirmed(endpoint, () => paces.recordSetback(endpoint, clock.monotonicMs()));
+        }
+    }
+
     /** Records the end for the comparison of versions; a stream counted as answered at its first event. */
     #recordEnd(result: AttemptResult): void {
         if (result.type === "failed") {
+            if (this.way.type === "relay" || this.#context.linkMonitor.isSuspected(this.endpoint)) {
+                return;
+            }
             this.#recordResult(result.isConnectionLost === true ? "lost" : "failed");
         }
         else if (result.type === "answered" && !this.#hasFirstEvent) {
--- a/packages/ingress/src/request/attemptplanner.ts
+++ b/packages/ingress/src/request/attemptplanner.ts
@@ -1,20 +1,36 @@
 import type { EndpointId } from "@filbertrelay/kernel";
 import { decideReplacement, planAttempt } from "@filbertrelay/policy/ingress";
 import type { AttemptPlan, ReplacementDecision, RequestTraits } from "@filbertrelay/policy/ingress";
+import type { EndpointRecord } from "../contract.js";
+import type { AttemptWay } from "../relay/router.js";
 import { isEndedBeforeStop } from "./admission.js";
 import type { AdmittedRequest } from "./admitted.js";
+import type { Attempt } from "./attempt.js";
 import type { RequestContext } from "./context.js";
 import type { StreamContinuation } from "./continuation.js";
 import { isRepeatable, listOpenEndpoints, recordDemand, selectEndpoint } from "./endpointselection.js";
 import type { SelectedEndpoint } from "./endpointselection.js";
 
+/** Longest idle time of a connection that is reused for a non-retryable request; a longer-idle connection may be closing. */
+const nonRetryableIdleMs = 3_000;
+
+/** Where an attempt goes, and how. */
+export interface PlannedAttempt extends SelectedEndpoint {
+    readonly way: AttemptWay;
+    /** Longest idle time of a connection that is reused for it, in milliseconds. */
+    readonly maximumIdleMs: number;
+}
+
 /** Plans the attempts of one request and remembers where they were sent. */
 export class AttemptPlanner {
     readonly #context: RequestContext;
     readonly #request: AdmittedRequest;
     readonly #continuation: StreamContinuation;
     readonly #traits: RequestTraits;
+    /** Endpoints that got the request, or may have got it. */
     readonly #tried = new Set<EndpointId>();
+    /** Ways by which the request did not get to an endpoint. */
+    readonly #failedWays = new Set<string>();
     #attempts = 0;
     #executions = 0;
 
@@ -49,7 +65,7 @@
         return isRepeatable(this.#request.route);
     }
 
-    recordSent(endpointId: EndpointId): void {
+    recordSent({ endpointId }: EndpointRecord): void {
         this.#attempts += 1;
         this.#tried.add(endpointId);
     }
@@ -58,8 +74,14 @@
         this.#executions += 1;
     }
 
+    /** Records that nothing of the request got to an endpoint, which is then open to it by another way. */
+    recordUnreached({ endpointId }: EndpointRecord, way: AttemptWay): void {
+        this.#tried.delete(endpointId);
+        this.#failedWays.add(nameWay(endpointId, way));
+    }
+
     /** Plans the next attempt and records the demand of the request. */
-    plan(): AttemptPlan<SelectedEndpoint> {
+    plan(): AttemptPlan<PlannedAttempt> {
         const plan = this.#plan();
         if (plan.type !== "quarantined") {
             recordDemand(this.#context, this.#request, plan.type === "ready" ? plan.selected.choice : undefined);
@@ -68,7 +90,7 @@
     }
 
     /** Decides whether another attempt takes the place of the current one, or of the failure that it brought. */
-    decideReplacement(): ReplacementDecision<SelectedEndpoint> {
+    decideReplacement(): ReplacementDecision<PlannedAttempt> {
         const decision = decideReplacement(this.#plan(), () => this.reserveRetry());
         if (decision.type === "replace") {
             recordDemand(this.#context, this.#request, decision.selected.choice);
@@ -76,23 +98,54 @@
         return decision;
     }
 
+    /** Whether an attempt waits for an endpoint to which this host has lost its link. */
+    isCutOff({ endpoint, way }: Pick<Attempt, "endpoint" | "way">): boolean {
+        const { endpointReach, clock } = this.#context;
+        return way.type === "direct" && endpointReach.wayTo(endpoint, clock.monotonicMs()) === "relay";
+    }
+
     /** Charges a retry to the budget; returns false when it is used up. */
     reserveRetry(): boolean {
         const { retryBudget, reach, clock } = this.#context;
         return retryBudget.tryRetry(this.#request.service, reach().knownHosts, clock.monotonicMs());
     }
 
-    #plan(): AttemptPlan<SelectedEndpoint> {
-        const { quarantine, rollouts, clock } = this.#context;
-        const { service } = this.#request;
+    #plan(): AttemptPlan<PlannedAttempt> {
+        const { quarantine, clock } = this.#context;
         return planAttempt({
             decideQuarantine: () => quarantine.decide(this.#traits, clock.monotonicMs()),
-            select: () => {
-                const open = listOpenEndpoints(this.#context, service).filter(endpoint => this.#continuation.accepts(endpoint));
-                const traits = { isContinued: this.#continuation.isBound, isRepeated: this.#attempts > 0 };
-                return selectEndpoint(this.#context, this.#request, rollouts.select(service, open, traits), this.#tried);
-            },
+            select: () => this.#select(),
             endsBeforeStop: ({ choice }) => isEndedBeforeStop(this.#context, this.#request, choice, this.isRepeatable),
         });
     }
+
+    #select(): PlannedAttempt | undefined {
+        const { rollouts } = this.#context;
+        const { service } = this.#request;
+        const open = listOpenEndpoints(this.#context, service).filter(endpoint =>
+            this.#continuation.accepts(endpoint) && this.#findWay(endpoint) !== undefined
+        );
+        const traits = { isContinued: this.#continuation.isBound, isRepeated: this.#attempts > 0 };
+        const selected = selectEndpoint(this.#context, this.#request, rollouts.select(service, open, traits), this.#tried);
+        const way = selected === undefined ? undefined : this.#findWay(selected.endpoint);
+        return selected === undefined || way === undefined ?
+            undefined :
+            { ...selected, way, maximumIdleMs: this.#maximumIdleMs };
+    }
+
+    get #maximumIdleMs(): number {
+        return this.isRepeatable ? Infinity : nonRetryableIdleMs;
+    }
+
+    #findWay(endpoint: EndpointRecord): AttemptWay | undefined {
+        return this.#context.router.find(endpoint, {
+            requestId: this.#request.requestId,
+            maximumIdleMs: this.#maximumIdleMs,
+            wasTried: way => this.#failedWays.has(nameWay(endpoint.endpointId, way)),
+        });
+    }
+}
+
+function nameWay(endpointId: EndpointId, way: AttemptWay): string {
+    return way.type === "direct" ? `${endpointId}/` : `${endpointId}/${way.relay}`;
 }
--- a/packages/ingress/src/request/context.ts
+++ b/packages/ingress/src/request/context.ts
@@ -6,7 +6,7 @@
     EndpointLimits,
     EndpointNotices,
     EndpointPaces,
-    EndpointProcess,
+    EndpointReach,
     EndpointRuns,
     FleetClock,
     FleetReach,
@@ -18,9 +18,11 @@
     UsageQuota,
     WindowedRetryBudget,
 } from "@filbertrelay/policy/ingress";
-import type { Dialect } from "../contract.js";
-import type { ConnectionPool } from "../endpoint/connectionpool.js";
+import type { Dialect, EndpointRecord } from "../contract.js";
+import type { LinkMonitor } from "../endpoint/linkmonitor.js";
 import type { StreamVersions } from "../fleet/streamversions.js";
+import type { EndpointLinks } from "../relay/links.js";
+import type { LinkRouter } from "../relay/router.js";
 import type { VersionSplit } from "../rollout/versionsplit.js";
 import type { ConfigurationState } from "../state/configuration.js";
 import type { EndpointTable } from "../state/endpoints.js";
@@ -37,7 +39,10 @@
     readonly homeDomain: FailureDomainId;
     readonly configuration: ConfigurationState;
     readonly endpoints: EndpointTable;
-    readonly connections: ConnectionPool;
+    readonly endpointReach: EndpointReach;
+    readonly links: EndpointLinks;
+    readonly router: LinkRouter;
+    readonly linkMonitor: LinkMonitor;
     readonly answerMemory: AnswerMemory;
     readonly loads: LoadTracker;
     readonly promptCaches: PromptCacheModel;
@@ -70,7 +75,7 @@
     /** Time until all responses must have ended, in milliseconds; infinite unless the host stops. */
     readonly stopLeftMs: () => number;
     /** Records that nothing listened at the address of an endpoint. */
-    readonly recordRefusal: (endpoint: EndpointProcess) => void;
+    readonly recordRefusal: (endpoint: EndpointRecord) => void;
     /** Tells the other hosts what has just become known, instead of at the next interval. */
     readonly announce: () => void;
 }
--- a/packages/ingress/src/request/crashmonitor.ts
+++ b/packages/ingress/src/request/crashmonitor.ts
@@ -18,6 +18,8 @@
     readonly endpoints: EndpointTable;
     readonly quarantine: Quarantine;
     readonly probe: (address: string) => Promise<Reachability>;
+    /** Whether a failure at an endpoint is its own, rather than one of this host's links. */
+    readonly confirmFailure: (endpoint: EndpointRecord) => Promise<boolean>;
     /** Called for an endpoint at whose address nothing listens. */
     readonly recordRefusal: (endpoint: EndpointRecord) => void;
 }
@@ -68,7 +70,7 @@
     }
 
     async #examine(endpoint: EndpointRecord, crashId: string, lost: Break): Promise<void> {
-        const { clock, log, metrics, endpoints, quarantine, probe } = this.#options;
+        const { clock, log, metrics, endpoints, quarantine, probe, confirmFailure } = this.#options;
         const reachability = await probe(endpoint.address);
         clock.after(sameCrashMs, () => {
             if (this.#breaks.get(crashId) === lost) {
@@ -78,7 +80,7 @@
         if (reachability === "refused") {
             this.#options.recordRefusal(endpoint);
         }
-        if (reachability !== "refused" || !endpoints.isServing(endpoint)) {
+        if (reachability !== "refused" || !await confirmFailure(endpoint) || !endpoints.isServing(endpoint)) {
             return;
         }
         lost.isCrash = true;
--- a/packages/ingress/src/request/pipeline.ts
+++ b/packages/ingress/src/request/pipeline.ts
@@ -35,6 +35,11 @@
         this.#tasks.forEach(task => task.endForStop());
     }
 
+    /** Goes on elsewhere with requests that wait for endpoints to which this host has lost its links. */
+    leaveCutLinks(): void {
+        this.#tasks.forEach(task => task.leaveCutLink());
+    }
+
     /** Accepts a fully received request; the responder gets exactly one final response. */
     accept(caller: CallerRequest, responder: CallerResponder): void {
         const { log, metrics } = this.#context;
--- a/packages/ingress/src/request/task.ts
+++ b/packages/ingress/src/request/task.ts
@@ -5,7 +5,10 @@
 import type { AdmittedRequest } from "./admitted.js";
 import { Attempt } from "./attempt.js";
 import type { AnsweredResult, AttemptResult } from "./attempt.js";
+import { logAttemptFailed, logAttemptStarted, logSilence } from "./attemptlog.js";
+import type { LoggedRequest } from "./attemptlog.js";
 import { AttemptPlanner } from "./attemptplanner.js";
+import type { PlannedAttempt } from "./attemptplanner.js";
 import { RequestBoundary } from "./boundary.js";
 import { CallerStream } from "./callerstream.js";
 import type { RequestContext } from "./context.js";
@@ -13,7 +16,6 @@
 import { recordEnding, sendFailure, sendRefusal } from "./ending.js";
 import type { RequestOutcome } from "./ending.js";
 import { defaultRetryAfterMs, estimateRetryAfterMs, priorityOf } from "./endpointselection.js";
-import type { SelectedEndpoint } from "./endpointselection.js";
 import { requestEvents as events } from "./event.js";
 import type { CallerResponder } from "./responder.js";
 import { SilenceTimer } from "./silencetimer.js";
@@ -39,7 +41,7 @@
     #isEnded = false;
     #isUsageRecorded = false;
     /** The attempt that follows the current one, which is being ended for it; charged to the budget already. */
-    #replacement: SelectedEndpoint | undefined;
+    #replacement: PlannedAttempt | undefined;
     #cancelDeadline: () => void = () => undefined;
     #firstEventMs: number | undefined;
 
@@ -64,6 +66,10 @@
         });
     }
 
+    get #logged(): LoggedRequest {
+        return { context: this.#context, request: this.#request };
+    }
+
     /** Sends the request to an endpoint or rejects it immediately. */
     start(): void {
         this.#boundary.run(() => this.#start());
@@ -131,11 +137,12 @@
         return decision.started;
     }
 
-    #send({ endpoint, choice }: SelectedEndpoint): void {
+    #send(planned: PlannedAttempt): void {
+        const { endpoint, choice, way } = planned;
         const { caller, description, requestId, customer, deadlineMs } = this.#request;
-        const { clock, dialect, log, promptCaches } = this.#context;
+        const { clock, dialect, promptCaches } = this.#context;
         const remainingMs = Math.max(1, Math.floor(deadlineMs - clock.monotonicMs()));
-        this.#planner.recordSent(endpoint.endpointId);
+        this.#planner.recordSent(endpoint);
         const headers = dialect.forwardHeaders(caller.headers, {
             endpointId: endpoint.endpointId,
             remainingMs,
@@ -143,17 +150,7 @@
             ...(endpoint.hasPromptCache ? { priority: priorityOf(this.#request) } : {}),
             ...(this.#stream.lastId === undefined ? {} : { lastEventId: this.#stream.lastId }),
         });
-        log.write(events.attemptStarted, {
-            requestId,
-            endpoint: endpoint.endpointId,
-            softwareVersion: endpoint.softwareVersion,
-            attempt: this.#planner.attempts,
-            expectedStartMs: Math.round(choice.expectedStartMs),
-            tokensToCompute: Math.round(choice.tokensToCompute),
-            running: choice.running,
-            candidates: choice.candidates,
-            remainingMs,
-        });
+        logAttemptStarted(this.#logged, planned, { number: this.#planner.attempts, remainingMs });
         if (description.prompt !== undefined && endpoint.hasPromptCache) {
             promptCaches.recordPrompt(endpoint.endpointId, description.prompt.parts);
         }
@@ -167,7 +164,9 @@
             tokens: choice.tokensToCompute,
             isEndpointIdle: choice.isIdle,
             objectiveMs: this.#request.route.objectiveMs,
-            isRepeatable: this.#planner.isRepeatable,
+            maximumIdleMs: planned.maximumIdleMs,
+            remainingMs,
+            way,
             isStream: this.#request.route.kind === "stream",
         }, { method: caller.method, target: caller.target, headers, body: caller.body });
         this.#attempt = attempt;
@@ -219,14 +218,17 @@
         const replacement = this.#replacement;
         this.#replacement = undefined;
         if (replacement !== undefined) {
-            this.#logFailure(attempt, result, true);
+            logAttemptFailed(this.#logged, attempt, { result, isRepeated: true });
             this.#send(replacement);
             return;
         }
         // An attempt that never reached an endpoint is not charged to the retry budget.
         const isExempt = result.type === "notRun" && !result.hasArrived;
+        if (isExempt) {
+            this.#planner.recordUnreached(attempt.endpoint, attempt.way);
+        }
         const isRepeated = (result.type === "notRun" || this.#planner.mayRetry) && (isExempt || this.#planner.reserveRetry());
-        this.#logFailure(attempt, result, isRepeated);
+        logAttemptFailed(this.#logged, attempt, { result, isRepeated: isRepeated });
         if (isRepeated) {
             // A request that crashes endpoints is recognised before it is sent to the next one.
             void crashExamined?.then(this.#boundary.guard(() => this.#dispatch()));
@@ -246,7 +248,7 @@
         const isFailure = !result.isStream && result.status >= 500;
         const decision = isFailure && this.#planner.mayRetry ? this.#planner.decideReplacement() : undefined;
         if (decision?.type === "replace") {
-            this.#logFailure(attempt, result, true);
+            logAttemptFailed(this.#logged, attempt, { result, isRepeated: true });
             this.#send(decision.selected);
         }
         else {
@@ -254,18 +256,6 @@
         }
     }
 
-    #logFailure(attempt: Attempt, result: AttemptResult, isRepeated: boolean): void {
-        this.#context.log.write(events.attemptFailed, {
-            requestId: this.#request.requestId,
-            endpoint: attempt.endpointId,
-            result: result.type,
-            detail: result.type === "answered" ? `status ${result.status}` : result.detail,
-            hasProgress: attempt.hasProgress,
-            parts: this.#request.description.prompt?.parts.map(({ id }) => id),
-            isRepeated,
-        });
-    }
-
     /** Records whether the endpoint has survived the request; the promise resolves when that is known. */
     #recordOutcome(attempt: Attempt, result: AttemptResult): Promise<void> | undefined {
         if (result.type === "answered") {
@@ -310,13 +300,10 @@
     /** Goes on at another endpoint if one takes the request for certain; else keeps waiting for the silent one. */
     #handleSilence(limitMs: number, progress: AttemptProgress): void {
         const decision = this.#planner.decideReplacement();
-        this.#context.log.write(events.endpointSilent, {
-            requestId: this.#request.requestId,
-            endpoint: this.#attempt?.endpointId,
-            silentMs: Math.round(limitMs),
-            events: this.#stream.count,
+        logSilence(this.#logged, this.#attempt, {
+            silentMs: limitMs,
+            forwarded: this.#stream.count,
             decision: decision.type === "replace" ? decision.type : decision.reason,
-            stopLeftMs: finiteOrUndefined(this.#context.stopLeftMs()),
         });
         if (decision.type === "keep") {
             this.#silence.restart(progress);
@@ -326,6 +313,25 @@
         this.#attempt?.fail("silent", `The endpoint was silent for ${Math.round(limitMs)} ms.`);
     }
 
+    /** Goes on at another endpoint, or by another way, if the link to the present one is cut. */
+    leaveCutLink(): void {
+        const attempt = this.#attempt;
+        if (attempt !== undefined && this.#planner.isCutOff(attempt)) {
+            this.#boundary.run(() => this.#leaveCutLink(attempt));
+        }
+    }
+
+    #leaveCutLink(attempt: Attempt): void {
+        const decision = this.#planner.mayRetryAfterCurrent ? this.#planner.decideReplacement() : undefined;
+        if (decision?.type === "replace") {
+            this.#replacement = decision.selected;
+            attempt.fail("unreachable", "The link of this host to the endpoint is cut.");
+        }
+        else {
+            attempt.dropLoad();
+        }
+    }
+
     /** Ends the request after an error of this host. */
     #breakDown(error: unknown): void {
         const { log, metrics } = this.#context;
@@ -393,8 +399,3 @@
         });
     }
 }
-
-/** A rounded number for a log line, which holds no infinity. */
-function finiteOrUndefined(value: number): number | undefined {
-    return Number.isFinite(value) ? Math.round(value) : undefined;
-}
--- a/packages/ingress/src/state/endpoints.ts
+++ b/packages/ingress/src/state/endpoints.ts
@@ -31,6 +31,11 @@
         options.mirror.listen(options.decoder.endpointPrefix, (change, origin) => this.#apply(change, origin));
     }
 
+    /** All endpoints of all services. */
+    list(): readonly EndpointRecord[] {
+        return [...this.#records.values()];
+    }
+
     /** The endpoints of a service that accept new requests. */
     usable(service: string): readonly EndpointRecord[] {
         const known = this.#usable.get(service) ?? this.ofService(service).filter(record => !record.isLeaving);
--- a/packages/ingress/src/telemetry/metrics.ts
+++ b/packages/ingress/src/telemetry/metrics.ts
@@ -48,6 +48,7 @@
         "result",
     ]);
     readonly #configuration = this.#gauge("configuration_version", "Version of the configuration in force");
+    readonly #stranded = this.#gauge("host_stranded", "1 while the host has lost its links to all endpoints");
     readonly #hosts = this.#gauge("reachable_hosts", "Hosts with which use is exchanged, this one included");
 
     readonly #limits = this.#counter("caller_limits_total", "Limits for callers that took effect, by limit", ["limit"]);
@@ -90,6 +91,11 @@
         this.#relayed.inc({ side, result });
     }
 
+    /** Whether the host has lost its links to all endpoints. */
+    setStranded(isStranded: boolean): void {
+        this.#stranded.set(Number(isStranded));
+    }
+
     /** `scope` is what ended: a request, or the reading of an entry of the store. */
     recordInternalError(scope: "request" | "entry"): void {
         this.#internalErrors.inc({ scope });
--- a/packages/policy/src/ingress/directorychoice.ts
+++ b/packages/policy/src/ingress/directorychoice.ts
@@ -1,4 +1,4 @@
-import type { FailureDomainId } from "@filbertrelay/kernel";
+import type { FailureDomainId, HostId } from "@filbertrelay/kernel";
 import { rankByRendezvous, rendezvousScore } from "../rendezvous.js";
 import { largestAllServingFleet } from "./servingset.js";
 import type { ServingCandidate } from "./servingset.js";
@@ -18,6 +18,15 @@
 /** Hosts of each other failure domain in a response, as a fallback when the caller's own domain becomes unreachable. */
 const hostsPerOtherDomain = 1;
 
+/** The hosts that reach endpoints on links of their own; all if none does, since callers are refused at once there. */
+export function preferConnectedHosts<Candidate extends ServingCandidate>(
+    serving: readonly Candidate[],
+    stranded: ReadonlySet<HostId>,
+): readonly Candidate[] {
+    const connected = stranded.size === 0 ? serving : serving.filter(({ hostId }) => !stranded.has(hostId));
+    return connected.length > 0 ? connected : serving;
+}
+
 /**
  * Chooses the hosts returned to one caller. Callers pick a random address from the response, so each host is included with a
  * probability proportional to its strength: the strongest always, weaker ones in fewer responses.
--- a/scripts/bundle.mjs
+++ b/scripts/bundle.mjs
@@ -2,6 +2,7 @@
 import { build } from "esbuild";
 import { spawnSync } from "node:child_process";
 import { copyFileSync, existsSync, readFileSync } from "node:fs";
+import { basename } from "node:path";
 import { fileURLToPath } from "node:url";
 import { parse } from "smol-toml";
 
@@ -29,6 +30,27 @@
     },
 };
 
+/** What the daemon doesn't use of schemas: their conversion from and to JSON Schema, and their compilation to functions. */
+const unusedSchemaParts = {
+    "json-schema-processors": "",
+    "json-schema-generator": "",
+    "from-json-schema": "",
+    "to-json-schema": "exports.createToJSONSchemaMethod = exports.createStandardJSONSchemaMethod = () => undefined;",
+    "compile": `
+        export const compile = undefined, withParser = undefined, INVALID = undefined;
+        export const ZodCompileAsyncError = undefined, ZodCompileUnsupportedError = undefined;
+        export const compileFn = undefined;`,
+};
+
+/** Leaves these parts out, an eighth of what every start would load. */
+const plainSchemas = {
+    name: "plain-schemas",
+    setup(bundler) {
+        const filter = new RegExp(`zod[\\\\/]v4[\\\\/](core|classic)[\\\\/](${Object.keys(unusedSchemaParts).join("|")})\\.js$`);
+        bundler.onLoad({ filter }, ({ path }) => ({ contents: unusedSchemaParts[basename(path, ".js")] }));
+    },
+};
+
 const libraries = `${root}node_modules`;
 
 /**
@@ -74,7 +96,7 @@
     minifyWhitespace: true,
     sourcemap: false,
     logLevel: "warning",
-    plugins: [workspaceSources, englishMessages, onlyUsedParts],
+    plugins: [workspaceSources, englishMessages, plainSchemas, onlyUsedParts],
 });
 copyFileSync(`${root}platform/launcher.cjs`, `${root}target/filbertrelayd.cjs`);
 storeBytecode();
