Ask endpoints for their status when links are probed

Cause: an accepted connection was taken for a way to the endpoint.

A connection of a request counts as accepted by its first bytes too. A probe that is accepted and silent is a failure only if another host heard the endpoint meanwhile, since a sound endpoint may be silent for a second.

--- a/features/support/ingress.ts
+++ b/features/support/ingress.ts
@@ -314,7 +314,7 @@
             priority: 1,
             public: false,
         })),
-        backends: [{ name: "records", maxConnections: 100 }, { name: "assistant", maxConnections: 100 }],
+        backends: ["records", "assistant"].map(name => ({ name, maxConnections: 100, healthPath: "/healthz" })),
         tenants: [{ name: "crew", apiKeys: [customerKey] }, { name: "others", apiKeys: [otherCustomerKey] }],
         limits: { maxHeaderBytes: 16_384, maxBodyBytes: 100_000, headerTimeoutMs: 3_000, idleTimeoutMs: 5_000 },
     };
--- a/features/support/reachsimulation.ts
+++ b/features/support/reachsimulation.ts
@@ -172,7 +172,12 @@
         for (const endpoint of host.reach.takeDueProbes(this.#endpoints, this.#nowMs)) {
             this.#probes += 1;
             const number = this.#endpoints.findIndex(({ endpointId }) => endpointId === endpoint.endpointId);
-            this.#open(index, number, isAccepted => host.reach.recordProbe(endpoint, isAccepted, this.#nowMs));
+            this.#open(index, number, isAccepted =>
+                host.reach.recordProbe(
+                    endpoint,
+                    { result: isAccepted ? "answered" : "unreachable", startedMs: this.#nowMs },
+                    this.#nowMs,
+                ));
         }
         if (step % reportSteps === index % reportSteps) {
             this.#report(index, host);
--- a/packages/configuration/src/ingress.ts
+++ b/packages/configuration/src/ingress.ts
@@ -53,6 +53,8 @@
     name: z.string().min(1),
     /** Connections that one endpoint accepts from all callers together. */
     maximumConnections: z.number().positive(),
+    /** Path at which its endpoints answer status requests; absent if they don't. */
+    statusPath: z.string().optional(),
     scaling: scalingSchema.optional(),
 });
 
--- a/packages/ingress/src/contract.ts
+++ b/packages/ingress/src/contract.ts
@@ -84,6 +84,8 @@
     /** Headers for the endpoint: the caller's without the hop-by-hop ones, and those that the ingress sets. */
     forwardHeaders(headers: HeaderList, request: ForwardedRequest): HeaderList;
     describeResponse(status: number, headers: HeaderList): ResponseDescription;
+    /** Path of a request that an endpoint answers at once, however busy it is; `undefined` if it has none but that of its service. */
+    statusPath(endpoint: EndpointRecord): string | undefined;
 }
 
 /** The failure of a duty call; after `duty.unavailable` the call may still take effect later. */
--- a/packages/ingress/src/daemon.ts
+++ b/packages/ingress/src/daemon.ts
@@ -190,6 +190,7 @@
         answerMemory,
         relayLimits: createRelayLimits(callerLimits.memory),
         openSocket,
+        findStatusPath: endpoint => environment.dialect.statusPath(endpoint) ?? configuration.statusPath(endpoint.service),
         callerWork,
         exchange: () => exchange,
         isRefusing: () => lifecycle.isRefusing,
--- a/packages/ingress/src/endpoint/connection.ts
+++ b/packages/ingress/src/endpoint/connection.ts
@@ -70,6 +70,7 @@
     #current: { readonly request: EndpointRequest; readonly handler: EndpointResponseHandler; } | undefined;
     #requests = 0;
     #isConnected = false;
+    #isHeard = false;
     #isSent = false;
     #isSkipping = false;
     #isResponseComplete = false;
@@ -164,7 +165,6 @@
         this.#socket.on("connect", () => {
             cancelTimer();
             this.#isConnected = true;
-            this.#observer.connected(this.#endpoint);
             if (this.#current !== undefined) {
                 this.#write(this.#current.request);
             }
@@ -192,6 +192,10 @@
     }
 
     #receive(bytes: Buffer): void {
+        if (!this.#isHeard) {
+            this.#isHeard = true;
+            this.#observer.connected(this.#endpoint);
+        }
         this.#observer.heard(this.#endpoint);
         if (this.#current === undefined) {
             // No request is in flight, so these bytes belong to none.
--- a/packages/ingress/src/endpoint/linkmonitor.ts
+++ b/packages/ingress/src/endpoint/linkmonitor.ts
@@ -2,7 +2,7 @@
 import type { EndpointReach } from "@filbertrelay/policy/ingress";
 import type { EndpointRecord } from "../contract.js";
 import type { LinkObserver } from "./linkobserver.js";
-import type { Reachability } from "./reachability.js";
+import type { ProbeResult } from "./statusprobe.js";
 
 /** Interval of the checks; short against the time in which a cut is recognised. */
 const checkIntervalMs = 150;
@@ -14,7 +14,7 @@
     readonly clock: Clock;
     readonly reach: EndpointReach;
     readonly listEndpoints: () => readonly EndpointRecord[];
-    readonly probe: (address: string) => Promise<Reachability>;
+    readonly probe: (endpoint: EndpointRecord) => Promise<ProbeResult>;
     /** Called at each check while links of this host may be cut. */
     readonly onCheck: () => void;
 }
@@ -98,8 +98,9 @@
 
     async #probe(endpoint: EndpointRecord | undefined): Promise<void> {
         if (endpoint !== undefined) {
-            const isAccepted = await this.#options.probe(endpoint.address) === "accepted";
-            this.#options.reach.recordProbe(endpoint, isAccepted, this.#nowMs());
+            const startedMs = this.#nowMs();
+            const result = await this.#options.probe(endpoint);
+            this.#options.reach.recordProbe(endpoint, { result, startedMs }, this.#nowMs());
         }
     }
 
--- a/packages/ingress/src/endpoint/linkobserver.ts
+++ b/packages/ingress/src/endpoint/linkobserver.ts
@@ -2,7 +2,7 @@
 
 /** Told of what happens on this host's own connections to endpoints, from which follows whether its links work. */
 export interface LinkObserver {
-    /** A new connection was accepted. */
+    /** A new connection has brought its first bytes, which it takes to know that it leads to the endpoint. */
     connected(endpoint: EndpointRecord): void;
     /** A new connection was refused, reset or not accepted in time. */
     connectFailed(endpoint: EndpointRecord): void;
--- a/packages/ingress/src/relay/access.ts
+++ b/packages/ingress/src/relay/access.ts
@@ -6,8 +6,8 @@
 import type { Dialect, EndpointRecord } from "../contract.js";
 import { ConnectionPool } from "../endpoint/connectionpool.js";
 import { LinkMonitor } from "../endpoint/linkmonitor.js";
-import { probeAddress } from "../endpoint/reachability.js";
 import type { OpenSocket } from "../endpoint/socket.js";
+import { probeEndpoint } from "../endpoint/statusprobe.js";
 import type { PeerExchange } from "../fleet/exchange.js";
 import type { HostRecord, HostTable } from "../fleet/hosts.js";
 import { callersKey } from "../fleet/report.js";
@@ -40,6 +40,8 @@
     readonly openSocket: OpenSocket;
     readonly callerWork: DemandMeter;
     readonly exchange: () => PeerExchange;
+    /** Path of a status request; `undefined` if the endpoint answers none. */
+    readonly findStatusPath: (endpoint: EndpointRecord) => string | undefined;
     /** Whether this host stops and takes no further requests. */
     readonly isRefusing: () => boolean;
     /** Records that nothing listened at the address of an endpoint. */
@@ -76,7 +78,7 @@
         clock,
         reach,
         listEndpoints: () => endpoints.list(),
-        probe: address => probeAddress(clock, address, openSocket),
+        probe: endpoint => probeEndpoint(endpoint, { clock, openSocket, statusPath: options.findStatusPath(endpoint) }),
         onCheck: options.onCheck,
     });
     const connections = new ConnectionPool(clock, {
--- a/packages/ingress/src/state/configuration.ts
+++ b/packages/ingress/src/state/configuration.ts
@@ -58,6 +58,11 @@
         return this.#active;
     }
 
+    /** Path at which the endpoints of a service answer status requests; `undefined` if they don't. */
+    statusPath(service: string): string | undefined {
+        return this.#active?.services.get(service)?.statusPath;
+    }
+
     /** Registers a listener for each newly applied configuration. */
     listen(listener: (active: ActiveConfiguration) => void): void {
         this.#listeners.push(listener);
--- a/packages/policy/src/ingress/reach/endpointreach.ts
+++ b/packages/policy/src/ingress/reach/endpointreach.ts
@@ -18,6 +18,12 @@
     | { readonly kind: "cut" | "back"; readonly failureDomain: FailureDomainId; readonly service: string; }
     | { readonly kind: "stranded" | "steady"; };
 
+/** What became of a probe. */
+export interface EndpointProbe {
+    readonly result: "answered" | "unreachable" | "silent";
+    readonly startedMs: number;
+}
+
 /** Options of `createEndpointReach`. */
 export interface EndpointReachOptions {
     readonly hostId: HostId;
@@ -55,7 +61,8 @@
      * another host lives; few at a time, and each is due again only after a pause. `endpoints` are all that exist.
      */
     takeDueProbes(endpoints: readonly ReachedEndpoint[], nowMs: number): readonly ReachedEndpoint[];
-    recordProbe(endpoint: ReachedEndpoint, isAccepted: boolean, nowMs: number): void;
+    /** Records the end of a probe that began at `startedMs`; `silent` is one that was accepted and not answered. */
+    recordProbe(endpoint: ReachedEndpoint, probe: EndpointProbe, nowMs: number): void;
     /** Whether this host is cut off from all endpoints; taken back only after its links were steady for a while. */
     isStranded(nowMs: number): boolean;
     /** Other hosts that said recently that they are cut off. */
@@ -220,15 +227,21 @@
         );
     }
 
-    recordProbe(endpoint: ReachedEndpoint, isAccepted: boolean, nowMs: number): void {
-        if (isAccepted) {
+    recordProbe(endpoint: ReachedEndpoint, { result, startedMs }: EndpointProbe, nowMs: number): void {
+        if (result === "answered") {
             this.recordConnected(endpoint, nowMs);
         }
-        else {
+        else if (result === "unreachable" || this.#isAnsweredElsewhere(endpoint, startedMs)) {
             this.recordConnectFailure(endpoint, nowMs);
         }
     }
 
+    /** A sound endpoint may be silent, but not at one host only. */
+    #isAnsweredElsewhere(endpoint: ReachedEndpoint, sinceMs: number): boolean {
+        const link = this.#table.open(endpoint);
+        return link !== undefined && EndpointLink.isHeardSince(this.#sightings.answeredMs(link.process), sinceMs);
+    }
+
     isStranded(nowMs: number): boolean {
         this.#time.advance(nowMs);
         if (this.#notice.isStranded || !this.#isWellConnected()) {
