Don't take a sound endpoint's pause for its end

Seen: when all endpoints of a service paused for 1.3 s, each host put them in quarantine after two requests without an answer, some 0.7 s on, and set back their slow start for all hosts; with one pausing endpoint nothing was sent there for the seconds after.

Cause: each attempt that is given up, after 180 to 960 ms, counted by itself as evidence that the endpoint is down.

Fix: the health record is told what was sent and heard. Answers that still arrive but don't end in time (`unfinished`) count as before. A stream that has begun waits at least 1.5 s before it is sent elsewhere; requests without an event go elsewhere as soon as before.

--- a/features/support/ingress.ts
+++ b/features/support/ingress.ts
@@ -1,6 +1,6 @@
-import { createIngressDaemon, parseIngressSettings } from "@filbertrelay/ingress";
+import { createIngressDaemon, parseIngressSettings, requestEvents } from "@filbertrelay/ingress";
 import type { Environment, IngressLifecycle } from "@filbertrelay/ingress";
-import { createSystemClock, silentEventLog } from "@filbertrelay/kernel";
+import { createSystemClock } from "@filbertrelay/kernel";
 import type { Kernel } from "@filbertrelay/kernel";
 import {
     createDirectoryRoutes,
@@ -80,6 +80,8 @@
 export class IngressFixture {
     readonly store = new StandinStore();
     readonly engines: StandinEngine[] = [];
+    /** When the host took an endpoint for failed and set back its slow start; monotonic milliseconds. */
+    readonly setbacks: { readonly endpoint: unknown; readonly atMs: number; }[] = [];
     readonly #agent = new Agent({ keepAlive: true });
     #kernel: Kernel | undefined;
     #ports: number[] = [];
@@ -281,7 +283,13 @@
         const clock = createSystemClock();
         this.#kernel = createIngressDaemon(settings.value, {
             clock,
-            log: silentEventLog,
+            log: {
+                write: ({ number }, fields) => {
+                    if (number === requestEvents.paceChanged.number && fields?.["change"] === "failed") {
+                        this.setbacks.push({ endpoint: fields["endpoint"], atMs: performance.now() });
+                    }
+                },
+            },
             draw: Math.random,
             environment: {
                 createStore: onCall => createPlatformStore({ address: this.store.address, clock, timeoutMs: 500, onCall }),
--- a/packages/ingress/src/request/attempt.ts
+++ b/packages/ingress/src/request/attempt.ts
@@ -40,6 +40,8 @@
 
 /** Longest idle time of a connection that is reused for a non-retryable request; a longer-idle connection may be closing. */
 const nonRetryableIdleMs = 3_000;
+/** An endpoint that was heard from this recently is not silent, whatever it fails to finish. */
+const steadyMs = 200;
 /** Longest response that is buffered before it is forwarded. */
 const responseLimitBytes = 8_388_608;
 /** Statuses that tell the caller that the request was not executed. */
@@ -66,6 +68,7 @@
     readonly #memory: AnswerReservation;
     readonly #body = new ByteBuffer();
     #hasFirstEvent = false;
+    #heardMs = -Infinity;
     readonly #reader: StreamReader;
 
     constructor(context: RequestContext, options: AttemptOptions, outgoing: EndpointRequest) {
@@ -120,12 +123,13 @@
 
     /** Sends the request. All callbacks of the connection and of timers run within the boundary. */
     start(boundary: RequestBoundary, handler: AttemptHandler): void {
-        const { loads, connections, limits, paces, rollouts } = this.#context;
+        const { loads, connections, limits, paces, rollouts, health } = this.#context;
         const { endpoint, number, priority, tokens, isRepeatable } = this.#options;
         this.#handler = handler;
         this.#boundary = boundary;
         limits.recordSend(endpoint.endpointId, this.#sentMs);
         paces.recordSend(endpoint, this.#sentMs);
+        health.recordSent(endpoint.endpointId, this.#sentMs);
         rollouts.recordSent(endpoint, number === 1);
         loads.recordDispatch({ requestId: this.#loadKey, endpointId: endpoint.endpointId, priority, tokens });
         this.#connection = connections.acquire(endpoint, isRepeatable ? Infinity : nonRetryableIdleMs);
@@ -176,7 +180,8 @@
     /** Ends the attempt with a failure of the endpoint and closes the connection. */
     fail(failure: AttemptFailure | "malformed", detail: string): void {
         this.#reader.flush();
-        this.#finish({ type: "failed", detail }, failure === "malformed" ? "broken" : failure);
+        const isSteady = failure === "silent" && this.#context.clock.monotonicMs() - this.#heardMs < steadyMs;
+        this.#finish({ type: "failed", detail }, isSteady ? "unfinished" : failure === "malformed" ? "broken" : failure);
         this.#connection?.close(detail);
     }
 
@@ -209,6 +214,7 @@
         const description = this.#context.dialect.describeResponse(head.status, head.headers);
         const { requestId } = description;
         const isOwn = requestId === undefined ? head.status < 200 || head.status >= 300 : requestId === this.#options.requestId;
+        this.#recordHeard();
         if (isOwn) {
             this.#head = head;
             this.#description = description;
@@ -237,7 +243,13 @@
         }
     }
 
+    #recordHeard(): void {
+        this.#heardMs = this.#context.clock.monotonicMs();
+        this.#context.health.recordHeard(this.endpointId, this.#heardMs);
+    }
+
     onBody(chunk: Buffer): void {
+        this.#recordHeard();
         if (this.#isForwardedStream()) {
             this.#receiveStream(chunk);
             return;
--- a/packages/ingress/src/request/endpointselection.ts
+++ b/packages/ingress/src/request/endpointselection.ts
@@ -84,7 +84,7 @@
         observe: () => ({
             load: estimateLoad(endpoint.endpointId),
             cachedTokens: endpoint.hasPromptCache ? promptCaches.cachedTokens(endpoint.endpointId, parts) : 0,
-            failureRatio: health.failureRatio(endpoint.endpointId),
+            failureRatio: health.failureRatio(endpoint.endpointId, nowMs),
             allowance: paces.allowance(endpoint, share, nowMs),
         }),
     }));
--- a/packages/policy/src/ingress/silence.ts
+++ b/packages/policy/src/ingress/silence.ts
@@ -1,3 +1,6 @@
+/** A sound endpoint may pause for this long; its silence up to here says nothing of its health. */
+export const longestSoundSilenceMs = 1_500;
+
 /** An attempt that is waiting for data from its endpoint. */
 export interface AwaitedResponse {
     readonly kind: "idempotent" | "nonIdempotent" | "stream";
@@ -14,7 +17,7 @@
 /** Fraction of the objective after which a second endpoint can still respond in time. */
 const retryObjectiveShare = 0.65;
 /** Lower limits, so that normal variance of the processing time is not treated as a failure. */
-const shortestTimeoutMs = 180;
+export const shortestTimeoutMs = 180;
 const shortestStreamTimeoutMs = 700;
 /** An engine counts as stuck when a prompt takes this many times its estimate. */
 const startFactor = 3;
@@ -30,7 +33,8 @@
         return Math.max(shortestTimeoutMs, response.objectiveMs * retryObjectiveShare);
     }
     if (response.hasStarted) {
-        return response.pauseLimitMs * pauseFactor;
+        // What was read is read once more elsewhere, which costs more and comes later than the end of a sound pause.
+        return Math.max(longestSoundSilenceMs, response.pauseLimitMs * pauseFactor);
     }
     return Math.max(shortestStreamTimeoutMs, response.objectiveMs * retryObjectiveShare, response.expectedStartMs * startFactor);
 }
