Merge sound silences; keep the records of an attempt in a class of their own

The stop's scenario with a pausing endpoint pauses for 1.8 s now: a stream that has begun waits 1.5 s before it may be sent elsewhere, and the scenario is about what is decided then.

--- a/features/ingress.stop.feature
+++ b/features/ingress.stop.feature
@@ -40,7 +40,7 @@
   # Guards against giving up a sound endpoint for a pause when no other endpoint may take the rest of its stream any more.
   Scenario: A stream whose endpoint pauses while the host stops is whole
     Given an ingress with a store stand-in and two engines of each service
-    And engines that stream 3 events, pause for 1300 ms and stream 3 more
+    And engines that stream 3 events, pause for 1800 ms and stream 3 more
     When a caller sends a "slowStream" request and the host is asked to stop
     Then it is answered with 200
     And its body has the events 1 to 6
--- a/packages/ingress/src/request/attempt.ts
+++ b/packages/ingress/src/request/attempt.ts
@@ -6,8 +6,10 @@
 import { ByteBuffer } from "../endpoint/bytebuffer.js";
 import type { ConnectionFailure, EndpointRequest, EndpointResponseHandler } from "../endpoint/connection.js";
 import type { EndpointLink } from "../endpoint/link.js";
+import { isOwnResponse } from "../endpoint/ownresponse.js";
 import type { ResponseHead } from "../endpoint/responseparser.js";
 import type { AttemptWay } from "../relay/router.js";
+import { AttemptAccount } from "./attemptaccount.js";
 import type { RequestBoundary } from "./boundary.js";
 import type { RequestContext } from "./context.js";
 import { recordStatements } from "./statements.js";
@@ -68,8 +70,7 @@
     readonly #context: RequestContext;
     readonly #options: AttemptOptions;
     readonly #outgoing: EndpointRequest;
-    readonly #loadKey: string;
-    readonly #sentMs: number;
+    readonly #account: AttemptAccount;
     #boundary: RequestBoundary | undefined;
     #handler: AttemptHandler | undefined;
     #connection: EndpointLink | undefined;
@@ -77,15 +78,13 @@
     #description: ResponseDescription | undefined;
     readonly #memory: AnswerReservation;
     readonly #body = new ByteBuffer();
-    #hasFirstEvent = false;
     readonly #reader: StreamReader;
 
     constructor(context: RequestContext, options: AttemptOptions, outgoing: EndpointRequest) {
         this.#context = context;
         this.#options = options;
         this.#outgoing = outgoing;
-        this.#loadKey = `${options.requestId}#${options.number}`;
-        this.#sentMs = context.clock.monotonicMs();
+        this.#account = new AttemptAccount(context, options);
         this.startedAt = context.fleetClock.now();
         this.#memory = new AnswerReservation(context.answerMemory, options.endpoint.endpointId);
         this.#reader = new StreamReader({
@@ -112,12 +111,12 @@
 
     /** Monotonic time at which the request was sent. */
     get sentMs(): number {
-        return this.#sentMs;
+        return this.#account.sentMs;
     }
 
     /** Whether a complete event of the response has arrived. */
     get hasProgress(): boolean {
-        return this.#hasFirstEvent;
+        return this.#account.hasFirstEvent;
     }
 
     get status(): number {
@@ -136,16 +135,12 @@
 
     /** Sends the request. All callbacks of the connection and of timers run within the boundary. */
     start(boundary: RequestBoundary, handler: AttemptHandler): void {
-        const { loads, links, limits, paces, rollouts } = this.#context;
-        const { endpoint, number, priority, tokens, maximumIdleMs, remainingMs, way } = this.#options;
+        const { endpoint, maximumIdleMs, remainingMs, way } = this.#options;
         this.#handler = handler;
         this.#boundary = boundary;
-        limits.recordSend(endpoint.endpointId, this.#sentMs);
-        paces.recordSend(endpoint, this.#sentMs);
-        rollouts.recordSent(endpoint, number === 1);
-        loads.recordDispatch({ requestId: this.#loadKey, endpointId: endpoint.endpointId, priority, tokens });
+        this.#account.recordSent();
         const relay = way.type === "relay" ? way.relay : undefined;
-        this.#connection = links.open(endpoint, { maximumIdleMs, remainingMs, relay });
+        this.#connection = this.#context.links.open(endpoint, { maximumIdleMs, remainingMs, relay });
         this.#connection.send(this.#outgoing, {
             onHead: head => {
                 let isOwn = false;
@@ -162,19 +157,7 @@
 
     /** Records that the first event has arrived, which means that the prompt has been processed. */
     recordFirstEvent(): void {
-        if (!this.#hasFirstEvent) {
-            this.#hasFirstEvent = true;
-            const { loads, clock, timings, paces } = this.#context;
-            const { endpoint, isEndpointIdle, objectiveMs, tokens } = this.#options;
-            const nowMs = clock.monotonicMs();
-            const startMs = nowMs - this.#sentMs;
-            loads.recordFirstEvent(this.#loadKey);
-            paces.recordAnswer(endpoint, { elapsedMs: startMs, objectiveMs }, nowMs);
-            this.#recordResult("answered");
-            if (isEndpointIdle) {
-                timings.recordStart(endpoint.service, startMs, tokens);
-            }
-        }
+        this.#account.recordFirstEvent();
     }
 
     /** A stream that breaks off with its channel can look like one that ends; `isWithinEvent` says whether its last event is cut. */
@@ -183,7 +166,7 @@
             if (isWithinEvent) {
                 return { type: "failed", detail: "the stream ended within an event", isConnectionLost: true };
             }
-            if (!this.#hasFirstEvent && this.#isDelimitedByClose) {
+            if (!this.#account.hasFirstEvent && this.#isDelimitedByClose) {
                 return { type: "failed", detail: "the stream ended with its channel before any event", isConnectionLost: true };
             }
         }
@@ -199,20 +182,16 @@
 
     /** Counts the attempt as load of its endpoint no longer, since it waits for a link and not for the endpoint. */
     dropLoad(): void {
-        this.#context.loads.recordEnd(this.#loadKey);
+        this.#account.dropLoad();
     }
 
     /** Ends the attempt without a result, because the response is no longer needed. */
     cancel(): void {
         if (this.#handler !== undefined) {
             this.#handler = undefined;
-            if (!this.#hasFirstEvent) {
-                // At least as long as until now.
-                this.#recordResult("answered");
-            }
             this.#reader.end();
             this.#memory.release();
-            this.#context.loads.recordEnd(this.#loadKey);
+            this.#account.recordCancelled();
             this.#connection?.close("The request was cancelled.");
         }
     }
@@ -229,8 +208,8 @@
     /** Rejects a response with another request id: a late duplicate of an earlier response on the connection. */
     onHead(head: ResponseHead): boolean {
         const description = this.#context.dialect.describeResponse(head.status, head.headers);
-        const { requestId } = description;
-        const isOwn = requestId === undefined ? head.status < 200 || head.status >= 300 : requestId === this.#options.requestId;
+        const isOwn = isOwnResponse(description, head.status, this.#options.requestId);
+        this.#account.recordHeard();
         if (isOwn) {
             this.#head = head;
             this.#description = description;
@@ -240,6 +219,7 @@
     }
 
     onBody(chunk: Buffer): void {
+        this.#account.recordHeard();
         if (this.#isForwardedStream()) {
             this.#receiveStream(chunk);
             return;
@@ -320,55 +300,13 @@
         this.#handler = undefined;
         this.#reader.end();
         this.#memory.release();
-        const { loads, health, clock, timings, paces } = this.#context;
-        const { endpoint, objectiveMs } = this.#options;
-        loads.recordEnd(this.#loadKey);
-        this.#recordEnd(result);
-        const nowMs = clock.monotonicMs();
-        if (failure !== undefined) {
-            this.#recordFailure(failure);
-        }
-        else if (result.type === "answered") {
-            const elapsedMs = nowMs - this.#sentMs;
-            if (!result.isStream) {
-                paces.recordAnswer(endpoint, { elapsedMs, objectiveMs }, nowMs);
-            }
-            health.recordSuccess(endpoint.endpointId);
-            timings.recordSlotHold(endpoint.service, elapsedMs);
-        }
+        this.#account.recordEnd(result, failure);
         handler.onEnd(result);
     }
 
-    /** Records a failure against the endpoint, and tells the other hosts once it is certain that this host's links are not its cause. */
-    #recordFailure(failure: AttemptFailure): void {
-        const { health, clock, paces, linkMonitor } = this.#context;
-        const { endpoint } = this;
-        health.recordFailure(endpoint.endpointId, failure, clock.monotonicMs());
-        if (health.isQuarantined(endpoint.endpointId, clock.monotonicMs())) {
-            linkMonitor.whenConfirmed(endpoint, () => paces.recordSetback(endpoint, clock.monotonicMs()));
-        }
-    }
-
-    /** Records the end for the comparison of versions; a stream counted as answered at its first event. */
-    #recordEnd(result: AttemptResult): void {
-        if (result.type === "failed") {
-            if (this.way.type === "relay" || this.#context.linkMonitor.isSuspected(this.endpoint)) {
-                return;
-            }
-            this.#recordResult(result.isConnectionLost === true ? "lost" : "failed");
-        }
-        else if (result.type === "answered" && !this.#hasFirstEvent) {
-            this.#recordResult(result.status >= 500 ? "failed" : "answered");
-        }
-    }
-
-    #recordResult(type: "answered" | "failed" | "lost"): void {
-        this.#context.rollouts.recordResult(this.endpoint, { route: this.#options.route, type, sentMs: this.#sentMs });
-    }
-
     /** Forwards bytes at once until the first event is complete, then in steps. */
     #receiveStream(chunk: Buffer): void {
-        if (this.#hasFirstEvent) {
+        if (this.#account.hasFirstEvent) {
             this.#reader.receive(chunk);
         }
         else {
