--- a/features/steps/ingress.stranded.ts
+++ b/features/steps/ingress.stranded.ts
@@ -5,7 +5,7 @@
 import type { FleetAnswer, LinkFault } from "../support/linkedfleet.js";
 
 interface StrandedWorld {
-    fleet: LinkedFleet | undefined;
+    linkedFleet: LinkedFleet | undefined;
     hosts: number;
     cut: readonly number[];
     cutMs: number;
@@ -16,20 +16,20 @@
 const faultsOfWords: Readonly<Record<string, LinkFault>> = { "refuse new ones": "refuse", "accept and hang": "accept" };
 
 After(async function(this: Partial<StrandedWorld>) {
-    await this.fleet?.stop();
+    await this.linkedFleet?.stop();
 });
 
 Given(
     "{int} hosts with links of their own to {int} engines in 3 failure domains",
     async function(this: StrandedWorld, hosts: number, engines: number) {
-        this.fleet = new LinkedFleet();
+        this.linkedFleet = new LinkedFleet();
         this.hosts = hosts;
-        await this.fleet.start({ hosts, engines });
+        await this.linkedFleet.start({ hosts, engines });
     },
 );
 
 Given("callers have pressed for {int} ms", async function(this: StrandedWorld, forMs: number) {
-    await this.fleet!.press({ forMs, intervalMs: requestIntervalMs });
+    await this.linkedFleet!.press({ forMs, intervalMs: requestIntervalMs });
 });
 
 /** Reads the numbers of a list such as '1, 2 and 3', counted from 1, as indexes. */
@@ -44,12 +44,12 @@
         this.cut = readIndexes(hosts);
         this.cutMs = performance.now();
         for (const host of this.cut) {
-            this.fleet!.setLinks(host, faultsOfWords[fault] ?? "hang");
+            this.linkedFleet!.setLinks(host, faultsOfWords[fault] ?? "hang");
             if (fault === "are reset and hang") {
-                this.fleet!.resetLinks(host);
+                this.linkedFleet!.resetLinks(host);
             }
         }
-        await this.fleet!.press({ forMs: Number(forMs), intervalMs: requestIntervalMs });
+        await this.linkedFleet!.press({ forMs: Number(forMs), intervalMs: requestIntervalMs });
     },
 );
 
@@ -59,8 +59,8 @@
     async function(this: StrandedWorld, hosts: string, forMs: string) {
         this.cut = readIndexes(hosts);
         this.cutMs = performance.now();
-        this.cut.forEach(host => this.fleet!.setLinks(host, "hang", engine => engine % 3 === 0));
-        await this.fleet!.press({ forMs: Number(forMs), intervalMs: requestIntervalMs });
+        this.cut.forEach(host => this.linkedFleet!.setLinks(host, "hang", engine => engine % 3 === 0));
+        await this.linkedFleet!.press({ forMs: Number(forMs), intervalMs: requestIntervalMs });
     },
 );
 
@@ -68,9 +68,9 @@
     "the links are whole again and callers press for {int} ms",
     { timeout: 30_000 },
     async function(this: StrandedWorld, forMs: number) {
-        this.cut.forEach(host => this.fleet!.setLinks(host, "none"));
-        await this.fleet!.press({ forMs, intervalMs: requestIntervalMs });
-        await this.fleet!.drain();
+        this.cut.forEach(host => this.linkedFleet!.setLinks(host, "none"));
+        await this.linkedFleet!.press({ forMs, intervalMs: requestIntervalMs });
+        await this.linkedFleet!.drain();
     },
 );
 
@@ -78,7 +78,7 @@
     "all engines pause for {int} ms while callers press for {int} ms",
     { timeout: 30_000 },
     async function(this: StrandedWorld, pauseMs: number, forMs: number) {
-        const fleet = this.fleet!;
+        const fleet = this.linkedFleet!;
         const all = Array.from({ length: this.hosts }, (_, host) => host);
         const untilMs = performance.now() + forMs;
         all.forEach(host => fleet.setLinks(host, "accept"));
@@ -99,8 +99,8 @@
     "first tries at these hosts later than {int} ms after the cut are served at least two thirds as often as at the others",
     { timeout: 30_000 },
     async function(this: StrandedWorld, afterMs: number) {
-        await this.fleet!.drain();
-        const later = this.fleet!.answers.filter(({ sentMs }) => sentMs > this.cutMs + afterMs);
+        await this.linkedFleet!.drain();
+        const later = this.linkedFleet!.answers.filter(({ sentMs }) => sentMs > this.cutMs + afterMs);
         const atCut = later.filter(({ host }) => this.cut.includes(host));
         const elsewhere = later.filter(({ host }) => !this.cut.includes(host));
         const [servedAtCut, served] = [servedShare(atCut), servedShare(elsewhere)];
@@ -110,13 +110,13 @@
 );
 
 Then("at most 10 + 1 in 50 of all first tries fail there", function(this: StrandedWorld) {
-    const later = this.fleet!.answers.filter(({ sentMs }) => sentMs > this.cutMs + 3_000);
+    const later = this.linkedFleet!.answers.filter(({ sentMs }) => sentMs > this.cutMs + 3_000);
     const failed = later.filter(({ host }) => this.cut.includes(host)).filter(answer => !isServed(answer));
     assert.ok(failed.length <= 10 + later.length / 50, `${failed.length} of ${later.length}`);
 });
 
 Then("no request that may not be repeated has run twice", function(this: StrandedWorld) {
-    const ids = this.fleet!.engines.flatMap(({ requests }) =>
+    const ids = this.linkedFleet!.engines.flatMap(({ requests }) =>
         requests.filter(({ target }) => target.startsWith("/nonIdempotent/")).map(({ headers }) =>
             headers["x-filbertrelay-attempt-id"]
         )
@@ -125,9 +125,9 @@
 });
 
 Then(/^no host's directory lists the hosts ([\d, and]+)$/, async function(this: StrandedWorld, hosts: string) {
-    const hidden = readIndexes(hosts).map(host => this.fleet!.callerAddress(host));
+    const hidden = readIndexes(hosts).map(host => this.linkedFleet!.callerAddress(host));
     for (let host = 0; host < this.hosts; host += 1) {
-        const listed = await this.fleet!.directory(host);
+        const listed = await this.linkedFleet!.directory(host);
         assert.ok(
             listed.length > 0 && !hidden.some(address => listed.includes(address)),
             `host ${host + 1} lists ${listed.join()}`,
@@ -137,7 +137,7 @@
 
 Then("every host's directory lists all hosts", async function(this: StrandedWorld) {
     for (let host = 0; host < this.hosts; host += 1) {
-        await waitFor(async () => (await this.fleet!.directory(host)).length === this.hosts);
+        await waitFor(async () => (await this.linkedFleet!.directory(host)).length === this.hosts);
     }
 });
 
@@ -146,13 +146,13 @@
 });
 
 Then("every request has an answer within {int} ms", { timeout: 30_000 }, async function(this: StrandedWorld, limitMs: number) {
-    await this.fleet!.drain();
-    const late = this.fleet!.answers.filter(({ status, elapsedMs }) => status === 0 || elapsedMs > limitMs);
+    await this.linkedFleet!.drain();
+    const late = this.linkedFleet!.answers.filter(({ status, elapsedMs }) => status === 0 || elapsedMs > limitMs);
     assert.equal(late.length, 0, JSON.stringify(late.slice(0, 3)));
 });
 
 Then("the last {int} requests are served", function(this: StrandedWorld, count: number) {
-    const last = this.fleet!.answers.toSorted((left, right) => left.sentMs - right.sentMs).slice(-count);
+    const last = this.linkedFleet!.answers.toSorted((left, right) => left.sentMs - right.sentMs).slice(-count);
     const failed = last.filter(answer => !isServed(answer));
     assert.equal(failed.length, 0, JSON.stringify(failed.slice(0, 3)));
 });
