Divide the room of brittle endpoints among the hosts that need it

Cause: nothing reads Server-Brittle. Hosts press endpoints that are full, each for itself, and those fall over again as soon as they are back. Change: the capacity of a brittle endpoint is divided among the hosts that have requests for its service; hosts with the smallest shares try what is idle; rejections of all hosts are added up and stop trials, cut the window or hold the endpoint back. Refused callers get a Retry-After by the service's room, spread out.

--- a/packages/ingress/src/contract.ts
+++ b/packages/ingress/src/contract.ts
@@ -70,6 +70,10 @@
     readonly isNotExecuted: boolean;
     /** Requests a second that the endpoint takes from all hosts together, for as long as its answers say so. */
     readonly limitPerSecond?: number;
+    /** Requests that the endpoint may turn away within a second without falling over, for as long as its answers say so. */
+    readonly brittleRejections?: number;
+    /** Whether the endpoint turned the request away for want of room. */
+    readonly isFull: boolean;
     /** Whether the endpoint states that it takes no further requests and will stop. */
     readonly isLeaving: boolean;
     /** How long the endpoint wants no requests from this host. */
--- a/packages/ingress/src/daemon.ts
+++ b/packages/ingress/src/daemon.ts
@@ -49,6 +49,7 @@
 import { createArrivalGate } from "./pressure/creategate.js";
 import type { RequestContext } from "./request/context.js";
 import { CrashMonitor } from "./request/crashmonitor.js";
+import { createRooms } from "./request/createrooms.js";
 import { requestEvents } from "./request/event.js";
 import { RequestPipeline } from "./request/pipeline.js";
 import { createRollouts } from "./rollout/rollouts.js";
@@ -159,6 +160,8 @@
         },
     });
     const limits = createEndpointLimits({ hostId, listHosts: () => exchange.listReachable() });
+    const listHosts = (): readonly HostId[] => exchange.listReachable();
+    const rooms = createRooms({ hostId, listHosts, loads, log, metrics, announce: () => exchange.announce() });
     const paces = createEndpointPaces({
         hostId,
         listHosts: () => exchange.listReachable(),
@@ -181,7 +184,7 @@
         hosts,
         counts: { quota, usage, loads, demand, callerWork },
         fleetClock,
-        findings: new SharedFindings({ quarantine, limits, runs, paces, finals }),
+        findings: new SharedFindings({ quarantine, limits, runs, paces, rooms, finals }),
         dutyHolder: () => readDutyHolder(mirror),
     });
     const { serving } = exchange;
@@ -294,6 +297,7 @@
         limits,
         notices,
         paces,
+        rooms,
         runs,
         storeConfirmedMs,
         streamVersions,
--- a/packages/ingress/src/fleet/findings.ts
+++ b/packages/ingress/src/fleet/findings.ts
@@ -2,12 +2,14 @@
     CustomerCounts,
     EndpointLimits,
     EndpointPaces,
+    EndpointRooms,
     EndpointRuns,
     FinalCounts,
     LimitReport,
     PaceReport,
     Quarantine,
     QuarantineReport,
+    RoomReport,
     RunReport,
 } from "@filbertrelay/policy/ingress";
 
@@ -17,6 +19,7 @@
     readonly limits?: LimitReport | undefined;
     readonly runs?: RunReport | undefined;
     readonly paces?: PaceReport | undefined;
+    readonly rooms?: RoomReport | undefined;
     readonly finalCounts?: Readonly<Record<string, CustomerCounts>> | undefined;
 }
 
@@ -26,6 +29,7 @@
     limits?: LimitReport;
     runs?: RunReport;
     paces?: PaceReport;
+    rooms?: RoomReport;
     finalCounts?: Record<string, Record<string, number>>;
 }
 
@@ -35,6 +39,7 @@
     readonly limits: EndpointLimits;
     readonly runs: EndpointRuns;
     readonly paces: EndpointPaces;
+    readonly rooms: EndpointRooms;
     readonly finals: FinalCounts;
 }
 
@@ -51,18 +56,20 @@
         const limits = this.#options.limits.report(nowMs);
         const runs = this.#options.runs.report(nowMs);
         const paces = this.#options.paces.report(nowMs);
+        const rooms = this.#options.rooms.report(nowMs);
         const finalCounts = this.#options.finals.missing();
         return {
             ...(suspects === undefined ? {} : { suspects }),
             ...(limits === undefined ? {} : { limits }),
             ...(runs === undefined ? {} : { runs }),
             ...(paces === undefined ? {} : { paces }),
+            ...(rooms === undefined ? {} : { rooms }),
             ...(finalCounts === undefined ? {} : { finalCounts }),
         };
     }
 
     /** `elapsedMs` is how long ago the report was written at most. */
-    merge({ suspects, limits, runs, paces, finalCounts = {} }: FindingsReport, nowMs: number, elapsedMs: number): void {
+    merge({ suspects, limits, runs, paces, rooms, finalCounts = {} }: FindingsReport, nowMs: number, elapsedMs: number): void {
         if (suspects !== undefined) {
             this.#options.quarantine.merge(suspects, nowMs, elapsedMs);
         }
@@ -75,6 +82,9 @@
         if (paces !== undefined) {
             this.#options.paces.merge(paces, nowMs, elapsedMs);
         }
+        if (rooms !== undefined) {
+            this.#options.rooms.merge(rooms, nowMs, elapsedMs);
+        }
         for (const [window, counts] of Object.entries(finalCounts)) {
             this.#options.finals.record(Number(window), counts, nowMs);
         }
--- a/packages/ingress/src/fleet/report.ts
+++ b/packages/ingress/src/fleet/report.ts
@@ -49,6 +49,17 @@
     }),
 );
 
+/** Statements, cut windows and senders of brittle services; see `RoomReport`. */
+const roomReportSchema = z.object({
+    endpoints: z.record(
+        z.string(),
+        z.object({ service: z.string(), rejections: z.number().positive().nullable(), ageMs: z.number() }),
+    ),
+    cuts: z.record(z.string(), z.object({ share: z.number().positive(), ageMs: z.number() })),
+    rejections: z.record(z.string(), z.record(z.string(), z.object({ count: z.number(), ageMs: z.number() }))),
+    senders: z.record(z.string(), z.record(z.string(), z.object({ ageMs: z.number(), keepMs: z.number() }))),
+});
+
 /** Lets the receiver bound when a report was written. Absent in older versions. */
 const messageTimeSchema = z.object({
     /** The sender's run, and its monotonic time in milliseconds. */
@@ -80,6 +91,8 @@
     runs: runReportSchema.optional(),
     /** Absent while no endpoint has started recently, and in older versions. */
     paces: paceReportSchema.optional(),
+    /** Absent while no endpoint is brittle, and in older versions. */
+    rooms: roomReportSchema.optional(),
     /** Final counts of usage windows that the store lacks. Absent if there are none, and in older versions. */
     finalCounts: z.record(z.string(), countsSchema).optional(),
 });
@@ -103,6 +116,8 @@
     runs: runReportSchema.optional(),
     /** Absent while no endpoint has started recently, and in older versions. */
     paces: paceReportSchema.optional(),
+    /** Absent while no endpoint is brittle, and in older versions. */
+    rooms: roomReportSchema.optional(),
     /** Final counts of usage windows that the store lacks. Absent if there are none, and in older versions. */
     finalCounts: z.record(z.string(), countsSchema).optional(),
 });
@@ -126,6 +141,8 @@
     runs: runReportSchema.optional(),
     /** Absent while no endpoint has started recently, and in older versions. */
     paces: paceReportSchema.optional(),
+    /** Absent while no endpoint is brittle, and in older versions. */
+    rooms: roomReportSchema.optional(),
     /** Final counts of usage windows that the store lacks. Absent if there are none, and in older versions. */
     finalCounts: z.record(z.string(), countsSchema).optional(),
 });
@@ -147,6 +164,8 @@
     runs: runReportSchema.optional(),
     /** Absent while no endpoint has started recently, and in older versions. */
     paces: paceReportSchema.optional(),
+    /** Absent while no endpoint is brittle, and in older versions. */
+    rooms: roomReportSchema.optional(),
     /** Final counts of usage windows that the store lacks. Absent if there are none, and in older versions. */
     finalCounts: z.record(z.string(), countsSchema).optional(),
 });
--- a/packages/ingress/src/request/attempt.ts
+++ b/packages/ingress/src/request/attempt.ts
@@ -120,12 +120,13 @@
 
     /** Sends the request. All callbacks of the connection and of timers run within the boundary. */
     start(boundary: RequestBoundary, handler: AttemptHandler): void {
-        const { loads, connections, limits, paces, rollouts } = this.#context;
+        const { loads, connections, limits, paces, rooms, rollouts } = this.#context;
         const { endpoint, number, priority, tokens, isRepeatable } = this.#options;
         this.#handler = handler;
         this.#boundary = boundary;
         limits.recordSend(endpoint.endpointId, this.#sentMs);
         paces.recordSend(endpoint, this.#sentMs);
+        rooms.recordSend(endpoint, this.#sentMs);
         rollouts.recordSent(endpoint, number === 1);
         loads.recordDispatch({ requestId: this.#loadKey, endpointId: endpoint.endpointId, priority, tokens });
         this.#connection = connections.acquire(endpoint, isRepeatable ? Infinity : nonRetryableIdleMs);
@@ -218,8 +219,8 @@
     }
 
     /** Records what the endpoint says of itself beside the answer. */
-    #recordStatements({ limitPerSecond, isLeaving, pauseMs, invalid }: ResponseDescription): void {
-        const { limits, notices, clock, log, announce } = this.#context;
+    #recordStatements({ limitPerSecond, brittleRejections, isFull, isLeaving, pauseMs, invalid }: ResponseDescription): void {
+        const { limits, rooms, notices, clock, log, announce } = this.#context;
         const { endpointId } = this;
         if (invalid !== undefined) {
             log.write(events.statementInvalid, { requestId: this.#options.requestId, endpoint: endpointId, headers: invalid });
@@ -231,6 +232,7 @@
             notices.recordPause(this.endpoint, clock.monotonicMs() + pauseMs);
             log.write(events.endpointPaused, { endpoint: endpointId, pauseMs });
         }
+        rooms.recordAnswer(this.endpoint, { brittleRejections, isFull }, clock.monotonicMs());
         if (limits.recordAnswer(endpointId, limitPerSecond, clock.monotonicMs())) {
             log.write(events.limitChanged, { endpoint: endpointId, perSecond: limitPerSecond });
             announce();
--- a/packages/ingress/src/request/context.ts
+++ b/packages/ingress/src/request/context.ts
@@ -7,6 +7,7 @@
     EndpointNotices,
     EndpointPaces,
     EndpointProcess,
+    EndpointRooms,
     EndpointRuns,
     FleetClock,
     FleetReach,
@@ -45,6 +46,7 @@
     readonly limits: EndpointLimits;
     readonly notices: EndpointNotices;
     readonly paces: EndpointPaces;
+    readonly rooms: EndpointRooms;
     readonly runs: EndpointRuns;
     /** A monotonic time at which the copy of the store held everything that the store held. */
     readonly storeConfirmedMs: () => number;
--- a/packages/ingress/src/request/endpointselection.ts
+++ b/packages/ingress/src/request/endpointselection.ts
@@ -38,22 +38,27 @@
 
 /** The endpoints of a service that take requests from this host now. */
 export function listOpenEndpoints(
-    { endpoints, limits, notices, clock }: RequestContext,
+    { endpoints, limits, notices, rooms, clock }: RequestContext,
     service: string,
 ): readonly EndpointRecord[] {
     const nowMs = clock.monotonicMs();
-    return endpoints.usable(service).filter(endpoint =>
+    const open = endpoints.usable(service).filter(endpoint =>
         !notices.isLeaving(endpoint) && notices.pauseMs(endpoint, nowMs) === 0 && limits.isOpen(endpoint.endpointId, nowMs)
     );
+    return rooms.select(service, open, nowMs);
 }
 
 /** Time until an endpoint of a service may take a request that none takes now, for the caller's next try. */
-export function estimateRetryAfterMs({ endpoints, notices, clock }: RequestContext, service: string): number {
+export function estimateRetryAfterMs(
+    { endpoints, notices, rooms, timings, clock }: RequestContext,
+    service: string,
+): number {
     const nowMs = clock.monotonicMs();
     const pauses = endpoints.usable(service).filter(endpoint => !notices.isLeaving(endpoint)).map(endpoint =>
         notices.pauseMs(endpoint, nowMs)
     );
-    return Math.max(defaultRetryAfterMs, pauses.length === 0 ? 0 : Math.min(...pauses));
+    const roomMs = rooms.retryAfterMs(service, timings.slotHoldMs(service) ?? defaultServiceMs, nowMs) ?? 0;
+    return Math.max(defaultRetryAfterMs, roomMs, pauses.length === 0 ? 0 : Math.min(...pauses));
 }
 
 /** Whether a request of a route may be executed on a second endpoint. */
--- a/packages/ingress/src/request/event.ts
+++ b/packages/ingress/src/request/event.ts
@@ -32,6 +32,19 @@
         text: "An endpoint named a limit in its answers, or no longer does.",
         action: "None; `perSecond` holds for all hosts together. If it lasts, look at the load of the endpoint.",
     },
+    brittleChanged: {
+        number: 4390,
+        level: "info",
+        text: "An endpoint said in an answer that it is brittle, or no longer does.",
+        action:
+            "None; `window` is the number of requests that all hosts together may have there. If it lasts, look at the endpoint.",
+    },
+    brittleEndpointFull: {
+        number: 4391,
+        level: "warn",
+        text: "A brittle endpoint turned a request away for want of room; it gets fewer for a while.",
+        action: "None; if it happens often, compare the capacity in the endpoint's entry with what it runs.",
+    },
     endpointLeaving: {
         number: 4310,
         level: "info",
--- a/packages/ingress/src/telemetry/metrics.ts
+++ b/packages/ingress/src/telemetry/metrics.ts
@@ -31,6 +31,12 @@
     ]);
     readonly #quarantined = this.#gauge("quarantined_causes", "Causes of crashes for which requests are rejected");
     readonly #starting = this.#gauge("starting_endpoints", "Endpoints in their slow start");
+    readonly #brittle = this.#gauge("brittle_endpoints", "Endpoints that say that they are brittle");
+    readonly #brittleFull = this.#counter(
+        "brittle_rejections_total",
+        "Rejections of brittle endpoints for want of room that cut their window, by service",
+        ["service"],
+    );
     readonly #storeCalls = this.#counter("store_calls_total", "Calls to the store, by kind and result", ["kind", "result"]);
     readonly #changeAge = new Histogram({
         name: "filbertrelay_store_change_age_seconds",
@@ -98,6 +104,14 @@
         this.#starting.set(count);
     }
 
+    setBrittleEndpoints(count: number): void {
+        this.#brittle.set(count);
+    }
+
+    recordBrittleRejection(service: string): void {
+        this.#brittleFull.inc({ service });
+    }
+
     recordStoreCall(kind: string, result: string): void {
         this.#storeCalls.inc({ kind, result });
     }
