Merge brittle endpoints

What endpoints said of themselves is recorded by a relay too, but a rejection counts at the host whose request it was. The interfaces of a daemon's environment have a file of their own.

--- a/packages/ingress/src/control/registration.ts
+++ b/packages/ingress/src/control/registration.ts
@@ -2,7 +2,7 @@
 import type { ConnectionShares } from "@filbertrelay/policy/ingress";
 import type { ConnectionLimit } from "../caller/connectionguard.js";
 import type { CallerLimits } from "../caller/limits.js";
-import type { Environment } from "../daemon.js";
+import type { Environment } from "../environment.js";
 import type { IngressSettings } from "../settings.js";
 import type { HostView } from "./hostview.js";
 import { ControlServer } from "./server.js";
--- a/packages/ingress/src/daemon.ts
+++ b/packages/ingress/src/daemon.ts
@@ -1,6 +1,5 @@
-import type { Store } from "@filbertrelay/connectors";
 import { brandAs, createKernel } from "@filbertrelay/kernel";
-import type { Clock, EventLog, FailureDomainId, HostId, Kernel } from "@filbertrelay/kernel";
+import type { FailureDomainId, HostId, Kernel } from "@filbertrelay/kernel";
 import {
     AnswerMemory,
     createDemandMeter,
@@ -24,16 +23,15 @@
 import { connect } from "node:net";
 import { createCallerLimits } from "./caller/limits.js";
 import { IngressServer } from "./caller/server.js";
-import type { Dialect, DutyCalls, EndpointRecord, StoreDecoder } from "./contract.js";
+import type { EndpointRecord } from "./contract.js";
 import type { HostView } from "./control/hostview.js";
 import { registerControl } from "./control/registration.js";
-import type { ControlRoutes } from "./control/server.js";
 import { chooseContendDelay } from "./duty/contention.js";
 import { EndpointScaler } from "./duty/endpointscaler.js";
 import { DutyLease, readDutyHolder } from "./duty/lease.js";
 import { UsageReporter } from "./duty/usagereporter.js";
 import { probeAddress } from "./endpoint/reachability.js";
-import type { OpenSocket } from "./endpoint/socket.js";
+import type { IngressDaemonOptions } from "./environment.js";
 import { HostDirectory } from "./fleet/directory.js";
 import { PeerExchange } from "./fleet/exchange.js";
 import { SharedFindings } from "./fleet/findings.js";
@@ -48,6 +46,7 @@
 import { createRelayLimits } from "./relay/room.js";
 import type { RequestContext } from "./request/context.js";
 import { CrashMonitor } from "./request/crashmonitor.js";
+import { createRooms } from "./request/createrooms.js";
 import { requestEvents } from "./request/event.js";
 import { RequestPipeline } from "./request/pipeline.js";
 import { createRollouts } from "./rollout/rollouts.js";
@@ -61,32 +60,6 @@
 /** An entry is removed after three intervals without a report; the next process reports within one. */
 const entryReplacedHeartbeats = 4;
 
-/** Records a call to an external service and its result in the metrics. */
-export type CallObserver = (kind: string, result: string) => void;
-
-/** The platform-specific parts of a host: store client, wire formats and HTTP interfaces. */
-export interface Environment {
-    readonly createStore: (onCall: CallObserver) => Store;
-    readonly decoder: StoreDecoder;
-    readonly dialect: Dialect;
-    /** Returns `undefined` where hosts have no duties. */
-    readonly createDuties: (onCall: CallObserver) => DutyCalls | undefined;
-    /** Handlers for the directory address. */
-    readonly createDirectoryRoutes: (view: HostView) => ControlRoutes;
-    /** Handlers for the readiness address. */
-    readonly createReadyRoutes: (view: HostView) => ControlRoutes;
-}
-
-export interface IngressDaemonOptions {
-    readonly clock: Clock;
-    readonly log: EventLog;
-    /** Uniform in [0, 1). */
-    readonly draw: () => number;
-    readonly environment: Environment;
-    /** Opens connections to endpoints; that of `node:net` by default. */
-    readonly openSocket?: OpenSocket;
-}
-
 /** An endpoint that started longer ago than this is taken for one that is in full use. */
 const slowStartMs = 10_000;
 /** Fraction of the delay of an event for which a stream isn't read: each read and write costs a small host about 0.2 ms. */
@@ -162,6 +135,8 @@
         endpointBytes: callerLimits.memory.endpointAnswerBytes,
     });
     const limits = createEndpointLimits({ hostId, listHosts: () => exchange.listReachable() });
+    const listHosts = (): readonly HostId[] => exchange.listReachable();
+    const rooms = createRooms({ hostId, listHosts, loads, log, metrics, announce: () => exchange.announce() });
     const paces = createEndpointPaces({
         hostId,
         listHosts: () => exchange.listReachable(),
@@ -186,6 +161,7 @@
         hosts,
         endpoints,
         limits,
+        rooms,
         notices,
         answerMemory,
         relayLimits: createRelayLimits(callerLimits.memory),
@@ -206,7 +182,7 @@
         hosts,
         counts: { quota, usage, loads, demand, callerWork },
         fleetClock,
-        findings: new SharedFindings({ quarantine, limits, runs, paces, reach: access.reach, finals }),
+        findings: new SharedFindings({ quarantine, limits, runs, paces, rooms, reach: access.reach, finals }),
         dutyHolder: () => readDutyHolder(mirror),
     });
     const { serving } = exchange;
@@ -299,6 +275,7 @@
         limits,
         notices,
         paces,
+        rooms,
         runs,
         storeConfirmedMs,
         streamVersions,
--- a/packages/ingress/src/fleet/findings.ts
+++ b/packages/ingress/src/fleet/findings.ts
@@ -3,6 +3,7 @@
     EndpointLimits,
     EndpointPaces,
     EndpointReach,
+    EndpointRooms,
     EndpointRuns,
     FinalCounts,
     LimitReport,
@@ -10,6 +11,7 @@
     Quarantine,
     QuarantineReport,
     ReachReport,
+    RoomReport,
     RunReport,
 } from "@filbertrelay/policy/ingress";
 
@@ -20,6 +22,7 @@
     readonly runs?: RunReport | undefined;
     readonly paces?: PaceReport | undefined;
     readonly reach?: ReachReport | undefined;
+    readonly rooms?: RoomReport | undefined;
     readonly finalCounts?: Readonly<Record<string, CustomerCounts>> | undefined;
 }
 
@@ -30,6 +33,7 @@
     runs?: RunReport;
     paces?: PaceReport;
     reach?: ReachReport;
+    rooms?: RoomReport;
     finalCounts?: Record<string, Record<string, number>>;
 }
 
@@ -40,6 +44,7 @@
     readonly runs: EndpointRuns;
     readonly paces: EndpointPaces;
     readonly reach: EndpointReach;
+    readonly rooms: EndpointRooms;
     readonly finals: FinalCounts;
 }
 
@@ -57,6 +62,7 @@
         const runs = this.#options.runs.report(nowMs);
         const paces = this.#options.paces.report(nowMs);
         const reach = this.#options.reach.report(nowMs);
+        const rooms = this.#options.rooms.report(nowMs);
         const finalCounts = this.#options.finals.missing();
         return {
             ...(suspects === undefined ? {} : { suspects }),
@@ -64,12 +70,17 @@
             ...(runs === undefined ? {} : { runs }),
             ...(paces === undefined ? {} : { paces }),
             ...(reach === undefined ? {} : { reach }),
+            ...(rooms === undefined ? {} : { rooms }),
             ...(finalCounts === undefined ? {} : { finalCounts }),
         };
     }
 
     /** `elapsedMs` is how long ago the report was written at most. */
-    merge({ suspects, limits, runs, paces, reach, finalCounts = {} }: FindingsReport, nowMs: number, elapsedMs: number): void {
+    merge(
+        { suspects, limits, runs, paces, rooms, reach, finalCounts = {} }: FindingsReport,
+        nowMs: number,
+        elapsedMs: number,
+    ): void {
         if (suspects !== undefined) {
             this.#options.quarantine.merge(suspects, nowMs, elapsedMs);
         }
@@ -85,6 +96,9 @@
         if (reach !== undefined) {
             this.#options.reach.merge(reach, nowMs, elapsedMs);
         }
+        if (rooms !== undefined) {
+            this.#options.rooms.merge(rooms, nowMs, elapsedMs);
+        }
         for (const [window, counts] of Object.entries(finalCounts)) {
             this.#options.finals.record(Number(window), counts, nowMs);
         }
--- a/packages/ingress/src/fleet/report.ts
+++ b/packages/ingress/src/fleet/report.ts
@@ -57,6 +57,17 @@
     stranded: countsSchema.optional(),
 });
 
+/** Statements, cut windows and senders of brittle services; see `RoomReport`. */
+const roomReportSchema = z.object({
+    endpoints: z.record(
+        z.string(),
+        z.object({ service: z.string(), rejections: z.number().positive().nullable(), ageMs: z.number() }),
+    ),
+    cuts: z.record(z.string(), z.object({ share: z.number().positive(), ageMs: z.number() })),
+    rejections: z.record(z.string(), z.record(z.string(), z.object({ count: z.number(), ageMs: z.number() }))),
+    senders: z.record(z.string(), z.record(z.string(), z.object({ ageMs: z.number(), keepMs: z.number() }))),
+});
+
 /** Lets the receiver bound when a report was written. Absent in older versions. */
 const messageTimeSchema = z.object({
     /** The sender's run, and its monotonic time in milliseconds. */
@@ -90,6 +101,8 @@
     paces: paceReportSchema.optional(),
     /** Absent while all hosts reach the endpoints, and in older versions. */
     reach: reachReportSchema.optional(),
+    /** Absent while no endpoint is brittle, and in older versions. */
+    rooms: roomReportSchema.optional(),
     /** Final counts of usage windows that the store lacks. Absent if there are none, and in older versions. */
     finalCounts: z.record(z.string(), countsSchema).optional(),
 });
@@ -115,6 +128,8 @@
     paces: paceReportSchema.optional(),
     /** Absent while all hosts reach the endpoints, and in older versions. */
     reach: reachReportSchema.optional(),
+    /** Absent while no endpoint is brittle, and in older versions. */
+    rooms: roomReportSchema.optional(),
     /** Final counts of usage windows that the store lacks. Absent if there are none, and in older versions. */
     finalCounts: z.record(z.string(), countsSchema).optional(),
 });
@@ -140,6 +155,8 @@
     paces: paceReportSchema.optional(),
     /** Absent while all hosts reach the endpoints, and in older versions. */
     reach: reachReportSchema.optional(),
+    /** Absent while no endpoint is brittle, and in older versions. */
+    rooms: roomReportSchema.optional(),
     /** Final counts of usage windows that the store lacks. Absent if there are none, and in older versions. */
     finalCounts: z.record(z.string(), countsSchema).optional(),
 });
@@ -163,6 +180,8 @@
     paces: paceReportSchema.optional(),
     /** Absent while all hosts reach the endpoints, and in older versions. */
     reach: reachReportSchema.optional(),
+    /** Absent while no endpoint is brittle, and in older versions. */
+    rooms: roomReportSchema.optional(),
     /** Final counts of usage windows that the store lacks. Absent if there are none, and in older versions. */
     finalCounts: z.record(z.string(), countsSchema).optional(),
 });
--- a/packages/ingress/src/index.ts
+++ b/packages/ingress/src/index.ts
@@ -13,6 +13,7 @@
 export { ResponseParser } from "./endpoint/responseparser.js";
 export type { ResponseHandler, ResponseHead } from "./endpoint/responseparser.js";
 export type { OpenSocket } from "./endpoint/socket.js";
+export * from "./environment.js";
 export { HostDirectory } from "./fleet/directory.js";
 export { PeerExchange } from "./fleet/exchange.js";
 export { SharedFindings } from "./fleet/findings.js";
--- a/packages/ingress/src/relay/access.ts
+++ b/packages/ingress/src/relay/access.ts
@@ -99,7 +99,9 @@
         canReach: endpoint => reach.wayTo(endpoint, clock.monotonicMs()) !== "relay",
         onHead: (endpoint, { status, headers }) => {
             options.callerWork.recordWork(callersKey, relayProcessorMs, clock.monotonicMs());
-            recordStatements({ ...options, announce }, endpoint, options.dialect.describeResponse(status, headers));
+            // A rejection counts at the host whose request it is.
+            const description = { ...options.dialect.describeResponse(status, headers), isFull: false };
+            recordStatements({ ...options, announce }, endpoint, description);
         },
         onFailure: (endpoint, { isRefused }) => isRefused && options.recordRefusal(endpoint),
     });
--- a/packages/ingress/src/request/attemptaccount.ts
+++ b/packages/ingress/src/request/attemptaccount.ts
@@ -28,10 +28,11 @@
     }
 
     recordSent(): void {
-        const { loads, limits, paces, health, rollouts } = this.#context;
+        const { loads, limits, paces, rooms, health, rollouts } = this.#context;
         const { endpoint, number, priority, tokens } = this.#options;
         limits.recordSend(endpoint.endpointId, this.sentMs);
         paces.recordSend(endpoint, this.sentMs);
+        rooms.recordSend(endpoint, this.sentMs);
         health.recordSent(endpoint.endpointId, this.sentMs);
         rollouts.recordSent(endpoint, number === 1);
         loads.recordDispatch({ requestId: this.#loadKey, endpointId: endpoint.endpointId, priority, tokens });
--- a/packages/ingress/src/request/context.ts
+++ b/packages/ingress/src/request/context.ts
@@ -7,6 +7,7 @@
     EndpointNotices,
     EndpointPaces,
     EndpointReach,
+    EndpointRooms,
     EndpointRuns,
     FleetClock,
     FleetReach,
@@ -50,6 +51,7 @@
     readonly limits: EndpointLimits;
     readonly notices: EndpointNotices;
     readonly paces: EndpointPaces;
+    readonly rooms: EndpointRooms;
     readonly runs: EndpointRuns;
     /** A monotonic time at which the copy of the store held everything that the store held. */
     readonly storeConfirmedMs: () => number;
--- a/packages/ingress/src/request/statements.ts
+++ b/packages/ingress/src/request/statements.ts
@@ -3,13 +3,13 @@
 import { requestEvents as events } from "./event.js";
 
 /** What is needed to record the statements of endpoints. */
-export type StatementContext = Pick<RequestContext, "limits" | "notices" | "clock" | "log" | "announce">;
+export type StatementContext = Pick<RequestContext, "limits" | "rooms" | "notices" | "clock" | "log" | "announce">;
 
 /** Records what an endpoint says of itself beside an answer that this host passes on. */
 export function recordStatements(
-    { limits, notices, clock, log, announce }: StatementContext,
+    { limits, rooms, notices, clock, log, announce }: StatementContext,
     endpoint: EndpointRecord,
-    { limitPerSecond, isLeaving, pauseMs, invalid, requestId }: ResponseDescription,
+    { limitPerSecond, brittleRejections, isFull, isLeaving, pauseMs, invalid, requestId }: ResponseDescription,
 ): void {
     const { endpointId } = endpoint;
     if (invalid !== undefined) {
@@ -22,6 +22,7 @@
         notices.recordPause(endpoint, clock.monotonicMs() + pauseMs);
         log.write(events.endpointPaused, { endpoint: endpointId, pauseMs });
     }
+    rooms.recordAnswer(endpoint, { brittleRejections, isFull }, clock.monotonicMs());
     if (limits.recordAnswer(endpointId, limitPerSecond, clock.monotonicMs())) {
         log.write(events.limitChanged, { endpoint: endpointId, perSecond: limitPerSecond });
         announce();
