Bundle undici's parser once

The code for brittle endpoints took the bytecode that each start loads beyond its bound of 2,400 KB (2,463,008 bytes). undici carries its parser twice; hosts use the build with SIMD instructions. 2,384,352 bytes now. The hook of the brittle fleet is kept apart from other features' worlds.

--- a/features/steps/ingress.brittle.ts
+++ b/features/steps/ingress.brittle.ts
@@ -12,7 +12,7 @@
 import { createRandom } from "../support/random.js";
 
 interface BrittleWorld {
-    fleet: BrittleFleet | undefined;
+    brittleFleet: BrittleFleet | undefined;
     fleetAnswers: FleetAnswer[];
     pressedMs: number;
     days: { readonly day: BrittleDay; readonly kept: BrittleResult; readonly pressed: BrittleResult | undefined; }[];
@@ -241,13 +241,13 @@
     "three hosts and two brittle engines with room for {int} requests each, of which {int} may be rejected within a second",
     { timeout: 30_000 },
     async function(this: BrittleWorld, capacity: number, rejections: number) {
-        this.fleet = new BrittleFleet(capacity, rejections);
-        await this.fleet.start();
+        this.brittleFleet = new BrittleFleet(capacity, rejections);
+        await this.brittleFleet.start();
     },
 );
 
 After(async function(this: Partial<BrittleWorld>) {
-    await this.fleet?.stop();
+    await this.brittleFleet?.stop();
 });
 
 When(
@@ -255,15 +255,15 @@
     { timeout: 30_000 },
     async function(this: BrittleWorld, times: number, seconds: number) {
         this.pressedMs = seconds * 1_000;
-        this.fleetAnswers = await this.fleet!.press(this.fleet!.roomPerSecond * times, seconds);
+        this.fleetAnswers = await this.brittleFleet!.press(this.brittleFleet!.roomPerSecond * times, seconds);
     },
 );
 
 Then(
     "the engines fall at most {int} times from 3 s on, and at least {int} percent of their room is used",
     function(this: BrittleWorld, most: number, percent: number) {
-        const { falls, busyMs } = this.fleet!;
-        const used = 100 * busyMs / this.fleet!.roomMs(this.pressedMs - fragileMs);
+        const { falls, busyMs } = this.brittleFleet!;
+        const used = 100 * busyMs / this.brittleFleet!.roomMs(this.pressedMs - fragileMs);
         assert.ok(falls <= most && used >= percent, `${falls} falls, ${used} % used`);
     },
 );
--- a/scripts/bundle.mjs
+++ b/scripts/bundle.mjs
@@ -79,6 +79,11 @@
         const namespace = "used-parts";
         bundler.onResolve({ filter: /^(undici|prom-client|consola|cbor-extract)$/ }, ({ path }) => ({ path, namespace }));
         bundler.onLoad({ filter: /.*/, namespace }, ({ path }) => ({ contents: usedParts[path], resolveDir: root }));
+        // The fallback of undici's parser for processors without SIMD instructions, which hosts on x86-64 and arm64 have.
+        bundler.onLoad(
+            { filter: /undici[\\/]lib[\\/]llhttp[\\/]llhttp-wasm\.js$/ },
+            () => ({ contents: "module.exports = Buffer.alloc(0);" }),
+        );
         bundler.onLoad({ filter: /undici[\\/]lib[\\/](dispatcher[\\/]client-h2|web[\\/]fetch[\\/]body)\.js$/ }, () => ({
             contents: "module.exports = () => { throw new Error(\"This part of undici is not bundled.\"); };",
         }));
