--- a/packages/ingress/src/endpoint/linkmonitor.ts
+++ b/packages/ingress/src/endpoint/linkmonitor.ts
@@ -14,6 +14,8 @@
     readonly clock: Clock;
     readonly reach: EndpointReach;
     readonly listEndpoints: () => readonly EndpointRecord[];
+    /** Whether an endpoint has ended or said that it leaves: it may accept no connections while others still hear it. */
+    readonly isLeaving: (endpoint: EndpointRecord) => boolean;
     readonly probe: (endpoint: EndpointRecord) => Promise<ProbeResult>;
     /** Called at each check while links of this host may be cut. */
     readonly onCheck: () => void;
@@ -43,7 +45,10 @@
     }
 
     connectFailed(endpoint: EndpointRecord): void {
-        this.#options.reach.recordConnectFailure(endpoint, this.#nowMs());
+        const { reach, isLeaving } = this.#options;
+        if (!isLeaving(endpoint)) {
+            reach.recordConnectFailure(endpoint, this.#nowMs());
+        }
     }
 
     sent(connection: string, endpoint: EndpointRecord): void {
--- a/packages/ingress/src/relay/access.ts
+++ b/packages/ingress/src/relay/access.ts
@@ -78,6 +78,7 @@
         clock,
         reach,
         listEndpoints: () => endpoints.list(),
+        isLeaving: endpoint => options.notices.isLeaving(endpoint) || !endpoints.isServing(endpoint),
         probe: endpoint => probeEndpoint(endpoint, { clock, openSocket, statusPath: options.findStatusPath(endpoint) }),
         onCheck: options.onCheck,
     });
