Count a crash whose endpoint is back before its cause is certain

What callers saw: requests that crash endpoints are recognised later or not at all while endpoints start again within half a second: each further crash breaks off the requests beside it.

Cause: since the crash monitor waits for up to 1 s until a failure can't be one of this host's own links, and only then asked whether the endpoint was still registered. By then its next process is, so the crash of the former one was taken for a planned end. The wait is no rare case: one lost connection beside prompts that were silent for 300 ms in another failure domain is enough.

Change: whether the endpoint had announced its end is asked when the connection is refused, as before, and the cause afterwards.

Evidence: 'A crash counts although the endpoint has started again before its cause is certain' failed before (no crash counted) and passes; the other scenario holds that a planned end still is no crash.

--- a/features/ingress.crash.feature
+++ b/features/ingress.crash.feature
@@ -8,6 +8,17 @@
     Then at most 3 requests with the part reached engines later than 3000 ms after the fifth crash
     And the requests without the part that were sent 1 s later than that were answered
 
+  # Guards against crashes that nobody counts because the endpoint is back before this host's links are cleared of them.
+  Scenario: A crash counts although the endpoint has started again before its cause is certain
+    Given a monitor of crashes to which the cause of a failure is certain after 300 ms
+    When an endpoint crashes with a request in progress and registers its next process after 100 ms
+    Then the crash of its former process counts
+
+  Scenario: The end of an endpoint that had announced it is no crash
+    Given a monitor of crashes to which the cause of a failure is certain after 300 ms
+    When an endpoint that leaves refuses connections with a request in progress
+    Then no crash counts
+
   # Guards against endpoints that crash on and on while hosts know only of their own requests, in fleets of any size and at any rate.
   Scenario: On random days, requests that crash endpoints are kept from them soon after the fifth crash
     When 24 random days are played on which a part or a request crashes endpoints, beside other crashes and restarts of hosts
--- a/packages/ingress/src/index.ts
+++ b/packages/ingress/src/index.ts
@@ -30,6 +30,7 @@
 export type { RelayHandlerOptions } from "./relay/relayhandler.js";
 export { createRelayLimits, RelayRoom } from "./relay/room.js";
 export type { RelayLimits } from "./relay/room.js";
+export { CrashMonitor } from "./request/crashmonitor.js";
 export { requestEvents } from "./request/event.js";
 export { RolloutDuty } from "./rollout/rolloutduty.js";
 export { VersionSplit } from "./rollout/versionsplit.js";
--- a/packages/ingress/src/request/crashmonitor.ts
+++ b/packages/ingress/src/request/crashmonitor.ts
@@ -14,8 +14,8 @@
 export interface CrashMonitorOptions {
     readonly clock: Clock;
     readonly log: EventLog;
-    readonly metrics: IngressMetrics;
-    readonly endpoints: EndpointTable;
+    readonly metrics: Pick<IngressMetrics, "recordCrash">;
+    readonly endpoints: Pick<EndpointTable, "isServing">;
     readonly quarantine: Quarantine;
     readonly probe: (address: string) => Promise<Reachability>;
     /** Whether a failure at an endpoint is its own, rather than one of this host's links. */
@@ -80,7 +80,8 @@
         if (reachability === "refused") {
             this.#options.recordRefusal(endpoint);
         }
-        if (reachability !== "refused" || !await confirmFailure(endpoint) || !endpoints.isServing(endpoint)) {
+        // Asked first: by the time the cause is certain, the next process may have taken the place of the one that crashed.
+        if (reachability !== "refused" || !endpoints.isServing(endpoint) || !await confirmFailure(endpoint)) {
             return;
         }
         lost.isCrash = true;
