Count requests lost at a version once the host's own links are not their cause

What callers saw: a new version that crashes or breaks off is judged by too few of its failures, so it gets more callers' requests for longer.

Cause: since a failure is left out of the comparison of versions for good if it might be one of this host's own links at the moment at which it comes. That is so for up to 1 s after each crash beside two endpoints that fail or were silent for 300 ms, of which slow prompts in another failure domain are enough: crashes are lost as a rule, answers never.

Change: such a result waits as set-backs do, and counts unless the links turn out to be cut. The wait is not part of its duration.

--- a/features/ingress.reach.feature
+++ b/features/ingress.reach.feature
@@ -64,6 +64,17 @@
       | connections time out in a freeze while another host hears their endpoints | their failures don't count, and their ways are direct      |
       | another process of an endpoint was heard                                  | its failure counts at once                                 |
 
+  # Guards against a version that is not found to be broken because its crashes come beside slow prompts elsewhere.
+  Scenario Outline: A request that an endpoint breaks off counts for its version once the host's own links are not its cause
+    Given a host that waits for slow prompts in another failure domain
+    When an endpoint breaks off a request and <event>
+    Then within 1200 ms its version has <count> lost requests
+
+    Examples:
+      | event                                      | count |
+      | nothing else happens                       | 1     |
+      | other hosts go on hearing it and its group | 0     |
+
   Scenario: Sound hosts have nothing to report and nothing to probe
     Given a host with endpoints of 2 failure domains
     When it sends requests and hears all endpoints for 5 s
--- a/packages/ingress/src/index.ts
+++ b/packages/ingress/src/index.ts
@@ -10,6 +10,7 @@
 export { ConnectionPool } from "./endpoint/connectionpool.js";
 export { EventFrameReader } from "./endpoint/eventframe.js";
 export type { EndpointLink, LinkSource } from "./endpoint/link.js";
+export { LinkMonitor } from "./endpoint/linkmonitor.js";
 export { ResponseParser } from "./endpoint/responseparser.js";
 export type { ResponseHandler, ResponseHead } from "./endpoint/responseparser.js";
 export type { OpenSocket } from "./endpoint/socket.js";
@@ -30,6 +31,10 @@
 export type { RelayHandlerOptions } from "./relay/relayhandler.js";
 export { createRelayLimits, RelayRoom } from "./relay/room.js";
 export type { RelayLimits } from "./relay/room.js";
+export { Attempt } from "./request/attempt.js";
+export type { AttemptOptions, AttemptResult } from "./request/attempt.js";
+export { RequestBoundary } from "./request/boundary.js";
+export type { RequestContext } from "./request/context.js";
 export { CrashMonitor } from "./request/crashmonitor.js";
 export { requestEvents } from "./request/event.js";
 export { RolloutDuty } from "./rollout/rolloutduty.js";
--- a/packages/ingress/src/request/attempt.ts
+++ b/packages/ingress/src/request/attempt.ts
@@ -58,7 +58,6 @@
 const notExecutedStatuses: ReadonlySet<number> = new Set([408, 421, 429, 503]);
 /** Response headers that are not forwarded. */
 const droppedHeaders: ReadonlySet<string> = new Set([...connectionHeaders, "proxy-authenticate"]);
-
 /** Headers that delimit a body. */
 const framingHeaders: ReadonlySet<string> = new Set(["content-length", "transfer-encoding"]);
 
@@ -352,18 +351,20 @@
     /** Records the end for the comparison of versions; a stream counted as answered at its first event. */
     #recordEnd(result: AttemptResult): void {
         if (result.type === "failed") {
-            if (this.way.type === "relay" || this.#context.linkMonitor.isSuspected(this.endpoint)) {
-                return;
+            const { clock, linkMonitor } = this.#context;
+            const durationMs = clock.monotonicMs() - this.#sentMs;
+            const type = result.isConnectionLost === true ? "lost" : "failed";
+            if (this.way.type === "direct") {
+                linkMonitor.whenConfirmed(this.endpoint, () => this.#recordResult(type, clock.monotonicMs() - durationMs));
             }
-            this.#recordResult(result.isConnectionLost === true ? "lost" : "failed");
         }
         else if (result.type === "answered" && !this.#hasFirstEvent) {
             this.#recordResult(result.status >= 500 ? "failed" : "answered");
         }
     }
 
-    #recordResult(type: "answered" | "failed" | "lost"): void {
-        this.#context.rollouts.recordResult(this.endpoint, { route: this.#options.route, type, sentMs: this.#sentMs });
+    #recordResult(type: "answered" | "failed" | "lost", sentMs = this.#sentMs): void {
+        this.#context.rollouts.recordResult(this.endpoint, { route: this.#options.route, type, sentMs });
     }
 
     /** Forwards bytes at once until the first event is complete, then in steps. */
