Ask a bounded number of hosts to send one request on

What callers saw: a request that no host can send on is refused late, and its host and the others are busy with it: it goes to each host once for each endpoint, without a pause and outside of the retry budget, each time with its whole body. 20 endpoints and 30 hosts make 600 sends.

Cause: a way that failed is left out for one endpoint only, and only 'full' and 'stopping' put a host off.

Change: after 8 hosts that did not send a request on, it takes no further way through other hosts.

--- a/features/ingress.relay.feature
+++ b/features/ingress.relay.feature
@@ -132,3 +132,8 @@
 
   Scenario: What goes through another host is the beginning of what the engine sent, with one end
     Then requests through another host keep their promises in 150 random schedules
+
+  # Guards against a request that goes round all hosts, once for each endpoint, with its body.
+  Scenario: A request that no other host can send on is refused after a few of them
+    When a request finds no way to 20 endpoints through 30 hosts that refuse it
+    Then it was sent to at most 8 hosts
--- /dev/null
+++ b/features/steps/ingress.relay.ways.ts
@@ -0,0 +1,79 @@
+import { Then, When } from "@cucumber/cucumber";
+import { AttemptPlanner, LinkRouter } from "@filbertrelay/ingress";
+import type { AdmittedRequest, RequestContext, StreamContinuation } from "@filbertrelay/ingress";
+import { brandAs, createSystemClock } from "@filbertrelay/kernel";
+import type { EndpointId, FailureDomainId, HostId } from "@filbertrelay/kernel";
+import * as policy from "@filbertrelay/policy/ingress";
+import assert from "node:assert/strict";
+import { describeEndpoint } from "../support/relayhost.js";
+
+interface WaysWorld {
+    ways: number;
+}
+
+const clock = createSystemClock();
+const homeDomain = brandAs<FailureDomainId>("zone-a");
+/** More than any request should need. */
+const mostWays = 1_000;
+
+function createContext(endpointCount: number, hostCount: number): RequestContext {
+    const endpoints = Array.from({ length: endpointCount }, (_, index) => ({
+        ...describeEndpoint({ address: "127.0.0.1:1" }),
+        endpointId: brandAs<EndpointId>(`records-${index}`),
+    }));
+    const hosts = Array.from({ length: hostCount }, (_, index) => ({
+        hostId: brandAs<HostId>(`host-${index}`),
+        failureDomain: homeDomain,
+    }));
+    const router = new LinkRouter({
+        clock,
+        homeDomain,
+        reach: { wayTo: () => "relay", strandedHosts: () => new Set<HostId>() },
+        connections: { hasIdle: () => false },
+        links: { inProgress: () => 0, pauseMs: () => 0 },
+        listPeers: () => hosts,
+    });
+    return {
+        clock,
+        homeDomain,
+        router,
+        endpoints: { usable: () => endpoints },
+        notices: policy.createEndpointNotices(),
+        limits: { isOpen: () => true },
+        quarantine: policy.createQuarantine({ isTrialHost: () => true }),
+        rollouts: { select: (_: string, open: unknown) => open },
+        health: policy.createEndpointHealth(),
+        loads: policy.createLoadTracker(),
+        paces: { allowance: () => Infinity },
+        promptCaches: policy.createPromptCacheModel(0),
+        timings: policy.createServiceTimings(),
+        demand: policy.createDemandMeter(),
+        stopLeftMs: () => Infinity,
+    } as unknown as RequestContext;
+}
+
+When(
+    "a request finds no way to {int} endpoints through {int} hosts that refuse it",
+    function(this: WaysWorld, endpoints: number, hosts: number) {
+        const request = {
+            requestId: "request",
+            service: "records",
+            description: {},
+            route: { name: "records", kind: "unsafe", priority: 3, objectiveMs: 1_000, maximumAttempts: 1 },
+            deadlineMs: clock.monotonicMs() + 5_000,
+        } as unknown as AdmittedRequest;
+        const continuation = { isBound: false, accepts: () => true } as unknown as StreamContinuation;
+        const traits = { parts: [], content: () => policy.contentTrait("order") };
+        const planner = new AttemptPlanner(createContext(endpoints, hosts), request, continuation, traits);
+        this.ways = 0;
+        for (let plan = planner.plan(); plan.type === "ready" && this.ways < mostWays; plan = planner.plan()) {
+            this.ways += 1;
+            planner.recordSent(plan.selected.endpoint);
+            planner.recordUnreached(plan.selected.endpoint, plan.selected.way);
+        }
+    },
+);
+
+Then("it was sent to at most {int} hosts", function(this: WaysWorld, most: number) {
+    assert.ok(this.ways > 0 && this.ways <= most, `${this.ways} hosts`);
+});
--- a/packages/ingress/src/relay/router.ts
+++ b/packages/ingress/src/relay/router.ts
@@ -24,11 +24,11 @@
 export interface LinkRouterOptions {
     readonly clock: Clock;
     readonly homeDomain: FailureDomainId;
-    readonly reach: EndpointReach;
-    readonly connections: ConnectionPool;
-    readonly links: EndpointLinks;
+    readonly reach: Pick<EndpointReach, "wayTo" | "strandedHosts">;
+    readonly connections: Pick<ConnectionPool, "hasIdle">;
+    readonly links: Pick<EndpointLinks, "inProgress" | "pauseMs">;
     /** Other hosts that this one can reach. */
-    readonly listPeers: () => readonly HostRecord[];
+    readonly listPeers: () => readonly Pick<HostRecord, "hostId" | "failureDomain">[];
 }
 
 /** Chooses the ways of requests to endpoints: this host's own connections, or another host while those are cut. */
--- a/packages/ingress/src/request/attemptplanner.ts
+++ b/packages/ingress/src/request/attemptplanner.ts
@@ -13,6 +13,8 @@
 
 /** Longest idle time of a connection that is reused for a non-retryable request; a longer-idle connection may be closing. */
 const nonRetryableIdleMs = 3_000;
+/** Other hosts that are asked in vain for one request; if so many refuse, the next one hardly helps, and each gets the whole request. */
+const maximumFailedRelays = 8;
 
 /** Where an attempt goes, and how. */
 export interface PlannedAttempt extends SelectedEndpoint {
@@ -31,6 +33,7 @@
     readonly #tried = new Set<EndpointId>();
     /** Ways by which the request did not get to an endpoint. */
     readonly #failedWays = new Set<string>();
+    #failedRelays = 0;
     #attempts = 0;
     #executions = 0;
 
@@ -78,6 +81,7 @@
     recordUnreached({ endpointId }: EndpointRecord, way: AttemptWay): void {
         this.#tried.delete(endpointId);
         this.#failedWays.add(nameWay(endpointId, way));
+        this.#failedRelays += way.type === "relay" ? 1 : 0;
     }
 
     /** Plans the next attempt and records the demand of the request. */
@@ -141,7 +145,9 @@
         return this.#context.router.find(endpoint, {
             requestId: this.#request.requestId,
             maximumIdleMs: this.#maximumIdleMs,
-            wasTried: way => this.#failedWays.has(nameWay(endpoint.endpointId, way)),
+            wasTried: way =>
+                (way.type === "relay" && this.#failedRelays >= maximumFailedRelays) ||
+                this.#failedWays.has(nameWay(endpoint.endpointId, way)),
         });
     }
 }
