Forget links to endpoints that are gone, also if the rest of an answer brought them back

What callers saw: a host that has lost all links stays in the directory and its reports, until its process ends, if once an endpoint was removed with an answer on its way and no endpoint of that failure domain is left. The memory of such links is never given back.

Cause: the bytes that come after 'forget' open the link anew, and nobody forgets it again; its group counts as one that was not tried, so 'all endpoints' is never concluded.

Change: links whose endpoint no longer exists are dropped whenever the endpoints are sorted into groups.

Evidence: 'A host notices its loss of all links although the rest of an answer came from an endpoint after its end' failed before (without the late bytes it passed) and passes. ingress.reach.feature 23 of 23.

--- a/features/ingress.reach.feature
+++ b/features/ingress.reach.feature
@@ -75,6 +75,13 @@
       | nothing else happens                       | 1     |
       | other hosts go on hearing it and its group | 0     |
 
+  # Guards against endpoints that are gone and count as reached for ever.
+  Scenario: A host notices its loss of all links although the rest of an answer came from an endpoint after its end
+    Given a host with endpoints of 2 failure domains
+    When an endpoint of a third one ends, and then the rest of its answer comes
+    And all endpoints that are left refuse while another host hears them
+    Then the host says that it is cut off
+
   Scenario: Sound hosts have nothing to report and nothing to probe
     Given a host with endpoints of 2 failure domains
     When it sends requests and hears all endpoints for 5 s
--- a/features/steps/ingress.reach.report.ts
+++ b/features/steps/ingress.reach.report.ts
@@ -124,6 +124,33 @@
     fail(this, [endpoints[0]!, endpoints[1]!]);
 });
 
+When("an endpoint of a third one ends, and then the rest of its answer comes", function(this: ReportWorld) {
+    const ended = {
+        ...endpoints[0]!,
+        endpointId: brandAs<EndpointId>("endpoint-4"),
+        failureDomain: brandAs<FailureDomainId>("domain-2"),
+    };
+    this.reach.recordHeard(ended, this.startMs);
+    this.reach.forget(ended.endpointId);
+    this.reach.recordHeard(ended, this.startMs);
+    this.startMs = pass(this, 4_000, true);
+});
+
+When("all endpoints that are left refuse while another host hears them", function(this: ReportWorld) {
+    fail(this, endpoints);
+    this.startMs = pass(this, 300, false);
+    for (let elapsedMs = 0; elapsedMs <= 1_200; elapsedMs += 100) {
+        this.startMs += 100;
+        this.reach.merge({ answers: Object.fromEntries(processes.map(name => [name, 0])) }, this.startMs, 40);
+        this.reach.takeDueProbes(endpoints, this.startMs);
+        this.reach.report(this.startMs);
+    }
+});
+
+Then("the host says that it is cut off", function(this: ReportWorld) {
+    assert.deepEqual(this.reach.isStranded(this.startMs), true);
+});
+
 When("an endpoint refuses that another host hears {int} ms later", function(this: ReportWorld, afterMs: number) {
     fail(this, [endpoints[0]!]);
     const nowMs = pass(this, afterMs + 100, true);
--- a/packages/policy/src/ingress/reach/linktable.ts
+++ b/packages/policy/src/ingress/reach/linktable.ts
@@ -70,8 +70,11 @@
         }
     }
 
-    /** Sorts the endpoints that exist by group, and drops the groups that are gone. */
+    /** Sorts the endpoints that exist by group, and drops the links and groups that are gone. */
     listGroups(endpoints: readonly ReachedEndpoint[]): ReadonlyMap<EndpointGroup, readonly ReachedEndpoint[]> {
+        // The rest of an answer may come after its endpoint was forgotten, and bring its link back.
+        const existing = new Set(endpoints.map(({ endpointId }) => endpointId));
+        [...this.#links.keys()].filter(id => !existing.has(id)).forEach(id => this.forget(id));
         const members = new Map<EndpointGroup, ReachedEndpoint[]>();
         for (const endpoint of endpoints) {
             const group = this.groupOf(endpoint);
