Choose the way of a request by one look at each host

What callers saw: a host of a large fleet that has lost its links is late for all its callers: each plan of an attempt compares all other hosts for each endpoint, and when a cut is found every request in progress is planned at once.

Cause: whether there is a way to an endpoint was asked by choosing the best one.

Change: the planner asks whether there is a way, which ends at the first host that may relay, and chooses only for the endpoint that it takes. The other hosts are listed anew every 20 ms instead of for each endpoint.

Evidence: 'The way of a request is chosen by a look at each other host' failed before (8,080 looks at 80 hosts for 100 endpoints) and passes.

--- a/features/ingress.relay.feature
+++ b/features/ingress.relay.feature
@@ -137,3 +137,8 @@
   Scenario: A request that no other host can send on is refused after a few of them
     When a request finds no way to 20 endpoints through 30 hosts that refuse it
     Then it was sent to at most 8 hosts
+
+  # Guards against a host that has no time left because it compares all hosts for each endpoint of each request.
+  Scenario: The way of a request is chosen by a look at each other host
+    When the way of a request to one of 100 endpoints through one of 80 hosts is chosen
+    Then each host's load was looked at once
--- a/features/steps/ingress.relay.ways.ts
+++ b/features/steps/ingress.relay.ways.ts
@@ -9,6 +9,9 @@
 
 interface WaysWorld {
     ways: number;
+    /** At the loads of other hosts. */
+    looks: number;
+    hosts: number;
 }
 
 const clock = createSystemClock();
@@ -16,7 +19,8 @@
 /** More than any request should need. */
 const mostWays = 1_000;
 
-function createContext(endpointCount: number, hostCount: number): RequestContext {
+function createContext(world: WaysWorld, endpointCount: number, hostCount: number): RequestContext {
+    world.looks = 0;
     const endpoints = Array.from({ length: endpointCount }, (_, index) => ({
         ...describeEndpoint({ address: "127.0.0.1:1" }),
         endpointId: brandAs<EndpointId>(`records-${index}`),
@@ -30,7 +34,13 @@
         homeDomain,
         reach: { wayTo: () => "relay", strandedHosts: () => new Set<HostId>() },
         connections: { hasIdle: () => false },
-        links: { inProgress: () => 0, pauseMs: () => 0 },
+        links: {
+            inProgress: () => {
+                world.looks += 1;
+                return 0;
+            },
+            pauseMs: () => 0,
+        },
         listPeers: () => hosts,
     });
     return {
@@ -52,19 +62,23 @@
     } as unknown as RequestContext;
 }
 
+function createPlanner(world: WaysWorld, endpoints: number, hosts: number): AttemptPlanner {
+    const request = {
+        requestId: "request",
+        service: "records",
+        description: {},
+        route: { name: "records", kind: "unsafe", priority: 3, objectiveMs: 1_000, maximumAttempts: 1 },
+        deadlineMs: clock.monotonicMs() + 5_000,
+    } as unknown as AdmittedRequest;
+    const continuation = { isBound: false, accepts: () => true } as unknown as StreamContinuation;
+    const traits = { parts: [], content: () => policy.contentTrait("order") };
+    return new AttemptPlanner(createContext(world, endpoints, hosts), request, continuation, traits);
+}
+
 When(
     "a request finds no way to {int} endpoints through {int} hosts that refuse it",
     function(this: WaysWorld, endpoints: number, hosts: number) {
-        const request = {
-            requestId: "request",
-            service: "records",
-            description: {},
-            route: { name: "records", kind: "unsafe", priority: 3, objectiveMs: 1_000, maximumAttempts: 1 },
-            deadlineMs: clock.monotonicMs() + 5_000,
-        } as unknown as AdmittedRequest;
-        const continuation = { isBound: false, accepts: () => true } as unknown as StreamContinuation;
-        const traits = { parts: [], content: () => policy.contentTrait("order") };
-        const planner = new AttemptPlanner(createContext(endpoints, hosts), request, continuation, traits);
+        const planner = createPlanner(this, endpoints, hosts);
         this.ways = 0;
         for (let plan = planner.plan(); plan.type === "ready" && this.ways < mostWays; plan = planner.plan()) {
             this.ways += 1;
@@ -74,6 +88,18 @@
     },
 );
 
+When(
+    "the way of a request to one of {int} endpoints through one of {int} hosts is chosen",
+    function(this: WaysWorld, endpoints: number, hosts: number) {
+        assert.equal(createPlanner(this, endpoints, hosts).plan().type, "ready");
+        this.hosts = hosts;
+    },
+);
+
+Then("each host's load was looked at once", function(this: WaysWorld) {
+    assert.equal(this.looks, this.hosts);
+});
+
 Then("it was sent to at most {int} hosts", function(this: WaysWorld, most: number) {
     assert.ok(this.ways > 0 && this.ways <= most, `${this.ways} hosts`);
 });
--- a/packages/ingress/src/relay/router.ts
+++ b/packages/ingress/src/relay/router.ts
@@ -31,39 +31,80 @@
     readonly listPeers: () => readonly Pick<HostRecord, "hostId" | "failureDomain">[];
 }
 
+/** The hosts that may relay are listed anew after this time. */
+const peersTtlMs = 20;
+
+interface Peer {
+    readonly hostId: HostId;
+    readonly failureDomain: FailureDomainId;
+    readonly isStranded: boolean;
+}
+
 /** Chooses the ways of requests to endpoints: this host's own connections, or another host while those are cut. */
 export class LinkRouter {
     readonly #options: LinkRouterOptions;
+    #peers: readonly Peer[] = [];
+    #peersListedMs = -Infinity;
 
     constructor(options: LinkRouterOptions) {
         this.#options = options;
     }
 
+    /** Whether there is a way to an endpoint now; takes far less time than `find` in a large fleet. */
+    has(endpoint: EndpointRecord, request: RoutedRequest): boolean {
+        const nowMs = this.#options.clock.monotonicMs();
+        const way = this.#findOwn(endpoint, request, nowMs);
+        return way === "relay" ? this.#listPeers(nowMs).some(peer => this.#isOpen(peer, request)) : way === "direct";
+    }
+
     /** The way to an endpoint; `undefined` if there is none now. */
     find(endpoint: EndpointRecord, request: RoutedRequest): AttemptWay | undefined {
-        const { clock, reach, connections } = this.#options;
-        const way = reach.wayTo(endpoint, clock.monotonicMs());
+        const nowMs = this.#options.clock.monotonicMs();
+        const way = this.#findOwn(endpoint, request, nowMs);
+        if (way === "direct") {
+            return { type: "direct" };
+        }
+        return way === undefined ? undefined : this.#findRelay(endpoint, request, nowMs);
+    }
+
+    /** Whether a request goes to an endpoint directly or has to be relayed; `undefined` if neither may help. */
+    #findOwn(endpoint: EndpointRecord, request: RoutedRequest, nowMs: number): "direct" | "relay" | undefined {
+        const { reach, connections } = this.#options;
+        const way = reach.wayTo(endpoint, nowMs);
         const isDirect = way === "direct" || (way === "open" && connections.hasIdle(endpoint, request.maximumIdleMs));
         if (isDirect && !request.wasTried({ type: "direct" })) {
-            return { type: "direct" };
+            return "direct";
         }
-        return way === "direct" ? undefined : this.#findRelay(endpoint, request);
+        return way === "direct" ? undefined : "relay";
     }
 
-    #findRelay(endpoint: EndpointRecord, { requestId, wasTried }: RoutedRequest): AttemptWay | undefined {
-        const { clock, homeDomain, reach, links, listPeers } = this.#options;
-        const nowMs = clock.monotonicMs();
-        const stranded = reach.strandedHosts(nowMs);
-        const candidates = listPeers().filter(({ hostId }) => !wasTried({ type: "relay", relay: hostId })).map((
-            { hostId, failureDomain },
-        ) => ({
-            hostId,
-            failureDomain,
-            isStranded: stranded.has(hostId),
-            pausedUntilMs: nowMs + links.pauseMs(hostId),
-            load: links.inProgress(hostId),
+    #findRelay(endpoint: EndpointRecord, request: RoutedRequest, nowMs: number): AttemptWay | undefined {
+        const { homeDomain, links } = this.#options;
+        const candidates = this.#listPeers(nowMs).filter(peer => this.#isOpen(peer, request)).map(peer => ({
+            ...peer,
+            pausedUntilMs: nowMs + links.pauseMs(peer.hostId),
+            load: links.inProgress(peer.hostId),
         }));
-        const chosen = chooseRelay(candidates, { requestId, homeDomain, endpointDomain: endpoint.failureDomain, nowMs });
+        const demand = { requestId: request.requestId, homeDomain, endpointDomain: endpoint.failureDomain, nowMs };
+        const chosen = chooseRelay(candidates, demand);
         return chosen === undefined ? undefined : { type: "relay", relay: chosen.hostId };
     }
+
+    #isOpen({ hostId, isStranded }: Peer, { wasTried }: RoutedRequest): boolean {
+        return !isStranded && this.#options.links.pauseMs(hostId) === 0 && !wasTried({ type: "relay", relay: hostId });
+    }
+
+    #listPeers(nowMs: number): readonly Peer[] {
+        const { reach, listPeers } = this.#options;
+        if (nowMs - this.#peersListedMs >= peersTtlMs) {
+            const stranded = reach.strandedHosts(nowMs);
+            this.#peers = listPeers().map(({ hostId, failureDomain }) => ({
+                hostId,
+                failureDomain,
+                isStranded: stranded.has(hostId),
+            }));
+            this.#peersListedMs = nowMs;
+        }
+        return this.#peers;
+    }
 }
--- a/packages/ingress/src/request/attemptplanner.ts
+++ b/packages/ingress/src/request/attemptplanner.ts
@@ -2,7 +2,7 @@
 import { decideReplacement, planAttempt } from "@filbertrelay/policy/ingress";
 import type { AttemptPlan, ReplacementDecision, RequestTraits } from "@filbertrelay/policy/ingress";
 import type { EndpointRecord } from "../contract.js";
-import type { AttemptWay } from "../relay/router.js";
+import type { AttemptWay, RoutedRequest } from "../relay/router.js";
 import { isEndedBeforeStop } from "./admission.js";
 import type { AdmittedRequest } from "./admitted.js";
 import type { Attempt } from "./attempt.js";
@@ -124,14 +124,14 @@
     }
 
     #select(): PlannedAttempt | undefined {
-        const { rollouts } = this.#context;
+        const { rollouts, router } = this.#context;
         const { service } = this.#request;
         const open = listOpenEndpoints(this.#context, service).filter(endpoint =>
-            this.#continuation.accepts(endpoint) && this.#findWay(endpoint) !== undefined
+            this.#continuation.accepts(endpoint) && router.has(endpoint, this.#routed(endpoint))
         );
         const traits = { isContinued: this.#continuation.isBound, isRepeated: this.#attempts > 0 };
         const selected = selectEndpoint(this.#context, this.#request, rollouts.select(service, open, traits), this.#tried);
-        const way = selected === undefined ? undefined : this.#findWay(selected.endpoint);
+        const way = selected === undefined ? undefined : router.find(selected.endpoint, this.#routed(selected.endpoint));
         return selected === undefined || way === undefined ?
             undefined :
             { ...selected, way, maximumIdleMs: this.#maximumIdleMs };
@@ -141,14 +141,14 @@
         return this.isRepeatable ? Infinity : nonRetryableIdleMs;
     }
 
-    #findWay(endpoint: EndpointRecord): AttemptWay | undefined {
-        return this.#context.router.find(endpoint, {
+    #routed({ endpointId }: EndpointRecord): RoutedRequest {
+        return {
             requestId: this.#request.requestId,
             maximumIdleMs: this.#maximumIdleMs,
             wasTried: way =>
                 (way.type === "relay" && this.#failedRelays >= maximumFailedRelays) ||
-                this.#failedWays.has(nameWay(endpoint.endpointId, way)),
-        });
+                this.#failedWays.has(nameWay(endpointId, way)),
+        };
     }
 }
 
