Count a request as demand once for all ways that led to no endpoint

What callers saw: nothing at first; the planner orders endpoints, which cost, for work that no endpoint has got, while a host's links are cut or other hosts refuse to send its requests on.

Cause: each plan records the work of the prompt. Since a request is planned once for each way that fails, so one that goes to 8 hosts in vain counts nine times. The class: what this host can't reach taken for load.

Change: a plan that follows an attempt that reached no endpoint records no demand.

--- a/features/ingress.relay.feature
+++ b/features/ingress.relay.feature
@@ -142,3 +142,8 @@
   Scenario: The way of a request is chosen by a look at each other host
     When the way of a request to one of 100 endpoints through one of 80 hosts is chosen
     Then each host's load was looked at once
+
+  # Guards against orders of endpoints for work that no endpoint has got.
+  Scenario: A request that went to several hosts in vain counts once as demand
+    When a request with a prompt finds no way to 20 endpoints through 30 hosts that refuse it
+    Then its prompt counted as demand once
--- a/features/steps/ingress.relay.ways.ts
+++ b/features/steps/ingress.relay.ways.ts
@@ -12,6 +12,8 @@
     /** At the loads of other hosts. */
     looks: number;
     hosts: number;
+    /** Times at which the work of the request was counted. */
+    works: number;
 }
 
 const clock = createSystemClock();
@@ -21,6 +23,7 @@
 
 function createContext(world: WaysWorld, endpointCount: number, hostCount: number): RequestContext {
     world.looks = 0;
+    world.works = 0;
     const endpoints = Array.from({ length: endpointCount }, (_, index) => ({
         ...describeEndpoint({ address: "127.0.0.1:1" }),
         endpointId: brandAs<EndpointId>(`records-${index}`),
@@ -57,7 +60,7 @@
         paces: { allowance: () => Infinity },
         promptCaches: policy.createPromptCacheModel(0),
         timings: policy.createServiceTimings(),
-        demand: policy.createDemandMeter(),
+        demand: { recordWork: () => void (world.works += 1) },
         stopLeftMs: () => Infinity,
     } as unknown as RequestContext;
 }
@@ -66,7 +69,7 @@
     const request = {
         requestId: "request",
         service: "records",
-        description: {},
+        description: { prompt: { parts: [], inputTokens: 100, outputTokens: 10 } },
         route: { name: "records", kind: "unsafe", priority: 3, objectiveMs: 1_000, maximumAttempts: 1 },
         deadlineMs: clock.monotonicMs() + 5_000,
     } as unknown as AdmittedRequest;
@@ -76,9 +79,9 @@
 }
 
 When(
-    "a request finds no way to {int} endpoints through {int} hosts that refuse it",
-    function(this: WaysWorld, endpoints: number, hosts: number) {
-        const planner = createPlanner(this, endpoints, hosts);
+    /^a request(?: with a prompt)? finds no way to (\d+) endpoints through (\d+) hosts that refuse it$/,
+    function(this: WaysWorld, endpoints: string, hosts: string) {
+        const planner = createPlanner(this, Number(endpoints), Number(hosts));
         this.ways = 0;
         for (let plan = planner.plan(); plan.type === "ready" && this.ways < mostWays; plan = planner.plan()) {
             this.ways += 1;
@@ -100,6 +103,11 @@
     assert.equal(this.looks, this.hosts);
 });
 
+Then("its prompt counted as demand once", function(this: WaysWorld) {
+    assert.ok(this.ways > 1);
+    assert.equal(this.works, 1);
+});
+
 Then("it was sent to at most {int} hosts", function(this: WaysWorld, most: number) {
     assert.ok(this.ways > 0 && this.ways <= most, `${this.ways} hosts`);
 });
--- a/packages/ingress/src/request/attemptplanner.ts
+++ b/packages/ingress/src/request/attemptplanner.ts
@@ -34,6 +34,8 @@
     /** Ways by which the request did not get to an endpoint. */
     readonly #failedWays = new Set<string>();
     #failedRelays = 0;
+    /** Whether no endpoint has got the work that was last recorded as demand. */
+    #isDemandOpen = false;
     #attempts = 0;
     #executions = 0;
 
@@ -80,16 +82,18 @@
     /** Records that nothing of the request got to an endpoint, which is then open to it by another way. */
     recordUnreached({ endpointId }: EndpointRecord, way: AttemptWay): void {
         this.#tried.delete(endpointId);
+        this.#isDemandOpen = true;
         this.#failedWays.add(nameWay(endpointId, way));
         this.#failedRelays += way.type === "relay" ? 1 : 0;
     }
 
-    /** Plans the next attempt and records the demand of the request. */
+    /** Plans the next attempt and records the demand of the request, once for several ways that led to no endpoint. */
     plan(): AttemptPlan<PlannedAttempt> {
         const plan = this.#plan();
-        if (plan.type !== "quarantined") {
+        if (plan.type !== "quarantined" && !this.#isDemandOpen) {
             recordDemand(this.#context, this.#request, plan.type === "ready" ? plan.selected.choice : undefined);
         }
+        this.#isDemandOpen = false;
         return plan;
     }
 
