Hold a cut link against no endpoint

What callers saw: at a host that has lost its links, the sound endpoints that had requests in progress get none for 0.4 to 3 s, through other hosts or directly after the cut, and fewer for some time after that; the others carry their load.

Cause: a request that leaves a link that is known to be cut recorded 'unreachable' against the health of the endpoint, once for each request; each one doubles the time without requests.

Change: such an attempt ends without a failure of the endpoint.

--- a/features/ingress.reach.feature
+++ b/features/ingress.reach.feature
@@ -82,6 +82,13 @@
     And all endpoints that are left refuse while another host hears them
     Then the host says that it is cut off
 
+  # Guards against sound endpoints that get nothing through other hosts, or after the cut, because this host's links were cut.
+  Scenario: An endpoint that a request leaves because the link to it is cut stays in health
+    Given a request in progress at one of 2 endpoints
+    When the host loses its link to that endpoint
+    Then the request goes on at the other endpoint
+    And no failure counts against the first one
+
   Scenario: Sound hosts have nothing to report and nothing to probe
     Given a host with endpoints of 2 failure domains
     When it sends requests and hears all endpoints for 5 s
--- a/packages/ingress/src/index.ts
+++ b/packages/ingress/src/index.ts
@@ -41,6 +41,8 @@
 export type { StreamContinuation } from "./request/continuation.js";
 export { CrashMonitor } from "./request/crashmonitor.js";
 export { requestEvents } from "./request/event.js";
+export type { CallerResponder } from "./request/responder.js";
+export { RequestTask } from "./request/task.js";
 export { RolloutDuty } from "./rollout/rolloutduty.js";
 export { VersionSplit } from "./rollout/versionsplit.js";
 export * from "./settings.js";
--- a/packages/ingress/src/request/attempt.ts
+++ b/packages/ingress/src/request/attempt.ts
@@ -189,8 +189,8 @@
         return result;
     }
 
-    /** Ends the attempt with a failure of the endpoint and closes the connection. */
-    fail(failure: AttemptFailure | "malformed", detail: string): void {
+    /** Ends the attempt with a failure of the endpoint, or `undefined` for one of the link to it, and closes the connection. */
+    fail(failure: AttemptFailure | "malformed" | undefined, detail: string): void {
         this.#reader.flush();
         this.#finish({ type: "failed", detail }, failure === "malformed" ? "broken" : failure);
         this.#connection?.close(detail);
--- a/packages/ingress/src/request/task.ts
+++ b/packages/ingress/src/request/task.ts
@@ -325,7 +325,7 @@
         const decision = this.#planner.mayRetryAfterCurrent ? this.#planner.decideReplacement() : undefined;
         if (decision?.type === "replace") {
             this.#replacement = decision.selected;
-            attempt.fail("unreachable", "The link of this host to the endpoint is cut.");
+            attempt.fail(undefined, "The link of this host to the endpoint is cut.");
         }
         else {
             attempt.dropLoad();
