--- a/features/ingress.reach.feature
+++ b/features/ingress.reach.feature
@@ -64,6 +64,31 @@
       | connections time out in a freeze while another host hears their endpoints | their failures don't count, and their ways are direct      |
       | another process of an endpoint was heard                                  | its failure counts at once                                 |
 
+  # Guards against a version that is not found to be broken because its crashes come beside slow prompts elsewhere.
+  Scenario Outline: A request that an endpoint breaks off counts for its version once the host's own links are not its cause
+    Given a host that waits for slow prompts in another failure domain
+    When an endpoint breaks off a request and <event>
+    Then within 1200 ms its version has <count> lost requests
+
+    Examples:
+      | event                                      | count |
+      | nothing else happens                       | 1     |
+      | other hosts go on hearing it and its group | 0     |
+
+  # Guards against endpoints that are gone and count as reached for ever.
+  Scenario: A host notices its loss of all links although the rest of an answer came from an endpoint after its end
+    Given a host with endpoints of 2 failure domains
+    When an endpoint of a third one ends, and then the rest of its answer comes
+    And all endpoints that are left refuse while another host hears them
+    Then the host says that it is cut off
+
+  # Guards against sound endpoints that get nothing through other hosts, or after the cut, because this host's links were cut.
+  Scenario: An endpoint that a request leaves because the link to it is cut stays in health
+    Given a request in progress at one of 2 endpoints
+    When the host loses its link to that endpoint
+    Then the request goes on at the other endpoint
+    And no failure counts against the first one
+
   Scenario: Sound hosts have nothing to report and nothing to probe
     Given a host with endpoints of 2 failure domains
     When it sends requests and hears all endpoints for 5 s
--- a/packages/ingress/src/request/attempt.ts
+++ b/packages/ingress/src/request/attempt.ts
@@ -60,7 +60,6 @@
 const notExecutedStatuses: ReadonlySet<number> = new Set([408, 421, 429, 503]);
 /** Response headers that are not forwarded. */
 const droppedHeaders: ReadonlySet<string> = new Set([...connectionHeaders, "proxy-authenticate"]);
-
 /** Headers that delimit a body. */
 const framingHeaders: ReadonlySet<string> = new Set(["content-length", "transfer-encoding"]);
 
@@ -173,8 +172,8 @@
         return result;
     }
 
-    /** Ends the attempt with a failure of the endpoint and closes the connection. */
-    fail(failure: AttemptFailure | "malformed", detail: string): void {
+    /** Ends the attempt with a failure of the endpoint, or `undefined` for one of the link to it, and closes the connection. */
+    fail(failure: AttemptFailure | "malformed" | undefined, detail: string): void {
         this.#reader.flush();
         this.#finish({ type: "failed", detail }, failure === "malformed" ? "broken" : failure);
         this.#connection?.close(detail);
--- a/packages/ingress/src/request/attemptplanner.ts
+++ b/packages/ingress/src/request/attemptplanner.ts
@@ -2,7 +2,7 @@
 import { decideReplacement, planAttempt } from "@filbertrelay/policy/ingress";
 import type { AttemptPlan, ReplacementDecision, RequestTraits } from "@filbertrelay/policy/ingress";
 import type { EndpointRecord } from "../contract.js";
-import type { AttemptWay } from "../relay/router.js";
+import type { AttemptWay, RoutedRequest } from "../relay/router.js";
 import { isEndedBeforeStop } from "./admission.js";
 import type { AdmittedRequest } from "./admitted.js";
 import type { Attempt } from "./attempt.js";
@@ -13,6 +13,8 @@
 
 /** Longest idle time of a connection that is reused for a non-retryable request; a longer-idle connection may be closing. */
 const nonRetryableIdleMs = 3_000;
+/** Other hosts that are asked in vain for one request; if so many refuse, the next one hardly helps, and each gets the whole request. */
+const maximumFailedRelays = 8;
 
 /** Where an attempt goes, and how. */
 export interface PlannedAttempt extends SelectedEndpoint {
@@ -31,6 +33,9 @@
     readonly #tried = new Set<EndpointId>();
     /** Ways by which the request did not get to an endpoint. */
     readonly #failedWays = new Set<string>();
+    #failedRelays = 0;
+    /** Whether no endpoint has got the work that was last recorded as demand. */
+    #isDemandOpen = false;
     #attempts = 0;
     #executions = 0;
 
@@ -77,15 +82,18 @@
     /** Records that nothing of the request got to an endpoint, which is then open to it by another way. */
     recordUnreached({ endpointId }: EndpointRecord, way: AttemptWay): void {
         this.#tried.delete(endpointId);
+        this.#isDemandOpen = true;
         this.#failedWays.add(nameWay(endpointId, way));
+        this.#failedRelays += way.type === "relay" ? 1 : 0;
     }
 
-    /** Plans the next attempt and records the demand of the request. */
+    /** Plans the next attempt and records the demand of the request, once for several ways that led to no endpoint. */
     plan(): AttemptPlan<PlannedAttempt> {
         const plan = this.#plan();
-        if (plan.type !== "quarantined") {
+        if (plan.type !== "quarantined" && !this.#isDemandOpen) {
             recordDemand(this.#context, this.#request, plan.type === "ready" ? plan.selected.choice : undefined);
         }
+        this.#isDemandOpen = false;
         return plan;
     }
 
@@ -120,14 +128,14 @@
     }
 
     #select(): PlannedAttempt | undefined {
-        const { rollouts } = this.#context;
+        const { rollouts, router } = this.#context;
         const { service } = this.#request;
         const open = listOpenEndpoints(this.#context, service).filter(endpoint =>
-            this.#continuation.accepts(endpoint) && this.#findWay(endpoint) !== undefined
+            this.#continuation.accepts(endpoint) && router.has(endpoint, this.#routed(endpoint))
         );
         const traits = { isContinued: this.#continuation.isBound, isRepeated: this.#attempts > 0 };
         const selected = selectEndpoint(this.#context, this.#request, rollouts.select(service, open, traits), this.#tried);
-        const way = selected === undefined ? undefined : this.#findWay(selected.endpoint);
+        const way = selected === undefined ? undefined : router.find(selected.endpoint, this.#routed(selected.endpoint));
         return selected === undefined || way === undefined ?
             undefined :
             { ...selected, way, maximumIdleMs: this.#maximumIdleMs };
@@ -137,12 +145,14 @@
         return this.isRepeatable ? Infinity : nonRetryableIdleMs;
     }
 
-    #findWay(endpoint: EndpointRecord): AttemptWay | undefined {
-        return this.#context.router.find(endpoint, {
+    #routed({ endpointId }: EndpointRecord): RoutedRequest {
+        return {
             requestId: this.#request.requestId,
             maximumIdleMs: this.#maximumIdleMs,
-            wasTried: way => this.#failedWays.has(nameWay(endpoint.endpointId, way)),
-        });
+            wasTried: way =>
+                (way.type === "relay" && this.#failedRelays >= maximumFailedRelays) ||
+                this.#failedWays.has(nameWay(endpointId, way)),
+        };
     }
 }
 
