Pass no request on that was sent behind the last answer of a connection

Seen by callers: a request that was sent behind an answer with "Connection: close" (a stream that still goes on while the host stops, say) ran at an endpoint, and its caller got the end of the connection in place of its answer.

Cause: the end of the last answer starts the turn of the request behind it. Without the connection is destroyed by then, which the server checks; now it lingers, half closed, for a second or more, and the check passes.

Fix: all turns of a connection end when it begins to close, so that none of them starts and the stop does not wait for them.

--- a/features/ingress.close.feature
+++ b/features/ingress.close.feature
@@ -32,6 +32,14 @@
     When the host is asked to stop and a caller sends 3 requests ahead of their answers
     Then the caller got 3 whole answers and the end of the connection
 
+  # Guards against a request that runs though its connection is closed already, and whose answer nobody gets.
+  Scenario: A request that a caller sends behind its last answer is not passed on
+    Given an ingress with a store stand-in and two engines of each service
+    And engines that stream 3 events, pause for 500 ms and stream 3 more
+    When the host is asked to stop and a caller sends a request behind a "stream" that has begun
+    Then the caller got the last event
+    And the engines got 1 request
+
   # Guards against a stop that waits for callers which never close their side.
   Scenario: The process ends though a caller keeps its side of the connection open and sends on
     Given a host process that answers with 1 KB
--- a/features/steps/ingress.close.ts
+++ b/features/steps/ingress.close.ts
@@ -130,6 +130,21 @@
     },
 );
 
+When(
+    "the host is asked to stop and a caller sends a request behind a {string} that has begun",
+    { timeout: 20_000 },
+    async function(this: CloseWorld, route: string) {
+        const stopped = this.ingress.lifecycle.drain("test");
+        this.caller = new SlowCaller(Number(this.ingress.callerAddress.split(":")[1]), true);
+        this.caller.send(renderPost("first", 5, "order", route));
+        await waitFor(() => Promise.resolve(this.ingress.received().length === 1));
+        await pause(200);
+        this.caller.send(renderPost("behind", 5));
+        await stopped;
+        this.caller.read(Infinity);
+    },
+);
+
 Then("the caller got the whole answer and the process ended within {int} s", function(this: CloseWorld, limitSeconds: number) {
     assert.deepEqual(this.caller!.answers(), [{ status: 200, bodyBytes: this.answerBytes }]);
     assert.ok(this.stopMs <= limitSeconds * 1_000, `${this.stopMs} ms`);
@@ -168,6 +183,14 @@
     assert.ok(this.stopMs <= limitSeconds * 1_000, `${this.stopMs} ms`);
 });
 
+Then("the caller got the last event", function(this: CloseWorld) {
+    assert.match(this.caller!.text(), /^id: 6$/m);
+});
+
+Then("the engines got {int} request", function(this: CloseWorld, count: number) {
+    assert.equal(this.ingress.received().length, count);
+});
+
 /** Turns of this length may fall between two looks at the loop. */
 const hiddenMs = 220;
 // A failed property prints this seed with the counterexample.
--- a/features/support/slowcaller.ts
+++ b/features/support/slowcaller.ts
@@ -82,6 +82,11 @@
         }
     }
 
+    /** All that was received. */
+    text(): string {
+        return Buffer.concat(this.#received).toString("latin1");
+    }
+
     close(): void {
         this.#socket.destroy();
     }
--- a/packages/ingress/src/caller/connectionguard.ts
+++ b/packages/ingress/src/caller/connectionguard.ts
@@ -294,6 +294,9 @@
     #close(): void {
         if (!this.#isLingering) {
             this.#isLingering = true;
+            // Requests behind the last answer can't be answered any more, so they are not passed on either.
+            this.endAll();
+            this.#options.onIdle();
             LingeringClose.begin(this.socket, this.#options.clock);
             this.#isPaused = false;
             this.startHandle();
