Continue a stream at a former endpoint if no other one takes it

Seen by callers: a stream is cut after its sound endpoint paused for longer than the pause limit, the next endpoint refused the rest of it, and no third was open.

After the refusal only untried endpoints were looked at, so that the one which had written the first part, and would go on, was out of the question.

Fix: a begun stream with no untried endpoint goes on at one that wrote a part of it, within maxAttempts and the retry budget; never while an attempt is in progress, and not at an endpoint that only refused it.

Left: the refusal costs a second retry of the budget; without one it is cut.

--- a/packages/ingress/src/request/attemptplanner.ts
+++ b/packages/ingress/src/request/attemptplanner.ts
@@ -29,6 +29,8 @@
     readonly #traits: RequestTraits;
     /** Endpoints that got the request, or may have got it. */
     readonly #tried = new Set<EndpointId>();
+    /** Endpoints that may have run the request, or a part of it. */
+    readonly #ran = new Set<EndpointId>();
     /** Ways by which the request did not get to an endpoint. */
     readonly #failedWays = new Set<string>();
     #attempts = 0;
@@ -70,8 +72,10 @@
         this.#tried.add(endpointId);
     }
 
-    recordExecution(): void {
+    /** Records that an attempt has ended after the endpoint may have run the request. */
+    recordExecution({ endpointId }: EndpointRecord): void {
         this.#executions += 1;
+        this.#ran.add(endpointId);
     }
 
     /** Records that nothing of the request got to an endpoint, which is then open to it by another way. */
@@ -82,7 +86,7 @@
 
     /** Plans the next attempt and records the demand of the request. */
     plan(): AttemptPlan<PlannedAttempt> {
-        const plan = this.#plan();
+        const plan = this.#plan(() => this.#select(this.#tried) ?? this.#selectFormer());
         if (plan.type !== "quarantined") {
             recordDemand(this.#context, this.#request, plan.type === "ready" ? plan.selected.choice : undefined);
         }
@@ -91,7 +95,7 @@
 
     /** Decides whether another attempt takes the place of the current one, or of the failure that it brought. */
     decideReplacement(): ReplacementDecision<PlannedAttempt> {
-        const decision = decideReplacement(this.#plan(), () => this.reserveRetry());
+        const decision = decideReplacement(this.#plan(() => this.#select(this.#tried)), () => this.reserveRetry());
         if (decision.type === "replace") {
             recordDemand(this.#context, this.#request, decision.selected.choice);
         }
@@ -110,23 +114,30 @@
         return retryBudget.tryRetry(this.#request.service, reach().knownHosts, clock.monotonicMs());
     }
 
-    #plan(): AttemptPlan<PlannedAttempt> {
+    #plan(select: () => PlannedAttempt | undefined): AttemptPlan<PlannedAttempt> {
         const { quarantine, clock } = this.#context;
         return planAttempt({
             decideQuarantine: () => quarantine.decide(this.#traits, clock.monotonicMs()),
-            select: () => this.#select(),
+            select,
             endsBeforeStop: ({ choice }) => isEndedBeforeStop(this.#context, this.#request, choice, this.isRepeatable),
         });
     }
 
-    #select(): PlannedAttempt | undefined {
+    /** A stream that has begun goes on at an endpoint that wrote a part of it rather than nowhere. */
+    #selectFormer(): PlannedAttempt | undefined {
+        return this.#continuation.isBound && this.mayRetry ?
+            this.#select(new Set([...this.#tried].filter(endpointId => !this.#ran.has(endpointId)))) :
+            undefined;
+    }
+
+    #select(tried: ReadonlySet<EndpointId>): PlannedAttempt | undefined {
         const { rollouts } = this.#context;
         const { service } = this.#request;
         const open = listOpenEndpoints(this.#context, service).filter(endpoint =>
             this.#continuation.accepts(endpoint) && this.#findWay(endpoint) !== undefined
         );
         const traits = { isContinued: this.#continuation.isBound, isRepeated: this.#attempts > 0 };
-        const selected = selectEndpoint(this.#context, this.#request, rollouts.select(service, open, traits), this.#tried);
+        const selected = selectEndpoint(this.#context, this.#request, rollouts.select(service, open, traits), tried);
         const way = selected === undefined ? undefined : this.#findWay(selected.endpoint);
         return selected === undefined || way === undefined ?
             undefined :
--- a/packages/ingress/src/request/task.ts
+++ b/packages/ingress/src/request/task.ts
@@ -207,7 +207,7 @@
         this.#silence.cancel();
         this.#attempt = undefined;
         if (result.type !== "notRun") {
-            this.#planner.recordExecution();
+            this.#planner.recordExecution(attempt.endpoint);
         }
         const crashExamined = this.#recordOutcome(attempt, result);
         // Nothing but the rest of a stream can follow what the caller already has of it.
