Take a caller that does not read for no silence of its endpoint

Cause: while the caller is full nothing is read from the endpoint, but the silence timer ran on.

Fix: a silence that ends while the attempt is held by the caller is waited for anew, and counts from when the caller takes more.

--- a/features/ingress.silence.feature
+++ b/features/ingress.silence.feature
@@ -9,3 +9,11 @@
     When a caller sends a "slowStream" request
     Then it is answered with 200
     And its body has the events 1 to 6
+
+  # Guards against taking a caller that reads slowly for an endpoint that is silent.
+  Scenario: A stream is not sent to another endpoint while its caller does not read
+    Given an ingress that passes events on within 2 ms
+    And engines that stream 1500 events of 8 KB
+    When a caller sends a "slowStream" request and reads 2500 ms later
+    Then the engines got 1 request
+    And the caller got each event once
--- a/packages/ingress/src/request/attempt.ts
+++ b/packages/ingress/src/request/attempt.ts
@@ -120,6 +120,11 @@
         return this.#hasFirstEvent;
     }
 
+    /** Whether the caller takes no more of the stream, so that nothing is read from the endpoint. */
+    get isHeld(): boolean {
+        return this.#reader.isHeld;
+    }
+
     get status(): number {
         return this.#head?.status ?? 0;
     }
--- a/packages/ingress/src/request/streamreader.ts
+++ b/packages/ingress/src/request/streamreader.ts
@@ -32,6 +32,11 @@
         this.#options = options;
     }
 
+    /** Whether nothing is read since the caller takes no more. */
+    get isHeld(): boolean {
+        return this.#isCallerFull;
+    }
+
     receive(chunk: Buffer): void {
         if (this.#batch.length === 0) {
             // The rest of the same read arrives before microtasks run.
--- a/packages/ingress/src/request/task.ts
+++ b/packages/ingress/src/request/task.ts
@@ -78,7 +78,7 @@
     #start(): void {
         const { clock } = this.#context;
         this.#responder.onDisconnect(this.#boundary.guard(() => this.#finish("gone", "caller")));
-        this.#responder.onDrain(() => this.#attempt?.resume());
+        this.#responder.onDrain(() => this.#resumeHeld());
         const leftMs = Math.max(0, this.#request.deadlineMs - clock.monotonicMs());
         this.#cancelDeadline = clock.after(leftMs, this.#boundary.guard(() => this.#expire()));
         this.#context.retryBudget.recordRequest(this.#request.service, clock.monotonicMs());
@@ -297,8 +297,21 @@
         this.#silence.restart({ expectedStartMs, hasStarted, isRepeatable: this.#planner.mayRetryAfterCurrent });
     }
 
+    /** Reads on from the endpoint as the caller takes more; its silence counts from now. */
+    #resumeHeld(): void {
+        if (this.#attempt?.isHeld === true) {
+            this.#restartSilenceTimer(0, true);
+            this.#attempt.resume();
+        }
+    }
+
     /** Goes on at another endpoint if one takes the request for certain; else keeps waiting for the silent one. */
     #handleSilence(limitMs: number, progress: AttemptProgress): void {
+        if (this.#attempt?.isHeld === true) {
+            // Nothing is read from the endpoint, so this is no silence of its own.
+            this.#silence.restart(progress);
+            return;
+        }
         const decision = this.#planner.decideReplacement();
         logSilence(this.#logged, this.#attempt, {
             silentMs: limitMs,
