Refuse requests of other hosts while a stopping host closes its connections

Seen by callers of other hosts: a request that is relayed through a host which stops is cut when that process ends.

Cause: once nothing is in progress the host closes its callers' connections and waits for them, 1 s and more since.

Fix: it refuses from the moment at which it finds nothing in progress.

Shown at the lifecycle only, no relayed request was played.

--- a/features/ingress.close.feature
+++ b/features/ingress.close.feature
@@ -46,6 +46,12 @@
     When a caller sends on without end while the host is stopped
     Then the caller got the whole answer and the process ended within 4 s
 
+  # Guards against requests of other hosts that are taken while the last connections close, and cut by the end of the process.
+  Scenario: A host that closes its callers' connections takes no requests of other hosts
+    Given an ingress with a store stand-in and two engines of each service
+    When the host is asked to stop and a caller keeps its side of an idle connection open
+    Then it refuses all further requests as soon as it accepts no connections
+
   # Guards against a process that is killed before it has answered, since it counts its time from a signal that it handled late.
   Scenario: A request gets its answer before the time limit though the host handles the signal late
     Given a host process that does not answer
--- a/features/steps/ingress.close.ts
+++ b/features/steps/ingress.close.ts
@@ -5,6 +5,7 @@
 import fc from "fast-check";
 import assert from "node:assert/strict";
 import { spawnSync } from "node:child_process";
+import { connect } from "node:net";
 import { HostProcessFixture } from "../support/hostprocess.js";
 import { customerKey, waitFor } from "../support/ingress.js";
 import { SlowCaller } from "../support/slowcaller.js";
@@ -145,6 +146,35 @@
     },
 );
 
+When(
+    "the host is asked to stop and a caller keeps its side of an idle connection open",
+    { timeout: 20_000 },
+    async function(this: CloseWorld) {
+        this.caller = new SlowCaller(Number(this.ingress.callerAddress.split(":")[1]), true);
+        this.caller.send(renderPost("first", 5));
+        await waitFor(() => Promise.resolve(this.ingress.received().length === 1));
+        await pause(100);
+        void this.ingress.lifecycle.drain("test");
+        await waitFor(async () => !await isAccepting(this.ingress.callerAddress));
+    },
+);
+
+Then("it refuses all further requests as soon as it accepts no connections", function(this: CloseWorld) {
+    assert.ok(this.ingress.lifecycle.isRefusing);
+});
+
+function isAccepting(address: string): Promise<boolean> {
+    const [host, port] = address.split(":");
+    const socket = connect(Number(port), host!);
+    return new Promise(resolve => {
+        socket.once("connect", () => {
+            socket.destroy();
+            resolve(true);
+        });
+        socket.once("error", () => resolve(false));
+    });
+}
+
 Then("the caller got the whole answer and the process ended within {int} s", function(this: CloseWorld, limitSeconds: number) {
     assert.deepEqual(this.caller!.answers(), [{ status: 200, bodyBytes: this.answerBytes }]);
     assert.ok(this.stopMs <= limitSeconds * 1_000, `${this.stopMs} ms`);
--- a/packages/ingress/src/lifecycle.ts
+++ b/packages/ingress/src/lifecycle.ts
@@ -50,6 +50,8 @@
     readonly #endRequests: () => void;
     #stopRequestedMs: number | undefined;
     #drained: Promise<void> | undefined;
+    /** Whether nothing is in progress any more and only the connections of callers close. */
+    #isEnding = false;
 
     constructor(
         kernel: Kernel,
@@ -82,7 +84,7 @@
 
     /** Whether new requests are rejected. */
     get isRefusing(): boolean {
-        return this.#elapsedMs() > this.#stopLimitMs * acceptTimeRatio;
+        return this.#isEnding || this.#elapsedMs() > this.#stopLimitMs * acceptTimeRatio;
     }
 
     /** Time until all responses must have ended, in milliseconds; infinite unless the host stops. */
@@ -125,6 +127,7 @@
             }
             await this.#clock.sleep(pollMs);
         }
+        this.#isEnding = true;
         const inProgress = this.#server.inProgress;
         if (inProgress > 0) {
             this.#endRequests();
