End a stream's former response only when its next request is sent

Seen by callers: a caller comes back for a stream that still goes on at a host which stops; the open response is cut and the new request refused with 503, so that the caller has neither.

Cause: the former response was ended while the version of the stream was looked up, before it was known whether the new request may run (version, endpoint, stop, expected start).

Fix: it is ended right before the new request goes to its first endpoint.

--- a/features/ingress.stop.feature
+++ b/features/ingress.stop.feature
@@ -45,6 +45,15 @@
     Then it is answered with 200
     And its body has the events 1 to 6
 
+  # Guards against cutting a stream for its caller's next request, which is then refused.
+  Scenario: A stream goes on if its caller comes back for it and is refused since the host stops
+    Given an ingress with a store stand-in and two engines of each service
+    And engines that stream 3 events, pause for 500 ms and stream 3 more
+    When a caller takes up its "slowStream" while it goes on and the host stops
+    Then the caller's second request is answered with 503
+    And it is answered with 200
+    And its body has the events 1 to 6
+
   # Guards against replacing an endpoint's own answer by a failure of this host.
   Scenario: The failure of an endpoint is passed on if no other endpoint may take the request
     Given an ingress with a store stand-in and two engines of each service
--- a/features/steps/ingress.stop.ts
+++ b/features/steps/ingress.stop.ts
@@ -11,6 +11,8 @@
 interface StopWorld extends IngressWorld {
     stopped: Promise<void>;
     answer: CallerResponse;
+    /** The answer to the request with which a caller comes back. */
+    second: CallerResponse;
 }
 
 /** The body of a failure that an endpoint has answered. */
@@ -73,6 +75,19 @@
     this.answer = await pending;
 });
 
+When("a caller takes up its {string} while it goes on and the host stops", async function(this: StopWorld, route: string) {
+    const pending = this.ingress.send(route, { requestId: "first" });
+    await waitFor(() => Promise.resolve(this.ingress.received().length === 1));
+    this.stopped = this.ingress.lifecycle.drain("test");
+    await new Promise(resolve => setTimeout(resolve, 100));
+    this.second = await this.ingress.send(route, { headers: { "Resumes": "first", "Last-Event-Id": "2" } });
+    this.answer = await pending;
+});
+
+Then("the caller's second request is answered with {int}", function(this: StopWorld, status: number) {
+    assert.equal(this.second.status, status);
+});
+
 Then("it is answered with {int} as not run within {int} ms and no engine got it", function(
     this: StopWorld,
     status: number,
--- a/packages/ingress/src/fleet/streamversions.ts
+++ b/packages/ingress/src/fleet/streamversions.ts
@@ -155,14 +155,16 @@
         this.#mixedServices = new Set(mixed);
     }
 
-    /** Finds the version that began a stream whose caller comes back; ends the response to the former request, if it is still open. */
+    /** Ends the open response of a stream, as another one goes on with it. */
+    endOpen(requestId: RequestId): void {
+        this.#open.get(requestId)?.();
+    }
+
+    /** Finds the version that began a stream whose caller comes back. */
     async find({ requestId, service, timeLimitMs }: ResumedStream): Promise<string | undefined> {
         const origin = requestId === undefined ? undefined : this.#origins.find(requestId, this.#nowMs());
         const isAsked = origin === undefined;
         const replies = isAsked ? await this.#ask(requestId ?? unnamedStream, service, timeLimitMs) : [];
-        if (requestId !== undefined) {
-            this.#open.get(requestId)?.();
-        }
         const isElsewhere = origin !== undefined && origin.service !== service;
         const own = isElsewhere ? undefined : origin?.version;
         const onlyVersion = isElsewhere ? undefined : this.#onlyVersion(service, timeLimitMs);
--- a/packages/ingress/src/request/continuation.ts
+++ b/packages/ingress/src/request/continuation.ts
@@ -38,12 +38,24 @@
 
     /** Finds the version that began the stream of a resumed request; resolves with whether it is known. */
     async find(): Promise<boolean> {
-        const { description: { resumedRequestId }, service, route: { timeLimitMs } } = this.#request;
-        const requestId = resumedRequestId === undefined ? undefined : this.#scope(resumedRequestId);
-        this.#version = await this.#context.streamVersions.find({ requestId, service, timeLimitMs });
+        const { service, route: { timeLimitMs } } = this.#request;
+        this.#version = await this.#context.streamVersions.find({ requestId: this.#formerId, service, timeLimitMs });
         return this.#version !== undefined && this.#version !== unknownVersion;
     }
 
+    /** Ends the response to the former request, if it is still open; called when this request is sent to its first endpoint. */
+    takeOver(): void {
+        if (this.isResumed && this.#formerId !== undefined) {
+            this.#context.streamVersions.endOpen(this.#formerId);
+        }
+    }
+
+    /** The request that brought the first event of a resumed stream. */
+    get #formerId(): RequestId | undefined {
+        const { resumedRequestId } = this.#request.description;
+        return resumedRequestId === undefined ? undefined : this.#scope(resumedRequestId);
+    }
+
     /** Whether the stream may go on, or begin, at an endpoint. */
     accepts(endpoint: EndpointRecord): boolean {
         if (this.#version === undefined) {
--- a/packages/ingress/src/request/task.ts
+++ b/packages/ingress/src/request/task.ts
@@ -116,7 +116,11 @@
             )
             .with({ type: "stopping" }, () => this.#fail("this host stops", 503, stoppingRetryMs))
             .with({ type: "ready" }, ({ selected }) => {
-                if (this.#planner.attempts > 0 || this.#admit(selected.choice)) {
+                if (this.#planner.attempts > 0) {
+                    this.#send(selected);
+                }
+                else if (this.#admit(selected.choice)) {
+                    this.#continuation.takeOver();
                     this.#send(selected);
                 }
             })
