--- a/features/steps/ingress.reach.health.ts
+++ b/features/steps/ingress.reach.health.ts
@@ -119,6 +119,6 @@
 
 Then("no failure counts against the first one", function(this: HealthWorld) {
     const { endpointId } = this.sent[0]!;
-    assert.equal(this.health.failureRatio(endpointId), 0);
+    assert.equal(this.health.failureRatio(endpointId, clock.monotonicMs()), 0);
     assert.equal(this.health.isQuarantined(endpointId, clock.monotonicMs()), false);
 });
--- a/features/steps/ingress.reach.version.ts
+++ b/features/steps/ingress.reach.version.ts
@@ -42,6 +42,7 @@
         clock,
         reach: this.reach,
         listEndpoints: () => [broken, neighbour, ...slow],
+        isLeaving: () => false,
         probe: () => Promise.resolve("silent"),
         onCheck: () => this.reach.recordHeard(neighbour, clock.monotonicMs()),
     });
