Take requests again after the answers of a service were slow

Cause: its first answers had hung behind cut links for 1 to 2.5 s; their mean exceeded the objective, all requests were refused for it, and so nothing could show that the service had become faster. The class: a decision that stops the measurement on which it rests.

Change: admission counts the time of a request at an endpoint only while requests end there (1.5 s); the mean begins anew after that. The choice among endpoints goes on using the last one.

The stub contexts of the review's scenarios know rooms.

--- a/features/ingress.endpoint.feature
+++ b/features/ingress.endpoint.feature
@@ -114,3 +114,11 @@
     Given an ingress whose store has no configuration
     When a caller sends a "idempotent" request with the body ""
     Then the caller gets 503 with a Retry-After header, and no request ran
+
+  # Guards against a host that refuses all requests of a service for good, since nothing shows that it has become faster.
+  Scenario: A host takes requests again after the answers of a service were slow
+    Given engines that answer 200 after 1100 ms
+    And a caller has had 1 "nonIdempotent" responses
+    And engines that answer 200 after 10 ms
+    When a caller sends a "nonIdempotent" request 2000 ms later
+    Then it is answered with 200
--- a/features/steps/ingress.reach.health.ts
+++ b/features/steps/ingress.reach.health.ts
@@ -59,6 +59,7 @@
         limits: { isOpen: () => true, recordSend: nothing },
         quarantine: policy.createQuarantine({ isTrialHost: () => true }),
         rollouts: { select: (_: string, listed: unknown) => listed, recordSent: nothing, recordResult: nothing },
+        rooms: { select: (_: string, listed: unknown) => listed, recordSend: nothing },
         health: world.health,
         loads: policy.createLoadTracker(),
         paces: { allowance: () => Infinity, recordSend: nothing, recordSetback: nothing },
--- a/features/steps/ingress.reach.version.ts
+++ b/features/steps/ingress.reach.version.ts
@@ -70,6 +70,7 @@
         links: { open: () => ({ isReused: false, isRelayed: false, send, close: () => undefined }) },
         limits: { recordSend: () => undefined },
         paces: { recordSend: () => undefined, recordSetback: () => undefined },
+        rooms: { recordSend: () => undefined },
         health: policy.createEndpointHealth(),
         linkMonitor: world.linkMonitor,
         rollouts: {
--- a/features/steps/ingress.relay.ways.ts
+++ b/features/steps/ingress.relay.ways.ts
@@ -55,6 +55,7 @@
         limits: { isOpen: () => true },
         quarantine: policy.createQuarantine({ isTrialHost: () => true }),
         rollouts: { select: (_: string, open: unknown) => open },
+        rooms: { select: (_: string, open: unknown) => open },
         health: policy.createEndpointHealth(),
         loads: policy.createLoadTracker(),
         paces: { allowance: () => Infinity },
--- a/features/steps/ingress.stop.ts
+++ b/features/steps/ingress.stop.ts
@@ -88,6 +88,11 @@
     assert.equal(this.second.status, status);
 });
 
+When("a caller sends a {string} request {int} ms later", async function(this: StopWorld, route: string, delayMs: number) {
+    await new Promise(resolve => setTimeout(resolve, delayMs));
+    this.answer = await this.ingress.send(route);
+});
+
 Then("it is answered with {int} as not run within {int} ms and no engine got it", function(
     this: StopWorld,
     status: number,
--- a/packages/ingress/src/request/attemptaccount.ts
+++ b/packages/ingress/src/request/attemptaccount.ts
@@ -97,7 +97,7 @@
             paces.recordAnswer(endpoint, { elapsedMs, objectiveMs }, nowMs);
         }
         health.recordSuccess(endpoint.endpointId);
-        timings.recordSlotHold(endpoint.service, elapsedMs);
+        timings.recordSlotHold(endpoint.service, elapsedMs, nowMs);
     }
 
     /** Records a failure against the endpoint, and tells the other hosts once it is certain that this host's links are not its cause. */
