--- a/features/ingress.close.feature
+++ b/features/ingress.close.feature
@@ -32,12 +32,26 @@
     When the host is asked to stop and a caller sends 3 requests ahead of their answers
     Then the caller got 3 whole answers and the end of the connection
 
+  # Guards against a request that runs though its connection is closed already, and whose answer nobody gets.
+  Scenario: A request that a caller sends behind its last answer is not passed on
+    Given an ingress with a store stand-in and two engines of each service
+    And engines that stream 3 events, pause for 500 ms and stream 3 more
+    When the host is asked to stop and a caller sends a request behind a "stream" that has begun
+    Then the caller got the last event
+    And the engines got 1 request
+
   # Guards against a stop that waits for callers which never close their side.
   Scenario: The process ends though a caller keeps its side of the connection open and sends on
     Given a host process that answers with 1 KB
     When a caller sends on without end while the host is stopped
     Then the caller got the whole answer and the process ended within 4 s
 
+  # Guards against requests of other hosts that are taken while the last connections close, and cut by the end of the process.
+  Scenario: A host that closes its callers' connections takes no requests of other hosts
+    Given an ingress with a store stand-in and two engines of each service
+    When the host is asked to stop and a caller keeps its side of an idle connection open
+    Then it refuses all further requests as soon as it accepts no connections
+
   # Guards against a process that is killed before it has answered, since it counts its time from a signal that it handled late.
   Scenario: A request gets its answer before the time limit though the host handles the signal late
     Given a host process that does not answer
--- a/features/ingress.relay.feature
+++ b/features/ingress.relay.feature
@@ -132,3 +132,18 @@
 
   Scenario: What goes through another host is the beginning of what the engine sent, with one end
     Then requests through another host keep their promises in 150 random schedules
+
+  # Guards against a request that goes round all hosts, once for each endpoint, with its body.
+  Scenario: A request that no other host can send on is refused after a few of them
+    When a request finds no way to 20 endpoints through 30 hosts that refuse it
+    Then it was sent to at most 8 hosts
+
+  # Guards against a host that has no time left because it compares all hosts for each endpoint of each request.
+  Scenario: The way of a request is chosen by a look at each other host
+    When the way of a request to one of 100 endpoints through one of 80 hosts is chosen
+    Then each host's load was looked at once
+
+  # Guards against orders of endpoints for work that no endpoint has got.
+  Scenario: A request that went to several hosts in vain counts once as demand
+    When a request with a prompt finds no way to 20 endpoints through 30 hosts that refuse it
+    Then its prompt counted as demand once
--- a/packages/ingress/src/request/attemptaccount.ts
+++ b/packages/ingress/src/request/attemptaccount.ts
@@ -97,7 +97,7 @@
             paces.recordAnswer(endpoint, { elapsedMs, objectiveMs }, nowMs);
         }
         health.recordSuccess(endpoint.endpointId);
-        timings.recordSlotHold(endpoint.service, elapsedMs);
+        timings.recordSlotHold(endpoint.service, elapsedMs, nowMs);
     }
 
     /** Records a failure against the endpoint, and tells the other hosts once it is certain that this host's links are not its cause. */
@@ -119,8 +119,11 @@
     #recordComparison(result: AttemptResult): void {
         const { way, endpoint } = this.#options;
         if (result.type === "failed") {
-            if (way.type === "direct" && !this.#context.linkMonitor.isSuspected(endpoint)) {
-                this.#recordResult(result.isConnectionLost === true ? "lost" : "failed");
+            const { clock, linkMonitor } = this.#context;
+            const durationMs = clock.monotonicMs() - this.sentMs;
+            const type = result.isConnectionLost === true ? "lost" : "failed";
+            if (way.type === "direct") {
+                linkMonitor.whenConfirmed(endpoint, () => this.#recordResult(type, clock.monotonicMs() - durationMs));
             }
         }
         else if (result.type === "answered" && !this.#hasFirstEvent) {
@@ -128,8 +131,8 @@
         }
     }
 
-    #recordResult(type: "answered" | "failed" | "lost"): void {
+    #recordResult(type: "answered" | "failed" | "lost", sentMs = this.sentMs): void {
         const { endpoint, route } = this.#options;
-        this.#context.rollouts.recordResult(endpoint, { route, type, sentMs: this.sentMs });
+        this.#context.rollouts.recordResult(endpoint, { route, type, sentMs });
     }
 }
--- a/packages/ingress/src/request/attemptplanner.ts
+++ b/packages/ingress/src/request/attemptplanner.ts
@@ -2,7 +2,7 @@
 import { decideReplacement, planAttempt } from "@filbertrelay/policy/ingress";
 import type { AttemptPlan, ReplacementDecision, RequestTraits } from "@filbertrelay/policy/ingress";
 import type { EndpointRecord } from "../contract.js";
-import type { AttemptWay } from "../relay/router.js";
+import type { AttemptWay, RoutedRequest } from "../relay/router.js";
 import { isEndedBeforeStop } from "./admission.js";
 import type { AdmittedRequest } from "./admitted.js";
 import type { Attempt } from "./attempt.js";
@@ -13,6 +13,8 @@
 
 /** Longest idle time of a connection that is reused for a non-retryable request; a longer-idle connection may be closing. */
 const nonRetryableIdleMs = 3_000;
+/** Other hosts that are asked in vain for one request; if so many refuse, the next one hardly helps, and each gets the whole request. */
+const maximumFailedRelays = 8;
 
 /** Where an attempt goes, and how. */
 export interface PlannedAttempt extends SelectedEndpoint {
@@ -29,8 +31,13 @@
     readonly #traits: RequestTraits;
     /** Endpoints that got the request, or may have got it. */
     readonly #tried = new Set<EndpointId>();
+    /** Endpoints that may have run the request, or a part of it. */
+    readonly #ran = new Set<EndpointId>();
     /** Ways by which the request did not get to an endpoint. */
     readonly #failedWays = new Set<string>();
+    #failedRelays = 0;
+    /** Whether no endpoint has got the work that was last recorded as demand. */
+    #isDemandOpen = false;
     #attempts = 0;
     #executions = 0;
 
@@ -70,28 +77,33 @@
         this.#tried.add(endpointId);
     }
 
-    recordExecution(): void {
+    /** Records that an attempt has ended after the endpoint may have run the request. */
+    recordExecution({ endpointId }: EndpointRecord): void {
         this.#executions += 1;
+        this.#ran.add(endpointId);
     }
 
     /** Records that nothing of the request got to an endpoint, which is then open to it by another way. */
     recordUnreached({ endpointId }: EndpointRecord, way: AttemptWay): void {
         this.#tried.delete(endpointId);
+        this.#isDemandOpen = true;
         this.#failedWays.add(nameWay(endpointId, way));
+        this.#failedRelays += way.type === "relay" ? 1 : 0;
     }
 
-    /** Plans the next attempt and records the demand of the request. */
+    /** Plans the next attempt and records the demand of the request, once for several ways that led to no endpoint. */
     plan(): AttemptPlan<PlannedAttempt> {
-        const plan = this.#plan();
-        if (plan.type !== "quarantined") {
+        const plan = this.#plan(() => this.#select(this.#tried) ?? this.#selectFormer());
+        if (plan.type !== "quarantined" && !this.#isDemandOpen) {
             recordDemand(this.#context, this.#request, plan.type === "ready" ? plan.selected.choice : undefined);
         }
+        this.#isDemandOpen = false;
         return plan;
     }
 
     /** Decides whether another attempt takes the place of the current one, or of the failure that it brought. */
     decideReplacement(): ReplacementDecision<PlannedAttempt> {
-        const decision = decideReplacement(this.#plan(), () => this.reserveRetry());
+        const decision = decideReplacement(this.#plan(() => this.#select(this.#tried)), () => this.reserveRetry());
         if (decision.type === "replace") {
             recordDemand(this.#context, this.#request, decision.selected.choice);
         }
@@ -110,24 +122,31 @@
         return retryBudget.tryRetry(this.#request.service, reach().knownHosts, clock.monotonicMs());
     }
 
-    #plan(): AttemptPlan<PlannedAttempt> {
+    #plan(select: () => PlannedAttempt | undefined): AttemptPlan<PlannedAttempt> {
         const { quarantine, clock } = this.#context;
         return planAttempt({
             decideQuarantine: () => quarantine.decide(this.#traits, clock.monotonicMs()),
-            select: () => this.#select(),
+            select,
             endsBeforeStop: ({ choice }) => isEndedBeforeStop(this.#context, this.#request, choice, this.isRepeatable),
         });
     }
 
-    #select(): PlannedAttempt | undefined {
-        const { rollouts } = this.#context;
+    /** A stream that has begun goes on at an endpoint that wrote a part of it rather than nowhere. */
+    #selectFormer(): PlannedAttempt | undefined {
+        return this.#continuation.isBound && this.mayRetry ?
+            this.#select(new Set([...this.#tried].filter(endpointId => !this.#ran.has(endpointId)))) :
+            undefined;
+    }
+
+    #select(tried: ReadonlySet<EndpointId>): PlannedAttempt | undefined {
+        const { rollouts, router } = this.#context;
         const { service } = this.#request;
         const open = listOpenEndpoints(this.#context, service).filter(endpoint =>
-            this.#continuation.accepts(endpoint) && this.#findWay(endpoint) !== undefined
+            this.#continuation.accepts(endpoint) && router.has(endpoint, this.#routed(endpoint))
         );
         const traits = { isContinued: this.#continuation.isBound, isRepeated: this.#attempts > 0 };
-        const selected = selectEndpoint(this.#context, this.#request, rollouts.select(service, open, traits), this.#tried);
-        const way = selected === undefined ? undefined : this.#findWay(selected.endpoint);
+        const selected = selectEndpoint(this.#context, this.#request, rollouts.select(service, open, traits), tried);
+        const way = selected === undefined ? undefined : router.find(selected.endpoint, this.#routed(selected.endpoint));
         return selected === undefined || way === undefined ?
             undefined :
             { ...selected, way, maximumIdleMs: this.#maximumIdleMs };
@@ -137,12 +156,14 @@
         return this.isRepeatable ? Infinity : nonRetryableIdleMs;
     }
 
-    #findWay(endpoint: EndpointRecord): AttemptWay | undefined {
-        return this.#context.router.find(endpoint, {
+    #routed({ endpointId }: EndpointRecord): RoutedRequest {
+        return {
             requestId: this.#request.requestId,
             maximumIdleMs: this.#maximumIdleMs,
-            wasTried: way => this.#failedWays.has(nameWay(endpoint.endpointId, way)),
-        });
+            wasTried: way =>
+                (way.type === "relay" && this.#failedRelays >= maximumFailedRelays) ||
+                this.#failedWays.has(nameWay(endpointId, way)),
+        };
     }
 }
 
--- a/packages/ingress/src/request/task.ts
+++ b/packages/ingress/src/request/task.ts
@@ -78,7 +78,7 @@
     #start(): void {
         const { clock } = this.#context;
         this.#responder.onDisconnect(this.#boundary.guard(() => this.#finish("gone", "caller")));
-        this.#responder.onDrain(() => this.#attempt?.resume());
+        this.#responder.onDrain(() => this.#resumeHeld());
         const leftMs = Math.max(0, this.#request.deadlineMs - clock.monotonicMs());
         this.#cancelDeadline = clock.after(leftMs, this.#boundary.guard(() => this.#expire()));
         this.#context.retryBudget.recordRequest(this.#request.service, clock.monotonicMs());
@@ -116,7 +116,11 @@
             )
             .with({ type: "stopping" }, () => this.#fail("this host stops", 503, stoppingRetryMs))
             .with({ type: "ready" }, ({ selected }) => {
-                if (this.#planner.attempts > 0 || this.#admit(selected.choice)) {
+                if (this.#planner.attempts > 0) {
+                    this.#send(selected);
+                }
+                else if (this.#admit(selected.choice)) {
+                    this.#continuation.takeOver();
                     this.#send(selected);
                 }
             })
@@ -207,7 +211,7 @@
         this.#silence.cancel();
         this.#attempt = undefined;
         if (result.type !== "notRun") {
-            this.#planner.recordExecution();
+            this.#planner.recordExecution(attempt.endpoint);
         }
         const crashExamined = this.#recordOutcome(attempt, result);
         // Nothing but the rest of a stream can follow what the caller already has of it.
@@ -297,8 +301,21 @@
         this.#silence.restart({ expectedStartMs, hasStarted, isRepeatable: this.#planner.mayRetryAfterCurrent });
     }
 
+    /** Reads on from the endpoint as the caller takes more; its silence counts from now. */
+    #resumeHeld(): void {
+        if (this.#attempt?.isHeld === true) {
+            this.#restartSilenceTimer(0, true);
+            this.#attempt.resume();
+        }
+    }
+
     /** Goes on at another endpoint if one takes the request for certain; else keeps waiting for the silent one. */
     #handleSilence(limitMs: number, progress: AttemptProgress): void {
+        if (this.#attempt?.isHeld === true) {
+            // Nothing is read from the endpoint, so this is no silence of its own.
+            this.#silence.restart(progress);
+            return;
+        }
         const decision = this.#planner.decideReplacement();
         logSilence(this.#logged, this.#attempt, {
             silentMs: limitMs,
@@ -325,7 +342,7 @@
         const decision = this.#planner.mayRetryAfterCurrent ? this.#planner.decideReplacement() : undefined;
         if (decision?.type === "replace") {
             this.#replacement = decision.selected;
-            attempt.fail("unreachable", "The link of this host to the endpoint is cut.");
+            attempt.fail(undefined, "The link of this host to the endpoint is cut.");
         }
         else {
             attempt.dropLoad();
