--- a/packages/ingress/src/request/task.ts
+++ b/packages/ingress/src/request/task.ts
@@ -7,6 +7,7 @@
 import type { AnsweredResult, AttemptResult } from "./attempt.js";
 import { logAttemptFailed, logAttemptStarted, logSilence } from "./attemptlog.js";
 import type { LoggedRequest } from "./attemptlog.js";
+import { recordOutcome, recordProgress } from "./attemptoutcome.js";
 import { AttemptPlanner } from "./attemptplanner.js";
 import type { PlannedAttempt } from "./attemptplanner.js";
 import { RequestBoundary } from "./boundary.js";
@@ -197,7 +198,7 @@
             this.#continuation.recordEvent(attempt.endpoint, attempt.sentMs);
             this.#restartSilenceTimer(0, true);
             this.#firstEventMs ??= this.#context.clock.monotonicMs();
-            this.#recordProgress(attempt);
+            recordProgress(this.#context, this.#traits, attempt);
             attempt.recordFirstEvent();
             this.#recordUsage(this.#context.fleetClock.now());
         }
@@ -213,7 +214,7 @@
         if (result.type !== "notRun") {
             this.#planner.recordExecution(attempt.endpoint);
         }
-        const crashExamined = this.#recordOutcome(attempt, result);
+        const crashExamined = recordOutcome(this.#context, this.#traits, { attempt, result });
         // Nothing but the rest of a stream can follow what the caller already has of it.
         if (result.type === "answered" && (result.isStream || !this.#stream.isBegun)) {
             this.#finishAnswered(attempt, result);
@@ -232,7 +233,7 @@
             this.#planner.recordUnreached(attempt.endpoint, attempt.way);
         }
         const isRepeated = (result.type === "notRun" || this.#planner.mayRetry) && (isExempt || this.#planner.reserveRetry());
-        logAttemptFailed(this.#logged, attempt, { result, isRepeated: isRepeated });
+        logAttemptFailed(this.#logged, attempt, { result, isRepeated });
         if (isRepeated) {
             // A request that crashes endpoints is recognised before it is sent to the next one.
             void crashExamined?.then(this.#boundary.guard(() => this.#dispatch()));
@@ -260,26 +261,6 @@
         }
     }
 
-    /** Records whether the endpoint has survived the request; the promise resolves when that is known. */
-    #recordOutcome(attempt: Attempt, result: AttemptResult): Promise<void> | undefined {
-        if (result.type === "answered") {
-            this.#recordProgress(attempt);
-        }
-        else if (result.type === "failed" && result.isConnectionLost === true) {
-            const { parts, content } = this.#traits;
-            const interrupted = attempt.hasProgress ? undefined : { parts, content: content(), sentMs: attempt.sentMs };
-            const examined = this.#context.crashes.recordInterruption(attempt.endpoint, interrupted);
-            return interrupted === undefined ? undefined : examined;
-        }
-        return undefined;
-    }
-
-    #recordProgress(attempt: Attempt): void {
-        if (!attempt.hasProgress) {
-            this.#context.quarantine.recordProgress(this.#traits, this.#context.clock.monotonicMs());
-        }
-    }
-
     #deliver(attempt: Attempt, result: AnsweredResult): void {
         const { clock, timings } = this.#context;
         timings.recordDuration(this.#request.route.name, clock.monotonicMs() - attempt.sentMs);
