Leave connections open that were idle for too long for one request

Cause: the pool closed each connection that had been idle for longer than the request at hand allows, also if others may still use it. The class: the old way is given up before the new one is certain.

Change: only connections that nobody may use any longer are closed.

--- a/features/ingress.endpoint.feature
+++ b/features/ingress.endpoint.feature
@@ -122,3 +122,12 @@
     And engines that answer 200 after 10 ms
     When a caller sends a "nonIdempotent" request 2000 ms later
     Then it is answered with 200
+
+  # Guards against closing connections that other requests could use, which may be their only way while new ones are refused.
+  Scenario: An order leaves connections open that were idle for too long for it
+    Given engines that keep idle connections for 10 s
+    And callers have had 6 "idempotent" responses at once
+    When a caller sends a "nonIdempotent" request 3200 ms later
+    Then it is answered with 200
+    And the engines have 7 open connections
+
--- a/features/steps/ingress.stop.ts
+++ b/features/steps/ingress.stop.ts
@@ -47,6 +47,17 @@
     );
 });
 
+Given("engines that keep idle connections for {int} s", function(this: StopWorld, seconds: number) {
+    this.ingress.setBehaviours((received, { send }) =>
+        void setTimeout(() => send(renderResponse(received).replace("\r\n", `\r\nKeep-Alive: timeout=${seconds}\r\n`)), 100)
+    );
+});
+
+Given("callers have had {int} {string} responses at once", async function(this: StopWorld, count: number, route: string) {
+    const answers = await Promise.all(Array.from({ length: count }, () => this.ingress.send(route)));
+    answers.forEach(({ status }) => assert.equal(status, 200));
+});
+
 Given("engines that do not answer", function(this: StopWorld) {
     this.ingress.setBehaviours(() => undefined);
 });
@@ -118,6 +129,10 @@
     assert.equal(this.answer.body, endpointBody);
 });
 
+Then("the engines have {int} open connections", function(this: StopWorld, count: number) {
+    assert.equal(this.ingress.engines.reduce((sum, { connections }) => sum + connections, 0), count);
+});
+
 Then("it is answered with {int} before the stop ends", async function(this: StopWorld, status: number) {
     assert.equal(this.answer.status, status);
     assert.ok(this.answer.isComplete);
--- a/packages/ingress/src/endpoint/connectionpool.ts
+++ b/packages/ingress/src/endpoint/connectionpool.ts
@@ -42,11 +42,15 @@
     /** Returns a connection that was idle for less than `maximumIdleMs`, or opens one. */
     acquire(endpoint: EndpointRecord, maximumIdleMs: number): EndpointConnection {
         const connections = this.#connectionsOf(endpoint);
-        for (let connection = connections.idle.pop(); connection !== undefined; connection = connections.idle.pop()) {
+        for (const connection of connections.idle.toReversed()) {
             if (connection.isUsable(maximumIdleMs)) {
+                connections.idle.splice(connections.idle.indexOf(connection), 1);
                 return connection;
             }
-            connection.close("The connection was idle for too long.");
+            // Requests that may be repeated can still use one that was idle for too long for this one.
+            if (!connection.isUsable(Infinity)) {
+                connection.close("The connection was idle for too long.");
+            }
         }
         this.#opened += 1;
         const opened = new EndpointConnection({
--- a/packages/ingress/src/endpoint/linkmonitor.ts
+++ b/packages/ingress/src/endpoint/linkmonitor.ts
@@ -17,7 +17,7 @@
     /** Whether an endpoint has ended or said that it leaves: it may accept no connections while others still hear it. */
     readonly isLeaving: (endpoint: EndpointRecord) => boolean;
     readonly probe: (endpoint: EndpointRecord) => Promise<ProbeResult>;
-    /** Called at each check while links of this host may be cut. */
+    /** Called at each check. */
     readonly onCheck: () => void;
 }
 
--- a/packages/ingress/src/relay/access.ts
+++ b/packages/ingress/src/relay/access.ts
@@ -46,7 +46,7 @@
     readonly isRefusing: () => boolean;
     /** Records that nothing listened at the address of an endpoint. */
     readonly recordRefusal: (endpoint: EndpointRecord) => void;
-    /** Called again and again while links may be cut. */
+    /** Called at each check of the links, several times a second. */
     readonly onCheck: () => void;
 }
 
