--- a/features/support/linkedfleet.ts
+++ b/features/support/linkedfleet.ts
@@ -156,7 +156,8 @@
     async #startHost(index: number): Promise<FleetHost> {
         const links = await Promise.all(this.engines.map(async ({ address }, engine) => {
             const link = new ProxyRoute({ id: `host-${index}-${engine}`, target: address, labels: [], random: Math.random });
-            await link.listen("127.0.0.1:0");
+            // Nobody else takes the port of a link that refuses connections.
+            await link.listen(`127.${1 + process.pid % 250}.251.${1 + index}:0`);
             return link;
         }));
         const reached = new Map(links.map(link => [link.target, link.report().listen]));
