Tell the reset of an answer without a length from its end in the drivers

Cause: the HTTP library takes ECONNRESET for the end of such an answer, and the runtime reports a reset that arrives together with data as an orderly end.

OrderlySocket reports a reset as another error, and an end only after a write has succeeded.

--- /dev/null
+++ b/features/endpoints.reset.feature
@@ -0,0 +1,18 @@
+Feature: Answers of services in trouble
+
+  # Guards against a part of an answer that is taken for the whole.
+  Scenario Outline: An answer without a length that is reset while its request is still being written is not complete
+    Given a service as a process of its own
+    Then 8 requests of <megabytes> MB that are answered with "<way>" end with <result> at the driver of plain services
+    And 8 requests of <megabytes> MB that are answered with "<way>" end with <result> at an ingress
+
+    Examples:
+      | megabytes | way       | result    |
+      | 8         | reset/0   | failed    |
+      | 8         | reset/20  | failed    |
+      | 32        | reset/100 | failed    |
+      | 8         | close/0   | failed    |
+      | 32        | close/20  | failed    |
+      | 0         | reset/5   | failed    |
+      | 8         | end/20    | 200, part |
+      | 0         | end/0     | 200, part |
--- a/packages/endpoints/src/connection.ts
+++ b/packages/endpoints/src/connection.ts
@@ -1,7 +1,8 @@
 import type { Clock } from "@filbertrelay/kernel";
 import { Client, DecoratorHandler, Pool, request } from "undici";
-import type { Dispatcher } from "undici";
+import type { buildConnector, Dispatcher } from "undici";
 import type { EndpointIssue } from "./engine.js";
+import { connectOrderly } from "./orderlysocket.js";
 
 /** What was observed of one HTTP attempt; decides whether `executed: "no"` may be reported. */
 export interface Attempt {
@@ -93,7 +94,17 @@
 }
 
 // The drivers time calls by the clock that is passed in, so the library's own timeouts are off, except for connecting.
-const clientOptions = { headersTimeout: 0, bodyTimeout: 0, connect: { timeout: 2_000 } };
+const connectTimeoutMs = 2_000;
+const connect: buildConnector.connector = (options, callback) =>
+    connectOrderly(options, connectTimeoutMs, (error, socket) => {
+        if (socket === null) {
+            callback(error ?? new Error("No connection was opened."), null);
+        }
+        else {
+            callback(null, socket);
+        }
+    });
+const clientOptions = { headersTimeout: 0, bodyTimeout: 0, connect };
 
 type Options = Parameters<typeof request>[1];
 
