Refuse answers of plain services with a status that HTTP doesn't have

What callers saw: an answer with the status 600 or 999 reached them as one. 000 and 099 were refused by the library already, at the ingress all four.

Evidence: 'A status that HTTP doesn't have is no answer' failed before for 600 and 999 at the driver of plain services.

--- a/features/endpoints.reset.feature
+++ b/features/endpoints.reset.feature
@@ -16,3 +16,17 @@
       | 0         | reset/5   | failed    |
       | 8         | end/20    | 200, part |
       | 0         | end/0     | 200, part |
+
+  # Guards against numbers that reach callers as statuses though no client knows them.
+  Scenario Outline: A status that HTTP doesn't have is no answer
+    Given a service as a process of its own
+    Then 1 requests of 0 MB that are answered with "status/<status>" end with <result> at the driver of plain services
+    And 1 requests of 0 MB that are answered with "status/<status>" end with <result> at an ingress
+
+    Examples:
+      | status | result    |
+      | 000    | failed    |
+      | 099    | failed    |
+      | 600    | failed    |
+      | 999    | failed    |
+      | 200    | 200, part |
--- a/packages/endpoints/src/servicedriver.ts
+++ b/packages/endpoints/src/servicedriver.ts
@@ -25,10 +25,13 @@
 
 const defaultResponseLimitBytes = 4_194_304;
 
+const lowestStatus = 100;
+const highestStatus = 599;
+
 const keyStatusSchema = z.object({
     executed: z.enum(["no", "yes"]),
     response: z.object({
-        status: z.int().min(100).max(599),
+        status: z.int().min(lowestStatus).max(highestStatus),
         headers: z.record(z.string(), z.string()),
         body: z.base64(),
     }).optional(),
@@ -119,6 +122,10 @@
                 ...(request.body.length === 0 ? {} : { body: request.body }),
             });
             const body = await readBody(data.body, this.#limitBytes);
+            if (data.statusCode < lowestStatus || data.statusCode > highestStatus) {
+                const message = `The endpoint '${address}' answered with the status ${data.statusCode}, which HTTP doesn't have.`;
+                return failure({ code: "endpoint.invalid", executed: "unknown", message });
+            }
             return success({
                 response: { status: data.statusCode, headers: plainHeaders(data.headers), body },
                 headers: data.headers,
