Read the input that has arrived before the drivers' timers judge services

The same class as in the hosts' timers: time limits of services and engines, silences of streams, probes and the work of a membership round ran out before the process had read what came in time. The caller got 'executed: unknown' for a booking that was answered.

Evidence: 'What arrived in time counts' failed before for the answer of a plain service, and for the answer of the store with a plain timer in packages/ connectors: its example kept the process busy at a moment at which the timers come after the input, and so could not fail; it does now.

Left: time limits of a request as a whole, which are promises to the caller.

--- a/features/ingress.late.feature
+++ b/features/ingress.late.feature
@@ -14,6 +14,7 @@
       | the answer to a status probe       |
       | the reply of a peer                |
       | the answer of the store            |
+      | the answer of a plain service      |
 
   # Guards against timers that judge before the input of their turn was read.
   Scenario: A timer that judges others runs out only after the input that was there before it
--- a/features/steps/ingress.late.ts
+++ b/features/steps/ingress.late.ts
@@ -1,9 +1,10 @@
 import { After, Given, Then, When } from "@cucumber/cucumber";
 import { JsonClient } from "@filbertrelay/connectors";
+import { createServiceDriver } from "@filbertrelay/endpoints";
 import { ConnectionPool } from "@filbertrelay/ingress";
 import type { EndpointRecord } from "@filbertrelay/ingress";
 import { brandAs, createSystemClock } from "@filbertrelay/kernel";
-import type { EndpointId, HostId } from "@filbertrelay/kernel";
+import type { EndpointId, HostId, RequestId } from "@filbertrelay/kernel";
 import assert from "node:assert/strict";
 import { fork } from "node:child_process";
 import type { ChildProcess } from "node:child_process";
@@ -99,10 +100,27 @@
         const client = new JsonClient({ url: `http://${httpAddress}`, clock, timeoutMs: limitMs });
         await client.call({ method: "GET", path: "/" });
         const answer = client.call({ method: "GET", path: "/" });
-        setTimeout(beBusy, 20);
+        // At the end of a turn, so that the timers come before the input in the next one.
+        setTimeout(() => setImmediate(beBusy), 20);
         const result = await answer;
         return result.ok ? "answered" : result.issue.message;
     },
+    "the answer of a plain service": async ({ httpAddress }, beBusy) => {
+        const driver = createServiceDriver({ clock });
+        const request = {
+            requestId: brandAs<RequestId>("r.1.1"),
+            method: "GET",
+            path: "/",
+            headers: {},
+            body: Buffer.alloc(0),
+        };
+        await driver.send(httpAddress, request, { timeoutMs: limitMs });
+        const answer = driver.send(httpAddress, request, { timeoutMs: limitMs });
+        setTimeout(() => setImmediate(beBusy), 20);
+        const result = await answer;
+        await driver.stop();
+        return result.ok ? "answered" : result.issue.message;
+    },
 };
 
 function createEndpoint(address: string): EndpointRecord {
--- a/packages/endpoints/src/connection.ts
+++ b/packages/endpoints/src/connection.ts
@@ -158,7 +158,7 @@
         this.#limitMs = limitMs;
         this.#expire = expire;
         this.#lastMs = clock.monotonicMs();
-        this.#cancel = clock.after(limitMs, () => this.#check());
+        this.#cancel = clock.afterInput(limitMs, () => this.#check());
     }
 
     /** Notes that something arrived. */
@@ -179,7 +179,7 @@
             this.#expire();
             return;
         }
-        this.#cancel = this.#clock.after(remainingMs, () => this.#check());
+        this.#cancel = this.#clock.afterInput(remainingMs, () => this.#check());
     }
 }
 
--- a/packages/endpoints/src/enginedriver.ts
+++ b/packages/endpoints/src/enginedriver.ts
@@ -172,7 +172,7 @@
     async #call<T>(address: string, exchange: Exchange, schema: z.ZodType<T>): Promise<Outcome<T, EndpointIssue>> {
         const attempt: Attempt = { isStarted: false, isTimedOut: false };
         const controller = new AbortController();
-        const cancel = this.#clock.after(exchange.timeoutMs, () => {
+        const cancel = this.#clock.afterInput(exchange.timeoutMs, () => {
             attempt.isTimedOut = true;
             this.#connections.renew(address);
             controller.abort(new Error(`no answer came within ${exchange.timeoutMs} ms.`));
--- a/packages/endpoints/src/probe.ts
+++ b/packages/endpoints/src/probe.ts
@@ -27,10 +27,10 @@
             socket.destroy();
             resolve(result);
         };
-        let cancel = clock.after(probeTimeoutMs, () => finish("unreachable"));
+        let cancel = clock.afterInput(probeTimeoutMs, () => finish("unreachable"));
         socket.once("connect", () => {
             cancel();
-            cancel = clock.after(graceMs, () => finish("open"));
+            cancel = clock.afterInput(graceMs, () => finish("open"));
         });
         socket.once("error", (error: NodeJS.ErrnoException) => finish(error.code === "ECONNREFUSED" ? "refused" : "lost"));
         socket.once("close", () => finish("lost"));
--- a/packages/endpoints/src/servicedriver.ts
+++ b/packages/endpoints/src/servicedriver.ts
@@ -105,7 +105,7 @@
     ): Promise<Answer<{ response: ServiceResponse; headers: EndpointResponse["headers"]; }>> {
         const attempt: Attempt = { isStarted: false, isTimedOut: false };
         const controller = new AbortController();
-        const cancel = this.#clock.after(options.timeoutMs, () => {
+        const cancel = this.#clock.afterInput(options.timeoutMs, () => {
             attempt.isTimedOut = true;
             this.#connections.renew(address);
             controller.abort(new Error(`no complete answer came within ${options.timeoutMs} ms.`));
--- a/packages/relay/src/membership/service.ts
+++ b/packages/relay/src/membership/service.ts
@@ -306,7 +306,7 @@
 /** Resolves when the work is done or the time has passed, whichever is first; rejects if the work fails before that. */
 async function settleWithin(clock: Clock, work: Promise<unknown>, ms: number): Promise<void> {
     await new Promise<void>((resolve, reject) => {
-        const cancel = clock.after(ms, resolve);
+        const cancel = clock.afterInput(ms, resolve);
         work.then(() => resolve(), reject).finally(cancel);
     });
 }
