Count what hosts tell each other

Metrics of messages and bytes by topic, of entries by part of a report, and of announcements. They cost a few numbers for each report; the traffic is read when the metrics are.

--- a/packages/ingress/src/daemon.ts
+++ b/packages/ingress/src/daemon.ts
@@ -122,6 +122,7 @@
         frameBytes: peerFrameBytes,
         heartbeatMs: peerHeartbeatMs,
     });
+    metrics.observePeerTraffic(() => peers.traffic());
     const quarantine = createQuarantine({
         isTrialHost: cause => rankByRendezvous(cause, exchange.listReachable(), id => id)[0] === hostId,
         onChange: (cause, change) => {
@@ -182,7 +183,17 @@
         hosts,
         counts: { quota, usage, loads, demand, callerWork },
         fleetClock,
-        findings: new SharedFindings({ quarantine, limits, runs, paces, rooms, reach: access.reach, finals }),
+        findings: new SharedFindings({
+            quarantine,
+            limits,
+            runs,
+            paces,
+            rooms,
+            reach: access.reach,
+            finals,
+            onDescribed: (part, entries) => metrics.setReportEntries(part, entries),
+        }),
+        onAnnounced: () => metrics.recordAnnouncement(),
         dutyHolder: () => readDutyHolder(mirror),
     });
     const { serving } = exchange;
--- a/packages/ingress/src/fleet/exchange.ts
+++ b/packages/ingress/src/fleet/exchange.ts
@@ -63,6 +63,8 @@
     readonly findings: SharedFindings;
     /** The current duty holder, if known. */
     readonly dutyHolder: () => HostId | undefined;
+    /** Called for each round of reports outside of the regular interval. */
+    readonly onAnnounced?: () => void;
 }
 
 /**
@@ -156,6 +158,7 @@
         }
         this.#cancelAnnouncement = this.#options.clock.after(delayMs, () => {
             this.#announcements.recordAnnouncement(this.#nowMs());
+            this.#options.onAnnounced?.();
             if (this.serving.isParticipant) {
                 this.#plan.groupPeers.forEach(peer => void this.#exchangeWith(peer));
             }
--- a/packages/ingress/src/fleet/findings.ts
+++ b/packages/ingress/src/fleet/findings.ts
@@ -46,8 +46,12 @@
     readonly reach: EndpointReach;
     readonly rooms: EndpointRooms;
     readonly finals: FinalCounts;
+    /** Told how many entries each part of a report has that may have many. */
+    readonly onDescribed?: (part: string, entries: number) => void;
 }
 
+const countedParts = ["limits", "runs", "paces", "roomCuts", "suspects", "silent", "answers", "stranded"];
+
 /** What hosts find out about endpoints, requests and usage and pass on to each other, whichever host it came from. */
 export class SharedFindings {
     readonly #options: SharedFindingsOptions;
@@ -64,6 +68,7 @@
         const reach = this.#options.reach.report(nowMs);
         const rooms = this.#options.rooms.report(nowMs);
         const finalCounts = this.#options.finals.missing();
+        this.#recordSizes({ limits, runs, paces, roomCuts: rooms?.cuts, ...reach });
         return {
             ...(suspects === undefined ? {} : { suspects }),
             ...(limits === undefined ? {} : { limits }),
@@ -75,6 +80,12 @@
         };
     }
 
+    #recordSizes(parts: Readonly<Record<string, object | undefined>>): void {
+        for (const part of countedParts) {
+            this.#options.onDescribed?.(part, Object.keys(parts[part] ?? {}).length);
+        }
+    }
+
     /** `elapsedMs` is how long ago the report was written at most. */
     merge(
         { suspects, limits, runs, paces, rooms, reach, finalCounts = {} }: FindingsReport,
--- a/packages/ingress/src/telemetry/metrics.ts
+++ b/packages/ingress/src/telemetry/metrics.ts
@@ -1,4 +1,5 @@
 import type { HostPressure } from "@filbertrelay/policy/ingress";
+import type { TopicTraffic } from "@filbertrelay/wire";
 import { Counter, Gauge, Histogram, Registry } from "prom-client";
 
 /** Upper bounds of the latency histograms, in seconds. */
@@ -68,6 +69,44 @@
     readonly #utilization = this.#gauge("host_utilization", "Part of the time in which the host had work, when last measured");
     readonly #readDelay = this.#gauge("read_delay_seconds", "Mean time that requests waited to be read, when last measured");
 
+    readonly #announcements = this.#counter("announcements_total", "Rounds of reports outside of the regular interval");
+    readonly #reportEntries = this.#gauge("report_entries", "Entries of the last report to another host, by part", ["part"]);
+
+    /** Publishes the messages and bytes between hosts by topic; `list` is called when the metrics are read. */
+    observePeerTraffic(list: () => readonly TopicTraffic[]): void {
+        const labelNames = ["topic", "direction"];
+        const set = (
+            metric: Gauge,
+            choose: (traffic: TopicTraffic) => { readonly sent: number; readonly received: number; },
+        ): void =>
+            list().forEach(traffic => {
+                const { sent, received } = choose(traffic);
+                metric.set({ topic: traffic.topic, direction: "sent" }, sent);
+                metric.set({ topic: traffic.topic, direction: "received" }, received);
+            });
+        this.#gauge(
+            "peer_messages",
+            "Messages between hosts since the start, by topic and direction",
+            labelNames,
+            metric => set(metric, ({ framesSent, framesReceived }) => ({ sent: framesSent, received: framesReceived })),
+        );
+        this.#gauge(
+            "peer_bytes",
+            "Bytes between hosts since the start, by topic and direction",
+            labelNames,
+            metric => set(metric, ({ bytesSent, bytesReceived }) => ({ sent: bytesSent, received: bytesReceived })),
+        );
+    }
+
+    recordAnnouncement(): void {
+        this.#announcements.inc();
+    }
+
+    /** `part` is a part of the reports between hosts, such as `reach.answers`. */
+    setReportEntries(part: string, count: number): void {
+        this.#reportEntries.set({ part }, count);
+    }
+
     recordRequest(service: string, outcome: string, elapsedMs: number): void {
         this.#requests.inc({ service, outcome });
         this.#latency.observe({ service, outcome }, elapsedMs / 1_000);
@@ -161,11 +200,19 @@
         return this.#registry.metrics();
     }
 
-    #counter(name: string, help: string, labelNames: string[]): Counter {
+    #counter(name: string, help: string, labelNames: string[] = []): Counter {
         return new Counter({ name: `filbertrelay_${name}`, help, labelNames, registers: [this.#registry] });
     }
 
-    #gauge(name: string, help: string): Gauge {
-        return new Gauge({ name: `filbertrelay_${name}`, help, registers: [this.#registry] });
+    /** `collect` sets the values when the metrics are read. */
+    #gauge(name: string, help: string, labelNames: string[] = [], collect?: (metric: Gauge) => void): Gauge {
+        const gauge: Gauge = new Gauge({
+            name: `filbertrelay_${name}`,
+            help,
+            labelNames,
+            registers: [this.#registry],
+            ...(collect === undefined ? {} : { collect: () => collect(gauge) }),
+        });
+        return gauge;
     }
 }
