Send one report at a time to each peer

Cause: a report went to each peer at each interval, whether or not the former one had been answered, and a reply that came after 600 ms was thrown away. A host that is late got more reports than it could read, and the older ones took the time in which it could have read the newest.

PeerCalls keeps one report on its way to each peer; something urgent that becomes known meanwhile follows at once. A reply may take 1,200 ms, the time after which a peer counts as unreachable; its age is known from the times in it.

No message changes: older builds send reports as before.

--- a/features/ingress.freshness.feature
+++ b/features/ingress.freshness.feature
@@ -51,3 +51,17 @@
     Given a host outside of the serving set
     When the reply with the serving set takes 300 ms
     Then the host says that the set is 300 ms old
+
+  # Guards against reports that pile up at a host that is late already.
+  Scenario: A peer that replies late gets one report at a time
+    Given a host that exchanges with peers
+    When 1100 ms pass without a reply of a peer
+    Then the peer was sent 1 reports
+    When the peer replies and 250 ms pass
+    Then the peer was sent 2 reports
+
+  # Guards against news that wait for the next interval because an older report was on its way.
+  Scenario: An announcement follows a report that is on its way
+    Given a host that exchanges with peers
+    When something urgent becomes known and the peer replies 50 ms later
+    Then the peer was sent 2 reports
--- a/features/ingress.reports.feature
+++ b/features/ingress.reports.feature
@@ -15,3 +15,7 @@
   # Guards against a round of reports for each change while endpoints crash.
   Scenario: Changes that follow each other are announced together
     Then in 200 seeded series each change is announced within 205 ms, and at most 6 announcements are made in any second
+
+  # Guards against news that are forgotten while an older report is on its way.
+  Scenario: Something urgent that becomes known while a report is on its way follows it
+    Then in 500 seeded series each urgent change is in a report that begins after it and before the next report ends
--- a/features/steps/ingress.freshness.ts
+++ b/features/steps/ingress.freshness.ts
@@ -217,12 +217,17 @@
     readonly exchange: PeerExchange;
     readonly #handlers = new Map<string, Handler>();
     readonly #calls = new Map<string, (reply: unknown) => void>();
+    /** Topics and peers of all calls, in their order. */
+    readonly calls: string[] = [];
 
     constructor(clock: VirtualClock, hosts: readonly HostId[]) {
         const peers = {
             handle: ({ name }: { readonly name: string; }, handler: Handler) => void this.#handlers.set(name, handler),
             call: (peer: HostId, { name }: { readonly name: string; }) =>
-                new Promise(resolve => this.#calls.set(`${name} ${peer}`, resolve)),
+                new Promise(resolve => {
+                    this.calls.push(`${name} ${peer}`);
+                    this.#calls.set(`${name} ${peer}`, resolve);
+                }),
             setAddress: () => undefined,
             forget: () => undefined,
         };
@@ -339,6 +344,30 @@
     assert.deepEqual([attached.serving[namedId], group.members[namedId]], [ageMs, ageMs]);
 });
 
+When("{int} ms pass without a reply of a peer", async function(this: FreshnessWorld, ms: number) {
+    await advance(this.clock, ms);
+});
+
+When("the peer replies and {int} ms pass", async function(this: FreshnessWorld, ms: number) {
+    this.exchanging.answer("ingress.exchange", calledId, hostReport);
+    await settle();
+    await advance(this.clock, ms);
+});
+
+When(
+    "something urgent becomes known and the peer replies {int} ms later",
+    async function(this: FreshnessWorld, ms: number) {
+        this.exchanging.exchange.announce();
+        await advance(this.clock, ms);
+        this.exchanging.answer("ingress.exchange", calledId, hostReport);
+        await settle();
+    },
+);
+
+Then("the peer was sent {int} reports", function(this: FreshnessWorld, count: number) {
+    assert.equal(this.exchanging.calls.filter(call => call === `ingress.exchange ${calledId}`).length, count);
+});
+
 Given("a host outside of the serving set", async function(this: FreshnessWorld) {
     this.clock = createVirtualClock();
     const others = Array.from({ length: 16 }, (_, index) => brandAs<HostId>(`host-${index}`));
--- a/features/steps/ingress.reports.ts
+++ b/features/steps/ingress.reports.ts
@@ -138,3 +138,40 @@
         }
     },
 );
+
+Then(
+    "in {int} seeded series each urgent change is in a report that begins after it and before the next report ends",
+    (series: number) => {
+        const draw = createRandom(seed);
+        const peer = brandAs<HostId>("peer");
+        for (let index = 0; index < series; index += 1) {
+            const calls = new policy.PeerCalls();
+            let onItsWay = 0;
+            let isChangeOpen = false;
+            const begin = (isUrgent: boolean): void => {
+                if (calls.begin(peer, isUrgent)) {
+                    onItsWay += 1;
+                    isChangeOpen = false;
+                }
+                assert.ok(onItsWay <= 1, `series ${index}, seed ${seed}`);
+            };
+            for (let step = 0; step < 100; step += 1) {
+                const event = Math.floor(draw() * 3);
+                if (event === 0) {
+                    begin(false);
+                }
+                else if (event === 1) {
+                    isChangeOpen = true;
+                    begin(true);
+                }
+                else if (onItsWay === 1) {
+                    onItsWay = 0;
+                    if (calls.end(peer)) {
+                        begin(false);
+                    }
+                    assert.ok(!isChangeOpen, `series ${index}, seed ${seed}`);
+                }
+            }
+        }
+    },
+);
--- a/packages/ingress/src/fleet/exchange.ts
+++ b/packages/ingress/src/fleet/exchange.ts
@@ -1,6 +1,6 @@
 import type { Clock, EventLog, HostId, Incarnation, Service } from "@filbertrelay/kernel";
 import { brandAs } from "@filbertrelay/kernel";
-import { AnnouncementPace, MessageTimes, planExchange, ReceivedReports } from "@filbertrelay/policy/ingress";
+import { AnnouncementPace, MessageTimes, PeerCalls, planExchange, ReceivedReports } from "@filbertrelay/policy/ingress";
 import type { ExchangePlan, FleetClock, FleetReach } from "@filbertrelay/policy/ingress";
 import { declareTopic } from "@filbertrelay/wire";
 import type { TcpPeerNetwork } from "@filbertrelay/wire";
@@ -33,8 +33,10 @@
 const minGroupIntervalMs = 400;
 /** Minimum interval per peer; bounds a host's message rate regardless of the size of the fleet. */
 const intervalPerPeerMs = 30;
-/** Timeout of a call to a peer; peers are a few milliseconds apart. */
-const callTimeoutMs = 600;
+/** A report whose sending time can't be bounded is taken to have been on its way for this long. */
+const assumedDelayMs = 600;
+/** Time after which a report is given up and another one sent, on a new connection if the peer was silent; late peers may reply until then. */
+const callTimeoutMs = 1_200;
 /** A host is unreachable after this many intervals without contact. */
 const reachableIntervals = 4;
 /** Lower bound of that time. */
@@ -88,6 +90,8 @@
     #storeSync: StoreSync | undefined;
     #cancelTick: () => void = () => undefined;
     readonly #announcements = new AnnouncementPace();
+    readonly #calls = new PeerCalls();
+    readonly #groupCalls = new PeerCalls();
     #cancelAnnouncement: () => void = () => undefined;
 
     constructor(options: PeerExchangeOptions) {
@@ -160,7 +164,7 @@
             this.#announcements.recordAnnouncement(this.#nowMs());
             this.#options.onAnnounced?.();
             if (this.serving.isParticipant) {
-                this.#plan.groupPeers.forEach(peer => void this.#exchangeWith(peer));
+                this.#plan.groupPeers.forEach(peer => void this.#exchangeWith(peer, true));
             }
             else {
                 void this.#attachment.report();
@@ -311,7 +315,17 @@
         }
     }
 
-    async #exchangeWith(peer: HostId): Promise<void> {
+    async #exchangeWith(peer: HostId, isUrgent = false): Promise<void> {
+        if (!this.#calls.begin(peer, isUrgent)) {
+            return;
+        }
+        await this.#sendReport(peer);
+        if (this.#calls.end(peer) && this.#plan.groupPeers.includes(peer)) {
+            void this.#exchangeWith(peer);
+        }
+    }
+
+    async #sendReport(peer: HostId): Promise<void> {
         const sentMs = this.#nowMs();
         const reply = await this.#options.peers.call(peer, exchangeTopic, this.#reports.hostReport(peer), {
             timeoutMs: callTimeoutMs,
@@ -326,8 +340,12 @@
     }
 
     async #requestGroupReport(peer: HostId): Promise<void> {
+        if (!this.#groupCalls.begin(peer, false)) {
+            return;
+        }
         const sentMs = this.#nowMs();
         const reply = await this.#options.peers.call(peer, groupTopic, {}, { timeoutMs: callTimeoutMs, isRepeatable: true });
+        this.#groupCalls.end(peer);
         if (reply.ok) {
             this.#receiveGroup(peer, reply.value, sentMs);
         }
@@ -340,7 +358,7 @@
     #receive(peer: HostId, report: HostReport, writtenMs: number | undefined): void {
         const { fleetClock, counts } = this.#options;
         const nowMs = this.#nowMs();
-        this.#options.findings.merge(report, nowMs, writtenMs === undefined ? callTimeoutMs : nowMs - writtenMs);
+        this.#options.findings.merge(report, nowMs, writtenMs === undefined ? assumedDelayMs : nowMs - writtenMs);
         const elapsedMs = writtenMs === undefined ? 0 : nowMs - writtenMs;
         this.#liveness.recordContact(peer);
         fleetClock.recordPeerTime(peer, new Date(report.sentAtMs));
--- a/packages/policy/src/ingress/index.ts
+++ b/packages/policy/src/ingress/index.ts
@@ -30,6 +30,7 @@
 export * from "./memorybudget.js";
 export * from "./messagetimes.js";
 export * from "./ownedvalues.js";
+export { PeerCalls } from "./peercalls.js";
 export * from "./pressureadmission.js";
 export * from "./promptcache.js";
 export * from "./reach/index.js";
