--- a/packages/ingress/src/daemon.ts
+++ b/packages/ingress/src/daemon.ts
@@ -174,6 +174,8 @@
         recordRefusal: endpoint => recordRefusal(endpoint),
         onCheck: () => pipeline.leaveCutLinks(),
     });
+    const findings = new SharedFindings({ quarantine, limits, runs, paces, rooms, reach: access.reach, finals });
+    metrics.observeReports(() => findings.countEntries());
     const exchange = new PeerExchange({
         clock,
         log,
@@ -183,16 +185,7 @@
         hosts,
         counts: { quota, usage, loads, demand, callerWork },
         fleetClock,
-        findings: new SharedFindings({
-            quarantine,
-            limits,
-            runs,
-            paces,
-            rooms,
-            reach: access.reach,
-            finals,
-            onDescribed: (part, entries) => metrics.setReportEntries(part, entries),
-        }),
+        findings,
         onAnnounced: () => metrics.recordAnnouncement(),
         dutyHolder: () => readDutyHolder(mirror),
     });
--- a/packages/ingress/src/fleet/exchange.ts
+++ b/packages/ingress/src/fleet/exchange.ts
@@ -1,15 +1,17 @@
 import type { Clock, EventLog, HostId, Incarnation, Service } from "@filbertrelay/kernel";
 import { brandAs } from "@filbertrelay/kernel";
-import { AnnouncementPace, MessageTimes, PeerCalls, planExchange, ReceivedReports } from "@filbertrelay/policy/ingress";
+import { MessageTimes, PeerCalls, planExchange, ReceivedReports } from "@filbertrelay/policy/ingress";
 import type { ExchangePlan, FleetClock, FleetReach } from "@filbertrelay/policy/ingress";
 import { declareTopic } from "@filbertrelay/wire";
 import type { TcpPeerNetwork } from "@filbertrelay/wire";
 import { z } from "zod";
+import { Announcer } from "./announcer.js";
 import { Attachment, fleetUseName } from "./attachment.js";
 import type { SharedFindings } from "./findings.js";
 import type { HostTable } from "./hosts.js";
 import { PeerLiveness } from "./liveness.js";
 import { OwnReports } from "./ownreports.js";
+import { PeerAddresses } from "./peeraddresses.js";
 import {
     addUses,
     callersKey,
@@ -81,23 +83,24 @@
     readonly #attachedToGroupPeers = new ReceivedReports<Readonly<Record<string, number>>>(groupUseTtlMs);
     readonly #groupUses = new ReceivedReports<SharedUse>(groupUseTtlMs);
     readonly #liveness: PeerLiveness;
-    readonly #addresses = new Map<HostId, string>();
+    readonly #addresses: PeerAddresses;
     readonly #skippedUntilMs = new Map<HostId, number>();
     readonly #times: MessageTimes;
     #plan: ExchangePlan;
     readonly #reports: OwnReports;
+    readonly #announcer: Announcer;
     #tickCount = 0;
     #storeSync: StoreSync | undefined;
     #cancelTick: () => void = () => undefined;
-    readonly #announcements = new AnnouncementPace();
     readonly #calls = new PeerCalls();
     readonly #groupCalls = new PeerCalls();
-    #cancelAnnouncement: () => void = () => undefined;
 
     constructor(options: PeerExchangeOptions) {
         this.#options = options;
         const { clock, log, hostId, incarnation, peers, hosts, counts, fleetClock, findings, dutyHolder } = options;
         this.#times = new MessageTimes(incarnation);
+        this.#addresses = new PeerAddresses(peers, hosts, hostId);
+        this.#announcer = new Announcer(clock, () => this.#announce());
         this.#plan = planExchange(hostId, [], { isAvoided: () => false });
         this.#liveness = new PeerLiveness({ clock, log, self: hostId, timeoutMs: () => this.#reachabilityTimeoutMs() });
         this.serving = new ServingHosts({
@@ -156,24 +159,11 @@
 
     /** Exchanges reports sooner than at the next interval, since something urgent has become known. */
     announce(): void {
-        const delayMs = this.#announcements.recordChange(this.#nowMs());
-        if (delayMs === undefined) {
-            return;
-        }
-        this.#cancelAnnouncement = this.#options.clock.after(delayMs, () => {
-            this.#announcements.recordAnnouncement(this.#nowMs());
-            this.#options.onAnnounced?.();
-            if (this.serving.isParticipant) {
-                this.#plan.groupPeers.forEach(peer => void this.#exchangeWith(peer, true));
-            }
-            else {
-                void this.#attachment.report();
-            }
-        });
+        this.#announcer.announce();
     }
 
     stop(): Promise<void> {
-        this.#cancelAnnouncement();
+        this.#announcer.stop();
         this.#cancelTick();
         return Promise.resolve();
     }
@@ -225,7 +215,7 @@
     }
 
     #tick(): void {
-        this.#updateAddresses();
+        this.#addresses.update(hostId => this.#forget(hostId));
         this.serving.refresh();
         const { isParticipant, participants } = this.serving;
         this.#updatePlan(isParticipant ? participants.filter(hostId => hostId !== this.#options.hostId) : []);
@@ -242,6 +232,16 @@
         this.#cancelTick = this.#options.clock.after(this.#intervalMs(), () => this.#tick());
     }
 
+    #announce(): void {
+        this.#options.onAnnounced?.();
+        if (this.serving.isParticipant) {
+            this.#plan.groupPeers.forEach(peer => void this.#exchangeWith(peer, true));
+        }
+        else {
+            void this.#attachment.report();
+        }
+    }
+
     #exchange(): void {
         const { groupPeers, representatives } = this.#plan;
         for (const peer of groupPeers) {
@@ -296,23 +296,10 @@
             !this.#attachment.isAttached(hostId);
     }
 
-    #updateAddresses(): void {
-        const { hosts, hostId: self, peers } = this.#options;
-        for (const { hostId, peerAddress } of hosts.list()) {
-            if (hostId !== self && this.#addresses.get(hostId) !== peerAddress) {
-                this.#addresses.set(hostId, peerAddress);
-                peers.setAddress(hostId, peerAddress);
-            }
-        }
-        for (const hostId of this.#addresses.keys()) {
-            if (hosts.get(hostId) === undefined) {
-                this.#addresses.delete(hostId);
-                this.#liveness.forget(hostId);
-                this.#skippedUntilMs.delete(hostId);
-                this.#times.forget(hostId);
-                peers.forget(hostId);
-            }
-        }
+    #forget(hostId: HostId): void {
+        this.#liveness.forget(hostId);
+        this.#skippedUntilMs.delete(hostId);
+        this.#times.forget(hostId);
     }
 
     async #exchangeWith(peer: HostId, isUrgent = false): Promise<void> {
--- a/packages/ingress/src/fleet/findings.ts
+++ b/packages/ingress/src/fleet/findings.ts
@@ -46,15 +46,12 @@
     readonly reach: EndpointReach;
     readonly rooms: EndpointRooms;
     readonly finals: FinalCounts;
-    /** Told how many entries each part of a report has that may have many. */
-    readonly onDescribed?: (part: string, entries: number) => void;
 }
 
-const countedParts = ["limits", "runs", "paces", "roomCuts", "suspects", "silent", "answers", "stranded"];
-
 /** What hosts find out about endpoints, requests and usage and pass on to each other, whichever host it came from. */
 export class SharedFindings {
     readonly #options: SharedFindingsOptions;
+    #described: ReportedFindings = {};
 
     constructor(options: SharedFindingsOptions) {
         this.#options = options;
@@ -68,8 +65,7 @@
         const reach = this.#options.reach.report(nowMs);
         const rooms = this.#options.rooms.report(nowMs);
         const finalCounts = this.#options.finals.missing();
-        this.#recordSizes({ limits, runs, paces, roomCuts: rooms?.cuts, ...reach });
-        return {
+        this.#described = {
             ...(suspects === undefined ? {} : { suspects }),
             ...(limits === undefined ? {} : { limits }),
             ...(runs === undefined ? {} : { runs }),
@@ -78,12 +74,23 @@
             ...(rooms === undefined ? {} : { rooms }),
             ...(finalCounts === undefined ? {} : { finalCounts }),
         };
+        return this.#described;
     }
 
-    #recordSizes(parts: Readonly<Record<string, object | undefined>>): void {
-        for (const part of countedParts) {
-            this.#options.onDescribed?.(part, Object.keys(parts[part] ?? {}).length);
-        }
+    /** Entries of the last report, by those of its parts that grow with endpoints in trouble; a metric. */
+    countEntries(): Readonly<Record<string, number>> {
+        const { limits, runs, paces, rooms, reach } = this.#described;
+        const parts = {
+            limits,
+            runs,
+            paces,
+            roomCuts: rooms?.cuts,
+            suspects: reach?.suspects,
+            silent: reach?.silent,
+            answers: reach?.answers,
+            stranded: reach?.stranded,
+        };
+        return Object.fromEntries(Object.entries(parts).map(([part, entries]) => [part, Object.keys(entries ?? {}).length]));
     }
 
     /** `elapsedMs` is how long ago the report was written at most. */
--- a/packages/ingress/src/telemetry/metrics.ts
+++ b/packages/ingress/src/telemetry/metrics.ts
@@ -70,7 +70,6 @@
     readonly #readDelay = this.#gauge("read_delay_seconds", "Mean time that requests waited to be read, when last measured");
 
     readonly #announcements = this.#counter("announcements_total", "Rounds of reports outside of the regular interval");
-    readonly #reportEntries = this.#gauge("report_entries", "Entries of the last report to another host, by part", ["part"]);
 
     /** Publishes the messages and bytes between hosts by topic; `list` is called when the metrics are read. */
     observePeerTraffic(list: () => readonly TopicTraffic[]): void {
@@ -102,9 +101,11 @@
         this.#announcements.inc();
     }
 
-    /** `part` is a part of the reports between hosts, such as `reach.answers`. */
-    setReportEntries(part: string, count: number): void {
-        this.#reportEntries.set({ part }, count);
+    /** Publishes the entries of the last report to another host, by part; `count` is called when the metrics are read. */
+    observeReports(count: () => Readonly<Record<string, number>>): void {
+        this.#gauge("report_entries", "Entries of the last report to another host, by part", ["part"], metric => {
+            Object.entries(count()).forEach(([part, entries]) => metric.set({ part }, entries));
+        });
     }
 
     recordRequest(service: string, outcome: string, elapsedMs: number): void {
