--- a/features/steps/endpoints.reset.ts
+++ b/features/steps/endpoints.reset.ts
@@ -10,7 +10,7 @@
 import { fileURLToPath } from "node:url";
 
 interface ResetWorld {
-    service: ChildProcess;
+    resettingService: ChildProcess;
     address: string;
 }
 
@@ -19,13 +19,13 @@
 
 Given("a service as a process of its own", async function(this: ResetWorld) {
     const file = fileURLToPath(new URL("../support/resettingservice.ts", import.meta.url));
-    this.service = fork(file, { execArgv: ["--import", "tsx"] });
-    const port = await new Promise<unknown>(resolve => this.service.once("message", resolve));
+    this.resettingService = fork(file, { execArgv: ["--import", "tsx"] });
+    const port = await new Promise<unknown>(resolve => this.resettingService.once("message", resolve));
     this.address = `127.0.0.1:${String(port)}`;
 });
 
 After(function(this: Partial<ResetWorld>) {
-    this.service?.kill();
+    this.resettingService?.kill();
 });
 
 Then(
--- a/features/steps/ingress.late.ts
+++ b/features/steps/ingress.late.ts
@@ -18,7 +18,7 @@
 import { createRandom } from "../support/random.js";
 
 interface LateWorld {
-    answering: ChildProcess;
+    answeringProcess: ChildProcess;
     httpAddress: string;
     peerAddress: string;
     /** What became of the wait; `answered` if the answer counted. */
@@ -31,16 +31,16 @@
 
 Given("an endpoint, a peer and a store that answer within 100 ms", async function(this: LateWorld) {
     const file = fileURLToPath(new URL("../support/answeringprocess.ts", import.meta.url));
-    this.answering = fork(file, { execArgv: ["--import", "tsx"] });
+    this.answeringProcess = fork(file, { execArgv: ["--import", "tsx"] });
     const { httpAddress, peerAddress } = await new Promise<Pick<LateWorld, "httpAddress" | "peerAddress">>(resolve =>
-        this.answering.once("message", message => resolve(message as Pick<LateWorld, "httpAddress" | "peerAddress">))
+        this.answeringProcess.once("message", message => resolve(message as Pick<LateWorld, "httpAddress" | "peerAddress">))
     );
     this.httpAddress = httpAddress;
     this.peerAddress = peerAddress;
 });
 
 After(function(this: Partial<LateWorld>) {
-    this.answering?.kill();
+    this.answeringProcess?.kill();
 });
 
 When(/^the host is busy for (\d+) ms while it waits for (.+)$/, async function(this: LateWorld, busyMs: string, answer: string) {
