--- a/packages/ingress/src/fleet/exchange.ts
+++ b/packages/ingress/src/fleet/exchange.ts
@@ -35,8 +35,6 @@
 const minGroupIntervalMs = 400;
 /** Minimum interval per peer; bounds a host's message rate regardless of the size of the fleet. */
 const intervalPerPeerMs = 30;
-/** A report whose sending time can't be bounded is taken to have been on its way for this long. */
-const assumedDelayMs = 600;
 /** Time after which a report is given up and another one sent, on a new connection if the peer was silent; late peers may reply until then. */
 const callTimeoutMs = 1_200;
 /** A host is unreachable after this many intervals without contact. */
@@ -345,7 +343,7 @@
     #receive(peer: HostId, report: HostReport, writtenMs: number | undefined): void {
         const { fleetClock, counts } = this.#options;
         const nowMs = this.#nowMs();
-        this.#options.findings.merge(report, nowMs, writtenMs === undefined ? assumedDelayMs : nowMs - writtenMs);
+        this.#options.findings.merge(report, nowMs, writtenMs === undefined ? callTimeoutMs : nowMs - writtenMs);
         const elapsedMs = writtenMs === undefined ? 0 : nowMs - writtenMs;
         this.#liveness.recordContact(peer);
         fleetClock.recordPeerTime(peer, new Date(report.sentAtMs));
