Start one request as a trial while a service counts as too slow

Cause: admission counts the mean time of a request at an endpoint as the work of the next one. The requests that hung in the pause raise the mean above the objective; then all are refused, and each end of an older one keeps the mean valid for another 1.5 s.

Change: while the mean is too long, a request is started if none is in progress or none was sent for 1.5 s; if it is faster than the mean, its time replaces it. The lapse is gone from admission: a service that stays slow gets one trial at a time instead of everything every 1.5 s. The decision is decideStart, the evidence ServiceTimings, both pure.

No message or record changes.

--- a/features/steps/ingress.policy.ts
+++ b/features/steps/ingress.policy.ts
@@ -298,6 +298,7 @@
             elapsedMs: 0,
             objectiveMs,
             remainingMs: deadlineMs,
+            isTrialDue: false,
         });
         if (decision.started) {
             // The actual time deviates from the estimate by up to 20 percent.
--- a/features/steps/ingress.reach.version.ts
+++ b/features/steps/ingress.reach.version.ts
@@ -67,6 +67,7 @@
         answerMemory: new policy.AnswerMemory({ totalBytes: 1_000_000, endpointBytes: 1_000_000 }),
         streamPauseMs: 0,
         loads: policy.createLoadTracker(),
+        timings: policy.createServiceTimings(),
         links: { open: () => ({ isReused: false, isRelayed: false, send, close: () => undefined }) },
         limits: { recordSend: () => undefined },
         paces: { recordSend: () => undefined, recordSetback: () => undefined },
@@ -91,6 +92,7 @@
         remainingMs: objectiveMs,
         way: { type: "direct" },
         isStream: false,
+        isTrial: false,
     }, { method: "GET", target: "/", headers: [], body: Buffer.alloc(0) });
     const boundary = new RequestBoundary(error => assert.fail(String(error)));
     attempt.start(boundary, { onStreamBytes: () => undefined, onEnd: () => undefined });
--- a/features/support/brittlesimulation.ts
+++ b/features/support/brittlesimulation.ts
@@ -294,6 +294,7 @@
             elapsedMs: 0,
             objectiveMs,
             remainingMs: timeLimitMs,
+            isTrialDue: false,
         });
         if (request.tried.size === 0 && !decision.started) {
             this.#refuse(request, decision.retryAfterMs);
--- a/packages/ingress/src/request/admission.ts
+++ b/packages/ingress/src/request/admission.ts
@@ -12,11 +12,11 @@
     const nowMs = clock.monotonicMs();
     return decideStart({
         expectedStartMs: choice.expectedStartMs,
-        // Only requests that are started show that a service has become faster.
-        workMs: route.kind === "stream" ? 0 : timings.recentSlotHoldMs(service, nowMs) ?? 0,
+        workMs: route.kind === "stream" ? 0 : timings.slotHoldMs(service) ?? 0,
         elapsedMs: nowMs - caller.arrivedMs,
         objectiveMs: route.objectiveMs,
         remainingMs: deadlineMs - nowMs,
+        isTrialDue: timings.isTrialDue(service, nowMs),
     });
 }
 
--- a/packages/ingress/src/request/attempt.ts
+++ b/packages/ingress/src/request/attempt.ts
@@ -46,6 +46,8 @@
     readonly remainingMs: number;
     readonly way: AttemptWay;
     readonly isStream: boolean;
+    /** Whether the service was too slow until now, and this attempt finds out whether it still is. */
+    readonly isTrial: boolean;
 }
 
 /** Receives the streamed bytes and, once, the result of an attempt; a cancelled attempt has none. */
--- a/packages/ingress/src/request/attemptaccount.ts
+++ b/packages/ingress/src/request/attemptaccount.ts
@@ -13,6 +13,7 @@
     readonly #options: AttemptOptions;
     readonly #loadKey: string;
     #hasFirstEvent = false;
+    #endWork: (() => void) | undefined;
     #heardMs = -Infinity;
 
     constructor(context: RequestContext, options: AttemptOptions) {
@@ -28,14 +29,15 @@
     }
 
     recordSent(): void {
-        const { loads, limits, paces, rooms, health, rollouts } = this.#context;
-        const { endpoint, number, priority, tokens } = this.#options;
+        const { loads, limits, paces, rooms, health, rollouts, timings } = this.#context;
+        const { endpoint, isStream, number, priority, tokens } = this.#options;
         limits.recordSend(endpoint.endpointId, this.sentMs);
         paces.recordSend(endpoint, this.sentMs);
         rooms.recordSend(endpoint, this.sentMs);
         health.recordSent(endpoint.endpointId, this.sentMs);
         rollouts.recordSent(endpoint, number === 1);
         loads.recordDispatch({ requestId: this.#loadKey, endpointId: endpoint.endpointId, priority, tokens });
+        this.#endWork = isStream ? undefined : timings.startWork(endpoint.service, this.sentMs);
     }
 
     /** Records that a part of the response has arrived. */
@@ -65,6 +67,7 @@
     /** Counts the attempt as load of its endpoint no longer. */
     dropLoad(): void {
         this.#context.loads.recordEnd(this.#loadKey);
+        this.#endWork?.();
     }
 
     /** Records an end without a result. */
@@ -90,14 +93,14 @@
 
     #recordAnswer(isStream: boolean): void {
         const { health, clock, timings, paces } = this.#context;
-        const { endpoint, objectiveMs } = this.#options;
+        const { endpoint, isTrial, objectiveMs } = this.#options;
         const nowMs = clock.monotonicMs();
         const elapsedMs = nowMs - this.sentMs;
         if (!isStream) {
             paces.recordAnswer(endpoint, { elapsedMs, objectiveMs }, nowMs);
         }
         health.recordSuccess(endpoint.endpointId);
-        timings.recordSlotHold(endpoint.service, elapsedMs, nowMs);
+        timings.recordSlotHold(endpoint.service, { durationMs: elapsedMs, nowMs, isTrial });
     }
 
     /** Records a failure against the endpoint, and tells the other hosts once it is certain that this host's links are not its cause. */
--- a/packages/ingress/src/request/task.ts
+++ b/packages/ingress/src/request/task.ts
@@ -1,4 +1,4 @@
-import type { EndpointChoice, RequestTraits } from "@filbertrelay/policy/ingress";
+import type { RequestTraits } from "@filbertrelay/policy/ingress";
 import { match } from "ts-pattern";
 import { describeError } from "../describeerror.js";
 import { decideAdmission } from "./admission.js";
@@ -120,9 +120,8 @@
                 if (this.#planner.attempts > 0) {
                     this.#send(selected);
                 }
-                else if (this.#admit(selected.choice)) {
-                    this.#continuation.takeOver();
-                    this.#send(selected);
+                else {
+                    this.#admit(selected);
                 }
             })
             .exhaustive();
@@ -133,16 +132,20 @@
         this.#boundary.run(() => this.#fail("this host stops", 502, stoppingRetryMs));
     }
 
-    #admit(choice: EndpointChoice): boolean {
+    #admit(planned: PlannedAttempt): void {
+        const { choice } = planned;
         const decision = decideAdmission(this.#context, this.#request, choice);
-        if (!decision.started) {
+        if (decision.started) {
+            this.#continuation.takeOver();
+            this.#send(planned, decision);
+        }
+        else {
             const reason = `expected start ${Math.round(choice.expectedStartMs)} ms (${decision.reason})`;
             this.#refuse(reason, decision.retryAfterMs);
         }
-        return decision.started;
     }
 
-    #send(planned: PlannedAttempt): void {
+    #send(planned: PlannedAttempt, { isTrial } = { isTrial: false }): void {
         const { endpoint, choice, way } = planned;
         const { caller, description, requestId, customer, deadlineMs } = this.#request;
         const { clock, dialect, promptCaches } = this.#context;
@@ -173,6 +176,7 @@
             remainingMs,
             way,
             isStream: this.#request.route.kind === "stream",
+            isTrial,
         }, { method: caller.method, target: caller.target, headers, body: caller.body });
         this.#attempt = attempt;
         this.#restartSilenceTimer(choice.expectedStartMs, false);
--- a/packages/policy/src/ingress/servicetimings.ts
+++ b/packages/policy/src/ingress/servicetimings.ts
@@ -1,15 +1,26 @@
+/** How long a request occupied a slot. */
+export interface SlotHold {
+    readonly durationMs: number;
+    /** Monotonic time of its end. */
+    readonly nowMs: number;
+    /** Whether it was started to find out whether the service has become faster. */
+    readonly isTrial: boolean;
+}
+
 /** Per-service timings as measured by this host. */
 export interface ServiceTimings {
     /** Records the time from sending a request to its first event, at an engine without other prompts to compute. */
     recordStart(service: string, startMs: number, computedTokens: number): void;
-    /** Records how long a request occupied a slot. */
-    recordSlotHold(service: string, durationMs: number, nowMs: number): void;
+    /** Counts a request without a stream as in progress until the returned function is called. */
+    startWork(service: string, nowMs: number): () => void;
+    /** Whether no request is in progress, or none was sent lately, so that none may soon show that the service has become faster. */
+    isTrialDue(service: string, nowMs: number): boolean;
+    /** Records how long a request occupied a slot; a trial that was faster than the mean replaces it. */
+    recordSlotHold(service: string, hold: SlotHold): void;
     /** Time to compute one prompt token. */
     tokenMs(service: string): number;
     /** Mean time that a request occupies a slot; `undefined` until one has ended. */
     slotHoldMs(service: string): number | undefined;
-    /** The same if a request has ended lately; `undefined` otherwise. */
-    recentSlotHoldMs(service: string, nowMs: number): number | undefined;
     /** Records how long an endpoint took for a request of a route. */
     recordDuration(route: string, durationMs: number): void;
     /** Time that few requests of a route exceed at an endpoint: a slowly decaying maximum; `undefined` until one has ended. */
@@ -25,7 +36,7 @@
 const tokenSmoothing = 0.03;
 const holdSmoothing = 0.05;
 const longDurationSmoothing = 0.01;
-/** A mean that no request has confirmed for this long says nothing of the service now. */
+/** A mean that no request has confirmed for this long says nothing of the service now; a request sent longer ago may hang. */
 const recentHoldMs = 1_500;
 /** Start latency without the prompt computation; see `baseStartMs`. */
 const startOverheadMs = 25;
@@ -37,6 +48,7 @@
     const tokens = new Map<string, number>();
     const holds = new Map<string, { readonly meanMs: number; readonly atMs: number; }>();
     const longDurations = new Map<string, number>();
+    const works = new Map<string, { readonly inProgress: Set<symbol>; readonly sentMs: number; }>();
     return {
         recordStart: (service, startMs, computedTokens) => {
             if (computedTokens < minimumPromptTokens) {
@@ -47,18 +59,26 @@
             const known = tokens.get(service) ?? defaultTokenMs;
             tokens.set(service, known + tokenSmoothing * (bounded - known));
         },
-        recordSlotHold: (service, durationMs, nowMs) => {
+        startWork: (service, nowMs) => {
+            const work = works.get(service) ?? { inProgress: new Set<symbol>(), sentMs: nowMs };
+            const key = Symbol(service);
+            work.inProgress.add(key);
+            works.set(service, { ...work, sentMs: nowMs });
+            return () => void work.inProgress.delete(key);
+        },
+        isTrialDue: (service, nowMs) => {
+            const work = works.get(service);
+            return work === undefined || work.inProgress.size === 0 || nowMs - work.sentMs > recentHoldMs;
+        },
+        recordSlotHold: (service, { durationMs, nowMs, isTrial }) => {
             const known = holds.get(service);
-            const isRecent = known !== undefined && nowMs - known.atMs <= recentHoldMs;
-            const meanMs = isRecent ? known.meanMs + holdSmoothing * (durationMs - known.meanMs) : durationMs;
+            const isConfirming = known !== undefined && nowMs - known.atMs <= recentHoldMs &&
+                !(isTrial && durationMs < known.meanMs);
+            const meanMs = isConfirming ? known.meanMs + holdSmoothing * (durationMs - known.meanMs) : durationMs;
             holds.set(service, { meanMs, atMs: nowMs });
         },
         tokenMs: service => tokens.get(service) ?? defaultTokenMs,
         slotHoldMs: service => holds.get(service)?.meanMs,
-        recentSlotHoldMs: (service, nowMs) => {
-            const known = holds.get(service);
-            return known !== undefined && nowMs - known.atMs <= recentHoldMs ? known.meanMs : undefined;
-        },
         recordDuration: (route, durationMs) => {
             const long = longDurations.get(route) ?? 0;
             longDurations.set(route, Math.max(durationMs, long + longDurationSmoothing * (durationMs - long)));
--- a/packages/policy/src/ingress/startadmission.ts
+++ b/packages/policy/src/ingress/startadmission.ts
@@ -10,11 +10,13 @@
     readonly objectiveMs: number;
     /** Time until the caller's deadline. */
     readonly remainingMs: number;
+    /** Whether no other request may soon show that the service has become faster. */
+    readonly isTrialDue: boolean;
 }
 
-/** Whether the request is started, or refused without running. */
+/** Whether the request is started, perhaps as a trial of a service that was too slow, or refused without running. */
 export type StartDecision =
-    | { readonly started: true; }
+    | { readonly started: true; readonly isTrial: boolean; }
     | { readonly started: false; readonly retryAfterMs: number; readonly reason: "objective" | "deadline"; };
 
 /**
@@ -32,7 +34,10 @@
     const neededMs = request.expectedStartMs + request.workMs;
     const limitMs = Math.min(request.objectiveMs * objectiveShare - request.elapsedMs, request.remainingMs * objectiveShare);
     if (neededMs <= limitMs) {
-        return { started: true };
+        return { started: true, isTrial: false };
+    }
+    if (request.isTrialDue && request.expectedStartMs <= limitMs) {
+        return { started: true, isTrial: true };
     }
     const retryAfterMs = Math.min(
         request.remainingMs * longestRetryShare,
