--- a/features/support/relayhost.ts
+++ b/features/support/relayhost.ts
@@ -115,9 +115,13 @@
     /** Bytes of answers' bodies that this host's own connections have read for other hosts. */
     readBytes = 0;
 
-    constructor(name: string, limits: RelayLimits = createRelayLimits({ answerBytes: answerMemoryBytes })) {
+    constructor(
+        name: string,
+        limits: RelayLimits = createRelayLimits({ answerBytes: answerMemoryBytes }),
+        frameBytes?: number,
+    ) {
         this.hostId = brandAs<HostId>(name);
-        this.peers = createTestPeers(clock, this.hostId, "127.0.0.1:0");
+        this.peers = createTestPeers(clock, this.hostId, "127.0.0.1:0", frameBytes);
         const pool = new ConnectionPool(clock);
         const metrics = { recordRelayed: (side: string, result: string) => void this.results.push(`${side} ${result}`) };
         const log = { write: ({ number }: { readonly number: number; }) => void this.logged.push(number) };
--- a/features/support/resettingservice.ts
+++ b/features/support/resettingservice.ts
@@ -1,8 +1,10 @@
-// A process of its own that answers in the ways of services in trouble: the path names the way.
+// A process of its own that answers in the ways of services in trouble: the path names the way, or a message for the paths of engines.
 import { createServer } from "node:net";
 import type { AddressInfo, Socket } from "node:net";
 
 const part = "HTTP/1.1 200 OK\r\n\r\npart";
+let enginePath = "";
+process.on("message", path => enginePath = String(path));
 
 const ways: Readonly<Record<string, (socket: Socket, word: string) => void>> = {
     /** Resets the connection so many milliseconds after it has sent a part, with most of the request unread. */
@@ -30,7 +32,8 @@
         head += bytes.toString("latin1");
         if (head.includes("\r\n\r\n")) {
             socket.removeAllListeners("data").pause();
-            const [, way = "", word = ""] = head.split(" ")[1]?.split("/") ?? [];
+            const path = head.split(" ")[1] ?? "";
+            const [, way = "", word = ""] = (path.startsWith("/v1/") ? enginePath : path).split("/");
             ways[way]?.(socket, word);
         }
     });
