Use the open connection to a late peer if it is heard from before a new one

Cause: a connection on which a call has waited for 700 ms without any input counts as unresponsive, and the next calls wait for a new one. The handshake takes two round trips. With a peer whose replies are 900 ms late it takes 1,800 ms, so that these calls end at their time limit although the open connection would have brought their replies, and the late peer gets a handshake more for each.

Change: such a call takes the connection that is heard from first; if that is the open one, the handshake is given up. If the handshake fails, calls that may be repeated go on over the open connection.

Evidence: 'Calls to a late peer are answered on the connection that is open' failed before for replies 900 and 1,100 ms late (calls of 1,500 ms timed out; 800 ms late passed) and passes; black-holed connections are replaced as before. Wire, membership, relay, freshness, late, reports and stranded features 115 of 115. No message changes.

--- a/features/steps/wire.ts
+++ b/features/steps/wire.ts
@@ -5,10 +5,11 @@
 import type { Frame, PeerIssue, TcpPeerNetwork } from "@filbertrelay/wire";
 import fc from "fast-check";
 import assert from "node:assert/strict";
-import { connect, createServer } from "node:net";
-import type { AddressInfo, Server, Socket } from "node:net";
+import { connect } from "node:net";
 import { setTimeout as delay } from "node:timers/promises";
 import { z } from "zod";
+import { openForwarder } from "../support/forwarder.js";
+import type { Forwarder } from "../support/forwarder.js";
 
 const clock = createSystemClock();
 const key = "correct-horse-battery";
@@ -24,14 +25,6 @@
 const wrong = declareTopic("test.wrong", { request: z.object({}), reply: z.string() });
 const bulk = declareTopic("test.bulk", { request: z.string(), reply: z.object({}) });
 
-interface Forwarder {
-    readonly address: string;
-    readonly server: Server;
-    readonly recorded: Buffer[];
-    readonly sockets: Socket[];
-    blackHole(): void;
-}
-
 interface WireWorld {
     networks: Map<string, TcpPeerNetwork>;
     forwarder: Forwarder;
@@ -101,25 +94,6 @@
     return from.call(brandAs<HostId>(to), echo, { value, delayMs }, { timeoutMs: waitMs });
 }
 
-async function openForwarder(target: string): Promise<Forwarder> {
-    const recorded: Buffer[] = [];
-    const sockets: Socket[] = [];
-    const port = Number(target.split(":")[1]);
-    const server = createServer(socket => {
-        const upstream = connect(port, "127.0.0.1");
-        sockets.push(socket, upstream);
-        socket.on("data", chunk => recorded.push(chunk)).on("error", () => undefined).pipe(upstream);
-        upstream.on("error", () => undefined).pipe(socket);
-    });
-    await new Promise<void>(resolve => server.listen(0, "127.0.0.1", resolve));
-    const blackHole = () =>
-        sockets.splice(0).forEach(socket => {
-            socket.unpipe();
-            socket.removeAllListeners("data").on("data", () => undefined);
-        });
-    return { address: `127.0.0.1:${(server.address() as AddressInfo).port}`, server, recorded, sockets, blackHole };
-}
-
 Given("two connected peers {string} and {string}", connectThroughForwarder);
 Given("two peers {string} and {string} connected through a forwarder", connectThroughForwarder);
 
@@ -380,3 +354,23 @@
         await delay(5);
     }
 }
+
+When("the forwarder passes everything on {int} ms late", function(this: WireWorld, delayMs: number) {
+    this.forwarder.delayMs = delayMs;
+});
+
+Then(
+    "{int} calls {int} ms apart are answered within {int} ms each, over at most {int} connections",
+    { timeout: 30_000 },
+    async function(this: WireWorld, count: number, intervalMs: number, timeoutMs: number, connections: number) {
+        const calls: Promise<Outcome<number, PeerIssue>>[] = [];
+        for (let value = 0; value < count; value += 1) {
+            const options = { timeoutMs, isRepeatable: true };
+            calls.push(network(this, "alder").call(brandAs<HostId>("birch"), echo, { value, delayMs: 0 }, options));
+            await delay(intervalMs);
+        }
+        const failed = (await Promise.all(calls)).filter(({ ok }) => !ok);
+        assert.deepEqual(failed, []);
+        assert.ok(this.forwarder.connections <= connections, `${this.forwarder.connections} connections`);
+    },
+);
--- a/features/wire.feature
+++ b/features/wire.feature
@@ -61,3 +61,15 @@
     Given two peers "alder" and "birch" connected through a forwarder
     When the connection is black-holed while no call is in progress and stays quiet
     Then the next call succeeds
+
+  # Guards against a peer that is late with everything and gets one handshake more for each reply that it owes.
+  Scenario Outline: Calls to a late peer are answered on the connection that is open
+    Given two peers "alder" and "birch" connected through a forwarder
+    When the forwarder passes everything on <late> ms late
+    Then 16 calls <apart> ms apart are answered within 1500 ms each, over at most 2 connections
+
+    Examples:
+      | late | apart |
+      | 400  | 300   |
+      | 450  | 800   |
+      | 550  | 900   |
--- a/packages/wire/src/connection.ts
+++ b/packages/wire/src/connection.ts
@@ -122,6 +122,11 @@
         });
     }
 
+    /** Resolves to true when something arrives from the peer, to false when the connection closes. */
+    waitForInput(): Promise<boolean> {
+        return new Promise(resolve => this.#receiveCallbacks.push(resolve));
+    }
+
     /** Cancels a call and notifies the peer. */
     cancel(id: number): void {
         if (this.#outboundCalls.delete(id) && this.#frames.isOpen) {
--- a/packages/wire/src/tcpnetwork.ts
+++ b/packages/wire/src/tcpnetwork.ts
@@ -48,10 +48,17 @@
     readonly handshakeTimeoutMs?: number;
 }
 
+/** A connection that is being opened. */
+interface Dial {
+    readonly connection: Promise<Outcome<PeerConnection, PeerIssue>>;
+    /** Gives up a handshake that has not ended. */
+    readonly cancel: () => void;
+}
+
 interface Peer {
     address: string | undefined;
     current: PeerConnection | undefined;
-    dialing: Promise<Outcome<PeerConnection, PeerIssue>> | undefined;
+    dialing: Dial | undefined;
 }
 
 /** A peer network over TCP that runs as a kernel service. */
@@ -231,16 +238,45 @@
         if (entry?.address === undefined || peer === this.#options.hostId) {
             return failure({ code: "peer.unreachable", message: `No address is known for host '${peer}'.`, sent: false });
         }
-        entry.dialing ??= this.#dial(entry.address, peer).finally(() => entry.dialing = undefined);
-        return entry.dialing;
+        entry.dialing ??= this.#startDial(entry, entry.address, peer);
+        return current?.isUsable === true ? this.#chooseFirst(current, entry.dialing, isRepeatable) : entry.dialing.connection;
+    }
+
+    #startDial(entry: Peer, address: string, peer: HostId): Dial {
+        const controller = new AbortController();
+        const connection = this.#dial(address, peer, controller.signal).finally(() => entry.dialing = undefined);
+        return { connection, cancel: () => controller.abort() };
+    }
+
+    /** A peer that is late with its replies is late with a handshake too: the open connection is used if it is heard from first. */
+    async #chooseFirst(
+        current: PeerConnection,
+        dial: Dial,
+        isRepeatable: boolean,
+    ): Promise<Outcome<PeerConnection, PeerIssue>> {
+        let isHeard = false;
+        const heard = current.waitForInput().then(isReceived => {
+            isHeard = isReceived;
+            return isReceived ? success(current) : dial.connection;
+        });
+        const first = await Promise.race([heard, dial.connection]);
+        if (isHeard) {
+            dial.cancel();
+        }
+        return !first.ok && current.isUsable && (isHeard || isRepeatable) ? success(current) : first;
     }
 
-    async #dial(address: string, expected: HostId | undefined): Promise<Outcome<PeerConnection, PeerIssue>> {
+    async #dial(
+        address: string,
+        expected: HostId | undefined,
+        signal?: AbortSignal,
+    ): Promise<Outcome<PeerConnection, PeerIssue>> {
         if (this.#isStopping) {
             return failure({ code: "peer.closed", message: "The peer network is stopping.", sent: false });
         }
         const socket = new Socket();
         const frames = new FrameSocket(socket, handshakeFrameBytes);
+        signal?.addEventListener("abort", () => this.#handshakes.has(frames) && frames.close("The open connection is used."));
         try {
             const connection = await this.#authenticate(frames, async () => {
                 await connectSocket(socket, frames, address);
