Announce changes no more often than regular reports go out

What callers saw: hosts of fleets of 16 and more spent on reports what they lacked for requests while endpoints failed.

Cause: regular reports are 30 ms apart for each peer, which is stated as the bound of a host's message rate whatever the size of the fleet. Announcements were 200 ms apart to all peers of the group, which this bound left out: 75 reports a second with 15 peers, 115 with 23, beside 33 regular ones.

Change: announcements are as far apart as the rounds of regular reports, which carry the same news; the first change is still announced after 5 ms. The interval is exchangeIntervalMs in the policy, and the same as before in small fleets.

Evidence: 'What a host tells others takes a bounded number of reports, however much changes' fails with the former 200 ms for 16 and 24 hosts (120 reports in a second of 97, 161 of 113) and passes for 6 to 195.

--- a/features/ingress.reports.feature
+++ b/features/ingress.reports.feature
@@ -16,6 +16,18 @@
   Scenario: Changes that follow each other are announced together
     Then in 200 seeded series each change is announced within 205 ms, and at most 6 announcements are made in any second
 
+  # Guards against announcements that cost a host of a large fleet more than its regular reports.
+  Scenario Outline: What a host tells others takes a bounded number of reports, however much changes
+    Then in 50 seeded series with <hosts> hosts, a host begins no more reports in any second than its interval allows twice
+
+    Examples:
+      | hosts |
+      | 6     |
+      | 16    |
+      | 24    |
+      | 73    |
+      | 195   |
+
   # Guards against news that are forgotten while an older report is on its way.
   Scenario: Something urgent that becomes known while a report is on its way follows it
     Then in 500 seeded series each urgent change is in a report that begins after it and before the next report ends
--- a/features/steps/ingress.reports.ts
+++ b/features/steps/ingress.reports.ts
@@ -21,6 +21,8 @@
 }
 
 const seed = 153;
+/** Interval of the regular reports of a small fleet, in milliseconds. */
+const announcementIntervalMs = 200;
 const endpointCount = 46;
 const domains = 3;
 const intervalMs = 450;
@@ -128,7 +130,7 @@
                     changedMs = undefined;
                 }
                 if (draw() * gapMs < 1) {
-                    const delayMs = pace.recordChange(nowMs);
+                    const delayMs = pace.recordChange(nowMs, announcementIntervalMs);
                     dueMs = delayMs === undefined ? dueMs : nowMs + delayMs;
                     changedMs ??= nowMs;
                 }
@@ -175,3 +177,40 @@
         }
     },
 );
+
+Then(
+    "in {int} seeded series with {int} hosts, a host begins no more reports in any second than its interval allows twice",
+    (series: number, count: number) => {
+        const hosts = Array.from({ length: count }, (_, index) => brandAs<HostId>(`host-${index}`));
+        const plan = policy.planExchange(hosts[0]!, hosts, { isAvoided: () => false });
+        const intervalMs = policy.exchangeIntervalMs(plan);
+        const regular = plan.groupPeers.length + plan.representatives.size;
+        // Of both kinds, the rounds of a second at the stated 30 ms for each peer and one more.
+        const limit = 2 * (1_000 / 30 + regular);
+        for (let index = 0; index < series; index += 1) {
+            const draw = createRandom(seed + index);
+            const pace = new policy.AnnouncementPace();
+            const begun: { readonly atMs: number; readonly reports: number; }[] = [];
+            const gapMs = 1 + draw() * 200;
+            let dueMs = Infinity;
+            for (let nowMs = 0; nowMs < 5_000; nowMs += 1) {
+                if (nowMs % intervalMs === 0) {
+                    begun.push({ atMs: nowMs, reports: regular });
+                }
+                if (nowMs >= dueMs) {
+                    pace.recordAnnouncement(nowMs);
+                    begun.push({ atMs: nowMs, reports: plan.groupPeers.length });
+                    dueMs = Infinity;
+                }
+                if (draw() * gapMs < 1) {
+                    dueMs = nowMs + (pace.recordChange(nowMs, intervalMs) ?? dueMs - nowMs);
+                }
+            }
+            for (const { atMs: fromMs } of begun) {
+                const within = begun.filter(({ atMs }) => atMs >= fromMs && atMs < fromMs + 1_000);
+                const reports = within.reduce((sum, round) => sum + round.reports, 0);
+                assert.ok(reports <= limit, `series ${index}, seed ${seed}: ${reports} of ${limit} reports`);
+            }
+        }
+    },
+);
--- a/packages/ingress/src/fleet/exchange.ts
+++ b/packages/ingress/src/fleet/exchange.ts
@@ -1,6 +1,6 @@
 import type { Clock, EventLog, HostId, Incarnation, Service } from "@filbertrelay/kernel";
 import { brandAs } from "@filbertrelay/kernel";
-import { MessageTimes, PeerCalls, planExchange, ReceivedReports } from "@filbertrelay/policy/ingress";
+import { exchangeIntervalMs, MessageTimes, PeerCalls, planExchange, ReceivedReports } from "@filbertrelay/policy/ingress";
 import type { ExchangePlan, FleetClock, FleetReach } from "@filbertrelay/policy/ingress";
 import { declareTopic } from "@filbertrelay/wire";
 import type { TcpPeerNetwork } from "@filbertrelay/wire";
@@ -29,12 +29,6 @@
 const exchangeTopic = declareTopic("ingress.exchange", { request: hostReportSchema, reply: hostReportSchema });
 const groupTopic = declareTopic("ingress.group", { request: z.object({}), reply: groupReportSchema });
 
-/** Minimum interval between reports to the same peer where all pairs of hosts exchange. */
-const minIntervalMs = 200;
-/** Minimum interval with groups. A group report takes 0.2 ms of processor time, too much for a small host to spend more often. */
-const minGroupIntervalMs = 400;
-/** Minimum interval per peer; bounds a host's message rate regardless of the size of the fleet. */
-const intervalPerPeerMs = 30;
 /** Time after which a report is given up and another one sent, on a new connection if the peer was silent; late peers may reply until then. */
 const callTimeoutMs = 1_200;
 /** A host is unreachable after this many intervals without contact. */
@@ -98,7 +92,7 @@
         const { clock, log, hostId, incarnation, peers, hosts, counts, fleetClock, findings, dutyHolder } = options;
         this.#times = new MessageTimes(incarnation);
         this.#addresses = new PeerAddresses(peers, hosts, hostId);
-        this.#announcer = new Announcer(clock, () => this.#announce());
+        this.#announcer = new Announcer(clock, { send: () => this.#announce(), intervalMs: () => this.#intervalMs() });
         this.#plan = planExchange(hostId, [], { isAvoided: () => false });
         this.#liveness = new PeerLiveness({ clock, log, self: hostId, timeoutMs: () => this.#reachabilityTimeoutMs() });
         this.serving = new ServingHosts({
@@ -204,12 +198,7 @@
     }
 
     #intervalMs(): number {
-        const { groups, groupPeers, representatives } = this.#plan;
-        if (!this.serving.isParticipant) {
-            return attachIntervalMs;
-        }
-        const minMs = groups === 1 ? minIntervalMs : minGroupIntervalMs;
-        return Math.max(minMs, intervalPerPeerMs * (groupPeers.length + representatives.size));
+        return this.serving.isParticipant ? exchangeIntervalMs(this.#plan) : attachIntervalMs;
     }
 
     #tick(): void {
--- a/packages/policy/src/ingress/exchangegroups.ts
+++ b/packages/policy/src/ingress/exchangegroups.ts
@@ -3,6 +3,12 @@
 
 /** Up to this size all pairs of hosts exchange; above it, each host exchanges with its group and one host of each other group. */
 const largestSingleGroup = 24;
+/** Minimum interval between reports to the same peer where all pairs of hosts exchange. */
+const minIntervalMs = 200;
+/** Minimum interval with groups. A group report takes 0.2 ms of processor time, too much for a small host to spend more often. */
+const minGroupIntervalMs = 400;
+/** Minimum interval per peer; bounds a host's message rate regardless of the size of the fleet. */
+const intervalPerPeerMs = 30;
 
 /** The hosts with which one host exchanges usage reports. */
 export interface ExchangePlan {
@@ -49,6 +55,12 @@
     return { groups, ownGroup, groupPeers: members.get(ownGroup) ?? [], representatives: representatives };
 }
 
+/** Interval between the rounds of reports of one host, in milliseconds; announcements are no closer. */
+export function exchangeIntervalMs({ groups, groupPeers, representatives }: ExchangePlan): number {
+    const minMs = groups === 1 ? minIntervalMs : minGroupIntervalMs;
+    return Math.max(minMs, intervalPerPeerMs * (groupPeers.length + representatives.size));
+}
+
 function groupOf(hostId: HostId, groups: number): number {
     return hashText(hostId) % groups;
 }
