--- a/features/steps/endpoints.reset.ts
+++ b/features/steps/endpoints.reset.ts
@@ -4,12 +4,12 @@
 import { ConnectionPool } from "@filbertrelay/ingress";
 import type { EndpointRecord, EndpointRequest } from "@filbertrelay/ingress";
 import { brandAs, createSystemClock } from "@filbertrelay/kernel";
-import type { EndpointId, FailureDomainId, RequestId } from "@filbertrelay/kernel";
+import type { EndpointId, RequestId } from "@filbertrelay/kernel";
 import assert from "node:assert/strict";
 import { fork } from "node:child_process";
 import type { ChildProcess } from "node:child_process";
 import { fileURLToPath } from "node:url";
-import { RelayHost } from "../support/relayhost.js";
+import { describeEndpoint, RelayHost } from "../support/relayhost.js";
 
 interface ResetWorld {
     resettingService: ChildProcess;
@@ -76,18 +76,7 @@
 async function sendByOtherHost(address: string, target: string, body: Buffer): Promise<string> {
     const [caller, relay] = ["caller", "relay"].map(name => new RelayHost(name, relayLimits, relayFrameBytes));
     assert.ok(caller !== undefined && relay !== undefined);
-    const endpoint: EndpointRecord = {
-        endpointId: brandAs<EndpointId>("endpoint"),
-        service: "records",
-        address,
-        failureDomain: brandAs<FailureDomainId>("zone-a"),
-        capacity: 8,
-        isLeaving: false,
-        isReclaimable: false,
-        hasPromptCache: false,
-        softwareVersion: "v1",
-        startedAtMs: 1,
-    };
+    const endpoint = describeEndpoint({ address });
     relay.endpoints = [endpoint];
     await Promise.all([caller.start(), relay.start()]);
     caller.connectTo(relay);
