Forget how long requests took after a time without any

Cause: took the lapse of the mean after 1.5 s without an end out of admission. After 12 s without requests the first one was started as a trial, and one 44 ms later was refused for the mean of the faults.

Change: a mean counts no more once no request was in progress and none had ended for 1.5 s. While a slow trial is in progress it still counts, so that a slow service gets one request at a time.

--- a/features/steps/ingress.trial.ts
+++ b/features/steps/ingress.trial.ts
@@ -32,6 +32,29 @@
     });
 });
 
+When("{int} random days are played on which a service pauses and then gets no requests for a while", function(
+    this: TrialWorld,
+    count: number,
+) {
+    this.trialRuns = Array.from({ length: count }, (_, index) => {
+        const seed = firstSeed + index;
+        const draw = createRandom(seed);
+        const pauseMs = 400 + 1_000 * draw();
+        const quiet = { fromMs: pauseAtMs + pauseMs, untilMs: pauseAtMs + pauseMs + 2_000 + 10_000 * draw() };
+        const workMs = (sentMs: number): number =>
+            10 + 100 * draw() + (sentMs > pauseAtMs ? Math.max(0, quiet.fromMs - sentMs) : 0);
+        const day = { draw, meanIntervalMs: 20 + 180 * draw(), workMs, durationMs: quiet.untilMs + 2_000, quiet };
+        return { seed, fastAtMs: quiet.untilMs, requests: playTrials(day) };
+    });
+});
+
+Then("no request after that time is refused", function(this: TrialWorld) {
+    for (const { seed, fastAtMs, requests } of this.trialRuns) {
+        const later = requests.filter(({ sentMs }) => sentMs >= fastAtMs);
+        assert.ok(later.length > 0 && later.every(({ isStarted }) => isStarted), `seed ${seed}, from ${fastAtMs} ms on`);
+    }
+});
+
 When("{int} random days are played on which a service is too slow", function(this: TrialWorld, count: number) {
     this.trialRuns = Array.from({ length: count }, (_, index) => {
         const seed = firstSeed + index;
--- a/features/support/trialsimulation.ts
+++ b/features/support/trialsimulation.ts
@@ -7,6 +7,8 @@
     /** Time that the service takes for a request that is sent at a time. */
     readonly workMs: (sentMs: number) => number;
     readonly durationMs: number;
+    /** A time without requests; none by default. */
+    readonly quiet?: { readonly fromMs: number; readonly untilMs: number; };
 }
 
 /** What became of a request. */
@@ -24,7 +26,7 @@
 const expectedStartMs = 25;
 
 /** Plays requests of one host to one service and returns them in the order in which they arrived. */
-export function playTrials({ draw, meanIntervalMs, workMs, durationMs }: TrialDay): readonly TrialRequest[] {
+export function playTrials({ draw, meanIntervalMs, workMs, durationMs, quiet }: TrialDay): readonly TrialRequest[] {
     const timings = createServiceTimings();
     const requests: TrialRequest[] = [];
     let open: { readonly endMs: number; readonly end: () => void; }[] = [];
@@ -34,10 +36,13 @@
         ended.forEach(({ end }) => end());
     };
     for (let sentMs = 0; sentMs < durationMs; sentMs += -Math.log(1 - draw()) * meanIntervalMs) {
+        if (quiet !== undefined && sentMs > quiet.fromMs && sentMs < quiet.untilMs) {
+            continue;
+        }
         endUntil(sentMs);
         const decision = decideStart({
             expectedStartMs,
-            workMs: timings.slotHoldMs(service) ?? 0,
+            workMs: timings.presentSlotHoldMs(service, sentMs) ?? 0,
             elapsedMs: 0,
             objectiveMs,
             remainingMs: timeLimitMs,
--- a/packages/ingress/src/request/admission.ts
+++ b/packages/ingress/src/request/admission.ts
@@ -12,7 +12,7 @@
     const nowMs = clock.monotonicMs();
     return decideStart({
         expectedStartMs: choice.expectedStartMs,
-        workMs: route.kind === "stream" ? 0 : timings.slotHoldMs(service) ?? 0,
+        workMs: route.kind === "stream" ? 0 : timings.presentSlotHoldMs(service, nowMs) ?? 0,
         elapsedMs: nowMs - caller.arrivedMs,
         objectiveMs: route.objectiveMs,
         remainingMs: deadlineMs - nowMs,
--- a/packages/policy/src/ingress/servicetimings.ts
+++ b/packages/policy/src/ingress/servicetimings.ts
@@ -21,6 +21,8 @@
     tokenMs(service: string): number;
     /** Mean time that a request occupies a slot; `undefined` until one has ended. */
     slotHoldMs(service: string): number | undefined;
+    /** The same as far as it says something of the service now; `undefined` if no request was in progress for a while before the present ones. */
+    presentSlotHoldMs(service: string, nowMs: number): number | undefined;
     /** Records how long an endpoint took for a request of a route. */
     recordDuration(route: string, durationMs: number): void;
     /** Time that few requests of a route exceed at an endpoint: a slowly decaying maximum; `undefined` until one has ended. */
@@ -46,9 +48,12 @@
 /** Creates timings without measurements. */
 export function createServiceTimings(): ServiceTimings {
     const tokens = new Map<string, number>();
-    const holds = new Map<string, { readonly meanMs: number; readonly atMs: number; }>();
+    const holds = new Map<string, { readonly meanMs: number; readonly atMs: number; readonly isOutdated: boolean; }>();
     const longDurations = new Map<string, number>();
     const works = new Map<string, { readonly inProgress: Set<symbol>; readonly sentMs: number; }>();
+    // Not while a trial takes long: its service is still slow.
+    const isQuiet = (service: string, nowMs: number): boolean =>
+        (works.get(service)?.inProgress.size ?? 0) === 0 && nowMs - (holds.get(service)?.atMs ?? nowMs) > recentHoldMs;
     return {
         recordStart: (service, startMs, computedTokens) => {
             if (computedTokens < minimumPromptTokens) {
@@ -61,6 +66,10 @@
         },
         startWork: (service, nowMs) => {
             const work = works.get(service) ?? { inProgress: new Set<symbol>(), sentMs: nowMs };
+            const hold = holds.get(service);
+            if (hold !== undefined && isQuiet(service, nowMs)) {
+                holds.set(service, { ...hold, isOutdated: true });
+            }
             const key = Symbol(service);
             work.inProgress.add(key);
             works.set(service, { ...work, sentMs: nowMs });
@@ -75,10 +84,14 @@
             const isConfirming = known !== undefined && nowMs - known.atMs <= recentHoldMs &&
                 !(isTrial && durationMs < known.meanMs);
             const meanMs = isConfirming ? known.meanMs + holdSmoothing * (durationMs - known.meanMs) : durationMs;
-            holds.set(service, { meanMs, atMs: nowMs });
+            holds.set(service, { meanMs, atMs: nowMs, isOutdated: false });
         },
         tokenMs: service => tokens.get(service) ?? defaultTokenMs,
         slotHoldMs: service => holds.get(service)?.meanMs,
+        presentSlotHoldMs: (service, nowMs) => {
+            const hold = holds.get(service);
+            return hold === undefined || hold.isOutdated || isQuiet(service, nowMs) ? undefined : hold.meanMs;
+        },
         recordDuration: (route, durationMs) => {
             const long = longDurations.get(route) ?? 0;
             longDurations.set(route, Math.max(durationMs, long + longDurationSmoothing * (durationMs - long)));
