--- a/review/13/case.mjs
+++ b/review/13/case.mjs
@@ -1,50 +1,57 @@
-// Clients that the project doesn't control send bodies in small chunks to the address at which clients ask where to connect.
+// The only engine of one service sends answers without end that belong to another request; another service, whose engine is sound, goes on.
 import { fork } from "node:child_process";
 import { renderResponse } from "../../platform/dist/standins/index.js";
-import { askStatus, createConfiguration, delay, hasTrouble, isStatusRequest, play } from "../harness-3/harness.mjs";
+import { createConfiguration, delay, hasTrouble, isStatusRequest, play } from "../harness-3/harness.mjs";
 import { judge, sendSteadily } from "../harness-3/ordinary.mjs";
 
-const clients = 60;
-const bodyBytes = 1_000_000;
-/** Rate of all of them together: 400 Mbit/s, less than half of a machine's link. */
-const bytesPerSecond = 50_000_000;
+/** Marks the kind of bytes that the engine sends: whole answers that name another request. */
+const foreignAnswers = 0;
+/** Rate of the engine over all of its channels: 500 Mbit/s, half of a machine's link. */
+const bytesPerSecond = 62_500_000;
 const timeoutMs = 2_000;
 const waitMs = 4_000;
 const calmMs = 3_000;
-const pressedMs = 8_000;
+const troubleMs = 12_000;
 const recordFile = new URL("record.txt", import.meta.url).pathname;
 
 await play(recordFile, async deployment => {
-    let runs = 0;
-    await deployment.addEngine("ledger-1", { backend: "ledger", capacity: 16 }, (request, connection) => {
+    const runs = { ledger: 0, records: 0 };
+    await deployment.addEngine("records-1", { backend: "records", capacity: 6 }, (request, connection) => {
         if (!isStatusRequest(request)) {
-            runs += 1;
+            runs.records += 1;
         }
         setTimeout(() => connection.send(renderResponse(request)), 50);
     });
-    const routes = [{ name: "short-lookups", prefix: "/lookups/", routeType: "idempotent", backend: "ledger", timeoutMs, targetLatencyMs: 386, maxAttempts: 2 }];
-    await deployment.start({ hosts: 1, configuration: createConfiguration({ routes }) });
-    const [host] = deployment.hosts;
-    const ordinary = { path: "/lookups/1", method: "GET", intervalMs: 100, timeoutMs, waitMs };
-    const calm = await sendSteadily(deployment, host, { ...ordinary, name: "calm", untilMs: performance.now() + calmMs });
-    judge(deployment, calm, timeoutMs);
-
-    const words = [host.ip, host.directoryPort, "/resolution?name=shop.example&region=r&zone=zone-0", clients, hasTrouble ? 1 : 0, bodyBytes, bytesPerSecond];
-    deployment.note(`${clients} clients at the registry address send ${hasTrouble ? `a body of ${bodyBytes} bytes in chunks of 1 byte, short of its end` : "a lookup without a body"}`);
-    const bodies = fork(new URL("../harness-3/bodies.mjs", import.meta.url), words.map(String));
-    let sentBytes = 0;
-    bodies.on("message", message => sentBytes = message.sentBytes);
-    const untilMs = performance.now() + pressedMs;
-    const [pressed] = await Promise.all([
-        sendSteadily(deployment, host, { ...ordinary, name: "pressed", untilMs }),
-        (async () => {
-            while (performance.now() < untilMs) {
-                deployment.note(`status check: ${await askStatus(host.ip, host.readyPort, "/readyz", 1_000)}; ${(sentBytes / 1e6).toFixed(1)} MB of bodies sent`);
-                await delay(1_000);
-            }
-        })(),
-    ]);
-    bodies.kill("SIGKILL");
-    deployment.note(`the engine ran ${runs} requests; peak memory ${Math.round(host.peakMemoryMb() ?? 0)} MB; own ends: ${host.ownEnds.length}`);
-    return judge(deployment, pressed, timeoutMs);
+    const engine = fork(new URL("../harness-3/endless.mjs", import.meta.url), [String(foreignAnswers), String(bytesPerSecond)]);
+    try {
+        const port = await new Promise(resolve => engine.on("message", message => message.port === undefined ? runs.ledger += 1 : resolve(message.port)));
+        deployment.engines.set("ledger-1", {
+            engine: { address: `127.0.0.1:${port}`, stop: () => undefined },
+            entry: { backend: "ledger", zone: "zone-0", version: "v1", capacity: 6, state: "ready", coldRemainingMs: 0, born: Date.now() },
+        });
+        const common = { timeoutMs, targetLatencyMs: 386 };
+        const routes = [
+            { ...common, name: "short-orders", prefix: "/orders/", routeType: "non_idempotent", backend: "ledger", maxAttempts: 1 },
+            { ...common, name: "records", prefix: "/records/", routeType: "idempotent", backend: "records", maxAttempts: 2 },
+        ];
+        const backends = [{ name: "records", maxConnections: 110, healthPath: "/healthz" }];
+        await deployment.start({ hosts: 1, configuration: createConfiguration({ routes, backends }) });
+        await delay(1_500);
+        const [host] = deployment.hosts;
+        const send = (name, untilMs) => Promise.all([
+            sendSteadily(deployment, host, { name: `order-${name}`, path: "/orders/1", method: "POST", intervalMs: 85, timeoutMs, waitMs, untilMs }),
+            sendSteadily(deployment, host, { name: `lookup-${name}`, path: "/records/1", method: "GET", intervalMs: 200, timeoutMs, waitMs, untilMs }),
+        ]);
+        (await send("calm", performance.now() + calmMs)).forEach(results => judge(deployment, results, timeoutMs));
+        engine.send({ isSound: !hasTrouble });
+        deployment.note(hasTrouble ? "the engine of the orders now sends answers to another request without end" : "the engine of the orders goes on as before");
+        const [orders, lookups] = await send("later", performance.now() + troubleMs);
+        judge(deployment, orders, timeoutMs);
+        judge(deployment, lookups, timeoutMs);
+        deployment.note(`runs: ${JSON.stringify(runs)}; peak memory ${Math.round(host.peakMemoryMb() ?? 0)} MB; own ends: ${host.ownEnds.length}`);
+        return judge(deployment, [...orders, ...lookups], timeoutMs);
+    }
+    finally {
+        engine.kill("SIGKILL");
+    }
 });
--- a/review/harness-3/endless.mjs
+++ b/review/harness-3/endless.mjs
@@ -1,10 +1,12 @@
-// An engine in a process of its own: to each request it sends an answer whose body has no end, until the caller closes.
-// Arguments: bytes of a chunk, bytes a second of all channels together. Prints nothing; tells its parent its port and what it runs.
+// An engine in a process of its own that sends bytes without end for each request, until the caller closes: the chunks of one body, or
+// whole answers that name another request. Arguments: bytes of a chunk (0: whole answers), bytes a second of all channels together.
+// Prints nothing; tells its parent its port and what it runs.
 import { createServer } from "node:net";
 
 const [chunkBytes, bytesPerSecond] = process.argv.slice(2).map(Number);
 const tickMs = 10;
-const chunk = `${chunkBytes.toString(16)}\r\n${"x".repeat(chunkBytes)}\r\n`;
+const foreign = "HTTP/1.1 200 OK\r\nX-Filbertrelay-Attempt-Id: former\r\nX-Filbertrelay-Response-Signature: signed\r\nContent-Length: 0\r\n\r\n";
+const chunk = chunkBytes === 0 ? foreign : `${chunkBytes.toString(16)}\r\n${"x".repeat(chunkBytes)}\r\n`;
 const block = Buffer.from(chunk.repeat(Math.ceil(4_096 / chunk.length)), "latin1");
 /** Sockets to which an answer is being sent, with whether they take more now. */
 const answering = new Map();
@@ -38,7 +40,9 @@
         setTimeout(() => socket.write(`${common}Content-Length: 4\r\n\r\ndone`), id === undefined ? 0 : 50);
         return;
     }
-    socket.write(`${common}Content-Type: application/json\r\nTransfer-Encoding: chunked\r\n\r\n`);
+    if (chunkBytes > 0) {
+        socket.write(`${common}Content-Type: application/json\r\nTransfer-Encoding: chunked\r\n\r\n`);
+    }
     answering.set(socket, true);
 }
 
