--- a/review/harness-3/harness.mjs
+++ b/review/harness-3/harness.mjs
@@ -377,6 +377,11 @@
 /** Plays a case and ends the process with its result. */
 export async function play(recordFile, run) {
     const deployment = new Deployment(recordFile);
+    const abandon = reason => {
+        deployment.note(`not played: ${reason instanceof Error ? reason.stack : reason}`);
+        void deployment.stop().finally(() => process.exit(2));
+    };
+    ["SIGTERM", "SIGINT", "uncaughtException", "unhandledRejection"].forEach(event => process.once(event, abandon));
     let code = 2;
     try {
         code = await run(deployment) ? 1 : 0;
