Bundle the program once before the scenarios, and rename its files into place

Cause: four workers ran scripts/bundle.mjs, which rewrites target/, at the same moment; one read or started a file that another was writing. Change: the test command bundles once before the scenarios; a feature that runs alone bundles itself. The bundle is written to a folder of its own and its files are renamed into place, so that overlapping bundlings of the same sources leave whole files at any moment. No scenario is left out.

--- a/features/steps/ingress.close.ts
+++ b/features/steps/ingress.close.ts
@@ -4,8 +4,8 @@
 import { renderResponse } from "@filbertrelay/platform/standins";
 import fc from "fast-check";
 import assert from "node:assert/strict";
-import { spawnSync } from "node:child_process";
 import { connect } from "node:net";
+import { ensureBundle } from "../support/bundle.js";
 import { HostProcessFixture } from "../support/hostprocess.js";
 import { customerKey, waitFor } from "../support/ingress.js";
 import { SlowCaller } from "../support/slowcaller.js";
@@ -28,8 +28,7 @@
 const pause = (delayMs: number): Promise<void> => new Promise(resolve => setTimeout(resolve, delayMs));
 
 async function startProcess(world: CloseWorld): Promise<HostProcessFixture> {
-    const bundled = spawnSync(process.execPath, ["scripts/bundle.mjs"], { encoding: "utf8" });
-    assert.equal(bundled.status, 0, bundled.stderr);
+    ensureBundle();
     world.closing = new HostProcessFixture();
     await world.closing.start(`memoryMb = 200\n[promises]\nstopLimitSeconds = ${stopLimitSeconds}\ndirectoryKeepSeconds = 0.3`);
     return world.closing;
--- a/features/steps/ingress.crowd.ts
+++ b/features/steps/ingress.crowd.ts
@@ -1,7 +1,7 @@
 import { After, Given, Then, When } from "@cucumber/cucumber";
 import assert from "node:assert/strict";
-import { spawnSync } from "node:child_process";
 import { request } from "node:http";
+import { ensureBundle } from "../support/bundle.js";
 import { Crowd } from "../support/crowd.js";
 import { HostProcessFixture } from "../support/hostprocess.js";
 import type { HostPorts } from "../support/hostprocess.js";
@@ -16,8 +16,7 @@
     "a host process with {int} MB of memory and {int} descriptors before an engine",
     { timeout: 60_000 },
     async function(this: CrowdWorld, memoryMb: number, descriptors: number) {
-        const bundled = spawnSync(process.execPath, ["scripts/bundle.mjs"], { encoding: "utf8" });
-        assert.equal(bundled.status, 0, bundled.stderr);
+        ensureBundle();
         this.process = new HostProcessFixture();
         await this.process.start(`memoryMb = ${memoryMb}\ndescriptors = ${descriptors}`);
     },
--- a/features/steps/ingress.start.ts
+++ b/features/steps/ingress.start.ts
@@ -8,6 +8,7 @@
 import type { AddressInfo, Server } from "node:net";
 import { tmpdir } from "node:os";
 import { join } from "node:path";
+import { ensureBundle } from "../support/bundle.js";
 import { findPort, waitFor } from "../support/ingress.js";
 
 interface StartWorld {
@@ -26,8 +27,7 @@
 `;
 
 When("the bundled daemon runs until it has read its settings", { timeout: 60_000 }, function(this: StartWorld) {
-    const bundled = spawnSync(process.execPath, ["scripts/bundle.mjs"], { encoding: "utf8" });
-    assert.equal(bundled.status, 0, bundled.stderr);
+    ensureBundle();
     const folder = mkdtempSync(join(tmpdir(), "filbertrelay-start-"));
     const preload = join(folder, "modules.cjs");
     writeFileSync(preload, listModules);
@@ -77,8 +77,7 @@
     "the bundled daemon starts and the rest is written {int} ms later",
     { timeout: 60_000 },
     async function(this: StartWorld, delayMs: number) {
-        const bundled = spawnSync(process.execPath, ["scripts/bundle.mjs"], { encoding: "utf8" });
-        assert.equal(bundled.status, 0, bundled.stderr);
+        ensureBundle();
         const environment = { PATH: process.env["PATH"], FILBERTRELAY_NODE_FILE: this.settingsFile };
         this.daemon = spawn(process.execPath, ["target/filbertrelayd.cjs"], { env: environment, stdio: "ignore" });
         await new Promise(resolve => setTimeout(resolve, delayMs));
--- a/scripts/bundle.mjs
+++ b/scripts/bundle.mjs
@@ -1,8 +1,8 @@
 // Bundles the daemon for the users' machines under target/, straight from the sources, and stores its bytecode beside it.
 import { build } from "esbuild";
 import { spawnSync } from "node:child_process";
-import { copyFileSync, existsSync, readFileSync } from "node:fs";
-import { basename } from "node:path";
+import { copyFileSync, existsSync, mkdirSync, mkdtempSync, readFileSync, renameSync, rmSync } from "node:fs";
+import { basename, join } from "node:path";
 import { fileURLToPath } from "node:url";
 import { parse } from "smol-toml";
 
@@ -52,6 +52,9 @@
 };
 
 const libraries = `${root}node_modules`;
+const target = join(root, "target");
+/** In the order in which they are put in place: the program that starts the others comes last. */
+const files = ["daemon.cjs", "daemon.bytecode", "filbertrelayd.cjs"];
 
 /**
  * What the daemon uses of libraries whose main modules load much more: fetch, caches, web sockets and HTTP/2 of undici, the push
@@ -90,9 +93,13 @@
     },
 };
 
+mkdirSync(target, { recursive: true });
+// Whole files are renamed into place: another process may start the daemon, or bundle the same sources, at any moment.
+const folder = mkdtempSync(join(target, ".bundle-"));
+
 await build({
     entryPoints: [`${root}platform/src/main.ts`],
-    outfile: `${root}target/daemon.cjs`,
+    outfile: join(folder, "daemon.cjs"),
     bundle: true,
     platform: "node",
     target: "node20",
@@ -103,14 +110,16 @@
     logLevel: "warning",
     plugins: [workspaceSources, englishMessages, plainSchemas, onlyUsedParts],
 });
-copyFileSync(`${root}platform/launcher.cjs`, `${root}target/filbertrelayd.cjs`);
+copyFileSync(`${root}platform/launcher.cjs`, join(folder, "filbertrelayd.cjs"));
 storeBytecode();
+files.forEach(file => renameSync(join(folder, file), join(target, file)));
+rmSync(folder, { recursive: true });
 
 /** V8 takes only bytecode that was made under the options with which the program runs. */
 function storeBytecode() {
     const { roles } = parse(readFileSync(`${root}deploy/system.toml`, "utf8"));
     const options = roles.ingress.run.split(" ").filter(word => word.startsWith("--"));
-    const made = spawnSync(process.execPath, [...options, `${root}scripts/bytecode.cjs`, `${root}target`], { stdio: "inherit" });
+    const made = spawnSync(process.execPath, [...options, `${root}scripts/bytecode.cjs`, folder], { stdio: "inherit" });
     if (made.status !== 0) {
         throw new Error("The bytecode of the daemon could not be stored.");
     }
--- a/scripts/test.mjs
+++ b/scripts/test.mjs
@@ -9,6 +9,12 @@
     process.exit(build.status ?? 1);
 }
 
+// Once for all scenarios: several workers would bundle into the same folder at the same moment.
+const bundle = spawnSync(process.execPath, ["scripts/bundle.mjs"], { stdio: "inherit" });
+if (bundle.status !== 0) {
+    process.exit(bundle.status ?? 1);
+}
+
 const folder = mkdtempSync(join(tmpdir(), "filbertrelay-test-"));
 // Scenarios that measure a process run one at a time, after all others.
 const runs = [runScenarios("together", ["--parallel", "4", "--tags", "not @alone"]), runScenarios("alone", ["--tags", "@alone"])];
@@ -31,7 +37,7 @@
     const common = ["cucumber-js", "--import", "features/steps/**/*.ts", "--format", "progress"];
     const { status } = spawnSync("npx", [...common, "--format", `message:${resultFile}`, ...words, ...process.argv.slice(2)], {
         stdio: "inherit",
-        env: { ...process.env, NODE_OPTIONS: "--import tsx" },
+        env: { ...process.env, NODE_OPTIONS: "--import tsx", FILBERTRELAY_BUNDLED: "1" },
     });
     return { status, resultFile };
 }
