Log and count how much of the store's responses arrives

Change: the client measures the time to the head, the time to the last byte and the bytes of each response; event 5313 names them with the position asked for, for transfers longer than 200 ms and for those that are not read to their end; a metric counts the bytes by kind and result.

--- a/packages/connectors/src/http.ts
+++ b/packages/connectors/src/http.ts
@@ -1,8 +1,9 @@
 import { BaseError, failure, success } from "@filbertrelay/kernel";
-import type { Clock, Issue, Outcome } from "@filbertrelay/kernel";
+import type { Clock, Issue, Outcome, TransferProgress } from "@filbertrelay/kernel";
 import { Agent } from "undici";
 import type { Dispatcher } from "undici";
 import type { z } from "zod";
+import { TransferMeter } from "./transfermeter.js";
 
 /** Options that all platform clients share. */
 export interface ClientOptions {
@@ -39,12 +40,22 @@
     /** By lower-case name; a repeated header has several values. */
     readonly headers: Readonly<Record<string, string | readonly string[] | undefined>>;
     readonly body: unknown;
+    readonly transfer: TransferProgress;
 }
 
 /** No usable response was received: the call may or may not have taken effect. */
 export interface NoResponseIssue extends Issue {
     /** `http.tooLong`: the response exceeds the limit, as it will when the call is repeated. */
     readonly code: "http.noAnswer" | "http.tooLong";
+    /** What had arrived of the response; absent if it was complete but unusable. */
+    readonly transfer?: TransferProgress;
+}
+
+/** What one call in progress uses. */
+interface CallState {
+    readonly agent: Agent;
+    readonly meter: TransferMeter;
+    readonly signal: AbortSignal;
 }
 
 const defaultTimeoutMs = 2_000;
@@ -69,6 +80,7 @@
 
     async call(call: JsonCall): Promise<Outcome<JsonResponse, NoResponseIssue>> {
         const controller = new AbortController();
+        const meter = new TransferMeter(this.#clock);
         const limitMs = Math.min(this.#timeoutMs + (call.waitMs ?? 0), call.limitMs ?? Infinity);
         const agent = call.needsOwnConnection === true ? createAgent() : this.#agent;
         const cancel = this.#clock.afterInput(limitMs, () => {
@@ -81,13 +93,14 @@
             abort();
         }
         try {
-            return success(await this.#send(call, agent, controller.signal));
+            return success(await this.#send(call, { agent, meter, signal: controller.signal }));
         }
         catch (error) {
             const reason = error instanceof Error ? error.message : String(error);
             return failure({
                 code: error instanceof LengthError ? "http.tooLong" : "http.noAnswer",
                 message: `'${call.method} ${this.#origin}${call.path}' got no response: ${reason}`,
+                transfer: meter.progress,
             });
         }
         finally {
@@ -120,7 +133,7 @@
         agent.close().then(remove, remove);
     }
 
-    async #send(call: JsonCall, agent: Agent, signal: AbortSignal): Promise<JsonResponse> {
+    async #send(call: JsonCall, { agent, meter, signal }: CallState): Promise<JsonResponse> {
         const response = await agent.request({
             origin: this.#origin,
             path: call.path,
@@ -129,8 +142,9 @@
             headers: { ...call.headers, ...(call.body === undefined ? {} : { "content-type": "application/json" }) },
             ...(call.body === undefined ? {} : { body: JSON.stringify(call.body) }),
         });
-        const text = await readText(response.body, this.#maxResponseBytes);
-        return { status: response.statusCode, headers: response.headers, body: parseJson(text) };
+        meter.recordHead(response.headers["content-length"]);
+        const text = await readText(response.body, this.#maxResponseBytes, meter);
+        return { status: response.statusCode, headers: response.headers, body: parseJson(text), transfer: meter.progress };
     }
 }
 
@@ -140,12 +154,11 @@
 
 const LengthError = BaseError.subclass("LengthError");
 
-async function readText(body: AsyncIterable<Buffer>, limitBytes: number): Promise<string> {
+async function readText(body: AsyncIterable<Buffer>, limitBytes: number, meter: TransferMeter): Promise<string> {
     const chunks: Buffer[] = [];
-    let bytes = 0;
     for await (const chunk of body) {
-        bytes += chunk.length;
-        if (bytes > limitBytes) {
+        meter.recordBytes(chunk.length);
+        if (meter.progress.receivedBytes > limitBytes) {
             throw new LengthError(`The response is longer than ${limitBytes} bytes.`);
         }
         chunks.push(chunk);
--- a/packages/ingress/src/daemon.ts
+++ b/packages/ingress/src/daemon.ts
@@ -55,6 +55,7 @@
 import { EndpointTable } from "./state/endpoints.js";
 import { StoreMirror } from "./state/mirror.js";
 import { createOwnedPrefixes } from "./state/ownedprefixes.js";
+import { createStoreCallObserver } from "./state/storecalls.js";
 import { IngressMetrics } from "./telemetry/metrics.js";
 
 /** An entry is removed after three intervals without a report; the next process reports within one. */
@@ -86,7 +87,7 @@
 
     const metrics = new IngressMetrics();
     const callerLimits = createCallerLimits(settings, { clock, log, metrics });
-    const store = environment.createStore((kind, result) => metrics.recordStoreCall(kind, result));
+    const store = environment.createStore(createStoreCallObserver({ log, metrics }));
     const applyMs = Math.min(promises.endpointLeaveMs, promises.configurationApplyMs);
     const mirror = new StoreMirror({
         store,
--- a/packages/ingress/src/state/event.ts
+++ b/packages/ingress/src/state/event.ts
@@ -68,6 +68,12 @@
         text: "An error of this host kept a store entry from taking effect; the others hold.",
         action: "Report `error` to the developers.",
     },
+    transferLong: {
+        number: 5313,
+        level: "info",
+        text: "A response of the store took long to arrive, or its rest was not read.",
+        action: "None if it is rare; otherwise compare `receivedBytes` with the rate of the host's link.",
+    },
     versionsRecorded: {
         number: 5311,
         level: "info",
--- a/packages/ingress/src/telemetry/metrics.ts
+++ b/packages/ingress/src/telemetry/metrics.ts
@@ -43,6 +43,10 @@
         ["service"],
     );
     readonly #storeCalls = this.#counter("store_calls_total", "Calls to the store, by kind and result", ["kind", "result"]);
+    readonly #storeBytes = this.#counter("store_received_bytes_total", "Bytes of the store's responses, by kind and result", [
+        "kind",
+        "result",
+    ]);
     readonly #changeAge = new Histogram({
         name: "filbertrelay_store_change_age_seconds",
         help: "Age of the copy of the store when changes reached it, an upper bound of their delay, by way",
@@ -167,8 +171,9 @@
         this.#brittleFull.inc({ service });
     }
 
-    recordStoreCall(kind: string, result: string): void {
+    recordStoreCall(kind: string, result: string, receivedBytes: number): void {
         this.#storeCalls.inc({ kind, result });
+        this.#storeBytes.inc({ kind, result }, receivedBytes);
     }
 
     /** Records the age of the copy of the store, in milliseconds, when changes reached it by a way. */
--- a/packages/kernel/src/index.ts
+++ b/packages/kernel/src/index.ts
@@ -13,3 +13,4 @@
 export * from "./mailbox.js";
 export * from "./outcome.js";
 export * from "./repeated.js";
+export type { TransferProgress } from "./transfer.js";
