Read a response of the store to its end while its bytes keep coming

Cause, first half: the client limited head and body of each call together, by 700 ms and the wait of a watch, 200 ms of it after a failure. A response that took longer was given up though its bytes came, and asked for again from the same position. Evidence: event 5313 in docs/incidents/long-transfers.md: the same watch given up twelve times, each after 400 to 550 KB. Change: a response whose head has come is dead when no byte comes for 700 ms, or when its mean rate falls below 64 KB/s (a pure rule in packages/policy, with a property over random transfers). Its length never makes it dead. A silent store is noticed as soon as before; calls that grant a right keep their whole limit. Why this works: the host gets to the end of any response that its link carries.

--- /dev/null
+++ b/features/ingress.transfer.feature
@@ -0,0 +1,26 @@
+Feature: Long responses of the store
+
+  # Guards against a host that asks for the same bytes again and again, because a response takes longer than a silent store is waited for.
+  Scenario Outline: A response is read to its end while its bytes keep coming
+    Given a store whose responses arrive in <pieces> pieces, <gapMs> ms apart
+    Then a <call> by a client that waits 1000 ms for a silent store brings 400000 bytes
+
+    Examples:
+      | pieces | gapMs | call    |
+      | 20     | 100   | listing |
+      | 20     | 100   | watch   |
+      | 4      | 500   | listing |
+
+  # Guards against a host that waits for a dead connection, or for a byte now and then.
+  Scenario Outline: A response whose bytes don't keep coming is given up
+    Given a store whose responses <fault>
+    Then a listing by a client that waits 300 ms for a silent store fails within 3000 ms
+
+    Examples:
+      | fault                                 |
+      | stop in the middle                    |
+      | arrive a byte at a time, 100 ms apart |
+
+  # Guards against limits that depend on the length of a response instead of its progress.
+  Scenario: A response is dead when it is silent, or slower than the lowest rate, and not before
+    Then in 500 random transfers no response counts as dead before a silence or a rate that is too low, and each does after
--- /dev/null
+++ b/features/steps/ingress.transfer.ts
@@ -0,0 +1,127 @@
+import { After, Given, Then } from "@cucumber/cucumber";
+import { createSystemClock } from "@filbertrelay/kernel";
+import { createPlatformStore } from "@filbertrelay/platform";
+import * as policy from "@filbertrelay/policy";
+import fc from "fast-check";
+import assert from "node:assert/strict";
+import { createServer } from "node:http";
+import type { Server, ServerResponse } from "node:http";
+import type { AddressInfo } from "node:net";
+
+// A failed property prints this seed with the counterexample.
+const seed = 20_261_208;
+const clock = createSystemClock();
+const valueCharacters = 400_000;
+const key = "op/long";
+
+type WriteBody = (response: ServerResponse, text: string) => Promise<void>;
+
+interface TransferWorld {
+    server: Server | undefined;
+}
+
+/** Starts a store whose listings and watches hold one long item. */
+async function startStore(world: TransferWorld, writeBody: WriteBody): Promise<void> {
+    const entry = { key, value: Buffer.from("x".repeat(valueCharacters)).toString("base64"), revision: 2 };
+    const text = JSON.stringify({ entries: [entry], events: [entry], hasMore: false, at: 2 });
+    world.server = createServer((_, response) => {
+        response.writeHead(200, { "Content-Type": "application/json" });
+        void writeBody(response, text);
+    });
+    await new Promise<void>(resolve => world.server!.listen(0, "127.0.0.1", resolve));
+}
+
+function createClient({ server }: TransferWorld, timeoutMs: number): ReturnType<typeof createPlatformStore> {
+    const { port } = server!.address() as AddressInfo;
+    return createPlatformStore({ address: `127.0.0.1:${port}`, clock, timeoutMs, onCall: () => undefined });
+}
+
+Given(
+    "a store whose responses arrive in {int} pieces, {int} ms apart",
+    async function(this: TransferWorld, pieces: number, gapMs: number) {
+        await startStore(this, async (response, text) => {
+            const length = Math.ceil(text.length / pieces);
+            for (let start = 0; start < text.length && !response.destroyed; start += length) {
+                await clock.sleep(gapMs);
+                response.write(text.slice(start, start + length));
+            }
+            response.end();
+        });
+    },
+);
+
+Given("a store whose responses stop in the middle", async function(this: TransferWorld) {
+    await startStore(this, (response, text) => {
+        response.write(text.slice(0, text.length / 2));
+        return Promise.resolve();
+    });
+});
+
+Given(
+    "a store whose responses arrive a byte at a time, {int} ms apart",
+    async function(this: TransferWorld, gapMs: number) {
+        await startStore(this, async (response, text) => {
+            for (const character of text) {
+                if (response.destroyed) {
+                    return;
+                }
+                response.write(character);
+                await clock.sleep(gapMs);
+            }
+        });
+    },
+);
+
+Then(
+    /^a (listing|watch) by a client that waits (\d+) ms for a silent store brings (\d+) bytes$/,
+    { timeout: 30_000 },
+    async function(this: TransferWorld, call: string, timeoutMs: string, bytes: string) {
+        const client = createClient(this, Number(timeoutMs));
+        const read = call === "listing" ?
+            await client.list("") :
+            await client.watch("", { after: { era: 0, revision: 1 }, waitMs: 100 });
+        assert.ok(read.ok, read.ok ? "" : read.issue.message);
+        const items = "items" in read.value ? read.value.items : read.value.changes;
+        assert.deepEqual(items.map(item => item.value?.length), [Number(bytes)]);
+    },
+);
+
+Then(
+    "a listing by a client that waits {int} ms for a silent store fails within {int} ms",
+    { timeout: 30_000 },
+    async function(this: TransferWorld, timeoutMs: number, limitMs: number) {
+        const listing = createClient(this, timeoutMs).list("");
+        const outcome = await Promise.race([listing, clock.sleep(limitMs).then(() => undefined)]);
+        assert.equal(outcome?.ok, false, "The listing has not failed.");
+    },
+);
+
+Then(
+    "in {int} random transfers no response counts as dead before a silence or a rate that is too low, and each does after",
+    (numRuns: number) => {
+        const limits = { silenceMs: 700, slowestBytesPerMs: 64 };
+        const arrival = fc.record({ gapMs: fc.integer({ min: 0, max: 1_000 }), bytes: fc.integer({ min: 1, max: 100_000 }) });
+        const transfer = fc.record({ headMs: fc.nat(2_000), arrivals: fc.array(arrival, { maxLength: 30 }) });
+        fc.assert(
+            fc.property(transfer, ({ headMs, arrivals }) => {
+                let progress = { elapsedMs: headMs, headMs, lastByteMs: headMs, receivedBytes: 0 };
+                for (const { gapMs, bytes } of [...arrivals, { gapMs: limits.silenceMs + 1, bytes: 0 }]) {
+                    const { lastByteMs, receivedBytes } = progress;
+                    const nowMs = lastByteMs + gapMs;
+                    const isSilent = gapMs > limits.silenceMs;
+                    // The rate counts from the head, after the time without a byte that any response may take.
+                    const isSlow = receivedBytes < (nowMs - headMs - limits.silenceMs) * limits.slowestBytesPerMs;
+                    assert.equal(policy.transferDueMs(progress, limits) < nowMs, isSilent || isSlow);
+                    progress = { ...progress, elapsedMs: nowMs, lastByteMs: nowMs, receivedBytes: receivedBytes + bytes };
+                }
+                assert.equal(policy.transferDueMs({ elapsedMs: headMs, receivedBytes: 0 }, limits), Infinity);
+            }),
+            { numRuns, seed },
+        );
+    },
+);
+
+After(function(this: Partial<TransferWorld>) {
+    this.server?.close();
+    this.server?.closeAllConnections();
+});
--- a/packages/connectors/src/http.ts
+++ b/packages/connectors/src/http.ts
@@ -3,6 +3,7 @@
 import { Agent } from "undici";
 import type { Dispatcher } from "undici";
 import type { z } from "zod";
+import { ResponseTimer } from "./responsetimer.js";
 import { TransferMeter } from "./transfermeter.js";
 
 /** Options that all platform clients share. */
@@ -12,6 +13,11 @@
     readonly clock: Clock;
     /** Timeout of one call; the `waitMs` of a long poll is added to it. */
     readonly timeoutMs?: number;
+    /**
+     * When a response whose head has come counts as dead unless more of it arrives, in milliseconds since the call. By default the
+     * timeout of the call holds for the whole response.
+     */
+    readonly transferDueMs?: (progress: TransferProgress) => number;
     /** Maximum response size in bytes; a faulty service may send an endless response. */
     readonly maxResponseBytes?: number;
 }
@@ -55,6 +61,7 @@
 interface CallState {
     readonly agent: Agent;
     readonly meter: TransferMeter;
+    readonly timer: ResponseTimer;
     readonly signal: AbortSignal;
 }
 
@@ -68,6 +75,7 @@
     readonly #clock: Clock;
     readonly #timeoutMs: number;
     readonly #maxResponseBytes: number;
+    readonly #transferDueMs: ClientOptions["transferDueMs"];
     readonly #retired = new Set<Agent>();
     #agent = createAgent();
 
@@ -76,16 +84,20 @@
         this.#clock = options.clock;
         this.#timeoutMs = options.timeoutMs ?? defaultTimeoutMs;
         this.#maxResponseBytes = options.maxResponseBytes ?? defaultMaxResponseBytes;
+        this.#transferDueMs = options.transferDueMs;
     }
 
     async call(call: JsonCall): Promise<Outcome<JsonResponse, NoResponseIssue>> {
         const controller = new AbortController();
         const meter = new TransferMeter(this.#clock);
-        const limitMs = Math.min(this.#timeoutMs + (call.waitMs ?? 0), call.limitMs ?? Infinity);
         const agent = call.needsOwnConnection === true ? createAgent() : this.#agent;
-        const cancel = this.#clock.afterInput(limitMs, () => {
-            this.#retire(agent);
-            controller.abort(new Error(`No response within ${limitMs} ms.`));
+        const timer = new ResponseTimer({
+            clock: this.#clock,
+            leftMs: () => this.#dueMs(call, meter.progress) - meter.progress.elapsedMs,
+            onDue: () => {
+                this.#retire(agent);
+                controller.abort(new Error(describeTimeout(meter.progress)));
+            },
         });
         const abort = (): void => controller.abort(call.signal?.reason);
         call.signal?.addEventListener("abort", abort, { once: true });
@@ -93,7 +105,7 @@
             abort();
         }
         try {
-            return success(await this.#send(call, { agent, meter, signal: controller.signal }));
+            return success(await this.#send(call, { agent, meter, timer, signal: controller.signal }));
         }
         catch (error) {
             const reason = error instanceof Error ? error.message : String(error);
@@ -104,7 +116,7 @@
             });
         }
         finally {
-            cancel();
+            timer.cancel();
             call.signal?.removeEventListener("abort", abort);
             if (call.needsOwnConnection === true) {
                 await agent.destroy();
@@ -133,7 +145,13 @@
         agent.close().then(remove, remove);
     }
 
-    async #send(call: JsonCall, { agent, meter, signal }: CallState): Promise<JsonResponse> {
+    /** When a call is given up, in milliseconds since its begin. */
+    #dueMs({ waitMs = 0, limitMs = Infinity }: JsonCall, progress: TransferProgress): number {
+        const isArriving = progress.headMs !== undefined && this.#transferDueMs !== undefined;
+        return Math.min(isArriving ? this.#transferDueMs(progress) : this.#timeoutMs + waitMs, limitMs);
+    }
+
+    async #send(call: JsonCall, { agent, meter, timer, signal }: CallState): Promise<JsonResponse> {
         const response = await agent.request({
             origin: this.#origin,
             path: call.path,
@@ -143,6 +161,7 @@
             ...(call.body === undefined ? {} : { body: JSON.stringify(call.body) }),
         });
         meter.recordHead(response.headers["content-length"]);
+        timer.restart();
         const text = await readText(response.body, this.#maxResponseBytes, meter);
         return { status: response.statusCode, headers: response.headers, body: parseJson(text), transfer: meter.progress };
     }
@@ -152,6 +171,13 @@
     return new Agent({ pipelining: 1, headersTimeout: 0, bodyTimeout: 0, connect: { timeout: 2_000 } });
 }
 
+function describeTimeout({ elapsedMs, headMs, receivedBytes }: TransferProgress): string {
+    const isArriving = headMs !== undefined;
+    return isArriving ?
+        `The response was not complete after ${Math.round(elapsedMs)} ms, of which ${receivedBytes} bytes had arrived.` :
+        `No response within ${Math.round(elapsedMs)} ms.`;
+}
+
 const LengthError = BaseError.subclass("LengthError");
 
 async function readText(body: AsyncIterable<Buffer>, limitBytes: number, meter: TransferMeter): Promise<string> {
--- a/packages/policy/src/ingress/index.ts
+++ b/packages/policy/src/ingress/index.ts
@@ -49,6 +49,7 @@
 export * from "./stopadmission.js";
 export * from "./storecopy.js";
 export * from "./streamorigins.js";
+export * from "./transferlimit.js";
 export * from "./turntimes.js";
 export * from "./usageledger.js";
 export * from "./usagequota.js";
