List the store in place of a watch that brings more than a listing

Cause, second half: a watch brings every version since a position, though only the newest counts. Where a version takes longer to transfer than until the next one, each watch is longer than the one before, and the host falls behind further. Change: StoreReadPlan (packages/policy) judges a watch as it arrives, by its length and rate, or by what has come if it names no length. It is given up when it takes more than a quarter of applyMs and more bytes than a listing, and a listing follows; listings are repeated while each of them shows that most of the items have changed, a tenth of applyMs apart. Why this works: the length of a listing doesn't grow with the number of changes, so a host is behind by at most two of them and a share of applyMs. The virtual clock left a listener on a signal for each sleep that ended.

--- a/features/ingress.transfer.feature
+++ b/features/ingress.transfer.feature
@@ -24,3 +24,12 @@
   # Guards against limits that depend on the length of a response instead of its progress.
   Scenario: A response is dead when it is silent, or slower than the lowest rate, and not before
     Then in 500 random transfers no response counts as dead before a silence or a rate that is too low, and each does after
+
+  # Guards against hosts that stay behind a configuration that changes faster than it is transferred, since a watch brings each version.
+  Scenario Outline: A host keeps up with a long configuration that changes often
+    Then in <storms> random storms with up to <cuts> cuts a host that must apply a change within 2000 ms applies each version in time
+
+    Examples:
+      | storms | cuts |
+      | 60     | 0    |
+      | 40     | 2    |
--- a/features/steps/ingress.transfer.ts
+++ b/features/steps/ingress.transfer.ts
@@ -7,6 +7,7 @@
 import { createServer } from "node:http";
 import type { Server, ServerResponse } from "node:http";
 import type { AddressInfo } from "node:net";
+import { drawStorms, playStorm } from "../support/storestorm.js";
 
 // A failed property prints this seed with the counterexample.
 const seed = 20_261_208;
@@ -121,6 +122,14 @@
     },
 );
 
+Then(
+    "in {int} random storms with up to {int} cuts a host that must apply a change within {int} ms applies each version in time",
+    { timeout: 120_000 },
+    async (numRuns: number, cuts: number, applyMs: number) => {
+        await fc.assert(fc.asyncProperty(drawStorms(cuts), storm => playStorm(storm, applyMs)), { numRuns, seed });
+    },
+);
+
 After(function(this: Partial<TransferWorld>) {
     this.server?.close();
     this.server?.closeAllConnections();
--- a/packages/connectors/src/http.ts
+++ b/packages/connectors/src/http.ts
@@ -38,6 +38,8 @@
     /** Time after which the call must no longer reach the service; applies if it is shorter than the timeout. */
     readonly limitMs?: number;
     readonly signal?: AbortSignal | undefined;
+    /** Asked as the body arrives; false gives up the rest of it. */
+    readonly isWorthwhile?: ((progress: TransferProgress) => boolean) | undefined;
 }
 
 /** A complete response of the service; `body` is undefined if it was empty. */
@@ -51,8 +53,11 @@
 
 /** No usable response was received: the call may or may not have taken effect. */
 export interface NoResponseIssue extends Issue {
-    /** `http.tooLong`: the response exceeds the limit, as it will when the call is repeated. */
-    readonly code: "http.noAnswer" | "http.tooLong";
+    /**
+     * `http.tooLong`: the response exceeds the limit, as it will when the call is repeated. `http.abandoned`: its rest was not
+     * worthwhile.
+     */
+    readonly code: "http.noAnswer" | "http.tooLong" | "http.abandoned";
     /** What had arrived of the response; absent if it was complete but unusable. */
     readonly transfer?: TransferProgress;
 }
@@ -110,7 +115,7 @@
         catch (error) {
             const reason = error instanceof Error ? error.message : String(error);
             return failure({
-                code: error instanceof LengthError ? "http.tooLong" : "http.noAnswer",
+                code: chooseCode(error),
                 message: `'${call.method} ${this.#origin}${call.path}' got no response: ${reason}`,
                 transfer: meter.progress,
             });
@@ -162,7 +167,14 @@
         });
         meter.recordHead(response.headers["content-length"]);
         timer.restart();
-        const text = await readText(response.body, this.#maxResponseBytes, meter);
+        const text = await readText(response.body, progress => {
+            if (progress.receivedBytes > this.#maxResponseBytes) {
+                throw new LengthError(`The response is longer than ${this.#maxResponseBytes} bytes.`);
+            }
+            if (call.isWorthwhile?.(progress) === false) {
+                throw new AbandonedError(`The rest of the response was given up after ${progress.receivedBytes} bytes.`);
+            }
+        }, meter);
         return { status: response.statusCode, headers: response.headers, body: parseJson(text), transfer: meter.progress };
     }
 }
@@ -179,14 +191,25 @@
 }
 
 const LengthError = BaseError.subclass("LengthError");
+const AbandonedError = BaseError.subclass("AbandonedError");
 
-async function readText(body: AsyncIterable<Buffer>, limitBytes: number, meter: TransferMeter): Promise<string> {
+function chooseCode(error: unknown): NoResponseIssue["code"] {
+    if (error instanceof LengthError) {
+        return "http.tooLong";
+    }
+    return error instanceof AbandonedError ? "http.abandoned" : "http.noAnswer";
+}
+
+/** Reads a body to its end; `check` is called after each piece and throws to give up the rest. */
+async function readText(
+    body: AsyncIterable<Buffer>,
+    check: (progress: TransferProgress) => void,
+    meter: TransferMeter,
+): Promise<string> {
     const chunks: Buffer[] = [];
     for await (const chunk of body) {
         meter.recordBytes(chunk.length);
-        if (meter.progress.receivedBytes > limitBytes) {
-            throw new LengthError(`The response is longer than ${limitBytes} bytes.`);
-        }
+        check(meter.progress);
         chunks.push(chunk);
     }
     return Buffer.concat(chunks).toString("utf8");
--- a/packages/connectors/src/store.ts
+++ b/packages/connectors/src/store.ts
@@ -1,4 +1,4 @@
-import type { Issue, Outcome } from "@filbertrelay/kernel";
+import type { Issue, Outcome, TransferProgress } from "@filbertrelay/kernel";
 
 /**
  * A point in the history of the store. A restore from an older copy begins a new era, in which revisions are given out again, so
@@ -38,6 +38,8 @@
         | "store.leaseGone"
         | "store.historyGone"
         | "store.restored"
+        /** The caller did not want the rest of the response. */
+        | "store.abandoned"
         | "store.invalid";
 }
 
@@ -51,6 +53,16 @@
     readonly removals?: readonly string[];
 }
 
+/** Options of a watch. */
+export interface StoreWatch {
+    readonly after: StorePosition;
+    /** How long the store may wait for a change, in milliseconds. */
+    readonly waitMs: number;
+    readonly signal?: AbortSignal;
+    /** Asked as the response arrives; false gives up the rest of it, and the watch ends with `store.abandoned`. */
+    readonly isWorthwhile?: (progress: TransferProgress) => boolean;
+}
+
 /**
  * Client of a store with revisions, watches and leases; registered in the kernel as `store`. Responses from before the latest known
  * restore count as `store.unavailable`.
@@ -67,7 +79,7 @@
     /** Waits for changes under a prefix after a position; returns no changes on timeout, and `store.restored` in a later era. */
     watch(
         prefix: string,
-        options: { readonly after: StorePosition; readonly waitMs: number; readonly signal?: AbortSignal; },
+        options: StoreWatch,
     ): Promise<Outcome<StorePosition & { readonly changes: readonly StoreChange[]; }, StoreIssue>>;
     /** Makes a conditional change; returns the new revision. */
     commit(change: StoreCommit): Promise<Outcome<number, StoreIssue>>;
--- a/packages/ingress/src/state/mirror.ts
+++ b/packages/ingress/src/state/mirror.ts
@@ -1,6 +1,6 @@
 import type { StoreIssue, StoreItem } from "@filbertrelay/connectors";
 import type { Service } from "@filbertrelay/kernel";
-import { isAfter, StoreCopy } from "@filbertrelay/policy/ingress";
+import { estimateListingBytes, isAfter, StoreCopy, StoreReadPlan } from "@filbertrelay/policy/ingress";
 import type {
     CopyChanges,
     CopyPosition,
@@ -25,9 +25,9 @@
 const materialBatchMs = 60;
 /**
  * The same delay after heartbeats alone, as a share of `applyMs`. Tens of endpoints write a heartbeat about every second, and each
- * watch is a billed store call.
+ * watch is a billed store call. Also the delay between listings that follow each other, which leaves some of the link to requests.
  */
-const heartbeatBatchShare = 0.1;
+const batchShare = 0.1;
 /** Bounds of the exponential backoff after a failed store call. */
 const minRetryMs = 100;
 const maxRetryMs = 400;
@@ -48,11 +48,14 @@
     readonly #copy: StoreCopy;
     readonly #view: ItemView;
     readonly #contact: StoreContact;
+    readonly #plan: StoreReadPlan;
     readonly #abort = new AbortController();
     #watchAbort = new AbortController();
     #needsList = true;
     /** Listings, also failed ones, since the last successful watch. */
     #listings = 0;
+    /** Length of the values that have changed since the last read of the store, whichever way they came. */
+    #changedCharacters = 0;
     #origin: ChangeOrigin = { way: "listing" };
     #loop: Promise<void> | undefined;
     #watchRole: () => WatchRole = () => "own";
@@ -61,6 +64,7 @@
 
     constructor(options: StoreMirrorOptions) {
         this.#options = options;
+        this.#plan = new StoreReadPlan(options.applyMs);
         const { clock, log, store, onUpdate, onListenerError = () => undefined, ownedPrefixes = [] } = options;
         this.#view = new ItemView({
             clock,
@@ -71,7 +75,10 @@
             onListenerError,
         });
         this.#copy = new StoreCopy({
-            onChange: (change, isRestored) => this.#view.apply(change, isRestored, this.#origin),
+            onChange: (change, isRestored) => {
+                this.#changedCharacters += change.value?.length ?? 0;
+                return this.#view.apply(change, isRestored, this.#origin);
+            },
             historyLimit,
         });
         this.#contact = new StoreContact({
@@ -240,10 +247,15 @@
                 await this.#pause(Math.min(maxStandbyCheckMs, Math.max(minStandbyCheckMs, trustedMs)));
                 continue;
             }
-            const issue = this.#needsList ? await this.#readAll() : await this.#watch();
+            const issue = this.#needsList || this.#plan.isListingDue ? await this.#readAll() : await this.#watch();
             if (issue === undefined) {
                 continue;
             }
+            if (issue.code === "store.abandoned") {
+                this.#plan.recordAbandonedWatch();
+                this.#contact.recordResponse(this.#options.clock.monotonicMs());
+                continue;
+            }
             if (issue.code === "store.historyGone" || issue.code === "store.restored") {
                 // A store that has dropped its history is reachable, so no leases have expired because of an outage.
                 this.#needsList = true;
@@ -305,8 +317,9 @@
             return listed.issue;
         }
         const formerRevision = this.revision;
+        const respondedMs = this.#options.clock.monotonicMs();
         this.#recordOrigin("listing");
-        this.#contact.recordResponse(this.#options.clock.monotonicMs());
+        this.#contact.recordResponse(respondedMs);
         this.#recordRestore(listed.value, "listing");
         // The copy stays as it is if a peer has sent newer changes during the call.
         const update = this.#copy.applyListed(listed.value);
@@ -321,6 +334,15 @@
             copyAgeMs: this.#origin.copyAgeMs,
         });
         this.#passOn(update);
+        this.#plan.recordListing({
+            elapsedMs: respondedMs - startMs,
+            changedCharacters: formerRevision === 0 ? 0 : this.#changedCharacters,
+            listingBytes: estimateListingBytes(this.#copy),
+        });
+        this.#changedCharacters = 0;
+        if (this.#plan.isListingDue) {
+            await this.#pause(this.#options.applyMs * batchShare);
+        }
         return undefined;
     }
 
@@ -328,13 +350,21 @@
         const startMs = this.#options.clock.monotonicMs();
         const waitMs = this.#chooseWaitMs();
         this.#watchAbort = new AbortController();
-        const watched = await this.#options.store.watch("", { after: this.position, waitMs, signal: this.#watchAbort.signal });
+        const listingBytes = estimateListingBytes(this.#copy);
+        const watched = await this.#options.store.watch("", {
+            after: this.position,
+            waitMs,
+            signal: this.#watchAbort.signal,
+            isWorthwhile: progress => this.#plan.isWatchWorthwhile(progress, listingBytes),
+        });
         if (!watched.ok) {
             return this.#needsList ? undefined : watched.issue;
         }
         const { changes } = watched.value;
         const respondedMs = this.#options.clock.monotonicMs();
         this.#listings = 0;
+        this.#plan.recordWatch();
+        this.#changedCharacters = 0;
         this.#recordOrigin("watch");
         this.#contact.recordResponse(respondedMs);
         const update = this.#copy.applyWatched(watched.value, changes);
@@ -343,7 +373,7 @@
         this.#passOn(update);
         if (changes.length > 0) {
             const isMaterial = update !== undefined && update.changes.length > 0;
-            await this.#pause(isMaterial ? materialBatchMs : this.#options.applyMs * heartbeatBatchShare);
+            await this.#pause(isMaterial ? materialBatchMs : this.#options.applyMs * batchShare);
         }
         return undefined;
     }
--- a/packages/kernel/src/clock.ts
+++ b/packages/kernel/src/clock.ts
@@ -81,11 +81,15 @@
 
     sleep(ms: number, signal?: AbortSignal): Promise<void> {
         return new Promise((resolve, reject) => {
-            const cancel = this.after(ms, resolve);
-            signal?.addEventListener("abort", () => {
+            const abort = (): void => {
                 cancel();
-                reject(signal.reason instanceof Error ? signal.reason : new Error("The sleep was aborted."));
-            }, { once: true });
+                reject(signal?.reason instanceof Error ? signal.reason : new Error("The sleep was aborted."));
+            };
+            const cancel = this.after(ms, () => {
+                signal?.removeEventListener("abort", abort);
+                resolve();
+            });
+            signal?.addEventListener("abort", abort, { once: true });
         });
     }
 
--- a/packages/policy/src/ingress/storecopy.ts
+++ b/packages/policy/src/ingress/storecopy.ts
@@ -74,6 +74,7 @@
     #revision = 0;
     #materialRevision = 0;
     #confirmedMs = -Infinity;
+    #characters = 0;
 
     constructor(options: StoreCopyOptions) {
         this.#options = options;
@@ -98,6 +99,11 @@
         return this.#items.size;
     }
 
+    /** Length of all keys and values. */
+    get characters(): number {
+        return this.#characters;
+    }
+
     get(key: string): CopiedItem | undefined {
         return this.#items.get(key);
     }
@@ -220,7 +226,8 @@
     }
 
     #apply(change: CopiedChange, isRestored: boolean): "material" | "heartbeat" {
-        const isAdded = !this.#items.has(change.key);
+        const known = this.#items.get(change.key);
+        this.#characters += countCharacters(change) - countCharacters(known);
         if (change.value === undefined) {
             this.#items.delete(change.key);
         }
@@ -229,7 +236,7 @@
         }
         // An item that was removed before is a material change even if its value is unchanged, since peers have seen its removal.
         const kind = this.#options.onChange(change, isRestored);
-        return isAdded ? "material" : kind;
+        return known === undefined ? "material" : kind;
     }
 
     /** Adds material changes to the history. */
@@ -247,6 +254,10 @@
     }
 }
 
+function countCharacters(item: CopiedChange | undefined): number {
+    return item?.value === undefined ? 0 : item.key.length + item.value.length;
+}
+
 /** Whether a position is later than another one. */
 export function isAfter(position: EraRevision, other: EraRevision): boolean {
     return position.era === other.era ? position.revision > other.revision : position.era > other.era;
