Keep one version of each value for peers

Cause: the copy of the store kept 400 material changes for peers, by number, also those that a newer change of the same key had replaced: 360 million characters beside a heap of 160 MB. Change: it keeps the newest change of each key, of at most 400 keys. Their values are those of the items, so that they take no memory of their own, and a peer gets no version that it doesn't need. Why this works: a copy at any position in the history needs of each key that has changed since then only the newest change, and that one has a revision after the position. Nothing in messages changes; an older peer takes fewer changes.

--- a/features/ingress.copy.feature
+++ b/features/ingress.copy.feature
@@ -4,6 +4,13 @@
   Scenario: A copy of the store never claims more than it holds
     Then 400 schedules of changes, watches, listings, reports, pushes, fetches, losses, restores and restarts keep every copy exact
 
+  # Guards against a host that ends because it keeps many versions of one long value.
+  Scenario: A copy keeps one version of each value, however often it changes
+    Given a copy of a store with an item of 900000 characters and 30 short ones
+    When the long item changes 1000 times
+    Then what the copy keeps for others has at most 1000000 characters
+    And a copy from before these changes gets the newest version of it
+
   # Guards against an endpoint that stays unused, or used, on the one host that saw a change which others have seen undone.
   Scenario: A change that was undone before a listing is undone on the host that saw it
     Then a host that saw an item change takes back the change from a host that never saw it
--- a/features/steps/ingress.copy.ts
+++ b/features/steps/ingress.copy.ts
@@ -19,11 +19,14 @@
 const seed = 20_261_204;
 const clock = createSystemClock();
 const removedKey = "op/removed";
+const longKey = "op/long";
 
 interface CopyWorld {
     store: StandinStore;
     hosts: CopyHost[];
     ageMs: number;
+    copy: policy.StoreCopy;
+    earlier: policy.StoreCopy;
 }
 
 /** The parts of a host that copy the store; `watcher` names the only host that watches it. */
@@ -122,6 +125,46 @@
     ]);
 });
 
+Given(
+    "a copy of a store with an item of {int} characters and {int} short ones",
+    function(this: CopyWorld, characters: number, short: number) {
+        const items = Array.from(
+            { length: short },
+            (_, index) => ({ key: `servers/${index}`, value: "short", revision: index + 1 }),
+        );
+        const revision = short + 1;
+        items.push({ key: longKey, value: "0".padEnd(characters), revision });
+        const create = (): policy.StoreCopy => {
+            const copy = new policy.StoreCopy({ onChange: () => "material", historyLimit: 400 });
+            copy.applyListed({ era: 0, revision, items });
+            return copy;
+        };
+        [this.copy, this.earlier] = [create(), create()];
+    },
+);
+
+When("the long item changes {int} times", { timeout: 60_000 }, function(this: CopyWorld, changes: number) {
+    const { revision } = this.copy.position;
+    const { length } = this.copy.get(longKey)!.value;
+    for (let change = 1; change <= changes; change += 1) {
+        const item = { key: longKey, value: String(change).padEnd(length), revision: revision + change };
+        this.copy.applyWatched({ era: 0, revision: item.revision }, [item]);
+    }
+});
+
+Then("what the copy keeps for others has at most {int} characters", function(this: CopyWorld, limit: number) {
+    const { historyStart: revision } = this.copy;
+    const update = this.copy.updateSince({ era: 0, revision, materialRevision: revision });
+    assert.ok(update.type === "changes");
+    const characters = update.changes.reduce((sum, { value }) => sum + (value?.length ?? 0), 0);
+    assert.ok(characters <= limit, `${characters} characters`);
+});
+
+Then("a copy from before these changes gets the newest version of it", function(this: CopyWorld) {
+    assert.equal(this.earlier.applyUpdate(this.copy.updateSince(this.earlier.position)), "applied");
+    assert.equal(this.earlier.get(longKey)?.value, this.copy.get(longKey)?.value);
+});
+
 Given("a host that has read the store and leaves the watch to others", async function(this: CopyWorld) {
     this.store = new StandinStore();
     await this.store.start();
--- a/features/support/copysimulation.ts
+++ b/features/support/copysimulation.ts
@@ -4,8 +4,9 @@
 import assert from "node:assert/strict";
 
 const hostCount = 3;
-const keys = ["a", "b"];
-const historyLimit = 4;
+const keys = ["a", "b", "c"];
+/** Below the number of keys, so that changes are dropped. */
+const historyLimit = 2;
 /** A report, the request for changes that it causes, and the reply. */
 const messagesOfMeeting = 3;
 
@@ -37,7 +38,7 @@
         ),
         host: fc.nat(hostCount - 1),
         other: fc.nat(hostCount - 1),
-        pick: fc.nat(3),
+        pick: fc.nat(2 * keys.length - 1),
     }),
     { minLength: 10, maxLength: 60, size: "max" },
 );
--- a/packages/ingress/src/state/mirror.ts
+++ b/packages/ingress/src/state/mirror.ts
@@ -39,7 +39,7 @@
 const maxStandbyCheckMs = 500;
 /** Retry delay of a standby host; the hosts that watch for the fleet retry sooner and pass on the changes. */
 const standbyRetryMs = 1_000;
-/** Number of material changes kept for peers. */
+/** Number of keys whose newest material change is kept for peers. */
 const historyLimit = 400;
 
 /** In-memory copy of the store's items, updated by a watch or by peers. Registered in the kernel as `mirror`. */
--- a/packages/policy/src/ingress/storecopy.ts
+++ b/packages/policy/src/ingress/storecopy.ts
@@ -59,7 +59,7 @@
      * differences between the copy of an earlier era and the restored store.
      */
     readonly onChange: (change: CopiedChange, isRestored: boolean) => "material" | "heartbeat";
-    /** Number of material changes kept for peers. */
+    /** Number of keys whose newest material change is kept for peers. */
     readonly historyLimit: number;
 }
 
@@ -67,7 +67,11 @@
 export class StoreCopy {
     readonly #options: StoreCopyOptions;
     readonly #items = new Map<string, CopiedItem>();
-    #history: CopiedChange[] = [];
+    /**
+     * The newest material change of each key, in the order in which they were recorded. A copy that lacks several changes of a key
+     * needs only the newest, whose value the items hold anyway.
+     */
+    readonly #history = new Map<string, CopiedChange>();
     #bridged: BridgedSpan[] = [];
     #historyStart = 0;
     #era = 0;
@@ -180,7 +184,7 @@
             afterRevision: position.revision,
             revision,
             bridged: this.#bridged.filter(({ until }) => until > position.revision),
-            changes: this.#history.filter(change => change.revision > position.revision),
+            changes: [...this.#history.values()].filter(change => change.revision > position.revision),
         };
     }
 
@@ -208,7 +212,7 @@
         this.#revision = revision;
         if (former.revision === 0 || isRestored) {
             // Copies of an earlier era get all items, since their revisions say nothing about this history.
-            this.#history = [];
+            this.#history.clear();
             this.#bridged = [];
             this.#materialRevision = revision;
             this.#historyStart = revision;
@@ -241,10 +245,18 @@
 
     /** Adds material changes to the history. */
     #record(changes: readonly CopiedChange[]): void {
-        this.#history.push(...changes);
-        this.#materialRevision = Math.max(this.#materialRevision, ...changes.map(({ revision }) => revision));
-        const dropped = this.#history.splice(0, Math.max(0, this.#history.length - this.#options.historyLimit));
-        this.#historyStart = Math.max(this.#historyStart, ...dropped.map(({ revision }) => revision));
+        for (const change of changes) {
+            this.#history.delete(change.key);
+            this.#history.set(change.key, change);
+            this.#materialRevision = Math.max(this.#materialRevision, change.revision);
+        }
+        for (const [key, { revision }] of this.#history) {
+            if (this.#history.size <= this.#options.historyLimit) {
+                return;
+            }
+            this.#history.delete(key);
+            this.#historyStart = Math.max(this.#historyStart, revision);
+        }
     }
 
     /** Any change within a bridged span may have been material, even if the ends of the span are equal. */
