Pass over configurations that are replaced within the same update

What callers saw: nothing yet by itself; a host that is late applies versions one after the other while newer ones wait, and each takes processor time from its requests. Change: of the changes of a configuration that come together only the newest is applied. Other keys are applied one by one as before.

--- a/features/ingress.transfer.feature
+++ b/features/ingress.transfer.feature
@@ -33,3 +33,9 @@
       | storms | cuts |
       | 60     | 0    |
       | 40     | 2    |
+
+  # Guards against a host of a small share of a processor that is busy with configurations which are replaced already.
+  Scenario: Of the configurations that come together only the newest is read
+    Given a host that read the store and its configuration
+    When a watch brings 12 versions of the configuration and 3 of an endpoint
+    Then it has read 1 configuration since, version 12, and 3 entries of the endpoint
--- a/features/steps/ingress.transfer.ts
+++ b/features/steps/ingress.transfer.ts
@@ -1,12 +1,15 @@
-import { After, Given, Then } from "@cucumber/cucumber";
-import { createSystemClock } from "@filbertrelay/kernel";
+import { After, Given, Then, When } from "@cucumber/cucumber";
+import { StoreMirror } from "@filbertrelay/ingress";
+import { createSystemClock, silentEventLog } from "@filbertrelay/kernel";
 import { createPlatformStore } from "@filbertrelay/platform";
+import { StandinStore } from "@filbertrelay/platform/standins";
 import * as policy from "@filbertrelay/policy";
 import fc from "fast-check";
 import assert from "node:assert/strict";
 import { createServer } from "node:http";
 import type { Server, ServerResponse } from "node:http";
 import type { AddressInfo } from "node:net";
+import { waitFor } from "../support/ingress.js";
 import { drawStorms, playStorm } from "../support/storestorm.js";
 
 // A failed property prints this seed with the counterexample.
@@ -19,6 +22,10 @@
 
 interface TransferWorld {
     server: Server | undefined;
+    store: StandinStore | undefined;
+    mirror: StoreMirror | undefined;
+    /** The values that listeners were given, by prefix. */
+    heard: { configuration: string[]; endpoint: string[]; };
 }
 
 /** Starts a store whose listings and watches hold one long item. */
@@ -130,7 +137,53 @@
     },
 );
 
-After(function(this: Partial<TransferWorld>) {
+Given("a host that read the store and its configuration", async function(this: TransferWorld) {
+    this.store = new StandinStore();
+    await this.store.start();
+    this.store.put("op/config", "version 0");
+    this.mirror = new StoreMirror({
+        store: createPlatformStore({ address: this.store.address, clock, timeoutMs: 2_000, onCall: () => undefined }),
+        clock,
+        log: silentEventLog,
+        draw: Math.random,
+        applyMs: 2_000,
+        newestOnlyPrefixes: ["op/config"],
+    });
+    this.heard = { configuration: [], endpoint: [] };
+    for (const [prefix, kind] of [["op/config", "configuration"], ["servers/", "endpoint"]] as const) {
+        this.mirror.listen(prefix, ({ value }) => {
+            this.heard[kind].push(value ?? "");
+            return "material";
+        });
+    }
+    await this.mirror.start();
+    await waitFor(() => Promise.resolve(this.heard.configuration.length > 0));
+});
+
+When(
+    "a watch brings {int} versions of the configuration and {int} of an endpoint",
+    async function(this: TransferWorld, versions: number, entries: number) {
+        this.heard = { configuration: [], endpoint: [] };
+        this.store!.isHoldingWatches = true;
+        Array.from({ length: entries }, (_, index) => this.store!.put("servers/engine-1", `entry ${index + 1}`));
+        Array.from({ length: versions }, (_, index) => this.store!.put("op/config", `version ${index + 1}`));
+        this.store!.isHoldingWatches = false;
+        await waitFor(() => Promise.resolve(this.heard.configuration.at(-1) === `version ${versions}`));
+    },
+);
+
+Then(
+    "it has read {int} configuration since, version {int}, and {int} entries of the endpoint",
+    function(this: TransferWorld, configurations: number, version: number, entries: number) {
+        assert.deepEqual(this.heard.configuration.slice(-1), [`version ${version}`]);
+        assert.equal(this.heard.configuration.length, configurations);
+        assert.equal(this.heard.endpoint.length, entries);
+    },
+);
+
+After(async function(this: Partial<TransferWorld>) {
+    await this.mirror?.stop();
+    this.store?.stop();
     this.server?.close();
     this.server?.closeAllConnections();
 });
--- a/features/support/copysimulation.ts
+++ b/features/support/copysimulation.ts
@@ -5,6 +5,7 @@
 
 const hostCount = 3;
 const keys = ["a", "b", "c"];
+const newestOnlyKey = "b";
 /** Below the number of keys, so that changes are dropped. */
 const historyLimit = 2;
 /** A report, the request for changes that it causes, and the reply. */
@@ -98,7 +99,11 @@
 /** A host with its copy of the store. */
 class SimulatedHost {
     readonly states = new Map<string, string>();
-    readonly copy = new StoreCopy({ historyLimit, onChange: change => this.#apply(change) });
+    readonly copy = new StoreCopy({
+        historyLimit,
+        isNewestOnly: key => key === newestOnlyKey,
+        onChange: change => this.#apply(change),
+    });
     needsList = true;
     listing: (EraRevision & { readonly items: readonly CopiedItem[]; readonly atMs: number; }) | undefined;
 
--- a/packages/ingress/src/daemon.ts
+++ b/packages/ingress/src/daemon.ts
@@ -96,6 +96,7 @@
         draw,
         applyMs,
         ownedPrefixes: createOwnedPrefixes(environment.decoder, promises.endpointHeartbeatMs),
+        newestOnlyPrefixes: [environment.decoder.configurationPrefix],
         onUpdate: ({ way, copyAgeMs }) => copyAgeMs === undefined ? undefined : metrics.recordChangeAge(way, copyAgeMs),
         onListenerError: () => metrics.recordInternalError("entry"),
     });
--- a/packages/ingress/src/state/mirror.ts
+++ b/packages/ingress/src/state/mirror.ts
@@ -65,7 +65,8 @@
     constructor(options: StoreMirrorOptions) {
         this.#options = options;
         this.#plan = new StoreReadPlan(options.applyMs);
-        const { clock, log, store, onUpdate, onListenerError = () => undefined, ownedPrefixes = [] } = options;
+        const { clock, log, store, onUpdate, onListenerError = () => undefined, ownedPrefixes = [], newestOnlyPrefixes = [] } =
+            options;
         this.#view = new ItemView({
             clock,
             log,
@@ -79,6 +80,7 @@
                 this.#changedCharacters += change.value?.length ?? 0;
                 return this.#view.apply(change, isRestored, this.#origin);
             },
+            isNewestOnly: key => newestOnlyPrefixes.some(prefix => key.startsWith(prefix)),
             historyLimit,
         });
         this.#contact = new StoreContact({
--- a/packages/ingress/src/state/mirroroptions.ts
+++ b/packages/ingress/src/state/mirroroptions.ts
@@ -20,6 +20,8 @@
     readonly applyMs: number;
     /** Keys whose values have versions of their own, which survive a restore of the store; none by default. */
     readonly ownedPrefixes?: readonly OwnedPrefix[];
+    /** Keys of which listeners need only the newest value, not each one before it; none by default. */
+    readonly newestOnlyPrefixes?: readonly string[];
     /** Called for each material change. */
     readonly onUpdate?: (origin: ChangeOrigin) => void;
     /** Called for each change that a listener failed to take. */
--- a/packages/policy/src/ingress/storecopy.ts
+++ b/packages/policy/src/ingress/storecopy.ts
@@ -59,6 +59,8 @@
      * differences between the copy of an earlier era and the restored store.
      */
     readonly onChange: (change: CopiedChange, isRestored: boolean) => "material" | "heartbeat";
+    /** Whether a value of a key that is replaced within the same update is passed over; none by default. */
+    readonly isNewestOnly?: (key: string) => boolean;
     /** Number of keys whose newest material change is kept for peers. */
     readonly historyLimit: number;
 }
@@ -121,7 +123,13 @@
             return undefined;
         }
         const afterRevision = this.#materialRevision;
-        const material = this.#selectNew(changes).filter(change => this.#apply(change, false) === "material");
+        const added = this.#selectNew(changes);
+        const selected = this.#passOverReplaced(added);
+        // Peers may have seen what was passed over, even if the newest value differs from the known one like a heartbeat.
+        const isPartial = selected.length < added.length;
+        const material = selected.filter(change =>
+            this.#apply(change, false) === "material" || isPartial && this.#isNewestOnly(change.key)
+        );
         this.#record(material);
         this.#revision = Math.max(this.#revision, revision);
         return { type: "changes", era, afterRevision, revision: this.#revision, bridged: [], changes: material };
@@ -147,7 +155,7 @@
             return "gap";
         }
         const formerRevision = this.#revision;
-        const added = this.#selectNew(changes);
+        const added = this.#passOverReplaced(this.#selectNew(changes));
         added.forEach(change => this.#apply(change, false));
         this.#record(added);
         bridged.filter(({ until }) => until > formerRevision).forEach(({ after, until }) =>
@@ -197,6 +205,15 @@
         return changes.filter(({ revision }) => revision > this.#revision);
     }
 
+    #passOverReplaced(changes: readonly CopiedChange[]): readonly CopiedChange[] {
+        const newest = new Map(changes.map(change => [change.key, change]));
+        return changes.filter(change => newest.get(change.key) === change || !this.#isNewestOnly(change.key));
+    }
+
+    #isNewestOnly(key: string): boolean {
+        return this.#options.isNewestOnly?.(key) === true;
+    }
+
     #replaceAll({ era, revision }: EraRevision, items: readonly CopiedItem[]): CopyChanges | undefined {
         const former = this.position;
         const isRestored = former.revision > 0 && era > former.era;
