Take long changes from the store, and from a peer only without it

A fetch has 600 ms whatever its length, gets all changes or items in one frame, and is repeated from the same position. All hosts of a fleet ask the few that watch the store, whose links carry a copy of 350 KB to one host in a third of a second. Change: a host that can read the store says how long the changes may be that it takes from a peer (65,536 characters); a peer with longer ones says so and sends none, and the host reads the store at once. A host whose last read of the store failed takes them whatever their length, and each timeout in a row doubles the time of the next call, up to what the longest frame takes at 7 Mbit/s. Why this works: the store's link doesn't depend on who else asks, and a call that can't succeed isn't repeated with the same time. Messages: 'ingress.changes' has two optional fields, maximumCharacters in the request and isTooLong in the reply. An older host names no length and gets all; an older peer ignores it and sends all.

--- a/features/ingress.copy.feature
+++ b/features/ingress.copy.feature
@@ -52,3 +52,19 @@
   # Guards against losing all hosts that watch the store with one failure domain.
   Scenario: The hosts that watch the store stand in different failure domains
     Then the first 3 watching hosts of random fleets stand in as many failure domains as possible
+
+  # Guards against hosts that take a long value from one peer, all at once, over a link that carries it to one of them in time.
+  Scenario: A long value comes from the store and not from a peer
+    Given a host that has read the store and leaves the watch to others
+    And a host that watches the store for it
+    When an item of 300000 characters is written and the watching host reports it
+    Then the first host has the item within 3000 ms
+    And the watching host has sent it at most 100000 bytes
+
+  # Guards against a host that asks a peer for the same long value again and again, because it takes longer than a peer is waited for.
+  Scenario: A host that can't read the store gets a long value from a peer, however long it takes
+    Given a host that has read the store and leaves the watch to others
+    And a host that watches the store for it, which it reaches at 200 bytes a ms
+    When the first host can't reach the store any longer
+    And an item of 300000 characters is written and the watching host reports it again and again
+    Then the first host has the item within 10000 ms
--- a/features/ingress.transfer.feature
+++ b/features/ingress.transfer.feature
@@ -39,3 +39,7 @@
     Given a host that read the store and its configuration
     When a watch brings 12 versions of the configuration and 3 of an endpoint
     Then it has read 1 configuration since, version 12, and 3 entries of the endpoint
+
+  # Guards against a host that never gets a long copy from a peer, since each call for it takes as long as the one before.
+  Scenario: A host that can't read the store gets any copy that a peer may send
+    Then each of 500 random copies of up to 8388608 bytes comes over a link of 875 bytes a ms or more within 5 calls
--- a/features/steps/ingress.copy.ts
+++ b/features/steps/ingress.copy.ts
@@ -11,6 +11,8 @@
 import assert from "node:assert/strict";
 import { CopySimulation, schedules } from "../support/copysimulation.js";
 import type { ScheduleStep } from "../support/copysimulation.js";
+import { openForwarder } from "../support/forwarder.js";
+import type { Forwarder } from "../support/forwarder.js";
 import { findPort, waitFor } from "../support/ingress.js";
 import { createTestPeers } from "../support/peernetwork.js";
 import { createRandom } from "../support/random.js";
@@ -23,6 +25,10 @@
 
 interface CopyWorld {
     store: StandinStore;
+    /** Between the first host and the store. */
+    storeLink: Forwarder | undefined;
+    peerLink: Forwarder | undefined;
+    reporting: NodeJS.Timeout | undefined;
     hosts: CopyHost[];
     ageMs: number;
     copy: policy.StoreCopy;
@@ -33,28 +39,28 @@
 class CopyHost {
     readonly mirror: StoreMirror;
     readonly sync: StoreSync;
-    readonly #peers: TcpPeerNetwork;
+    readonly peers: TcpPeerNetwork;
 
     constructor(
         readonly hostId: HostId,
         options: {
-            readonly store: StandinStore;
+            readonly storeAddress: string;
             readonly address: string;
             readonly watcher: HostId;
             readonly applyMs: number;
             readonly others: readonly { readonly hostId: HostId; readonly address: string; }[];
         },
     ) {
-        const { store, address, watcher, applyMs, others } = options;
-        const client = createPlatformStore({ address: store.address, clock, timeoutMs: 600, onCall: () => undefined });
+        const { storeAddress, address, watcher, applyMs, others } = options;
+        const client = createPlatformStore({ address: storeAddress, clock, timeoutMs: 600, onCall: () => undefined });
         this.mirror = new StoreMirror({ store: client, clock, log: silentEventLog, draw: Math.random, applyMs });
-        this.#peers = createTestPeers(clock, hostId, address);
-        others.forEach(other => this.#peers.setAddress(other.hostId, other.address));
+        this.peers = createTestPeers(clock, hostId, address);
+        others.forEach(other => this.peers.setAddress(other.hostId, other.address));
         const watching = { hostId: watcher, failureDomain: brandAs<FailureDomainId>("domain-1") };
         this.sync = new StoreSync({
             clock,
             hostId,
-            peers: this.#peers,
+            peers: this.peers,
             mirror: this.mirror,
             listReachable: () => others.map(other => other.hostId),
             serving: { isFullFleet: false, serving: [watching] } as unknown as ServingHosts,
@@ -63,7 +69,7 @@
     }
 
     async start(): Promise<void> {
-        await this.#peers.start();
+        await this.peers.start();
         await this.sync.start();
         await this.mirror.start();
         await waitFor(() => Promise.resolve(this.mirror.revision > 0));
@@ -71,7 +77,7 @@
 
     async stop(): Promise<void> {
         await this.mirror.stop();
-        await this.#peers.stop(clock.monotonicMs());
+        await this.peers.stop(clock.monotonicMs());
     }
 }
 
@@ -83,6 +89,7 @@
 const applyMs = 1_000;
 
 async function createHosts(world: CopyWorld, firstApplyMs: number): Promise<CopyHost[]> {
+    world.storeLink ??= await openForwarder(world.store.address);
     const [first, second] = await Promise.all([findPort(), findPort()]);
     const addresses = [
         { hostId: firstId, address: `127.0.0.1:${first}` },
@@ -90,7 +97,7 @@
     ];
     return addresses.map(({ hostId, address }, index) =>
         new CopyHost(hostId, {
-            store: world.store,
+            storeAddress: index === 0 ? world.storeLink!.address : world.store.address,
             address,
             watcher: secondId,
             applyMs: index === 0 ? firstApplyMs : applyMs,
@@ -179,6 +186,60 @@
     await this.hosts[1]!.start();
 });
 
+Given(
+    "a host that watches the store for it, which it reaches at {int} bytes a ms",
+    async function(this: CopyWorld, bytesPerMs: number) {
+        const [first, second] = this.hosts;
+        await second!.start();
+        this.peerLink = await openForwarder(second!.peers.address);
+        this.peerLink.bytesPerMs = bytesPerMs;
+        first!.peers.setAddress(secondId, this.peerLink.address);
+    },
+);
+
+When("the first host can't reach the store any longer", function(this: CopyWorld) {
+    this.storeLink!.server.close();
+    this.storeLink!.sockets.forEach(socket => socket.destroy());
+});
+
+async function writeLongItem({ store, hosts }: CopyWorld, characters: number): Promise<void> {
+    store.put(longKey, "x".repeat(characters));
+    await waitFor(() => Promise.resolve(hosts[1]!.mirror.get(longKey) !== undefined));
+}
+
+function reportToFirst({ hosts: [first, second] }: CopyWorld): void {
+    first!.sync.reconcile(secondId, second!.sync.status(), clock.monotonicMs());
+}
+
+When(
+    "an item of {int} characters is written and the watching host reports it",
+    async function(this: CopyWorld, characters: number) {
+        await writeLongItem(this, characters);
+        reportToFirst(this);
+    },
+);
+
+When(
+    "an item of {int} characters is written and the watching host reports it again and again",
+    async function(this: CopyWorld, characters: number) {
+        await writeLongItem(this, characters);
+        this.reporting = setInterval(() => reportToFirst(this), 100);
+    },
+);
+
+Then("the first host has the item within {int} ms", { timeout: 30_000 }, async function(this: CopyWorld, limitMs: number) {
+    const startMs = clock.monotonicMs();
+    await waitFor(() =>
+        Promise.resolve(this.hosts[0]!.mirror.get(longKey) !== undefined || clock.monotonicMs() - startMs > limitMs)
+    );
+    assert.ok(this.hosts[0]!.mirror.get(longKey) !== undefined, `The item is not there after ${limitMs} ms.`);
+});
+
+Then("the watching host has sent it at most {int} bytes", function(this: CopyWorld, limitBytes: number) {
+    const sent = this.hosts[1]!.peers.traffic().reduce((sum, { bytesSent }) => sum + bytesSent, 0);
+    assert.ok(sent <= limitBytes, `${sent} bytes`);
+});
+
 When("an item is removed and another host starts", async function(this: CopyWorld) {
     this.store.remove(removedKey);
     await this.hosts[1]!.start();
@@ -310,9 +371,14 @@
 });
 
 After(async function(this: Partial<CopyWorld>) {
+    clearInterval(this.reporting);
     if (this.hosts?.[0] instanceof CopyHost) {
         await Promise.all(this.hosts.map(host => host.stop()));
     }
+    for (const link of [this.storeLink, this.peerLink]) {
+        link?.server.close();
+        link?.sockets.forEach(socket => socket.destroy());
+    }
     if (this.hosts !== undefined) {
         this.store?.stop();
     }
--- a/features/steps/ingress.transfer.ts
+++ b/features/steps/ingress.transfer.ts
@@ -21,9 +21,9 @@
 type WriteBody = (response: ServerResponse, text: string) => Promise<void>;
 
 interface TransferWorld {
-    server: Server | undefined;
-    store: StandinStore | undefined;
-    mirror: StoreMirror | undefined;
+    slowStore: Server | undefined;
+    readStore: StandinStore | undefined;
+    readingMirror: StoreMirror | undefined;
     /** The values that listeners were given, by prefix. */
     heard: { configuration: string[]; endpoint: string[]; };
 }
@@ -32,15 +32,15 @@
 async function startStore(world: TransferWorld, writeBody: WriteBody): Promise<void> {
     const entry = { key, value: Buffer.from("x".repeat(valueCharacters)).toString("base64"), revision: 2 };
     const text = JSON.stringify({ entries: [entry], events: [entry], hasMore: false, at: 2 });
-    world.server = createServer((_, response) => {
+    world.slowStore = createServer((_, response) => {
         response.writeHead(200, { "Content-Type": "application/json" });
         void writeBody(response, text);
     });
-    await new Promise<void>(resolve => world.server!.listen(0, "127.0.0.1", resolve));
+    await new Promise<void>(resolve => world.slowStore!.listen(0, "127.0.0.1", resolve));
 }
 
-function createClient({ server }: TransferWorld, timeoutMs: number): ReturnType<typeof createPlatformStore> {
-    const { port } = server!.address() as AddressInfo;
+function createClient({ slowStore }: TransferWorld, timeoutMs: number): ReturnType<typeof createPlatformStore> {
+    const { port } = slowStore!.address() as AddressInfo;
     return createPlatformStore({ address: `127.0.0.1:${port}`, clock, timeoutMs, onCall: () => undefined });
 }
 
@@ -138,11 +138,11 @@
 );
 
 Given("a host that read the store and its configuration", async function(this: TransferWorld) {
-    this.store = new StandinStore();
-    await this.store.start();
-    this.store.put("op/config", "version 0");
-    this.mirror = new StoreMirror({
-        store: createPlatformStore({ address: this.store.address, clock, timeoutMs: 2_000, onCall: () => undefined }),
+    this.readStore = new StandinStore();
+    await this.readStore.start();
+    this.readStore.put("op/config", "version 0");
+    this.readingMirror = new StoreMirror({
+        store: createPlatformStore({ address: this.readStore.address, clock, timeoutMs: 2_000, onCall: () => undefined }),
         clock,
         log: silentEventLog,
         draw: Math.random,
@@ -151,12 +151,12 @@
     });
     this.heard = { configuration: [], endpoint: [] };
     for (const [prefix, kind] of [["op/config", "configuration"], ["servers/", "endpoint"]] as const) {
-        this.mirror.listen(prefix, ({ value }) => {
+        this.readingMirror.listen(prefix, ({ value }) => {
             this.heard[kind].push(value ?? "");
             return "material";
         });
     }
-    await this.mirror.start();
+    await this.readingMirror.start();
     await waitFor(() => Promise.resolve(this.heard.configuration.length > 0));
 });
 
@@ -164,10 +164,10 @@
     "a watch brings {int} versions of the configuration and {int} of an endpoint",
     async function(this: TransferWorld, versions: number, entries: number) {
         this.heard = { configuration: [], endpoint: [] };
-        this.store!.isHoldingWatches = true;
-        Array.from({ length: entries }, (_, index) => this.store!.put("servers/engine-1", `entry ${index + 1}`));
-        Array.from({ length: versions }, (_, index) => this.store!.put("op/config", `version ${index + 1}`));
-        this.store!.isHoldingWatches = false;
+        this.readStore!.isHoldingWatches = true;
+        Array.from({ length: entries }, (_, index) => this.readStore!.put("servers/engine-1", `entry ${index + 1}`));
+        Array.from({ length: versions }, (_, index) => this.readStore!.put("op/config", `version ${index + 1}`));
+        this.readStore!.isHoldingWatches = false;
         await waitFor(() => Promise.resolve(this.heard.configuration.at(-1) === `version ${versions}`));
     },
 );
@@ -181,9 +181,30 @@
     },
 );
 
+Then(
+    "each of {int} random copies of up to {int} bytes comes over a link of {int} bytes a ms or more within {int} calls",
+    (numRuns: number, largestBytes: number, slowestBytesPerMs: number, calls: number) => {
+        const bytesPerMs = fc.integer({ min: slowestBytesPerMs, max: 20 * slowestBytesPerMs });
+        fc.assert(
+            fc.property(fc.nat(largestBytes), bytesPerMs, (bytes, rate) => {
+                const plans = Array.from(
+                    { length: calls },
+                    (_, timeouts) => policy.planStoreFetch({ isStoreReadable: false, timeouts }),
+                );
+                assert.ok(
+                    plans.some(({ maximumCharacters, timeoutMs }) =>
+                        maximumCharacters === undefined && timeoutMs >= bytes / rate
+                    ),
+                );
+            }),
+            { numRuns, seed },
+        );
+    },
+);
+
 After(async function(this: Partial<TransferWorld>) {
-    await this.mirror?.stop();
-    this.store?.stop();
-    this.server?.close();
-    this.server?.closeAllConnections();
+    await this.readingMirror?.stop();
+    this.readStore?.stop();
+    this.slowStore?.close();
+    this.slowStore?.closeAllConnections();
 });
--- a/features/support/forwarder.ts
+++ b/features/support/forwarder.ts
@@ -12,6 +12,8 @@
     connections: number;
     /** How late everything is passed on. */
     delayMs: number;
+    /** The rate of each direction, which all connections share. */
+    bytesPerMs: number;
     /** Keeps all open connections open and passes nothing on. */
     blackHole(): void;
 }
@@ -25,17 +27,24 @@
         const upstream = connect(port, "127.0.0.1");
         sockets.push(socket, upstream);
         forwarder.connections += 1;
-        socket.on("data", chunk => recorded.push(chunk)).on("error", () => undefined).pipe(createDelay()).pipe(upstream);
-        upstream.on("error", () => undefined).pipe(createDelay()).pipe(socket);
+        socket.on("data", chunk => recorded.push(chunk)).on("error", () => undefined).pipe(createDelay(up)).pipe(upstream);
+        upstream.on("error", () => undefined).pipe(createDelay(down)).pipe(socket);
     });
-    const createDelay = (): Transform =>
-        new Transform({
+    const [up, down] = [{ freeMs: 0 }, { freeMs: 0 }];
+    const createDelay = (lane: { freeMs: number; }): Transform => {
+        const occupy = (bytes: number): number => {
+            const nowMs = performance.now();
+            lane.freeMs = Math.max(lane.freeMs, nowMs) + bytes / forwarder.bytesPerMs;
+            return lane.freeMs - nowMs + forwarder.delayMs;
+        };
+        return new Transform({
             transform(chunk: Buffer, _, callback) {
-                setTimeout(() => this.push(chunk), forwarder.delayMs);
+                setTimeout(() => this.push(chunk), occupy(chunk.length));
                 callback();
             },
-            flush: callback => void setTimeout(callback, forwarder.delayMs),
+            flush: callback => void setTimeout(callback, occupy(0)),
         });
+    };
     await new Promise<void>(resolve => server.listen(0, "127.0.0.1", resolve));
     const blackHole = () =>
         sockets.splice(0).forEach(socket => {
@@ -43,6 +52,15 @@
             socket.removeAllListeners("data").on("data", () => undefined);
         });
     const address = `127.0.0.1:${(server.address() as AddressInfo).port}`;
-    const forwarder: Forwarder = { address, server, recorded, sockets, connections: 0, delayMs: 0, blackHole };
+    const forwarder: Forwarder = {
+        address,
+        server,
+        recorded,
+        sockets,
+        connections: 0,
+        delayMs: 0,
+        bytesPerMs: Infinity,
+        blackHole,
+    };
     return forwarder;
 }
--- a/packages/ingress/src/fleet/storesync.ts
+++ b/packages/ingress/src/fleet/storesync.ts
@@ -1,6 +1,6 @@
 import type { Clock, HostId, Service } from "@filbertrelay/kernel";
-import { rankWatchers } from "@filbertrelay/policy/ingress";
-import type { CopyChanges, CopyUpdate } from "@filbertrelay/policy/ingress";
+import { planStoreFetch, rankWatchers } from "@filbertrelay/policy/ingress";
+import type { CopiedChange, CopyChanges, CopyUpdate } from "@filbertrelay/policy/ingress";
 import { declareTopic } from "@filbertrelay/wire";
 import type { TcpPeerNetwork } from "@filbertrelay/wire";
 import { z } from "zod";
@@ -20,10 +20,17 @@
     /** Spans of revisions whose changes are the differences between the ends of the span. */
     bridged: z.array(z.object({ after: z.number(), until: z.number() })).optional(),
     changes: z.array(z.object({ key: z.string(), revision: z.number(), value: z.string().optional() })),
+    /** The changes are longer than the caller takes, and none are sent. */
+    isTooLong: z.boolean().optional(),
 });
 const fetchTopic = declareTopic("ingress.changes", {
-    /** Older versions don't send `materialRevision`. */
-    request: z.object({ era: z.number().optional(), afterRevision: z.number(), materialRevision: z.number().optional() }),
+    /** Older versions don't send `materialRevision` and `maximumCharacters`. */
+    request: z.object({
+        era: z.number().optional(),
+        afterRevision: z.number(),
+        materialRevision: z.number().optional(),
+        maximumCharacters: z.number().optional(),
+    }),
     reply: updateSchema,
 });
 const disputesTopic = declareTopic("ingress.disputes", {
@@ -76,6 +83,8 @@
     readonly #serving: ServingHosts;
     readonly #completeCopyAgeMs: number;
     #isFetching = false;
+    /** Calls for changes in a row that timed out. */
+    #fetchTimeouts = 0;
     #disputesAskedMs = -Infinity;
     #role: { readonly atMs: number; readonly value: WatchRole; } | undefined;
 
@@ -102,13 +111,15 @@
     }
 
     start(): Promise<void> {
-        this.#peers.handle(fetchTopic, ({ era, afterRevision, materialRevision }) => {
+        this.#peers.handle(fetchTopic, ({ era, afterRevision, materialRevision, maximumCharacters = Infinity }) => {
             const update = this.#mirror.updateSince({
                 era: era ?? this.#mirror.position.era,
                 revision: afterRevision,
                 materialRevision: materialRevision ?? afterRevision,
             });
-            return Promise.resolve(encodeUpdate(update, this.#mirror.ageMs()));
+            const ageMs = this.#mirror.ageMs();
+            const isTooLong = countCharacters(update) > maximumCharacters;
+            return Promise.resolve(isTooLong ? declineUpdate(update, ageMs) : encodeUpdate(update, ageMs));
         });
         this.#peers.handle(pushTopic, ({ afterRevision, news }, { from }) => {
             // How long the push has been on its way is unknown, so its age confirms nothing.
@@ -209,10 +220,16 @@
         this.#isFetching = true;
         const sentMs = this.#clock.monotonicMs();
         const { era, revision: afterRevision, materialRevision } = this.#mirror.position;
-        const body = { era, afterRevision, materialRevision };
-        const reply = await this.#peers.call(peer, fetchTopic, body, { timeoutMs: callTimeoutMs, isRepeatable: true });
+        const plan = planStoreFetch({ isStoreReadable: this.#mirror.isStoreReadable, timeouts: this.#fetchTimeouts });
+        const { timeoutMs, ...limit } = plan;
+        const body = { era, afterRevision, materialRevision, ...limit };
+        const reply = await this.#peers.call(peer, fetchTopic, body, { timeoutMs, isRepeatable: true });
         this.#isFetching = false;
-        if (reply.ok) {
+        this.#fetchTimeouts = !reply.ok && reply.issue.code === "peer.timeout" ? this.#fetchTimeouts + 1 : 0;
+        if (reply.ok && reply.value.isTooLong === true) {
+            this.#mirror.readSoon();
+        }
+        else if (reply.ok) {
             this.#mirror.mergeFromPeer(peer, decodeUpdate(reply.value, afterRevision, era), {
                 way: "fetch",
                 confirmedMs: sentMs - reply.value.ageMs,
@@ -239,7 +256,7 @@
     }
 
     #push(changes: CopyChanges): void {
-        const isSmall = changes.changes.reduce((sum, { value }) => sum + (value?.length ?? 0), 0) < maxPushCharacters;
+        const isSmall = countCharacters(changes) < maxPushCharacters;
         if (this.#watchRole() === "own" || !isSmall) {
             return;
         }
@@ -253,6 +270,16 @@
     }
 }
 
+function countCharacters(update: CopyUpdate): number {
+    const changes: readonly CopiedChange[] = update.type === "items" ? update.items : update.changes;
+    return changes.reduce((sum, { value }) => sum + (value?.length ?? 0), 0);
+}
+
+/** Answers that an update is longer than its receiver takes. */
+function declineUpdate({ era, revision }: CopyUpdate, ageMs: number): z.infer<typeof updateSchema> {
+    return { isComplete: false, era, revision, ageMs, changes: [], isTooLong: true };
+}
+
 function encodeUpdate(update: CopyUpdate, ageMs: number): z.infer<typeof updateSchema> {
     const { era, revision } = update;
     return update.type === "items" ?
--- a/packages/ingress/src/state/mirror.ts
+++ b/packages/ingress/src/state/mirror.ts
@@ -52,6 +52,10 @@
     readonly #abort = new AbortController();
     #watchAbort = new AbortController();
     #needsList = true;
+    /** A host that relies on peers reads the store all the same, since it lacks what they don't pass on. */
+    #isReadDue = false;
+    #isStoreReadable = true;
+    #wake: () => void = () => undefined;
     /** Listings, also failed ones, since the last successful watch. */
     #listings = 0;
     /** Length of the values that have changed since the last read of the store, whichever way they came. */
@@ -114,6 +118,17 @@
         return this.#copy.historyStart;
     }
 
+    /** Whether this host's last read of the store succeeded; true before the first one. */
+    get isStoreReadable(): boolean {
+        return this.#isStoreReadable;
+    }
+
+    /** Reads the store once as soon as possible, also on a host that relies on peers. */
+    readSoon(): void {
+        this.#isReadDue = true;
+        this.#wake();
+    }
+
     /** Milliseconds since this copy held everything that the store held, according to the store or to a peer. */
     ageMs(): number {
         return this.#options.clock.monotonicMs() - this.#copy.confirmedMs;
@@ -245,12 +260,14 @@
     async #run(): Promise<void> {
         while (!this.#abort.signal.aborted) {
             const trustedMs = this.#trustedAgeMs() - this.ageMs();
-            if (!this.#needsList && trustedMs > 0) {
-                await this.#pause(Math.min(maxStandbyCheckMs, Math.max(minStandbyCheckMs, trustedMs)));
+            if (!this.#needsList && !this.#isReadDue && trustedMs > 0) {
+                await this.#pauseUntilWoken(Math.min(maxStandbyCheckMs, Math.max(minStandbyCheckMs, trustedMs)));
                 continue;
             }
             const issue = this.#needsList || this.#plan.isListingDue ? await this.#readAll() : await this.#watch();
             if (issue === undefined) {
+                this.#isReadDue = false;
+                this.#isStoreReadable = true;
                 continue;
             }
             if (issue.code === "store.abandoned") {
@@ -266,6 +283,8 @@
                 continue;
             }
             this.#contact.recordIssue(issue);
+            this.#isReadDue = false;
+            this.#isStoreReadable = false;
             const isUrgent = !this.#reliesOnPeers() || this.#needsList;
             await this.#pause(isUrgent ? this.#retryMs(this.#contact.failures) : this.#addJitter(standbyRetryMs));
         }
@@ -408,6 +427,11 @@
         }
     }
 
+    /** Pauses a host that relies on peers; ends early when a read is due. */
+    async #pauseUntilWoken(ms: number): Promise<void> {
+        await Promise.race([this.#pause(ms), new Promise<void>(resolve => this.#wake = resolve)]);
+    }
+
     async #pause(ms: number): Promise<void> {
         try {
             await this.#options.clock.sleep(ms, this.#abort.signal);
--- a/packages/policy/src/ingress/index.ts
+++ b/packages/policy/src/ingress/index.ts
@@ -48,6 +48,7 @@
 export * from "./startadmission.js";
 export * from "./stopadmission.js";
 export * from "./storecopy.js";
+export * from "./storefetch.js";
 export * from "./storeread.js";
 export * from "./streamorigins.js";
 export * from "./transferlimit.js";
