Wait for the body of a long poll whose head came at once

What callers would see: nothing on this platform, as far as its answers were seen; with a store that sends the head of a watch at once and its body at the end of the wait, no change would arrive but by listings. Cause: since the silence of a response counted from its head. Evidence: the new scenario fails on: 'not complete after 1027 ms, of which 0 bytes had arrived', of a watch that may wait for 2,000 ms. Change: the time of the call, with the wait of a watch, holds until the first byte of the body; silence and rate count from there. Why this works: a store without a body is noticed as soon as before.

--- a/features/ingress.transfer.feature
+++ b/features/ingress.transfer.feature
@@ -11,6 +11,11 @@
       | 20     | 100   | watch   |
       | 4      | 500   | listing |
 
+  # Guards against a long poll that is given up because its head comes at once and its body at the end of the wait.
+  Scenario: A watch whose head comes before its body is waited for
+    Given a store that sends the head of a response at once and its body 2000 ms later
+    Then a watch by a client that waits 1000 ms for a silent store brings 400000 bytes
+
   # Guards against a host that waits for a dead connection, or for a byte now and then.
   Scenario Outline: A response whose bytes don't keep coming is given up
     Given a store whose responses <fault>
--- a/features/support/storestorm.ts
+++ b/features/support/storestorm.ts
@@ -112,7 +112,7 @@
         const { bytesPerMs, hasLength, cuts } = this.storm;
         const startMs = this.clock.monotonicMs();
         const totalBytes = values.reduce((sum, { value }) => sum + Math.ceil((value?.length ?? 0) * 4 / 3) + 80, 100);
-        let progress: TransferProgress = { elapsedMs: 0, headMs: 0, lastByteMs: 0, receivedBytes: 0 };
+        let progress: TransferProgress = { elapsedMs: 0, firstByteMs: 0, lastByteMs: 0, receivedBytes: 0 };
         while (progress.receivedBytes < totalBytes) {
             await this.clock.sleep(stepMs);
             const nowMs = this.clock.monotonicMs();
@@ -124,7 +124,7 @@
                 continue;
             }
             const receivedBytes = Math.min(totalBytes, progress.receivedBytes + bytesPerMs * stepMs);
-            progress = { elapsedMs, headMs: 0, lastByteMs: elapsedMs, receivedBytes, ...(hasLength ? { totalBytes } : {}) };
+            progress = { elapsedMs, firstByteMs: 0, lastByteMs: elapsedMs, receivedBytes, ...(hasLength ? { totalBytes } : {}) };
             if (!isWorthwhile(progress)) {
                 return { code: "store.abandoned", message: "Not worthwhile." };
             }
--- a/packages/connectors/src/http.ts
+++ b/packages/connectors/src/http.ts
@@ -14,7 +14,7 @@
     /** Timeout of one call; the `waitMs` of a long poll is added to it. */
     readonly timeoutMs?: number;
     /**
-     * When a response whose head has come counts as dead unless more of it arrives, in milliseconds since the call. By default the
+     * When a response whose body has begun counts as dead unless more of it arrives, in milliseconds since the call. By default the
      * timeout of the call holds for the whole response.
      */
     readonly transferDueMs?: (progress: TransferProgress) => number;
@@ -152,7 +152,8 @@
 
     /** When a call is given up, in milliseconds since its begin. */
     #dueMs({ waitMs = 0, limitMs = Infinity }: JsonCall, progress: TransferProgress): number {
-        const isArriving = progress.headMs !== undefined && this.#transferDueMs !== undefined;
+        // A service may send the head of a long poll at once and its body at the end of the wait.
+        const isArriving = progress.firstByteMs !== undefined && this.#transferDueMs !== undefined;
         return Math.min(isArriving ? this.#transferDueMs(progress) : this.#timeoutMs + waitMs, limitMs);
     }
 
@@ -166,8 +167,10 @@
             ...(call.body === undefined ? {} : { body: JSON.stringify(call.body) }),
         });
         meter.recordHead(response.headers["content-length"]);
-        timer.restart();
         const text = await readText(response.body, progress => {
+            if (progress.firstByteMs === progress.lastByteMs) {
+                timer.restart();
+            }
             if (progress.receivedBytes > this.#maxResponseBytes) {
                 throw new LengthError(`The response is longer than ${this.#maxResponseBytes} bytes.`);
             }
@@ -183,9 +186,8 @@
     return new Agent({ pipelining: 1, headersTimeout: 0, bodyTimeout: 0, connect: { timeout: 2_000 } });
 }
 
-function describeTimeout({ elapsedMs, headMs, receivedBytes }: TransferProgress): string {
-    const isArriving = headMs !== undefined;
-    return isArriving ?
+function describeTimeout({ elapsedMs, receivedBytes }: TransferProgress): string {
+    return receivedBytes > 0 ?
         `The response was not complete after ${Math.round(elapsedMs)} ms, of which ${receivedBytes} bytes had arrived.` :
         `No response within ${Math.round(elapsedMs)} ms.`;
 }
--- a/packages/connectors/src/transfermeter.ts
+++ b/packages/connectors/src/transfermeter.ts
@@ -4,7 +4,7 @@
 export class TransferMeter {
     readonly #clock: Clock;
     readonly #startMs: number;
-    #headMs: number | undefined;
+    #firstByteMs: number | undefined;
     #lastByteMs: number | undefined;
     #receivedBytes = 0;
     #totalBytes: number | undefined;
@@ -19,7 +19,7 @@
         return {
             elapsedMs: this.#elapsedMs(),
             receivedBytes: this.#receivedBytes,
-            ...(this.#headMs === undefined ? {} : { headMs: this.#headMs }),
+            ...(this.#firstByteMs === undefined ? {} : { firstByteMs: this.#firstByteMs }),
             ...(this.#lastByteMs === undefined ? {} : { lastByteMs: this.#lastByteMs }),
             ...(this.#totalBytes === undefined ? {} : { totalBytes: this.#totalBytes }),
         };
@@ -27,13 +27,12 @@
 
     /** Records the head; `length` is its header `content-length`. */
     recordHead(length: string | readonly string[] | undefined): void {
-        this.#headMs = this.#elapsedMs();
-        this.#lastByteMs = this.#headMs;
         this.#totalBytes = typeof length === "string" && /^\d{1,15}$/.test(length) ? Number(length) : undefined;
     }
 
     recordBytes(count: number): void {
         this.#lastByteMs = this.#elapsedMs();
+        this.#firstByteMs ??= this.#lastByteMs;
         this.#receivedBytes += count;
     }
 
--- a/packages/ingress/src/state/storecalls.ts
+++ b/packages/ingress/src/state/storecalls.ts
@@ -13,15 +13,15 @@
     return (kind, result, transfer) => {
         const progress = transfer?.progress;
         metrics.recordStoreCall(kind, result, progress?.receivedBytes ?? 0);
-        if (transfer === undefined || progress?.headMs === undefined) {
+        if (transfer === undefined || progress?.firstByteMs === undefined) {
             return;
         }
-        if (transfer.reason !== undefined || progress.elapsedMs - progress.headMs > longTransferMs) {
+        if (transfer.reason !== undefined || progress.elapsedMs - progress.firstByteMs > longTransferMs) {
             log.write(events.transferLong, {
                 kind,
                 result,
                 target: transfer.target,
-                headMs: Math.round(progress.headMs),
+                firstByteMs: Math.round(progress.firstByteMs),
                 elapsedMs: Math.round(progress.elapsedMs),
                 receivedBytes: progress.receivedBytes,
                 totalBytes: progress.totalBytes,
--- a/packages/policy/src/ingress/storeread.ts
+++ b/packages/policy/src/ingress/storeread.ts
@@ -41,8 +41,8 @@
     }
 
     /** Whether a watch in progress is read to its end: soon, or with fewer bytes than a listing would take. */
-    isWatchWorthwhile({ elapsedMs, headMs, receivedBytes, totalBytes }: TransferProgress, listingBytes: number): boolean {
-        const transferMs = elapsedMs - (headMs ?? elapsedMs);
+    isWatchWorthwhile({ elapsedMs, firstByteMs, receivedBytes, totalBytes }: TransferProgress, listingBytes: number): boolean {
+        const transferMs = elapsedMs - (firstByteMs ?? elapsedMs);
         if (transferMs < shortestSampleMs) {
             return true;
         }
--- a/packages/policy/src/ingress/transferlimit.ts
+++ b/packages/policy/src/ingress/transferlimit.ts
@@ -9,15 +9,15 @@
 }
 
 /**
- * When a response counts as dead unless more of it arrives, in milliseconds since the call; infinite before its head. Its length
- * alone never makes it dead.
+ * When a response counts as dead unless more of it arrives, in milliseconds since the call; infinite before its body has
+ * begun. Its length alone never makes it dead.
  */
 export function transferDueMs(
-    { headMs, lastByteMs, receivedBytes }: TransferProgress,
+    { firstByteMs, lastByteMs, receivedBytes }: TransferProgress,
     { silenceMs, slowestBytesPerMs }: TransferLimits,
 ): number {
-    if (headMs === undefined || lastByteMs === undefined) {
+    if (firstByteMs === undefined || lastByteMs === undefined) {
         return Infinity;
     }
-    return Math.min(lastByteMs, headMs + receivedBytes / slowestBytesPerMs) + silenceMs;
+    return Math.min(lastByteMs, firstByteMs + receivedBytes / slowestBytesPerMs) + silenceMs;
 }
