Turn to the store again after a read of it that failed

Cause: a host whose last read of the store failed takes long changes from peers. A host that relies on peers reads the store only when their news stops, so after one outage every such host would ask the few that watch for each long change, the rush that was to end. The answer that changes are too long also reset the doubling of a call's time, so a host that can't read the store could begin anew. Change: a failed read counts for two seconds; then the store is tried again before a peer is asked for long changes. Only received changes end the doubling. Why this works: whether the store can be read is found out at most every two seconds by one call, and a host that can't read it gets to the longest time.

--- a/features/ingress.copy.feature
+++ b/features/ingress.copy.feature
@@ -68,3 +68,12 @@
     When the first host can't reach the store any longer
     And an item of 300000 characters is written and the watching host reports it again and again
     Then the first host has the item within 10000 ms
+
+  # Guards against a fleet that turns to a few hosts for long values after an outage, since each host has failed to read the store once.
+  Scenario: A host that could not read the store for a while takes long values from it again
+    Given a host that has read the store and leaves the watch to others
+    And a host that watches the store for it
+    When the first host can't reach the store for 500 ms while it reads it
+    And 2500 ms later an item of 300000 characters is written and the watching host reports it again and again
+    Then the first host has the item within 5000 ms
+    And the watching host has sent it at most 100000 bytes
--- a/features/steps/ingress.copy.ts
+++ b/features/steps/ingress.copy.ts
@@ -9,6 +9,7 @@
 import type { TcpPeerNetwork } from "@filbertrelay/wire";
 import fc from "fast-check";
 import assert from "node:assert/strict";
+import type { Socket } from "node:net";
 import { CopySimulation, schedules } from "../support/copysimulation.js";
 import type { ScheduleStep } from "../support/copysimulation.js";
 import { openForwarder } from "../support/forwarder.js";
@@ -202,6 +203,26 @@
     this.storeLink!.sockets.forEach(socket => socket.destroy());
 });
 
+When("the first host can't reach the store for {int} ms while it reads it", async function(this: CopyWorld, cutMs: number) {
+    const { server, sockets } = this.storeLink!;
+    const refuse = (socket: Socket): void => void socket.destroy();
+    server.prependListener("connection", refuse);
+    sockets.forEach(socket => socket.destroy());
+    this.hosts[0]!.mirror.readSoon();
+    await clock.sleep(cutMs);
+    server.off("connection", refuse);
+});
+
+When(
+    "{int} ms later an item of {int} characters is written and the watching host reports it again and again",
+    { timeout: 30_000 },
+    async function(this: CopyWorld, delayMs: number, characters: number) {
+        await clock.sleep(delayMs);
+        await writeLongItem(this, characters);
+        this.reporting = setInterval(() => reportToFirst(this), 100);
+    },
+);
+
 async function writeLongItem({ store, hosts }: CopyWorld, characters: number): Promise<void> {
     store.put(longKey, "x".repeat(characters));
     await waitFor(() => Promise.resolve(hosts[1]!.mirror.get(longKey) !== undefined));
--- a/features/steps/ingress.transfer.ts
+++ b/features/steps/ingress.transfer.ts
@@ -200,7 +200,7 @@
             fc.property(fc.nat(largestBytes), bytesPerMs, (bytes, rate) => {
                 const plans = Array.from(
                     { length: calls },
-                    (_, timeouts) => policy.planStoreFetch({ isStoreReadable: false, timeouts }),
+                    (_, timeouts) => policy.planStoreFetch({ sinceReadFailedMs: 0, timeouts }),
                 );
                 assert.ok(
                     plans.some(({ maximumCharacters, timeoutMs }) =>
--- a/packages/ingress/src/fleet/storesync.ts
+++ b/packages/ingress/src/fleet/storesync.ts
@@ -220,16 +220,19 @@
         this.#isFetching = true;
         const sentMs = this.#clock.monotonicMs();
         const { era, revision: afterRevision, materialRevision } = this.#mirror.position;
-        const plan = planStoreFetch({ isStoreReadable: this.#mirror.isStoreReadable, timeouts: this.#fetchTimeouts });
+        const plan = planStoreFetch({ sinceReadFailedMs: this.#mirror.sinceReadFailedMs(), timeouts: this.#fetchTimeouts });
         const { timeoutMs, ...limit } = plan;
         const body = { era, afterRevision, materialRevision, ...limit };
         const reply = await this.#peers.call(peer, fetchTopic, body, { timeoutMs, isRepeatable: true });
         this.#isFetching = false;
-        this.#fetchTimeouts = !reply.ok && reply.issue.code === "peer.timeout" ? this.#fetchTimeouts + 1 : 0;
-        if (reply.ok && reply.value.isTooLong === true) {
+        if (!reply.ok) {
+            this.#fetchTimeouts += Number(reply.issue.code === "peer.timeout");
+        }
+        else if (reply.value.isTooLong === true) {
             this.#mirror.readSoon();
         }
-        else if (reply.ok) {
+        else {
+            this.#fetchTimeouts = 0;
             this.#mirror.mergeFromPeer(peer, decodeUpdate(reply.value, afterRevision, era), {
                 way: "fetch",
                 confirmedMs: sentMs - reply.value.ageMs,
--- a/packages/ingress/src/state/mirror.ts
+++ b/packages/ingress/src/state/mirror.ts
@@ -54,7 +54,7 @@
     #needsList = true;
     /** A host that relies on peers reads the store all the same, since it lacks what they don't pass on. */
     #isReadDue = false;
-    #isStoreReadable = true;
+    #readFailedMs = -Infinity;
     #wake: () => void = () => undefined;
     /** Listings, also failed ones, since the last successful watch. */
     #listings = 0;
@@ -118,9 +118,9 @@
         return this.#copy.historyStart;
     }
 
-    /** Whether this host's last read of the store succeeded; true before the first one. */
-    get isStoreReadable(): boolean {
-        return this.#isStoreReadable;
+    /** Milliseconds since a read of the store by this host failed; infinite if none has, or a later one succeeded. */
+    sinceReadFailedMs(): number {
+        return this.#options.clock.monotonicMs() - this.#readFailedMs;
     }
 
     /** Reads the store once as soon as possible, also on a host that relies on peers. */
@@ -267,7 +267,7 @@
             const issue = this.#needsList || this.#plan.isListingDue ? await this.#readAll() : await this.#watch();
             if (issue === undefined) {
                 this.#isReadDue = false;
-                this.#isStoreReadable = true;
+                this.#readFailedMs = -Infinity;
                 continue;
             }
             if (issue.code === "store.abandoned") {
@@ -284,7 +284,7 @@
             }
             this.#contact.recordIssue(issue);
             this.#isReadDue = false;
-            this.#isStoreReadable = false;
+            this.#readFailedMs = this.#options.clock.monotonicMs();
             const isUrgent = !this.#reliesOnPeers() || this.#needsList;
             await this.#pause(isUrgent ? this.#retryMs(this.#contact.failures) : this.#addJitter(standbyRetryMs));
         }
