Wait longer for long disputed items of a peer after each timeout

After a restore of the store a host that started since would not learn of a long configuration that its peers know to be newer. Cause: 'ingress.disputes' carries whole values and had 600 ms whatever their length; the same items were asked for again every 300 ms, several calls at once. Change: one call at a time, and each timeout in a row doubles the next one's time, as for changes that come from a peer. Why this works: the fourth call may take as long as the longest frame does at 7 Mbit/s. Messages are unchanged. Measured: the new scenario fails before (not known after 10 s) and passes now.

--- a/features/ingress.copy.feature
+++ b/features/ingress.copy.feature
@@ -77,3 +77,10 @@
     And 2500 ms later an item of 300000 characters is written and the watching host reports it again and again
     Then the first host has the item within 5000 ms
     And the watching host has sent it at most 100000 bytes
+
+  # Guards against a host that asks for long disputed items again and again, all calls taking as long as the one before.
+  Scenario: A host gets long disputed items from a peer, however long that takes
+    Given a host that has read the store and leaves the watch to others
+    And a host that watches the store for it, which it reaches at 200 bytes a ms
+    When the watching host disputes an item of 300000 characters and reports it again and again
+    Then the first host knows of the dispute within 10000 ms
--- a/features/steps/ingress.copy.ts
+++ b/features/steps/ingress.copy.ts
@@ -30,6 +30,7 @@
     storeLink: Forwarder | undefined;
     peerLink: Forwarder | undefined;
     reporting: NodeJS.Timeout | undefined;
+    disputed: readonly policy.DisputedItem[];
     hosts: CopyHost[];
     ageMs: number;
     copy: policy.StoreCopy;
@@ -223,6 +224,30 @@
     },
 );
 
+When(
+    "the watching host disputes an item of {int} characters and reports it again and again",
+    function(this: CopyWorld, characters: number) {
+        const [first, second] = this.hosts;
+        this.disputed = [];
+        second!.mirror.disputes = () => [{ key: longKey, value: "x".repeat(characters), version: [1] }];
+        second!.mirror.disputeDigest = () => "long";
+        first!.mirror.mergeDisputes = items => void (this.disputed = items);
+        this.reporting = setInterval(() => reportToFirst(this), 100);
+    },
+);
+
+Then(
+    "the first host knows of the dispute within {int} ms",
+    { timeout: 30_000 },
+    async function(this: CopyWorld, limitMs: number) {
+        const startMs = clock.monotonicMs();
+        while (this.disputed.length === 0 && clock.monotonicMs() - startMs <= limitMs) {
+            await clock.sleep(10);
+        }
+        assert.equal(this.disputed.length, 1, `Not known after ${limitMs} ms.`);
+    },
+);
+
 async function writeLongItem({ store, hosts }: CopyWorld, characters: number): Promise<void> {
     store.put(longKey, "x".repeat(characters));
     await waitFor(() => Promise.resolve(hosts[1]!.mirror.get(longKey) !== undefined));
--- a/packages/ingress/src/fleet/storesync.ts
+++ b/packages/ingress/src/fleet/storesync.ts
@@ -1,5 +1,5 @@
 import type { Clock, HostId, Service } from "@filbertrelay/kernel";
-import { planStoreFetch, rankWatchers } from "@filbertrelay/policy/ingress";
+import { longFetchTimeoutMs, planStoreFetch, rankWatchers } from "@filbertrelay/policy/ingress";
 import type { CopiedChange, CopyChanges, CopyUpdate } from "@filbertrelay/policy/ingress";
 import { declareTopic } from "@filbertrelay/wire";
 import type { TcpPeerNetwork } from "@filbertrelay/wire";
@@ -86,6 +86,9 @@
     /** Calls for changes in a row that timed out. */
     #fetchTimeouts = 0;
     #disputesAskedMs = -Infinity;
+    #isAskingForDisputes = false;
+    /** Calls for disputed items in a row that timed out. */
+    #disputeTimeouts = 0;
     #role: { readonly atMs: number; readonly value: WatchRole; } | undefined;
 
     constructor(
@@ -243,12 +246,16 @@
     /** Asks a peer for what it knows to be newer than the restored store; this host may have started since. */
     async #askForDisputes(peer: HostId): Promise<void> {
         const nowMs = this.#clock.monotonicMs();
-        if (nowMs - this.#disputesAskedMs < disputeIntervalMs) {
+        if (this.#isAskingForDisputes || nowMs - this.#disputesAskedMs < disputeIntervalMs) {
             return;
         }
         this.#disputesAskedMs = nowMs;
+        this.#isAskingForDisputes = true;
         const { era } = this.#mirror.position;
-        const reply = await this.#peers.call(peer, disputesTopic, {}, { timeoutMs: callTimeoutMs, isRepeatable: true });
+        const timeoutMs = longFetchTimeoutMs(this.#disputeTimeouts);
+        const reply = await this.#peers.call(peer, disputesTopic, {}, { timeoutMs, isRepeatable: true });
+        this.#isAskingForDisputes = false;
+        this.#disputeTimeouts = !reply.ok && reply.issue.code === "peer.timeout" ? this.#disputeTimeouts + 1 : 0;
         if (reply.ok && era === this.#mirror.position.era) {
             this.#mirror.mergeDisputes(reply.value.items.map(({ value, leftMs, ...item }) => ({
                 ...item,
