--- a/packages/ingress/src/request/task.ts
+++ b/packages/ingress/src/request/task.ts
@@ -18,6 +18,7 @@
 import type { RequestOutcome } from "./ending.js";
 import { defaultRetryAfterMs, estimateRetryAfterMs, priorityOf } from "./endpointselection.js";
 import { requestEvents as events } from "./event.js";
+import { RequestUsage } from "./requestusage.js";
 import type { CallerResponder } from "./responder.js";
 import { SilenceTimer } from "./silencetimer.js";
 import type { AttemptProgress } from "./silencetimer.js";
@@ -38,9 +39,9 @@
     readonly #continuation: StreamContinuation;
     readonly #silence: SilenceTimer;
     readonly #traits: RequestTraits;
+    readonly #usage: RequestUsage;
     #attempt: Attempt | undefined;
     #isEnded = false;
-    #isUsageRecorded = false;
     /** The attempt that follows the current one, which is being ended for it; charged to the budget already. */
     #replacement: PlannedAttempt | undefined;
     #cancelDeadline: () => void = () => undefined;
@@ -59,6 +60,7 @@
             this.#boundary.guard(() => this.#fail("the caller has come back", 502, undefined)),
         );
         this.#traits = describeTraits(request);
+        this.#usage = new RequestUsage(context, request);
         this.#planner = new AttemptPlanner(context, request, this.#continuation, this.#traits);
         this.#silence = new SilenceTimer({
             clock: context.clock,
@@ -204,7 +206,7 @@
             this.#firstEventMs ??= this.#context.clock.monotonicMs();
             recordProgress(this.#context, this.#traits, attempt);
             attempt.recordFirstEvent();
-            this.#recordUsage(this.#context.fleetClock.now());
+            this.#usage.record(this.#context.fleetClock.now());
         }
     }
 
@@ -247,7 +249,7 @@
             return;
         }
         if (result.type === "failed") {
-            this.#recordUsage(attempt.startedAt);
+            this.#usage.record(attempt.startedAt);
         }
         this.#fail(result.type === "answered" ? "error" : result.detail, 502, undefined);
     }
@@ -268,7 +270,7 @@
     #deliver(attempt: Attempt, result: AnsweredResult): void {
         const { clock, timings } = this.#context;
         timings.recordDuration(this.#request.route.name, clock.monotonicMs() - attempt.sentMs);
-        this.#recordUsage(attempt.startedAt);
+        this.#usage.record(attempt.startedAt);
         if (!result.isStream) {
             this.#responder.answer(result.status, attempt.responseHeaders, result.body);
             this.#finish("answered", `status ${result.status}`);
@@ -374,13 +376,6 @@
         this.#finish("refused", reason);
     }
 
-    #recordUsage(startedAt: Date): void {
-        if (!this.#isUsageRecorded && this.#request.customer !== undefined) {
-            this.#isUsageRecorded = true;
-            this.#context.usage.record(this.#request.customer.name, startedAt);
-        }
-    }
-
     #finish(outcome: RequestOutcome, reason: string): void {
         if (this.#isEnded) {
             return;
