Split the reading of the store from its copy

Change: StoreReader has the loop, the watch and the listing; StoreMirror keeps the copy, its listeners and peers. One difference: what a watch brings no longer counts as changed since that watch, so a listing after a compaction isn't repeated for it.

--- a/packages/ingress/src/state/mirror.ts
+++ b/packages/ingress/src/state/mirror.ts
@@ -1,6 +1,6 @@
-import type { StoreIssue, StoreItem } from "@filbertrelay/connectors";
+import type { StoreChange, StoreItem, StorePosition } from "@filbertrelay/connectors";
 import type { Service } from "@filbertrelay/kernel";
-import { estimateListingBytes, isAfter, StoreCopy, StoreReadPlan } from "@filbertrelay/policy/ingress";
+import { estimateListingBytes, isAfter, StoreCopy } from "@filbertrelay/policy/ingress";
 import type {
     CopyChanges,
     CopyPosition,
@@ -14,31 +14,10 @@
 import type { ChangeOrigin, ChangeWay, ItemListener } from "./itemview.js";
 import type { PeerPosition, StoreMirrorOptions } from "./mirroroptions.js";
 import { StoreContact } from "./storecontact.js";
+import { StoreReader } from "./storereader.js";
 import { trustedAgeMs } from "./watchrole.js";
 import type { WatchRole } from "./watchrole.js";
 
-/** Long-poll time of a watch; a response within it shows that the connection is alive. */
-const watchWaitMs = 1_500;
-/** Long-poll time after a failure; short, so that a watch without a response does not delay the next one. */
-const probeWaitMs = 200;
-/** Delay of the next watch after a material change: changes often come in bursts, and one call then gets them all. */
-const materialBatchMs = 60;
-/**
- * The same delay after heartbeats alone, as a share of `applyMs`. Tens of endpoints write a heartbeat about every second, and each
- * watch is a billed store call. Also the delay between listings that follow each other, which leaves some of the link to requests.
- */
-const batchShare = 0.1;
-/** Bounds of the exponential backoff after a failed store call. */
-const minRetryMs = 100;
-const maxRetryMs = 400;
-/** Long-poll time of a watch for the fleet, as a share of `applyMs`; keeps passed-on state younger than `trustedAgeShares` require. */
-const fleetWatchShare = 0.2;
-/** Minimum interval between a standby host's checks whether it has to watch. */
-const minStandbyCheckMs = 100;
-/** Maximum interval between these checks, since the host may be chosen to watch meanwhile. */
-const maxStandbyCheckMs = 500;
-/** Retry delay of a standby host; the hosts that watch for the fleet retry sooner and pass on the changes. */
-const standbyRetryMs = 1_000;
 /** Number of keys whose newest material change is kept for peers. */
 const historyLimit = 400;
 
@@ -48,27 +27,16 @@
     readonly #copy: StoreCopy;
     readonly #view: ItemView;
     readonly #contact: StoreContact;
-    readonly #plan: StoreReadPlan;
-    readonly #abort = new AbortController();
-    #watchAbort = new AbortController();
-    #needsList = true;
-    /** A host that relies on peers reads the store all the same, since it lacks what they don't pass on. */
-    #isReadDue = false;
-    #readFailedMs = -Infinity;
-    #wake: () => void = () => undefined;
-    /** Listings, also failed ones, since the last successful watch. */
-    #listings = 0;
+    readonly #reader: StoreReader;
     /** Length of the values that have changed since the last read of the store, whichever way they came. */
     #changedCharacters = 0;
     #origin: ChangeOrigin = { way: "listing" };
-    #loop: Promise<void> | undefined;
     #watchRole: () => WatchRole = () => "own";
     #onMaterialChanges: (changes: CopyChanges) => void = () => undefined;
     readonly #eraListeners: ((era: number) => void)[] = [];
 
     constructor(options: StoreMirrorOptions) {
         this.#options = options;
-        this.#plan = new StoreReadPlan(options.applyMs);
         const { clock, log, store, onUpdate, onListenerError = () => undefined, ownedPrefixes = [], newestOnlyPrefixes = [] } =
             options;
         this.#view = new ItemView({
@@ -97,6 +65,19 @@
                 ageMs: roundAge(this.ageMs()),
             }),
         });
+        this.#reader = new StoreReader({
+            ...options,
+            contact: this.#contact,
+            describeCopy: () => ({
+                position: this.position,
+                ageMs: this.ageMs(),
+                listingBytes: estimateListingBytes(this.#copy),
+            }),
+            watchRole: () => this.#watchRole(),
+            takeChangedCharacters: () => this.#takeChangedCharacters(),
+            onListed: (listed, atMs) => this.#applyListed(listed, atMs),
+            onWatched: (watched, atMs) => this.#applyWatched(watched, atMs),
+        });
         store.onEra(era => {
             this.#expectRestore(era);
             this.#eraListeners.forEach(listener => listener(era));
@@ -120,13 +101,12 @@
 
     /** Milliseconds since a read of the store by this host failed; infinite if none has, or a later one succeeded. */
     sinceReadFailedMs(): number {
-        return this.#options.clock.monotonicMs() - this.#readFailedMs;
+        return this.#reader.sinceReadFailedMs();
     }
 
     /** Reads the store once as soon as possible, also on a host that relies on peers. */
     readSoon(): void {
-        this.#isReadDue = true;
-        this.#wake();
+        this.#reader.readSoon();
     }
 
     /** Milliseconds since this copy held everything that the store held, according to the store or to a peer. */
@@ -196,15 +176,13 @@
     }
 
     start(): Promise<void> {
-        this.#loop = this.#run();
+        this.#reader.start();
         return Promise.resolve();
     }
 
     async stop(): Promise<void> {
-        this.#abort.abort(new Error("The store mirror is stopping."));
-        this.#watchAbort.abort(new Error("The store mirror is stopping."));
         this.#view.stop();
-        await this.#loop;
+        await this.#reader.stop();
     }
 
     /** Returns what brings a peer from its position to that of this host. */
@@ -257,53 +235,10 @@
         return isAfter({ era: position.era, revision: position.materialRevision }, this.position);
     }
 
-    async #run(): Promise<void> {
-        while (!this.#abort.signal.aborted) {
-            const trustedMs = this.#trustedAgeMs() - this.ageMs();
-            if (!this.#needsList && !this.#isReadDue && trustedMs > 0) {
-                await this.#pauseUntilWoken(Math.min(maxStandbyCheckMs, Math.max(minStandbyCheckMs, trustedMs)));
-                continue;
-            }
-            const issue = this.#needsList || this.#plan.isListingDue ? await this.#readAll() : await this.#watch();
-            if (issue === undefined) {
-                this.#isReadDue = false;
-                this.#readFailedMs = -Infinity;
-                continue;
-            }
-            if (issue.code === "store.abandoned") {
-                this.#plan.recordAbandonedWatch();
-                this.#contact.recordResponse(this.#options.clock.monotonicMs());
-                continue;
-            }
-            if (issue.code === "store.historyGone" || issue.code === "store.restored") {
-                // A store that has dropped its history is reachable, so no leases have expired because of an outage.
-                this.#needsList = true;
-                this.#contact.recordResponse(this.#options.clock.monotonicMs());
-                await this.#pause(this.#retryMs(this.#listings));
-                continue;
-            }
-            this.#contact.recordIssue(issue);
-            this.#isReadDue = false;
-            this.#readFailedMs = this.#options.clock.monotonicMs();
-            const isUrgent = !this.#reliesOnPeers() || this.#needsList;
-            await this.#pause(isUrgent ? this.#retryMs(this.#contact.failures) : this.#addJitter(standbyRetryMs));
-        }
-    }
-
-    /** Delay of the next call after a number of calls in vain. */
-    #retryMs(count: number): number {
-        return count === 0 ? 0 : this.#addJitter(Math.min(maxRetryMs, minRetryMs * 2 ** (count - 1)));
-    }
-
-    #addJitter(ms: number): number {
-        return ms * (0.5 + this.#options.draw());
-    }
-
     /** Reads the store anew, since its history is another one. A host that relies on peers gets the items from them. */
     #expectRestore(era: number): void {
         if (this.revision > 0 && era > this.position.era && !this.#reliesOnPeers()) {
-            this.#needsList = true;
-            this.#watchAbort.abort(new Error("The store was restored."));
+            this.#reader.listInsteadOfWatching("The store was restored.");
         }
     }
 
@@ -322,30 +257,24 @@
         }
     }
 
-    #trustedAgeMs(): number {
-        return trustedAgeMs(this.#watchRole(), this.#options.applyMs);
+    #reliesOnPeers(): boolean {
+        return trustedAgeMs(this.#watchRole(), this.#options.applyMs) > 0;
     }
 
-    #reliesOnPeers(): boolean {
-        return this.#trustedAgeMs() > 0;
+    #takeChangedCharacters(): number {
+        const characters = this.#changedCharacters;
+        this.#changedCharacters = 0;
+        return characters;
     }
 
-    async #readAll(): Promise<StoreIssue | undefined> {
-        const startMs = this.#options.clock.monotonicMs();
-        this.#listings += 1;
-        const listed = await this.#options.store.list("");
-        if (!listed.ok) {
-            return listed.issue;
-        }
+    /** Applies a listing that was the store's latest state at a time. */
+    #applyListed(listed: StorePosition & { readonly items: readonly StoreItem[]; }, atMs: number): void {
         const formerRevision = this.revision;
-        const respondedMs = this.#options.clock.monotonicMs();
         this.#recordOrigin("listing");
-        this.#contact.recordResponse(respondedMs);
-        this.#recordRestore(listed.value, "listing");
+        this.#recordRestore(listed, "listing");
         // The copy stays as it is if a peer has sent newer changes during the call.
-        const update = this.#copy.applyListed(listed.value);
-        this.#confirm(listed.value, startMs);
-        this.#needsList = this.#options.store.era > listed.value.era;
+        const update = this.#copy.applyListed(listed);
+        this.#confirm(listed, atMs);
         this.#options.log.write(events.storeListed, {
             formerRevision,
             era: this.position.era,
@@ -355,55 +284,15 @@
             copyAgeMs: this.#origin.copyAgeMs,
         });
         this.#passOn(update);
-        this.#plan.recordListing({
-            elapsedMs: respondedMs - startMs,
-            changedCharacters: formerRevision === 0 ? 0 : this.#changedCharacters,
-            listingBytes: estimateListingBytes(this.#copy),
-        });
-        this.#changedCharacters = 0;
-        if (this.#plan.isListingDue) {
-            await this.#pause(this.#options.applyMs * batchShare);
-        }
-        return undefined;
     }
 
-    async #watch(): Promise<StoreIssue | undefined> {
-        const startMs = this.#options.clock.monotonicMs();
-        const waitMs = this.#chooseWaitMs();
-        this.#watchAbort = new AbortController();
-        const listingBytes = estimateListingBytes(this.#copy);
-        const watched = await this.#options.store.watch("", {
-            after: this.position,
-            waitMs,
-            signal: this.#watchAbort.signal,
-            isWorthwhile: progress => this.#plan.isWatchWorthwhile(progress, listingBytes),
-        });
-        if (!watched.ok) {
-            return this.#needsList ? undefined : watched.issue;
-        }
-        const { changes } = watched.value;
-        const respondedMs = this.#options.clock.monotonicMs();
-        this.#listings = 0;
-        this.#plan.recordWatch();
-        this.#changedCharacters = 0;
+    /** Applies changes after which nothing had changed at a time. Returns whether they were more than heartbeats. */
+    #applyWatched(watched: StorePosition & { readonly changes: readonly StoreChange[]; }, atMs: number): boolean {
         this.#recordOrigin("watch");
-        this.#contact.recordResponse(respondedMs);
-        const update = this.#copy.applyWatched(watched.value, changes);
-        // The store answers once there is a change, which may be right after the call, and otherwise not before the end of the wait.
-        this.#confirm(watched.value, changes.length > 0 ? startMs : Math.min(respondedMs, startMs + waitMs));
+        const update = this.#copy.applyWatched(watched, watched.changes);
+        this.#confirm(watched, atMs);
         this.#passOn(update);
-        if (changes.length > 0) {
-            const isMaterial = update !== undefined && update.changes.length > 0;
-            await this.#pause(isMaterial ? materialBatchMs : this.#options.applyMs * batchShare);
-        }
-        return undefined;
-    }
-
-    #chooseWaitMs(): number {
-        if (this.#contact.failures > 0) {
-            return probeWaitMs;
-        }
-        return this.#watchRole() === "fleet" ? this.#options.applyMs * fleetWatchShare : watchWaitMs;
+        return update !== undefined && update.changes.length > 0;
     }
 
     /** Passes material changes that this host got from the store on to peers. */
@@ -422,24 +311,10 @@
     /** Records that a position was the store's latest at a time. */
     #confirm(position: EraRevision, atMs: number): void {
         this.#copy.confirm(position, atMs);
-        if (this.#copy.confirmedMs === atMs && !this.#needsList) {
+        if (this.#copy.confirmedMs === atMs && !this.#reader.needsList) {
             this.#contact.recordResponse(atMs);
         }
     }
-
-    /** Pauses a host that relies on peers; ends early when a read is due. */
-    async #pauseUntilWoken(ms: number): Promise<void> {
-        await Promise.race([this.#pause(ms), new Promise<void>(resolve => this.#wake = resolve)]);
-    }
-
-    async #pause(ms: number): Promise<void> {
-        try {
-            await this.#options.clock.sleep(ms, this.#abort.signal);
-        }
-        catch {
-            // Aborted by `stop`; the loop ends by itself.
-        }
-    }
 }
 
 function roundAge(ageMs: number): number | undefined {
