Bundle only the schemas that the daemon uses

Cause: `import { z } from "zod"` names a namespace object that the library exports. A bundler keeps every member of such an object, so each start read about a quarter of a megabyte of bytecode for schemas of e-mail addresses, dates, files and others that no setting or message has.

Change: `import * as z from "zod"`, the same names as a module's namespace, of which the bundler drops what is unused. The linter refuses the former import (tried on a file with one).

--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -30,6 +30,10 @@
             "no-restricted-syntax": ["error", {
                 selector: "FunctionDeclaration[generator=false] > Identifier[name=/^_/]",
                 message: "No leading underscore.",
+            }, {
+                // Bundlers drop what is unused of a module's namespace, but not of a namespace object that it exports.
+                selector: "ImportDeclaration[source.value='zod'] > ImportSpecifier",
+                message: "Use: import * as z from \"zod\".",
             }],
         },
     },
--- a/features/steps/cost.ts
+++ b/features/steps/cost.ts
@@ -6,7 +6,7 @@
 import { createPlatformDecoder } from "@filbertrelay/platform";
 import { validateShape } from "@filbertrelay/wire";
 import assert from "node:assert/strict";
-import { z } from "zod";
+import * as z from "zod";
 import {
     attachReplySchema,
     attachReportSchema,
--- a/features/steps/wire.ts
+++ b/features/steps/wire.ts
@@ -7,7 +7,7 @@
 import assert from "node:assert/strict";
 import { connect } from "node:net";
 import { setTimeout as delay } from "node:timers/promises";
-import { z } from "zod";
+import * as z from "zod";
 import { openForwarder } from "../support/forwarder.js";
 import type { Forwarder } from "../support/forwarder.js";
 
--- a/features/support/echotopic.ts
+++ b/features/support/echotopic.ts
@@ -1,5 +1,5 @@
 import { declareTopic } from "@filbertrelay/wire";
-import { z } from "zod";
+import * as z from "zod";
 
 /** A call whose reply is its request. */
 export const echoTopic = declareTopic("test.echo", { request: z.object({}), reply: z.object({}) });
--- a/features/support/relayworld.ts
+++ b/features/support/relayworld.ts
@@ -5,7 +5,7 @@
 import { declareTopic } from "@filbertrelay/wire";
 import assert from "node:assert/strict";
 import type { Server } from "node:net";
-import { z } from "zod";
+import * as z from "zod";
 import { createRequest } from "./relayhost.js";
 import type { RelayHost } from "./relayhost.js";
 
--- a/packages/client/src/caller/entrypoints.ts
+++ b/packages/client/src/caller/entrypoints.ts
@@ -1,7 +1,7 @@
 import type { Clock } from "@filbertrelay/kernel";
 import { request } from "undici";
 import type { Dispatcher } from "undici";
-import { z } from "zod";
+import * as z from "zod";
 
 const entryPointSchema = z.object({ hostId: z.string(), address: z.string(), failureDomain: z.string() });
 const replySchema = z.object({ entryPoints: z.array(entryPointSchema), keepForMs: z.number().min(0) });
--- a/packages/client/src/caller/error.ts
+++ b/packages/client/src/caller/error.ts
@@ -1,4 +1,4 @@
-import { z } from "zod";
+import * as z from "zod";
 
 const errorBodySchema = z.object({
     error: z.object({
--- a/packages/client/src/caller/stream.ts
+++ b/packages/client/src/caller/stream.ts
@@ -1,7 +1,7 @@
 import { parseJson } from "@filbertrelay/kernel";
 import { createParser } from "eventsource-parser";
 import type { EventSourceMessage } from "eventsource-parser";
-import { z } from "zod";
+import * as z from "zod";
 import type { EntryPoint } from "./entrypoints.js";
 import { readRelayError } from "./error.js";
 import type { RelayError } from "./error.js";
--- a/packages/client/src/command/demo.ts
+++ b/packages/client/src/command/demo.ts
@@ -2,7 +2,7 @@
 import { dirname } from "node:path";
 import { parse } from "smol-toml";
 import type { Argv, CommandModule } from "yargs";
-import { z } from "zod";
+import * as z from "zod";
 import { runDemo } from "../demo/demo.js";
 import type { DemoDeployment, DeploymentKeys } from "../demo/demo.js";
 import type { RunResult } from "../demo/record.js";
--- a/packages/client/src/command/explain.ts
+++ b/packages/client/src/command/explain.ts
@@ -1,5 +1,5 @@
 import type { Argv, CommandModule } from "yargs";
-import { z } from "zod";
+import * as z from "zod";
 import { ExitCode, failed } from "../exit.js";
 import type { CommandResult } from "../exit.js";
 import { explainFromLogs } from "../logs/explanation.js";
--- a/packages/client/src/demo/player.ts
+++ b/packages/client/src/demo/player.ts
@@ -5,7 +5,7 @@
 import type { Clock } from "@filbertrelay/kernel";
 import { createHash } from "node:crypto";
 import { Agent } from "undici";
-import { z } from "zod";
+import * as z from "zod";
 import { EntryPoints } from "../caller/entrypoints.js";
 import { callModel } from "../caller/model.js";
 import type { CallerContext, ModelAnswer } from "../caller/model.js";
--- a/packages/client/src/demo/record.ts
+++ b/packages/client/src/demo/record.ts
@@ -1,4 +1,4 @@
-import { z } from "zod";
+import * as z from "zod";
 
 const percentilesSchema = z.object({ count: z.int(), p50: z.number(), p95: z.number(), p99: z.number(), maximum: z.number() });
 
--- a/packages/client/src/fleet/cloud.ts
+++ b/packages/client/src/fleet/cloud.ts
@@ -1,4 +1,4 @@
-import { z } from "zod";
+import * as z from "zod";
 import { callControl } from "./control.js";
 import type { PlannedHost } from "./plan.js";
 
--- a/packages/client/src/fleet/fleet.ts
+++ b/packages/client/src/fleet/fleet.ts
@@ -7,7 +7,7 @@
 import { tmpdir } from "node:os";
 import { join } from "node:path";
 import { request } from "undici";
-import { z } from "zod";
+import * as z from "zod";
 import { submit } from "../submission.js";
 import { daemonScript } from "./binary.js";
 import type { Reclaim } from "./cloud.js";
--- a/packages/client/src/fleet/platform.ts
+++ b/packages/client/src/fleet/platform.ts
@@ -1,6 +1,6 @@
 import type { Configuration } from "@filbertrelay/configuration";
 import { join } from "node:path";
-import { z } from "zod";
+import * as z from "zod";
 import { standInScript } from "./binary.js";
 import { CloudControl } from "./cloud.js";
 import { FleetProcess } from "./process.js";
--- a/packages/client/src/fleet/provisioner.ts
+++ b/packages/client/src/fleet/provisioner.ts
@@ -1,5 +1,5 @@
 import { request } from "undici";
-import { z } from "zod";
+import * as z from "zod";
 import type { PlannedHost } from "./plan.js";
 
 const hostsSchema = z.object({
--- a/packages/client/src/logs/explanation.ts
+++ b/packages/client/src/logs/explanation.ts
@@ -1,6 +1,6 @@
 import { parseJson } from "@filbertrelay/kernel";
 import { readFileSync } from "node:fs";
-import { z } from "zod";
+import * as z from "zod";
 import { ExitCode, failed } from "../exit.js";
 import type { CommandResult } from "../exit.js";
 
--- a/packages/client/src/operator.ts
+++ b/packages/client/src/operator.ts
@@ -1,7 +1,7 @@
 import { failure, success } from "@filbertrelay/kernel";
 import type { Issue, Outcome } from "@filbertrelay/kernel";
 import { Agent, request } from "undici";
-import { z } from "zod";
+import * as z from "zod";
 
 const memberSchema = z.object({
     hostId: z.string(),
--- a/packages/configuration/src/answers.ts
+++ b/packages/configuration/src/answers.ts
@@ -1,7 +1,7 @@
 import type { Issue, Outcome } from "@filbertrelay/kernel";
 import { failure, success } from "@filbertrelay/kernel";
 import { parse } from "smol-toml";
-import { z } from "zod";
+import * as z from "zod";
 import { findReferenceIssues } from "./reference.js";
 
 const nameSchema = z.string().regex(/^[a-z0-9][a-z0-9-]{0,39}$/, "Expected 1 to 40 lower-case letters, digits or hyphens.");
--- a/packages/configuration/src/configuration.ts
+++ b/packages/configuration/src/configuration.ts
@@ -1,4 +1,4 @@
-import { z } from "zod";
+import * as z from "zod";
 
 /** An operation of a plain service and whether it is safe to retry. */
 export const operationSchema = z.object({
--- a/packages/configuration/src/ingress.ts
+++ b/packages/configuration/src/ingress.ts
@@ -1,4 +1,4 @@
-import { z } from "zod";
+import * as z from "zod";
 
 /** How often a request of a route may run: any number of times, at most once, or as one stream of events. */
 export const routeKindSchema = z.enum(["idempotent", "nonIdempotent", "stream"]);
--- a/packages/configuration/src/reference.ts
+++ b/packages/configuration/src/reference.ts
@@ -1,5 +1,5 @@
 import type { Issue } from "@filbertrelay/kernel";
-import { z } from "zod";
+import * as z from "zod";
 
 const namedSchema = z.object({ name: z.string() }).catch({ name: "" });
 const lenientSchema = z.object({
--- a/packages/configuration/src/settings.ts
+++ b/packages/configuration/src/settings.ts
@@ -1,7 +1,7 @@
 import type { Issue, Outcome } from "@filbertrelay/kernel";
 import { failure, isSocketAddress, success } from "@filbertrelay/kernel";
 import { parse } from "smol-toml";
-import { z } from "zod";
+import * as z from "zod";
 
 /** An IPv4 address and a port in a settings file. */
 export const hostAndPortSchema = z.string().refine(
--- a/packages/connectors/src/cloudclient.ts
+++ b/packages/connectors/src/cloudclient.ts
@@ -1,6 +1,6 @@
 import { brandAs, failure, success } from "@filbertrelay/kernel";
 import type { FailureDomainId, HostId, Outcome } from "@filbertrelay/kernel";
-import { z } from "zod";
+import * as z from "zod";
 import type { CloudClient, CloudHost, CloudIssue, ReclaimNotice } from "./cloud.js";
 import { JsonClient, parseResponse } from "./http.js";
 import type { ClientOptions, JsonCall, JsonResponse } from "./http.js";
--- a/packages/connectors/src/hostlistclient.ts
+++ b/packages/connectors/src/hostlistclient.ts
@@ -1,6 +1,6 @@
 import { brandAs, failure, success } from "@filbertrelay/kernel";
 import type { EndpointId, FailureDomainId, HostId, Outcome } from "@filbertrelay/kernel";
-import { z } from "zod";
+import * as z from "zod";
 import type { HostListClient, HostListIssue, ListedHost } from "./hostlist.js";
 import { JsonClient, parseResponse } from "./http.js";
 import type { ClientOptions } from "./http.js";
--- a/packages/connectors/src/http.ts
+++ b/packages/connectors/src/http.ts
@@ -2,7 +2,7 @@
 import type { Clock, Issue, Outcome, TransferProgress } from "@filbertrelay/kernel";
 import { Agent } from "undici";
 import type { Dispatcher } from "undici";
-import type { z } from "zod";
+import type * as z from "zod";
 import { ResponseTimer } from "./responsetimer.js";
 import { TransferMeter } from "./transfermeter.js";
 
--- a/packages/connectors/src/keyvalueclient.ts
+++ b/packages/connectors/src/keyvalueclient.ts
@@ -1,6 +1,6 @@
 import { failure, success } from "@filbertrelay/kernel";
 import type { Outcome } from "@filbertrelay/kernel";
-import { z } from "zod";
+import * as z from "zod";
 import type { CallBudget, CallKind } from "./budget.js";
 import { JsonClient, parseResponse } from "./http.js";
 import type { ClientOptions, JsonCall, JsonResponse } from "./http.js";
--- a/packages/connectors/src/weightstoreclient.ts
+++ b/packages/connectors/src/weightstoreclient.ts
@@ -1,6 +1,6 @@
 import { failure } from "@filbertrelay/kernel";
 import type { Outcome } from "@filbertrelay/kernel";
-import { z } from "zod";
+import * as z from "zod";
 import { JsonClient, parseResponse } from "./http.js";
 import type { ClientOptions, JsonResponse } from "./http.js";
 import type { WeightStoreClient, WeightStoreIssue } from "./weightstore.js";
--- a/packages/emulator/src/trace/trace.ts
+++ b/packages/emulator/src/trace/trace.ts
@@ -1,5 +1,5 @@
 import { readFileSync, writeFileSync } from "node:fs";
-import { z } from "zod";
+import * as z from "zod";
 
 /** A piece of a prompt: its name determines its text, so pieces with one name are equal up to the shorter length. */
 export const promptPartSchema = z.tuple([z.string().min(1), z.int().positive()]);
--- a/packages/endpoints/src/enginedriver.ts
+++ b/packages/endpoints/src/enginedriver.ts
@@ -1,6 +1,6 @@
 import { failure, parseJson, success } from "@filbertrelay/kernel";
 import type { Clock, Outcome, RequestId } from "@filbertrelay/kernel";
-import { z } from "zod";
+import * as z from "zod";
 import { EndpointConnections, failedAttempt, isDeclaredNotRun, readBody } from "./connection.js";
 import type { Attempt, EndpointResponse } from "./connection.js";
 import type {
--- a/packages/endpoints/src/enginestream.ts
+++ b/packages/endpoints/src/enginestream.ts
@@ -1,7 +1,7 @@
 import type { RequestId } from "@filbertrelay/kernel";
 import { createParser } from "eventsource-parser";
 import type { EventSourceMessage, EventSourceParser } from "eventsource-parser";
-import { z } from "zod";
+import * as z from "zod";
 import type { EndpointIssue, EngineFinish, EngineItem } from "./engine.js";
 
 const chunkSchema = z.object({
--- a/packages/endpoints/src/servicedriver.ts
+++ b/packages/endpoints/src/servicedriver.ts
@@ -1,6 +1,6 @@
 import { connectionHeaders, failure, success } from "@filbertrelay/kernel";
 import type { Clock, IdempotencyKey, Outcome } from "@filbertrelay/kernel";
-import { z } from "zod";
+import * as z from "zod";
 import { EndpointConnections, failedAttempt, isDeclaredNotRun, readBody } from "./connection.js";
 import type { Attempt, EndpointResponse } from "./connection.js";
 import type { EndpointIssue } from "./engine.js";
--- a/packages/ingress/src/duty/lease.ts
+++ b/packages/ingress/src/duty/lease.ts
@@ -2,7 +2,7 @@
 import { brandAs, parseJson, RepeatedTask } from "@filbertrelay/kernel";
 import type { Clock, EventLog, HostId, Incarnation, Service } from "@filbertrelay/kernel";
 import { createFencingToken, firstEra, mayContend } from "@filbertrelay/policy/ingress";
-import { z } from "zod";
+import * as z from "zod";
 import type { DutyHolder } from "../contract.js";
 import { fleetEvents as events } from "../fleet/event.js";
 import { ownPrefix } from "../fleet/hosts.js";
--- a/packages/ingress/src/duty/usagereporter.ts
+++ b/packages/ingress/src/duty/usagereporter.ts
@@ -3,7 +3,7 @@
 import type { Clock, EventLog, Service } from "@filbertrelay/kernel";
 import { finalizeWindow } from "@filbertrelay/policy/ingress";
 import type { CustomerCounts, FinalCounts, FleetClock, StoredWindows, UsageLedger } from "@filbertrelay/policy/ingress";
-import { z } from "zod";
+import * as z from "zod";
 import type { DutyCalls } from "../contract.js";
 import { fleetEvents as events } from "../fleet/event.js";
 import { ownPrefix } from "../fleet/hosts.js";
--- a/packages/ingress/src/fleet/exchange.ts
+++ b/packages/ingress/src/fleet/exchange.ts
@@ -12,7 +12,7 @@
 import type { ExchangePlan, FleetClock, FleetReach } from "@filbertrelay/policy/ingress";
 import { declareTopic } from "@filbertrelay/wire";
 import type { TcpPeerNetwork } from "@filbertrelay/wire";
-import { z } from "zod";
+import * as z from "zod";
 import { Announcer } from "./announcer.js";
 import { Attachment } from "./attachment.js";
 import type { SharedFindings } from "./findings.js";
--- a/packages/ingress/src/fleet/hosts.ts
+++ b/packages/ingress/src/fleet/hosts.ts
@@ -1,7 +1,7 @@
 import type { StoreChange } from "@filbertrelay/connectors";
 import { brandAs, isRemoteAddress, parseBoundedJson } from "@filbertrelay/kernel";
 import type { EventLog, FailureDomainId, HostId, Incarnation } from "@filbertrelay/kernel";
-import { z } from "zod";
+import * as z from "zod";
 import { stateEvents } from "../state/event.js";
 import type { StoreMirror } from "../state/mirror.js";
 import { fleetEvents as events } from "./event.js";
--- a/packages/ingress/src/fleet/originarchive.ts
+++ b/packages/ingress/src/fleet/originarchive.ts
@@ -2,7 +2,7 @@
 import { brandAs, parseJson } from "@filbertrelay/kernel";
 import type { Clock, EventLog, HostId, RequestId, Service } from "@filbertrelay/kernel";
 import type { FleetClock, RememberedOrigin } from "@filbertrelay/policy/ingress";
-import { z } from "zod";
+import * as z from "zod";
 import type { StoreMirror } from "../state/mirror.js";
 import { fleetEvents as events } from "./event.js";
 import { ownPrefix } from "./hosts.js";
--- a/packages/ingress/src/fleet/report.ts
+++ b/packages/ingress/src/fleet/report.ts
@@ -1,5 +1,5 @@
 import type { DemandMeter, LoadTracker, QuotaUse, UsageLedger, UsageQuota } from "@filbertrelay/policy/ingress";
-import { z } from "zod";
+import * as z from "zod";
 import { suspectReportSchema } from "./suspectreport.js";
 
 const countsSchema = z.record(z.string(), z.number());
--- a/packages/ingress/src/fleet/storesync.ts
+++ b/packages/ingress/src/fleet/storesync.ts
@@ -3,7 +3,7 @@
 import type { CopiedChange, CopyChanges, CopyUpdate } from "@filbertrelay/policy/ingress";
 import { declareTopic } from "@filbertrelay/wire";
 import type { TcpPeerNetwork } from "@filbertrelay/wire";
-import { z } from "zod";
+import * as z from "zod";
 import type { StoreMirror } from "../state/mirror.js";
 import type { WatchRole } from "../state/watchrole.js";
 import type { MirrorStatus } from "./report.js";
--- a/packages/ingress/src/fleet/streamversions.ts
+++ b/packages/ingress/src/fleet/streamversions.ts
@@ -4,7 +4,7 @@
 import type { FleetClock, OriginReply, PlacedHost, RememberedOrigin, VersionHistory } from "@filbertrelay/policy/ingress";
 import { declareTopic } from "@filbertrelay/wire";
 import type { TcpPeerNetwork } from "@filbertrelay/wire";
-import { z } from "zod";
+import * as z from "zod";
 import { requestEvents as events } from "../request/event.js";
 
 const originSchema = z.object({
--- a/packages/ingress/src/fleet/suspectreport.ts
+++ b/packages/ingress/src/fleet/suspectreport.ts
@@ -1,4 +1,4 @@
-import { z } from "zod";
+import * as z from "zod";
 
 /** What a host knows of crashes and of the requests that cause them; times are ages in milliseconds. */
 export const suspectReportSchema = z.object({
--- a/packages/ingress/src/relay/message.ts
+++ b/packages/ingress/src/relay/message.ts
@@ -1,5 +1,5 @@
 import { declareTopic } from "@filbertrelay/wire";
-import { z } from "zod";
+import * as z from "zod";
 import type { HeaderList } from "../contract.js";
 
 /** Bytes of an answer that a host sends ahead of what the calling host has taken. */
--- a/packages/ingress/src/rollout/rolloutentry.ts
+++ b/packages/ingress/src/rollout/rolloutentry.ts
@@ -1,6 +1,6 @@
 import { parseJson } from "@filbertrelay/kernel";
 import type { HostTally, RolloutRecord } from "@filbertrelay/policy/ingress";
-import { z } from "zod";
+import * as z from "zod";
 import { ownPrefix } from "../fleet/hosts.js";
 
 /** Prefix of the keys that hold the records of roll-outs, by service. */
--- a/packages/ingress/src/state/versionrecorder.ts
+++ b/packages/ingress/src/state/versionrecorder.ts
@@ -3,7 +3,7 @@
 import type { Clock, EventLog, HostId, Service } from "@filbertrelay/kernel";
 import { rankAcrossDomains } from "@filbertrelay/policy/ingress";
 import type { FleetClock, PlacedHost, VersionHistory, VersionRecord } from "@filbertrelay/policy/ingress";
-import { z } from "zod";
+import * as z from "zod";
 import { ownPrefix } from "../fleet/hosts.js";
 import type { EndpointTable } from "./endpoints.js";
 import { stateEvents as events } from "./event.js";
--- a/packages/relay/src/caller/chat.ts
+++ b/packages/relay/src/caller/chat.ts
@@ -1,7 +1,7 @@
 import { parseJson } from "@filbertrelay/kernel";
 import { RESPONSE_ALREADY_SENT } from "@hono/node-server/utils/response";
 import { match } from "ts-pattern";
-import type { z } from "zod";
+import type * as z from "zod";
 import type { Answer } from "../streams/answer.js";
 import { renderCompletion, writeEventStream } from "../streams/eventstream.js";
 import { chatRequestSchema, toModelRequest } from "../streams/request.js";
--- a/packages/relay/src/keyvalue/relayed.ts
+++ b/packages/relay/src/keyvalue/relayed.ts
@@ -5,7 +5,7 @@
 import { declareTopic } from "@filbertrelay/wire";
 import type { PeerNetwork } from "@filbertrelay/wire";
 import { match } from "ts-pattern";
-import { z } from "zod";
+import * as z from "zod";
 import type { MembershipService } from "../contract.js";
 
 const purposeSchema = z.enum(["configuration", "shards", "planner", "operator"]);
--- a/packages/relay/src/membership/topic.ts
+++ b/packages/relay/src/membership/topic.ts
@@ -2,7 +2,7 @@
 import type { FailureDomainId, HostId, Incarnation } from "@filbertrelay/kernel";
 import type { Gossip, MembershipMessage, MemberUpdate, PublishedValue } from "@filbertrelay/policy";
 import { declareTopic } from "@filbertrelay/wire";
-import { z } from "zod";
+import * as z from "zod";
 
 const hostIdSchema = z.string().min(1).max(100).transform(value => brandAs<HostId>(value));
 const sequenceSchema = z.int().min(0).max(0xffff_ffff);
--- a/packages/relay/src/planner/intent.ts
+++ b/packages/relay/src/planner/intent.ts
@@ -1,6 +1,6 @@
 import type { KeyValueClient } from "@filbertrelay/connectors";
 import { parseJson } from "@filbertrelay/kernel";
-import { z } from "zod";
+import * as z from "zod";
 
 /** The key-value key that stores the planner's intent. */
 export const plannerIntentKey = "planner/intent";
--- a/packages/relay/src/settings.ts
+++ b/packages/relay/src/settings.ts
@@ -1,7 +1,7 @@
 import { checkSettings, hostAndPortSchema } from "@filbertrelay/configuration";
 import type { SettingsIssue } from "@filbertrelay/configuration";
 import type { Outcome } from "@filbertrelay/kernel";
-import { z } from "zod";
+import * as z from "zod";
 
 const url = z.url({ protocol: /^https?$/ });
 
--- a/packages/relay/src/shards/service.ts
+++ b/packages/relay/src/shards/service.ts
@@ -5,7 +5,7 @@
 import { digestKey, rankHosts, shardOf, toSubmitResult } from "@filbertrelay/policy";
 import type { Candidate, Holder, PeerRequest, ShardOptions, SubmitResult } from "@filbertrelay/policy";
 import type { PeerNetwork } from "@filbertrelay/wire";
-import type { z } from "zod";
+import type * as z from "zod";
 import type {
     ConfigurationService,
     DirectoryService,
--- a/packages/relay/src/shards/store.ts
+++ b/packages/relay/src/shards/store.ts
@@ -2,7 +2,7 @@
 import { parseJson } from "@filbertrelay/kernel";
 import type { Outcome } from "@filbertrelay/kernel";
 import type { ShardValue, VersionedValue } from "@filbertrelay/policy";
-import { z } from "zod";
+import * as z from "zod";
 import type { ShardContext } from "./context.js";
 import { shardEvents } from "./event.js";
 import { shardValueSchema } from "./topic.js";
--- a/packages/relay/src/shards/topic.ts
+++ b/packages/relay/src/shards/topic.ts
@@ -1,5 +1,5 @@
 import { declareTopic } from "@filbertrelay/wire";
-import { z } from "zod";
+import * as z from "zod";
 
 const holderSchema = z.object({ host: z.string(), incarnation: z.string() });
 
--- a/packages/relay/src/streams/reader.ts
+++ b/packages/relay/src/streams/reader.ts
@@ -3,7 +3,7 @@
 import { rankByRendezvous } from "@filbertrelay/policy";
 import type { PeerNetwork } from "@filbertrelay/wire";
 import { match } from "ts-pattern";
-import type { z } from "zod";
+import type * as z from "zod";
 import type { MembershipService } from "../contract.js";
 import { Answer } from "./answer.js";
 import { holdersOf } from "./request.js";
--- a/packages/relay/src/streams/request.ts
+++ b/packages/relay/src/streams/request.ts
@@ -1,7 +1,7 @@
 import { brandAs } from "@filbertrelay/kernel";
 import type { HostId, RequestId } from "@filbertrelay/kernel";
 import { randomBytes } from "node:crypto";
-import { z } from "zod";
+import * as z from "zod";
 
 /** The body of a chat-completions request. */
 export const chatRequestSchema = z.object({
--- a/packages/relay/src/streams/topic.ts
+++ b/packages/relay/src/streams/topic.ts
@@ -1,5 +1,5 @@
 import { declareTopic } from "@filbertrelay/wire";
-import { z } from "zod";
+import * as z from "zod";
 import { modelRequestSchema } from "./request.js";
 
 const finishSchema = z.object({
--- a/packages/relay/src/suspects/suspects.ts
+++ b/packages/relay/src/suspects/suspects.ts
@@ -4,7 +4,7 @@
 import type { SuspectDecision, SuspectEntry, SuspectTracker } from "@filbertrelay/policy";
 import { declareTopic } from "@filbertrelay/wire";
 import type { PeerNetwork } from "@filbertrelay/wire";
-import { z } from "zod";
+import * as z from "zod";
 import type { MembershipService } from "../contract.js";
 import type { EngineRouter } from "../routing/router.js";
 import type { Metrics } from "../telemetry/metrics.js";
--- a/packages/standins/src/cloud.ts
+++ b/packages/standins/src/cloud.ts
@@ -1,6 +1,6 @@
 import { Hono } from "hono";
 import type { Context } from "hono";
-import { z } from "zod";
+import * as z from "zod";
 import { CloudFleet } from "./cloudfleet.js";
 import type { FleetHost } from "./cloudfleet.js";
 import { queryNumber, readJson, refuse } from "./reply.js";
--- a/packages/standins/src/engine.ts
+++ b/packages/standins/src/engine.ts
@@ -3,7 +3,7 @@
 import { Hono } from "hono";
 import type { Context } from "hono";
 import { setTimeout as sleep } from "node:timers/promises";
-import { z } from "zod";
+import * as z from "zod";
 import { answerToken, countTokens, hashBlocks, hashPrompt, renderPrompt } from "./answer.js";
 import type { EngineModel, EngineModelOptions } from "./enginemodel.js";
 import { EngineOrders } from "./engineorder.js";
--- a/packages/standins/src/engineorder.ts
+++ b/packages/standins/src/engineorder.ts
@@ -2,7 +2,7 @@
 import type { Context } from "hono";
 import { setTimeout as sleep } from "node:timers/promises";
 import { request } from "undici";
-import { z } from "zod";
+import * as z from "zod";
 import { readJson, refuse } from "./reply.js";
 import type { StandInEnvironment } from "./server.js";
 
--- a/packages/standins/src/enginerule.ts
+++ b/packages/standins/src/enginerule.ts
@@ -1,7 +1,7 @@
 import { createParser } from "eventsource-parser";
 import assert from "node:assert/strict";
 import { setTimeout as sleep } from "node:timers/promises";
-import { z } from "zod";
+import * as z from "zod";
 import { hashBlocks, renderPrompt, tokensPerBlock } from "./answer.js";
 import { call, uniqueName } from "./rule.js";
 import type { Rule, RuleOptions, RuleReply } from "./rule.js";
--- a/packages/standins/src/fault.ts
+++ b/packages/standins/src/fault.ts
@@ -2,7 +2,7 @@
 import { RESPONSE_ALREADY_SENT } from "@hono/node-server/utils/response";
 import { Hono } from "hono";
 import { setTimeout as sleep } from "node:timers/promises";
-import { z } from "zod";
+import * as z from "zod";
 import { errorBody, readJson, refuse } from "./reply.js";
 
 /** Faults that every stand-in has. */
--- a/packages/standins/src/faultproxy.ts
+++ b/packages/standins/src/faultproxy.ts
@@ -1,7 +1,7 @@
 import { Hono } from "hono";
 import type { Context } from "hono";
 import { xoroshiro128plus } from "pure-rand/generator/xoroshiro128plus";
-import { z } from "zod";
+import * as z from "zod";
 import { ProxyRoute } from "./proxyroute.js";
 import { readJson, refuse } from "./reply.js";
 import type { StandIn, StandInEnvironment } from "./server.js";
--- a/packages/standins/src/hostlist.ts
+++ b/packages/standins/src/hostlist.ts
@@ -1,6 +1,6 @@
 import { Hono } from "hono";
 import { request } from "undici";
-import { z } from "zod";
+import * as z from "zod";
 import { refuse } from "./reply.js";
 import type { StandIn, StandInEnvironment } from "./server.js";
 
--- a/packages/standins/src/keyvalue.ts
+++ b/packages/standins/src/keyvalue.ts
@@ -1,6 +1,6 @@
 import { Hono } from "hono";
 import type { Context } from "hono";
-import { z } from "zod";
+import * as z from "zod";
 import { KeyValueStore } from "./keyvaluestore.js";
 import type { StoredEntry, WriteResult } from "./keyvaluestore.js";
 import { RateLimit } from "./ratelimit.js";
--- a/packages/standins/src/keyvaluerule.ts
+++ b/packages/standins/src/keyvaluerule.ts
@@ -1,6 +1,6 @@
 import assert from "node:assert/strict";
 import { setTimeout as sleep } from "node:timers/promises";
-import { z } from "zod";
+import * as z from "zod";
 import { call, uniqueName } from "./rule.js";
 import type { Rule, RuleOptions, RuleReply } from "./rule.js";
 
--- a/packages/standins/src/plainservice.ts
+++ b/packages/standins/src/plainservice.ts
@@ -2,7 +2,7 @@
 import type { Context } from "hono";
 import { createHash } from "node:crypto";
 import { setTimeout as sleep } from "node:timers/promises";
-import { z } from "zod";
+import * as z from "zod";
 import { readJson, refuse } from "./reply.js";
 import type { StandIn, StandInEnvironment } from "./server.js";
 
--- a/packages/standins/src/proxyrule.ts
+++ b/packages/standins/src/proxyrule.ts
@@ -4,7 +4,7 @@
 import { connect, createServer } from "node:net";
 import type { AddressInfo, Server, Socket } from "node:net";
 import { setTimeout as sleep } from "node:timers/promises";
-import { z } from "zod";
+import * as z from "zod";
 import { call } from "./rule.js";
 import type { Rule, RuleOptions } from "./rule.js";
 
--- a/packages/standins/src/reply.ts
+++ b/packages/standins/src/reply.ts
@@ -1,6 +1,6 @@
 import type { Context } from "hono";
 import type { ContentfulStatusCode } from "hono/utils/http-status";
-import type { z } from "zod";
+import type * as z from "zod";
 
 /** The error body of every stand-in. */
 export function errorBody(
--- a/packages/standins/src/servicerule.ts
+++ b/packages/standins/src/servicerule.ts
@@ -1,5 +1,5 @@
 import assert from "node:assert/strict";
-import { z } from "zod";
+import * as z from "zod";
 import { call, uniqueName } from "./rule.js";
 import type { Rule, RuleOptions, RuleReply } from "./rule.js";
 
--- a/packages/standins/src/storerule.ts
+++ b/packages/standins/src/storerule.ts
@@ -1,6 +1,6 @@
 import assert from "node:assert/strict";
 import { request } from "undici";
-import { z } from "zod";
+import * as z from "zod";
 import { call } from "./rule.js";
 import type { Rule, RuleOptions } from "./rule.js";
 
--- a/packages/standins/src/weightstore.ts
+++ b/packages/standins/src/weightstore.ts
@@ -4,7 +4,7 @@
 import type { Context } from "hono";
 import type { ServerResponse } from "node:http";
 import { setTimeout as sleep } from "node:timers/promises";
-import { z } from "zod";
+import * as z from "zod";
 import { errorBody, readJson, refuse } from "./reply.js";
 import type { StandIn, StandInEnvironment } from "./server.js";
 
--- a/packages/wire/src/call.ts
+++ b/packages/wire/src/call.ts
@@ -1,6 +1,6 @@
 import type { Clock, Outcome } from "@filbertrelay/kernel";
 import { failure, success } from "@filbertrelay/kernel";
-import { z } from "zod";
+import * as z from "zod";
 import type { PeerConnection } from "./connection.js";
 import type { CallOptions, PeerIssue, Topic } from "./network.js";
 import { validateShape } from "./shape.js";
--- a/packages/wire/src/frame.ts
+++ b/packages/wire/src/frame.ts
@@ -1,7 +1,7 @@
 import { failure, success } from "@filbertrelay/kernel";
 import type { Issue, Outcome } from "@filbertrelay/kernel";
 import { Encoder, setSizeLimits } from "cbor-x";
-import { z } from "zod";
+import * as z from "zod";
 
 /** The size of the big-endian length prefix of each frame, in bytes. */
 export const lengthBytes = 4;
--- a/packages/wire/src/handler.ts
+++ b/packages/wire/src/handler.ts
@@ -1,6 +1,6 @@
 import { invariant } from "@filbertrelay/kernel";
 import type { HostId } from "@filbertrelay/kernel";
-import { z } from "zod";
+import * as z from "zod";
 import type { Frame } from "./frame.js";
 import type { PeerContext, Topic } from "./network.js";
 import { SendWindow } from "./sendwindow.js";
--- a/packages/wire/src/handshake.ts
+++ b/packages/wire/src/handshake.ts
@@ -1,7 +1,7 @@
 import { brandAs } from "@filbertrelay/kernel";
 import type { HostId } from "@filbertrelay/kernel";
 import { createHmac, randomBytes, timingSafeEqual } from "node:crypto";
-import { z } from "zod";
+import * as z from "zod";
 import type { FrameSocket } from "./framesocket.js";
 
 /** The maximum size of a handshake frame in bytes; limits what an unauthenticated peer can make this process buffer. */
--- a/packages/wire/src/network.ts
+++ b/packages/wire/src/network.ts
@@ -1,5 +1,5 @@
 import type { HostId, Issue, Outcome } from "@filbertrelay/kernel";
-import type { z } from "zod";
+import type * as z from "zod";
 
 /** Why a call to a peer failed; `sent` is false only if no byte of the call left this process. */
 export interface PeerIssue extends Issue {
--- a/packages/wire/src/shape.ts
+++ b/packages/wire/src/shape.ts
@@ -1,4 +1,4 @@
-import type { z } from "zod";
+import type * as z from "zod";
 
 type Shape = (value: unknown) => boolean;
 
--- a/packages/wire/src/tcpnetwork.ts
+++ b/packages/wire/src/tcpnetwork.ts
@@ -2,7 +2,7 @@
 import { declareEvents, failure, listenOn, splitAddress, success } from "@filbertrelay/kernel";
 import { createServer, Socket } from "node:net";
 import type { AddressInfo, Server } from "node:net";
-import { z } from "zod";
+import * as z from "zod";
 import { Call } from "./call.js";
 import { PeerConnection } from "./connection.js";
 import type { ConnectionTiming } from "./connection.js";
