Read long lists of the key-value service to their end

A host of packages/relay that takes over a shard lists the shard's sealed keys, up to 1 MB in each value. A list that takes longer than 2 s was given up with its bytes still coming, so at a slow link the shard had no owner, and its requests were refused.

Evidence: the new scenario, a list of 400,000 bytes over 2 s and a client that waits 1 s for a silent service, failed before: "The response was not complete after 1002 ms, of which 180027 bytes had arrived."

Change: createKeyValueClient, also used by the operator's tools, gives up a response whose body has begun after a time without a byte or below 64 KB/s, by transferDueMs, whose property exists. No message changes.

--- a/features/ingress.transfer.feature
+++ b/features/ingress.transfer.feature
@@ -16,6 +16,11 @@
     Given a store that sends the head of a response at once and its body 2000 ms later
     Then a watch by a client that waits 1000 ms for a silent store brings 400000 bytes
 
+  # Guards against a host that never takes over a shard, because the list of its keys takes longer than a silent service is waited for.
+  Scenario: A list of the key-value service is read to its end while its bytes keep coming
+    Given a key-value service whose responses arrive in 20 pieces, 100 ms apart
+    Then a list by a client that waits 1000 ms for a silent service brings 400000 bytes
+
   # Guards against a host that waits for a dead connection, or for a byte now and then.
   Scenario Outline: A response whose bytes don't keep coming is given up
     Given a store whose responses <fault>
--- a/features/steps/ingress.transfer.ts
+++ b/features/steps/ingress.transfer.ts
@@ -1,4 +1,5 @@
 import { After, Given, Then, When } from "@cucumber/cucumber";
+import { createKeyValueClient } from "@filbertrelay/connectors";
 import { StoreMirror } from "@filbertrelay/ingress";
 import { createSystemClock, silentEventLog } from "@filbertrelay/kernel";
 import { createPlatformStore } from "@filbertrelay/platform";
@@ -31,7 +32,10 @@
 /** Starts a store whose listings and watches hold one long item. */
 async function startStore(world: TransferWorld, writeBody: WriteBody): Promise<void> {
     const entry = { key, value: Buffer.from("x".repeat(valueCharacters)).toString("base64"), revision: 2 };
-    const text = JSON.stringify({ entries: [entry], events: [entry], hasMore: false, at: 2 });
+    await startServer(world, JSON.stringify({ entries: [entry], events: [entry], hasMore: false, at: 2 }), writeBody);
+}
+
+async function startServer(world: TransferWorld, text: string, writeBody: WriteBody): Promise<void> {
     world.slowStore = createServer((_, response) => {
         response.writeHead(200, { "Content-Type": "application/json" });
         void writeBody(response, text);
@@ -39,22 +43,39 @@
     await new Promise<void>(resolve => world.slowStore!.listen(0, "127.0.0.1", resolve));
 }
 
-function createClient({ slowStore }: TransferWorld, timeoutMs: number): ReturnType<typeof createPlatformStore> {
+function addressOf({ slowStore }: TransferWorld): string {
     const { port } = slowStore!.address() as AddressInfo;
-    return createPlatformStore({ address: `127.0.0.1:${port}`, clock, timeoutMs, onCall: () => undefined });
+    return `127.0.0.1:${port}`;
+}
+
+function createClient(world: TransferWorld, timeoutMs: number): ReturnType<typeof createPlatformStore> {
+    return createPlatformStore({ address: addressOf(world), clock, timeoutMs, onCall: () => undefined });
+}
+
+/** Writes bodies in pieces of equal length. */
+function writePieces(pieces: number, gapMs: number): WriteBody {
+    return async (response, text) => {
+        const length = Math.ceil(text.length / pieces);
+        for (let start = 0; start < text.length && !response.destroyed; start += length) {
+            await clock.sleep(gapMs);
+            response.write(text.slice(start, start + length));
+        }
+        response.end();
+    };
 }
 
 Given(
     "a store whose responses arrive in {int} pieces, {int} ms apart",
     async function(this: TransferWorld, pieces: number, gapMs: number) {
-        await startStore(this, async (response, text) => {
-            const length = Math.ceil(text.length / pieces);
-            for (let start = 0; start < text.length && !response.destroyed; start += length) {
-                await clock.sleep(gapMs);
-                response.write(text.slice(start, start + length));
-            }
-            response.end();
-        });
+        await startStore(this, writePieces(pieces, gapMs));
+    },
+);
+
+Given(
+    "a key-value service whose responses arrive in {int} pieces, {int} ms apart",
+    async function(this: TransferWorld, pieces: number, gapMs: number) {
+        const text = JSON.stringify({ values: [{ key, value: "x".repeat(valueCharacters), version: 2 }] });
+        await startServer(this, text, writePieces(pieces, gapMs));
     },
 );
 
@@ -105,6 +126,18 @@
     },
 );
 
+Then(
+    "a list by a client that waits {int} ms for a silent service brings {int} bytes",
+    { timeout: 30_000 },
+    async function(this: TransferWorld, timeoutMs: number, bytes: number) {
+        const client = createKeyValueClient({ url: `http://${addressOf(this)}`, clock, timeoutMs });
+        const read = await client.list("", "shards");
+        await client.stop();
+        assert.ok(read.ok, read.ok ? "" : read.issue.message);
+        assert.deepEqual(read.value.map(({ value }) => value.length), [bytes]);
+    },
+);
+
 Then(
     "a listing by a client that waits {int} ms for a silent store fails within {int} ms",
     { timeout: 30_000 },
--- a/packages/connectors/src/http.ts
+++ b/packages/connectors/src/http.ts
@@ -70,7 +70,8 @@
     readonly signal: AbortSignal;
 }
 
-const defaultTimeoutMs = 2_000;
+/** Timeout of a call unless the options name another, in milliseconds. */
+export const defaultTimeoutMs = 2_000;
 // Larger than any valid response: a list of the 64 shard values of 1 MB each.
 const defaultMaxResponseBytes = 80_000_000;
 
--- a/packages/connectors/src/keyvalueclient.ts
+++ b/packages/connectors/src/keyvalueclient.ts
@@ -1,8 +1,9 @@
 import { failure, success } from "@filbertrelay/kernel";
 import type { Outcome } from "@filbertrelay/kernel";
+import { transferDueMs } from "@filbertrelay/policy/ingress";
 import * as z from "zod";
 import type { CallBudget, CallKind } from "./budget.js";
-import { JsonClient, parseResponse } from "./http.js";
+import { defaultTimeoutMs, JsonClient, parseResponse } from "./http.js";
 import type { ClientOptions, JsonCall, JsonResponse } from "./http.js";
 import type { CallPurpose, KeyValueClient, KeyValueIssue, StoredValue } from "./keyvalue.js";
 
@@ -28,6 +29,9 @@
 const writtenSchema = z.object({ version: versionSchema });
 const leaseSchema = z.object({ leaseId: z.string().min(1) });
 
+/** Lowest mean rate of a response that counts as alive. */
+const slowestBytesPerMs = 64;
+
 type KeyValueOutcome<T> = Outcome<T, KeyValueIssue>;
 
 class HttpKeyValueClient implements ClosableKeyValueClient {
@@ -36,7 +40,12 @@
 
     constructor(options: KeyValueClientOptions) {
         this.#options = options;
-        this.#client = new JsonClient(options);
+        const { timeoutMs: silenceMs = defaultTimeoutMs } = options;
+        // Lists hold values of up to 1 MB each, so their length says nothing about the service.
+        this.#client = new JsonClient({
+            transferDueMs: progress => transferDueMs(progress, { silenceMs, slowestBytesPerMs }),
+            ...options,
+        });
     }
 
     async get(key: string, purpose: CallPurpose): Promise<KeyValueOutcome<StoredValue | undefined>> {
